--- /dev/null
+++ b/src/medlarvale/cli.py
@@ -0,0 +1,22 @@
+"""Command line of the one program; each slice adds its own subcommands."""
+
+from __future__ import annotations
+
+import argparse
+from collections.abc import Sequence
+
+
+def build_parser() -> argparse.ArgumentParser:
+    """Returns the parser; each subcommand sets ``run``, which returns the exit status."""
+    parser = argparse.ArgumentParser(
+        prog="medlarvale", description="Router for separate prefill and decode pools."
+    )
+    parser.add_subparsers(dest="command", required=True)
+    return parser
+
+
+def main(arguments: Sequence[str] | None = None) -> int:
+    """Runs the program and returns its exit status."""
+    options = build_parser().parse_args(arguments)
+    status: int = options.run(options)
+    return status
--- a/src/medlarvale/clock.py
+++ b/src/medlarvale/clock.py
@@ -93,7 +93,12 @@
     async def sleep_ms(self, duration_ms: float) -> None:
         """Waits until ``advance_ms`` has moved the clock by ``duration_ms``."""
         future: asyncio.Future[None] = asyncio.get_running_loop().create_future()
-        self._schedule(duration_ms, lambda: future.done() or future.set_result(None))
+
+        def wake() -> None:
+            if not future.done():
+                future.set_result(None)
+
+        self._schedule(duration_ms, wake)
         await future
 
     def every_ms(self, period_ms: float, callback: TimerCallback) -> Subscription:
@@ -118,6 +123,5 @@
             callback()
         self._now_ms = end_ms
 
-    def _schedule(self, delay_ms: float, callback: Callable[[], object]) -> None:
-        entry = (self._now_ms + delay_ms, next(self._order), callback)
-        heapq.heappush(self._timers, entry)  # type: ignore[arg-type]
+    def _schedule(self, delay_ms: float, callback: TimerCallback) -> None:
+        heapq.heappush(self._timers, (self._now_ms + delay_ms, next(self._order), callback))
--- a/src/medlarvale/peers/pynng_transport.py
+++ b/src/medlarvale/peers/pynng_transport.py
@@ -195,9 +195,7 @@
             log_warning(Event.PEER_HANDLER_FAILED, sender=str(sender), error=repr(error))
             kind = FrameKind.FAILURE
             body = f"{type(error).__name__}: {error}".encode()
-        self._send(
-            frame.reply_address, frame.sender, next(self._nonces), frame.nonce, kind, body
-        )
+        self._send(frame.reply_address, frame.sender, next(self._nonces), frame.nonce, kind, body)
 
     def _spawn(self, coroutine) -> None:  # type: ignore[no-untyped-def]
         task = asyncio.get_running_loop().create_task(coroutine)
--- a/src/medlarvale/scheduling/messages.py
+++ b/src/medlarvale/scheduling/messages.py
@@ -6,7 +6,14 @@
 
 import msgspec
 
-from medlarvale.ids import AttemptNumber, HostIdentity, RequestId, ServerId, ServiceName, WorkspaceId
+from medlarvale.ids import (
+    AttemptNumber,
+    HostIdentity,
+    RequestId,
+    ServerId,
+    ServiceName,
+    WorkspaceId,
+)
 
 
 class WorkClass(enum.Enum):
