Decide at-most-once calls by leases over key times

Cause: hosts keep nothing and share nothing written, so a successor can't know what its predecessor has run, and a paused owner may write after any timeout. Change: lease, view and ledger decisions without I/O; property test over loss, reordering, pause, restart, partition, list changes and hand-over; script that breaks the code and expects red tests.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 export PYTHONPATH := src:.
 export PYTHONDONTWRITEBYTECODE := 1
 
-.PHONY: demo test fuzz bench slopes run-dev format check dist
+.PHONY: demo test fuzz mutations bench slopes run-dev format check dist
 
 $(VENV)/.installed: requirements.lock
 	python3 -m venv $(VENV)
@@ -23,6 +23,9 @@
 fuzz: $(VENV)/.installed
 	HYPOTHESIS_PROFILE=fuzz $(PYTHON) -m scripts.run_tests --pattern "test_*_properties.py"
 
+mutations: $(VENV)/.installed
+	$(PYTHON) -m scripts.mutations
+
 bench: $(VENV)/.installed
 	$(PYTHON) -m bench
 
--- /dev/null
+++ b/src/medlarvale/bookings/lease.py
@@ -0,0 +1,244 @@
+"""Leases over key times: which host may run the keys of a shard that were issued when.
+
+A granter promises one holder all key times of a shard up to a limit. The interval of the next
+holder starts above every earlier promise, and each interval needs a majority, so the intervals
+of all holders are disjoint. A holder that wakes late still may run only keys of its own interval.
+"""
+
+from __future__ import annotations
+
+import enum
+from collections.abc import Iterable
+
+import msgspec
+
+from medlarvale.bookings.keys import SHARD_COUNT
+from medlarvale.bookings.messages import Grant, HandOver, LeaseReply, LeaseRequest, View
+from medlarvale.bookings.views import ViewTracker
+from medlarvale.ids import HostId, HostIdentity, ShardId
+
+LEASE_MS = 1_000
+RENEW_PERIOD_MS = 250
+CLOCK_BOUND_MS = 500
+
+
+class Coverage(enum.Enum):
+    """What a host's lease says of a key time."""
+
+    COVERED = "covered"
+    TOO_OLD = "too_old"
+    NOT_YET = "not_yet"
+    NOT_HELD = "not_held"
+
+
+class _Promise(msgspec.Struct):
+    """What a granter has promised for a shard.
+
+    Attributes:
+        holder: host with the newest promise.
+        until_ms: last key time promised to the holder.
+        others_until_ms: last key time promised to anyone else, or by an earlier life.
+    """
+
+    holder: HostIdentity | None
+    until_ms: int
+    others_until_ms: int
+
+
+class _Interval(msgspec.Struct):
+    """Key times held: above ``above_ms`` up to ``until_ms``."""
+
+    above_ms: int
+    until_ms: int
+
+
+class _Round(msgspec.Struct):
+    """Grants collected for one request; ``above_ms`` by shard and granter."""
+
+    number: int
+    until_ms: int
+    above_ms: dict[ShardId, dict[HostId, int]]
+
+
+class LeaseState:
+    """Promises and leases of one host.
+
+    Args:
+        identity: this host.
+        started_wall_ms: start of this life; earlier lives may have promised key times up to the
+            lease time plus twice the clock bound after it.
+    """
+
+    def __init__(
+        self,
+        identity: HostIdentity,
+        started_wall_ms: int,
+        lease_ms: int = LEASE_MS,
+        clock_bound_ms: int = CLOCK_BOUND_MS,
+    ) -> None:
+        self.identity = identity
+        self.views = ViewTracker(identity)
+        self._lease_ms = lease_ms
+        self._clock_bound_ms = clock_bound_ms
+        boot_floor_ms = started_wall_ms + lease_ms + 2 * clock_bound_ms
+        self._promises = [_Promise(None, 0, boot_floor_ms) for _ in range(SHARD_COUNT)]
+        self._intervals: dict[ShardId, _Interval] = {}
+        self._round = _Round(0, 0, {})
+        self._released: set[ShardId] = set()
+        self._taken_until_ms: dict[tuple[HostIdentity, ShardId], int] = {}
+
+    def learn_list(self, view: View) -> None:
+        """Takes over a version of the platform's list, if it is newer."""
+        self.views.learn_list(view)
+
+    def start_round(self, shards: Iterable[ShardId], wall_ms: int) -> LeaseRequest:
+        """Returns a request for some shards, to be sent to all members of the views.
+
+        A joining host asks for no shard, and tells only its views.
+        """
+        wanted = [] if self.views.joining else sorted(shards)
+        until_ms = wall_ms + self._lease_ms
+        self._round = _Round(self._round.number + 1, until_ms, {shard: {} for shard in wanted})
+        released = sorted(self._released.difference(wanted))
+        request = LeaseRequest(self._round.number, self.views.report(), wanted, until_ms, released)
+        self.handle_reply(self.identity, self.handle_request(self.identity, request, wall_ms))
+        return request
+
+    def handle_request(
+        self, requester: HostIdentity, request: LeaseRequest, wall_ms: int
+    ) -> LeaseReply:
+        """Returns the grants for a request."""
+        current = self.views.learn_report(requester, request.report)
+        for shard in request.released:
+            self.release_promise(requester, shard)
+        grants: list[Grant] = []
+        # A requester whose clock is far ahead would block its successor for as long.
+        limit_ms = wall_ms + self._lease_ms + self._clock_bound_ms
+        if (
+            current
+            and self.views.accepts_requester(request.report)
+            and request.until_ms <= limit_ms
+        ):
+            for shard in request.shards:
+                grant = self._promise(requester, shard, request.until_ms, wall_ms)
+                if grant is not None:
+                    grants.append(grant)
+        return LeaseReply(request.round_number, self.views.report(), grants)
+
+    def _promise(
+        self, requester: HostIdentity, shard: ShardId, until_ms: int, wall_ms: int
+    ) -> Grant | None:
+        promise = self._promises[shard]
+        if promise.holder != requester:
+            restarted = promise.holder is not None and promise.holder.host == requester.host
+            if promise.holder is not None and wall_ms <= promise.until_ms and not restarted:
+                return None
+            promise.others_until_ms = max(promise.others_until_ms, promise.until_ms)
+            promise.holder = requester
+            promise.until_ms = 0
+        promise.until_ms = max(promise.until_ms, until_ms)
+        return Grant(shard, promise.others_until_ms)
+
+    def handle_reply(self, granter: HostIdentity, reply: LeaseReply) -> list[ShardId]:
+        """Counts a reply.
+
+        Returns:
+            The shards that this host has newly gained.
+        """
+        if not self.views.learn_report(granter, reply.report):
+            return []
+        if reply.round_number != self._round.number:
+            return []
+        return [grant.shard for grant in reply.grants if self._count(granter.host, grant)]
+
+    def _count(self, granter: HostId, grant: Grant) -> bool:
+        granters = self._round.above_ms.get(grant.shard)
+        if granters is None:
+            return False
+        granters[granter] = grant.above_ms
+        if not self.views.is_quorum(granters.keys()):
+            return False
+        above_ms = max(granters.values())
+        # Later replies of the round add nothing to a quorum.
+        del self._round.above_ms[grant.shard]
+        held = self._intervals.get(grant.shard)
+        if held is not None and above_ms <= held.until_ms:
+            held.until_ms = max(held.until_ms, self._round.until_ms)
+            return False
+        if above_ms < self._round.until_ms:
+            self._intervals[grant.shard] = _Interval(above_ms, self._round.until_ms)
+            self._released.discard(grant.shard)
+            return True
+        return False
+
+    def coverage(self, shard: ShardId, issued_ms: int, wall_ms: int) -> Coverage:
+        """Tells whether this host may run a key of a shard now.
+
+        The lease has to cover the present time too, for keys that carry no time of issue.
+        """
+        held = self._intervals.get(shard)
+        if held is None or wall_ms > held.until_ms:
+            return Coverage.NOT_HELD
+        if issued_ms <= held.above_ms:
+            return Coverage.TOO_OLD
+        return Coverage.COVERED if issued_ms <= held.until_ms else Coverage.NOT_YET
+
+    def interval(self, shard: ShardId) -> tuple[int, int] | None:
+        """Returns the newest interval ``(above_ms, until_ms)`` of key times held, if any."""
+        held = self._intervals.get(shard)
+        return (held.above_ms, held.until_ms) if held is not None else None
+
+    def held_shards(self, wall_ms: int) -> list[ShardId]:
+        """Returns the shards with a lease that covers the present time."""
+        return sorted(shard for shard, held in self._intervals.items() if wall_ms <= held.until_ms)
+
+    def fencing_number(self, shard: ShardId) -> int:
+        """Returns the start of the lease on a shard, larger for each later holder; 0 if none."""
+        held = self._intervals.get(shard)
+        return held.above_ms if held is not None else 0
+
+    def holder_of(self, shard: ShardId, wall_ms: int) -> HostIdentity | None:
+        """Returns the host that, by this host's promises, holds a shard now."""
+        if shard in self._intervals and wall_ms <= self._intervals[shard].until_ms:
+            return self.identity
+        promise = self._promises[shard]
+        return promise.holder if wall_ms <= promise.until_ms else None
+
+    def give_up(self, shard: ShardId) -> tuple[int, int] | None:
+        """Ends this host's lease on a shard.
+
+        Returns:
+            The interval ``(above_ms, until_ms)`` that another host may take over with all
+            records, or None without a lease.
+        """
+        held = self._intervals.pop(shard, None)
+        self._round.above_ms.pop(shard, None)
+        self._released.add(shard)
+        return (held.above_ms, held.until_ms) if held is not None else None
+
+    def take_over(self, giver: HostIdentity, offer: HandOver) -> bool:
+        """Takes the interval of a host that gives it up.
+
+        Returns:
+            False if this host can't take it: it is joining, holds an interval of the shard, or
+            has taken this one before, so that a repeated message can't revive it.
+        """
+        taken_until_ms = self._taken_until_ms.get((giver, offer.shard), 0)
+        held = self._intervals.get(offer.shard)
+        if self.views.joining or (held is not None and held.until_ms > offer.above_ms):
+            return False
+        if offer.until_ms <= taken_until_ms:
+            return False
+        self._taken_until_ms[giver, offer.shard] = offer.until_ms
+        self._intervals[offer.shard] = _Interval(offer.above_ms, offer.until_ms)
+        self._released.discard(offer.shard)
+        self.release_promise(giver, offer.shard)
+        return True
+
+    def release_promise(self, holder: HostIdentity, shard: ShardId) -> None:
+        """Lets the next requester have a shard at once: its holder gave it up."""
+        promise = self._promises[shard]
+        if promise.holder == holder:
+            promise.others_until_ms = max(promise.others_until_ms, promise.until_ms)
+            promise.holder = None
+            promise.until_ms = 0
--- /dev/null
+++ b/src/medlarvale/bookings/messages.py
@@ -0,0 +1,161 @@
+"""Messages between entry hosts about leases and calls that may run at most once."""
+
+from __future__ import annotations
+
+import enum
+from collections.abc import Set
+
+import msgspec
+
+from medlarvale.ids import BookingKey, HostId, Incarnation, ListVersion, ShardId
+from medlarvale.plain.messages import PlainAnswer, PlainCall
+
+
+class View(msgspec.Struct, frozen=True):
+    """The entry hosts of one version of the platform's list."""
+
+    version: ListVersion
+    members: tuple[HostId, ...]
+
+    def has_majority(self, hosts: Set[HostId]) -> bool:
+        """Tells whether ``hosts`` hold a majority of the members."""
+        present = sum(1 for member in self.members if member in hosts)
+        return 2 * present > len(self.members)
+
+
+class ViewReport(msgspec.Struct, frozen=True):
+    """What a host knows of views.
+
+    Attributes:
+        active: view whose majority grants leases; None while the host is joining.
+        pending: newer views, oldest first, that some host may already have activated.
+        incarnations: newest incarnation that the host has heard of for each host. It lets a
+            receiver discard what an earlier, forgotten life of a host has confirmed (the crash
+            vectors of Michael et al., "Recovering Shared Objects Without Stable Storage", DISC
+            2017).
+    """
+
+    active: View | None
+    pending: tuple[View, ...]
+    incarnations: dict[HostId, Incarnation]
+
+    def knows(self, view: View) -> bool:
+        """Tells whether the host has heard of a view, or of a later active one."""
+        if self.active is not None and self.active.version >= view.version:
+            return True
+        return any(
+            known.version >= view.version and known.members == view.members
+            for known in self.pending
+        )
+
+
+class LeaseRequest(msgspec.Struct, tag="lease_request", frozen=True):
+    """Asks for the key times up to ``until_ms`` of some shards; also carries the view report.
+
+    Attributes:
+        released: shards that the sender has given up, so that their next holder need not wait.
+    """
+
+    round_number: int
+    report: ViewReport
+    shards: list[ShardId]
+    until_ms: int
+    released: list[ShardId] = []
+
+
+class Grant(msgspec.Struct, frozen=True, array_like=True):
+    """A promise not to grant the shard's key times up to the requested ``until_ms`` to others.
+
+    Attributes:
+        above_ms: the granter vouches for key times above this one only.
+    """
+
+    shard: ShardId
+    above_ms: int
+
+
+class LeaseReply(msgspec.Struct, tag="lease_reply", frozen=True):
+    """The grants for a request; shards without a grant are refused."""
+
+    round_number: int
+    report: ViewReport
+    grants: list[Grant]
+
+
+class VerdictKind(enum.Enum):
+    """What the owner of a key says of it."""
+
+    RUNNING = "running"
+    ANSWERED = "answered"
+    NOT_RUN = "not_run"
+    UNKNOWN = "unknown"
+    KEY_REUSED = "key_reused"
+    KEY_EXPIRED = "key_expired"
+    KEY_FROM_FUTURE = "key_from_future"
+    LEDGER_FULL = "ledger_full"
+    NOT_OWNER = "not_owner"
+
+
+class Verdict(msgspec.Struct, tag="verdict", frozen=True):
+    """The state of one key; ``answer`` is set for ``ANSWERED`` only."""
+
+    kind: VerdictKind
+    answer: PlainAnswer | None = None
+    detail: str = ""
+
+
+class Submit(msgspec.Struct, tag="submit", frozen=True):
+    """Asks the owner of a key for its one answer. May be sent any number of times."""
+
+    key: BookingKey
+    call: PlainCall
+
+
+class Lookup(msgspec.Struct, tag="lookup", frozen=True):
+    """Asks a host whether it has a record of a key; never runs anything."""
+
+    key: BookingKey
+    fingerprint: int
+    wait_ms: int
+
+
+class Record(msgspec.Struct, frozen=True):
+    """One key as it is handed over.
+
+    Attributes:
+        accepted_ms: wall time of acceptance, from which the retention time counts.
+        running_at: host at which the call still runs, for a verdict of ``RUNNING``.
+    """
+
+    key: BookingKey
+    fingerprint: int
+    accepted_ms: int
+    verdict: Verdict
+    running_at: HostId | None = None
+
+
+class HandOver(msgspec.Struct, tag="hand_over", frozen=True):
+    """Gives a shard, with all its records, to another host; the sender no longer accepts keys."""
+
+    shard: ShardId
+    above_ms: int
+    until_ms: int
+    records: list[Record]
+
+
+class HandOverDone(msgspec.Struct, tag="hand_over_done", frozen=True):
+    """Confirms that the receiver holds the shard now."""
+
+    shard: ShardId
+    accepted: bool
+
+
+class RecordResult(msgspec.Struct, tag="record_result", frozen=True):
+    """Gives the verdict of a call that was still running when its shard was handed over."""
+
+    key: BookingKey
+    verdict: Verdict
+
+
+class RecordStored(msgspec.Struct, tag="record_stored", frozen=True):
+    """Confirms a ``RecordResult``."""
