Add the stand-in engine and plain service

Cause: the router needs engines and plain services to run against, with memory and faults that tests can read and switch. Change: engine protocol of the design page with a deterministic answer, KV handles and reservations that expire, shared links, continuous batching, lagging reports and faults; a plain service that counts runs by idempotency key; the subcommands standin engine and standin plain. Conclusion: a request can be taken from prefill to its last token over real sockets; most of the protocol still lacks tests.

--- /dev/null
+++ b/src/medlarvale/standins/commands.py
@@ -0,0 +1,15 @@
+"""``medlarvale standin``: runs one stand-in as a process."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from medlarvale.standins import engine_command, plain_command
+
+
+def add_commands(subparsers: Any) -> None:
+    """Adds the ``standin`` parser with one subcommand for each kind of stand-in."""
+    parser = subparsers.add_parser("standin", help="run a stand-in for tests and demonstrations")
+    kinds = parser.add_subparsers(dest="standin", required=True)
+    engine_command.add_commands(kinds)
+    plain_command.add_commands(kinds)
--- /dev/null
+++ b/src/medlarvale/standins/serving.py
@@ -0,0 +1,97 @@
+"""Runs a stand-in's HTTP application as a process until it is told to stop."""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+import socket
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+
+import msgspec
+from aiohttp import web
+
+# With a small send buffer a reader that stops reading shows within a few KB instead of megabytes.
+SEND_BUFFER_BYTES = 8_192
+
+
+class Address(msgspec.Struct, frozen=True):
+    """An IP address and port."""
+
+    host: str
+    port: int
+
+    def __str__(self) -> str:
+        return f"{self.host}:{self.port}"
+
+
+class Listening(msgspec.Struct, frozen=True):
+    """The line that a stand-in prints when it accepts connections."""
+
+    server: str
+    address: str
+
+
+def parse_address(text: str) -> Address:
+    """Returns the address in ``host:port``; port 0 lets the system choose.
+
+    Raises:
+        ValueError: the text has another form.
+    """
+    host, separator, port = text.rpartition(":")
+    if not separator or not host:
+        raise ValueError(f"not host:port: {text}")
+    return Address(host, int(port))
+
+
+def parse_switch(text: str) -> bool:
+    """Returns the truth of ``true`` or ``false``.
+
+    Raises:
+        ValueError: the text is neither.
+    """
+    if text not in ("true", "false"):
+        raise ValueError(f"neither true nor false: {text}")
+    return text == "true"
+
+
+@asynccontextmanager
+async def serve(application: web.Application, address: Address) -> AsyncIterator[Address]:
+    """Serves an application and yields the address it listens on.
+
+    A handler is cancelled when its caller closes the connection.
+    """
+    listener = socket.socket()
+    listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    listener.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SEND_BUFFER_BYTES)
+    listener.bind((address.host, address.port))
+    runner = web.AppRunner(
+        application, handler_cancellation=True, access_log=None, shutdown_timeout=0.1
+    )
+    await runner.setup()
+    try:
+        await web.SockSite(runner, listener).start()
+        yield Address(*listener.getsockname())
+    finally:
+        await runner.cleanup()
+
+
+def announce(server: str, address: str) -> None:
+    """Prints one JSON line, for which whoever started the process waits."""
+    print(msgspec.json.encode(Listening(server, address)).decode(), flush=True)
+
+
+async def wait_for_stop() -> None:
+    """Waits for SIGTERM or SIGINT."""
+    stopped = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stopped.set)
+    await stopped.wait()
+
+
+async def serve_until_stopped(application: web.Application, address: Address, server: str) -> None:
+    """Serves an application, announces its address and runs until SIGTERM or SIGINT."""
+    async with serve(application, address) as bound:
+        announce(server, f"http://{bound}")
+        await wait_for_stop()
