Add the stand-in link and the tests of the stand-ins

Cause: partitions have to be tested with real sockets, and most of the engine protocol had no tests. Tests found: SIGTERM before its handler was installed, an answered stream counted as abandoned when its reader closed right after the last chunk, and traces logged for callers that are gone; all three are mended.

--- a/src/medlarvale/standins/commands.py
+++ b/src/medlarvale/standins/commands.py
@@ -4,7 +4,7 @@
 
 from typing import Any
 
-from medlarvale.standins import engine_command, plain_command
+from medlarvale.standins import engine_command, link_command, plain_command
 
 
 def add_commands(subparsers: Any) -> None:
@@ -13,3 +13,4 @@
     kinds = parser.add_subparsers(dest="standin", required=True)
     engine_command.add_commands(kinds)
     plain_command.add_commands(kinds)
+    link_command.add_commands(kinds)
--- a/src/medlarvale/standins/engine_app.py
+++ b/src/medlarvale/standins/engine_app.py
@@ -51,8 +51,6 @@
 MAX_BODY_BYTES = 4_194_304
 # The answer to the fault call leaves before the event loop blocks.
 PAUSE_DELAY_S = 0.01
-# A chunk is written only after the one before has left, so a slow reader gets larger chunks.
-DRAIN_POLL_MS = 5
 
 CallT = TypeVar("CallT", PrefillCall, ReserveCall, ImportCall, DecodeCall, ResumeCall, CancelCall)
 
@@ -195,11 +193,12 @@
         answered = False
         try:
             transport = connection_of(request)
+            transport.set_write_buffer_limits(high=0)
             self._transports[stream] = transport
             stream.end_connection = lambda: self._abort_if_blocked(transport)
             response = web.StreamResponse(headers={"Content-Type": "application/x-ndjson"})
             await response.prepare(request)
-            answered = await self._write_chunks(response, transport, stream, position, mine)
+            answered = await self._write_chunks(request, response, stream, position, mine)
         finally:
             if stream.connection == mine:
                 self._transports.pop(stream, None)
@@ -208,32 +207,30 @@
 
     async def _write_chunks(
         self,
+        request: web.Request,
         response: web.StreamResponse,
-        transport: asyncio.Transport,
         stream: Stream,
         position: int,
         mine: int,
     ) -> bool:
         """Writes chunks until the end; tells whether the last one was written."""
-        done = False
         padding = b" " * self.core.settings.pad_chunk_bytes
         while stream.connection == mine:
             if stream.aborted is not None:
                 line = msgspec.json.encode(error_body("cancelled", stream.aborted))
                 await response.write(line + b"\n")
                 return False
-            if transport.get_write_buffer_size() > 0:
-                await self.core.clock.sleep_ms(DRAIN_POLL_MS)
-                continue
-            if done:
-                return True
             chunk = stream.chunk(position)
             if chunk is None:
                 await stream.wait()
                 continue
             await response.write(msgspec.json.encode(chunk) + padding + b"\n")
             position += len(chunk.tokens)
-            done = chunk.done
+            # A chunk leaves before the next one, so a slow reader gets larger chunks, and an
+            # answer that is not read to its end keeps its memory.
+            await request.writer.drain()
+            if chunk.done:
+                return True
         return False
 
     def _abort_if_blocked(self, transport: asyncio.Transport) -> None:
--- a/src/medlarvale/standins/http_answers.py
+++ b/src/medlarvale/standins/http_answers.py
@@ -11,6 +11,8 @@
 from medlarvale.errors import MedlarvaleError
 from medlarvale.standins.engine_errors import BadRequestError
 
+CALLER_GONE_STATUS = 499
+
 BodyT = TypeVar("BodyT", bound=msgspec.Struct)
 
 
@@ -70,3 +72,6 @@
         return await handler(request)
     except MedlarvaleError as error:
         return answer(error_body(error.code, error.message), error.http_status)
+    except ConnectionResetError:
+        # The caller is gone, so nobody reads this answer.
+        return web.Response(status=CALLER_GONE_STATUS)
--- /dev/null
+++ b/src/medlarvale/standins/link.py
@@ -0,0 +1,246 @@
+"""TCP relay that tests cut, delay and heal through an HTTP control port."""
+
+from __future__ import annotations
+
+import asyncio
+import enum
+import socket
+import struct
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+
+import msgspec
+from aiohttp import web
+
+from medlarvale.clock import Clock, SystemClock
+from medlarvale.standins.engine_errors import BadRequestError
+from medlarvale.standins.http_answers import answer, answer_errors, decode_body
+from medlarvale.standins.serving import Address, announce, serve, stop_event
+
+READ_BYTES = 65_536
+# Bytes that wait for their delay; beyond it the sender is held back, as by a full window.
+MAX_DELAYED_BYTES = 4_194_304
+
+
+class LinkMode(enum.Enum):
+    """What the link does with bytes.
+
+    ``hold`` keeps them until the link heals, as TCP does over a short partition. ``drop`` reads
+    and discards them; a connection that lost bytes is closed when the link heals, since its
+    stream has a hole. ``close`` closes all connections and every new one at once.
+    """
+
+    PASS = "pass"
+    HOLD = "hold"
+    DROP = "drop"
+    CLOSE = "close"
+
+
+class LinkState(msgspec.Struct, frozen=True):
+    """State to set; ``delay_ms`` is added in each direction."""
+
+    mode: LinkMode
+    delay_ms: float = 0.0
+
+
+class LinkReport(msgspec.Struct, frozen=True):
+    """State of a link and its totals since its start."""
+
+    mode: LinkMode
+    delay_ms: float
+    connections: int
+    bytes_passed: int
+    bytes_dropped: int
+
+
+class DelayedBytes(msgspec.Struct, frozen=True):
+    """Bytes that may pass from a time on; none mark the end of the stream."""
+
+    due_ms: float
+    data: bytes
+
+
+def reset(writer: asyncio.StreamWriter) -> None:
+    """Closes a connection by a reset, so that its peer does not take the end for a regular one."""
+    connection = writer.get_extra_info("socket")
+    if connection is not None and connection.fileno() >= 0:
+        connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    writer.transport.abort()
+
+
+class Connection:
+    """One relayed connection."""
+
+    def __init__(self, writers: tuple[asyncio.StreamWriter, asyncio.StreamWriter]) -> None:
+        self.writers = writers
+        self.lost_bytes = False
+
+    def abort(self) -> None:
+        """Resets both sides."""
+        for writer in self.writers:
+            reset(writer)
+
+
+class Link:
+    """Relays TCP connections to ``target``."""
+
+    def __init__(self, target: Address, clock: Clock) -> None:
+        self.target = target
+        self._clock = clock
+        self._state = LinkState(LinkMode.PASS)
+        self._changed = asyncio.Condition()
+        self._connections: set[Connection] = set()
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._bytes_passed = 0
+        self._bytes_dropped = 0
+
+    async def set_state(self, state: LinkState) -> None:
+        """Cuts, delays or heals the link."""
+        self._state = state
+        for connection in list(self._connections):
+            healed = state.mode in (LinkMode.PASS, LinkMode.HOLD)
+            if state.mode is LinkMode.CLOSE or (healed and connection.lost_bytes):
+                connection.abort()
+        async with self._changed:
+            self._changed.notify_all()
+
+    def report(self) -> LinkReport:
+        """Returns the state of the link."""
+        return LinkReport(
+            self._state.mode,
+            self._state.delay_ms,
+            len(self._connections),
+            self._bytes_passed,
+            self._bytes_dropped,
+        )
+
+    def accept(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        """Starts to relay a connection."""
+        task = asyncio.get_running_loop().create_task(self._relay(reader, writer))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def stop(self) -> None:
+        """Ends all connections."""
+        tasks = list(self._tasks)
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    async def _relay(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        try:
+            await self._accept(reader, writer)
+        except OSError:
+            # Either side went away, which the relay passes on by closing the other.
+            pass
+        finally:
+            writer.transport.abort()
+
+    async def _accept(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        # A connection made while the link is cut gets no answer before the link heals.
+        await self._wait_while(LinkMode.DROP, LinkMode.HOLD)
+        if self._state.mode is LinkMode.CLOSE:
+            reset(writer)
+            return
+        target_reader, target_writer = await asyncio.open_connection(
+            self.target.host, self.target.port
+        )
+        connection = Connection((writer, target_writer))
+        self._connections.add(connection)
+        try:
+            async with asyncio.TaskGroup() as group:
+                group.create_task(self._pump(connection, reader, target_writer))
+                group.create_task(self._pump(connection, target_reader, writer))
+        except* OSError:
+            pass
+        finally:
+            self._connections.discard(connection)
+            target_writer.transport.abort()
+
+    async def _pump(
+        self, connection: Connection, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        """Moves bytes in one direction; reading and writing overlap, so a delay costs no rate."""
+        waiting: asyncio.Queue[DelayedBytes] = asyncio.Queue(MAX_DELAYED_BYTES // READ_BYTES)
+        async with asyncio.TaskGroup() as group:
+            group.create_task(self._read(reader, waiting))
+            group.create_task(self._write(connection, waiting, writer))
+
+    async def _read(
+        self, reader: asyncio.StreamReader, waiting: asyncio.Queue[DelayedBytes]
+    ) -> None:
+        while True:
+            await self._wait_while(LinkMode.HOLD)
+            data = await reader.read(READ_BYTES)
+            await waiting.put(DelayedBytes(self._clock.now_ms() + self._state.delay_ms, data))
+            if not data:
+                return
+
+    async def _write(
+        self,
+        connection: Connection,
+        waiting: asyncio.Queue[DelayedBytes],
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        while True:
+            delayed = await waiting.get()
+            await self._clock.sleep_ms(delayed.due_ms - self._clock.now_ms())
+            await self._wait_while(LinkMode.HOLD)
+            if self._state.mode is LinkMode.DROP:
+                self._bytes_dropped += len(delayed.data)
+                connection.lost_bytes = True
+                # The end of a stream is lost as well: neither side learns that the other closed.
+                if not delayed.data:
+                    await self._wait_while(LinkMode.DROP)
+                    connection.abort()
+                    return
+                continue
+            if not delayed.data:
+                writer.write_eof()
+                return
+            writer.write(delayed.data)
+            await writer.drain()
+            self._bytes_passed += len(delayed.data)
+
+    async def _wait_while(self, *modes: LinkMode) -> None:
+        async with self._changed:
+            await self._changed.wait_for(lambda: self._state.mode not in modes)
+
+
+def build_control(link: Link) -> web.Application:
+    """Returns the application of the control port: ``GET`` and ``POST /link``."""
+
+    async def set_state(request: web.Request) -> web.StreamResponse:
+        state = await decode_body(request, LinkState)
+        if state.delay_ms < 0:
+            raise BadRequestError("delay_ms is negative")
+        await link.set_state(state)
+        return answer(link.report())
+
+    async def report(request: web.Request) -> web.StreamResponse:
+        return answer(link.report())
+
+    application = web.Application(middlewares=[answer_errors])
+    application.add_routes([web.get("/link", report), web.post("/link", set_state)])
+    return application
+
+
+@asynccontextmanager
+async def relay(link: Link, address: Address) -> AsyncIterator[Address]:
+    """Accepts connections for a link and yields the address it listens on."""
+    server = await asyncio.start_server(link.accept, address.host, address.port)
+    try:
+        yield Address(*server.sockets[0].getsockname()[:2])
+    finally:
+        server.close()
+        await link.stop()
+
+
+async def run_link(name: str, listen: Address, control: Address, target: Address) -> None:
+    """Runs a link until SIGTERM or SIGINT; it announces its relay and then its control port."""
+    stopped = stop_event()
+    link = Link(target, SystemClock())
+    async with relay(link, listen) as bound, serve(build_control(link), control) as control_bound:
+        announce(name, str(bound))
+        announce(f"{name}-control", f"http://{control_bound}")
+        await stopped.wait()
--- a/src/medlarvale/standins/serving.py
+++ b/src/medlarvale/standins/serving.py
@@ -81,17 +81,18 @@
     print(msgspec.json.encode(Listening(server, address)).decode(), flush=True)
 
 
-async def wait_for_stop() -> None:
-    """Waits for SIGTERM or SIGINT."""
+def stop_event() -> asyncio.Event:
+    """Returns an event that SIGTERM and SIGINT set from now on."""
     stopped = asyncio.Event()
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stopped.set)
-    await stopped.wait()
+    return stopped
 
 
 async def serve_until_stopped(application: web.Application, address: Address, server: str) -> None:
     """Serves an application, announces its address and runs until SIGTERM or SIGINT."""
+    stopped = stop_event()
     async with serve(application, address) as bound:
         announce(server, f"http://{bound}")
-        await wait_for_stop()
+        await stopped.wait()
--- /dev/null
+++ b/tests/standins/test_engine_model.py
@@ -0,0 +1,43 @@
+"""The deterministic model of the stand-in engines."""
+
+import unittest
+
+from medlarvale.standins.engine_model import (
+    expected_answer,
+    prefix_hashes,
+    token_of_word,
+    token_text,
+    tokenize,
+)
+
+
+class EngineModelTest(unittest.TestCase):
+    def test_tokens_are_stable(self) -> None:
+        """Guards against a hash that differs between processes or versions."""
+        # The first value is the published XXH32 of no bytes.
+        for word, token in (("", 0x02CC5D05), ("ice", 381723802)):
+            with self.subTest(word=word):
+                self.assertEqual(token_of_word(word), token)
+        self.assertEqual(
+            tokenize(" ice\n cleats "), [token_of_word("ice"), token_of_word("cleats")]
+        )
+        self.assertEqual(token_text(7), " w7")
+
+    def test_answers_differ_between_prompts_and_extend(self) -> None:
+        """Guards against mixed answers that a test could not tell apart."""
+        one, other = tokenize("two pairs please"), tokenize("two pairs pleased")
+        self.assertNotEqual(expected_answer(one, 8), expected_answer(other, 8))
+        self.assertEqual(expected_answer(one, 8)[:5], expected_answer(one, 5))
+
+    def test_prefix_hashes_cover_whole_blocks(self) -> None:
+        """Guards against cache hits on prompts that differ before the block."""
+        cases = (
+            ("same", [1, 2, 3, 4], [1, 2, 3, 4], 2),
+            ("part of a block is left out", [1, 2, 3, 4, 5], [1, 2, 3, 4, 6], 2),
+            ("second block differs", [1, 2, 3, 4], [1, 2, 3, 5], 1),
+            ("first block differs", [1, 2, 3, 4], [2, 2, 3, 4], 0),
+        )
+        for name, one, other, shared in cases:
+            with self.subTest(name):
+                pairs = list(zip(prefix_hashes(one, 2), prefix_hashes(other, 2), strict=True))
+                self.assertEqual([a == b for a, b in pairs], [i < shared for i in range(2)])
--- /dev/null
+++ b/tests/standins/test_engine_reports.py
@@ -0,0 +1,48 @@
+"""Lagging load reports and gappy cache events."""
+
+import unittest
+
+import msgspec
+
+from medlarvale.clock import ManualClock
+from medlarvale.standins.engine_memory import PrefixChange
+from medlarvale.standins.engine_messages import LoadReport
+from medlarvale.standins.engine_reports import CacheEventLog, LaggedLoad
+
+LOAD = LoadReport("decode", "slidsk", 20, 0, 256, 0, 0.0, False, 1)
+
+
+class LaggedLoadTest(unittest.TestCase):
+    def test_reports_are_read_late(self) -> None:
+        """Guards against reports without lag, which would hide faults of the router."""
+        clock = ManualClock()
+        load = LaggedLoad(lag_ms=200)
+        self.assertIsNone(load.read(clock.now_ms()))
+        for used in range(5):
+            load.record(clock.now_ms(), msgspec.structs.replace(LOAD, slots_used=used))
+            clock.advance_ms(100)
+        seen = []
+        for _ in range(3):
+            report = load.read(clock.now_ms())
+            seen.append(report and report.slots_used)
+            clock.advance_ms(100)
+        self.assertEqual(seen, [3, 4, 4])
+
+
+class CacheEventLogTest(unittest.TestCase):
+    def test_events_are_late_and_gappy(self) -> None:
+        """Guards against events that are complete or immediate, and against reused numbers."""
+        log = CacheEventLog(lag_ms=300, gap_every=3)
+        log.append([PrefixChange("added", number * 10) for number in range(1, 6)], 0.0)
+        cases = (
+            ("too early", 1, 299.0, [], 1),
+            ("with a gap", 1, 300.0, [1, 2, 4, 5], 6),
+            ("from a number", 4, 300.0, [4, 5], 6),
+            ("nothing new", 6, 300.0, [], 6),
+        )
+        for name, start, now_ms, numbers, following in cases:
+            with self.subTest(name):
+                read = log.read(start, now_ms)
+                self.assertEqual([event.n for event in read.events], numbers)
+                self.assertEqual(read.next, following)
+                self.assertTrue(all(event.prefix_hash == event.n * 10 for event in read.events))
--- /dev/null
+++ b/tests/standins/test_link.py
@@ -0,0 +1,102 @@
+"""A link that is cut, delayed and healed."""
+
+import asyncio
+import unittest
+from collections.abc import Callable
+
+import aiohttp
+
+from medlarvale.clock import SystemClock
+from medlarvale.standins.link import Link, LinkMode, LinkState, build_control, relay
+from medlarvale.standins.serving import Address, serve
+from tests.standins.running import EVENT_TIMEOUT_S, LOOPBACK, Client
+
+Streams = tuple[asyncio.StreamReader, asyncio.StreamWriter]
+
+
+class Echo(asyncio.Protocol):
+    """Sends back all bytes until the caller closes."""
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self.transport = transport
+
+    def data_received(self, data: bytes) -> None:
+        self.transport.write(data)
+
+
+class LinkTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self) -> None:  # noqa: N802
+        """Runs a link to an echo server."""
+        await self.enterAsyncContext(asyncio.timeout(EVENT_TIMEOUT_S))
+        server = await asyncio.get_running_loop().create_server(Echo, "127.0.0.1", 0)
+        self.addCleanup(server.close)
+        self.link = Link(Address(*server.sockets[0].getsockname()), SystemClock())
+        self.bound = await self.enterAsyncContext(relay(self.link, LOOPBACK))
+
+    async def connect(self, line: bytes = b"hello\n") -> Streams:
+        """Opens a connection through the link and sends a line over it."""
+        reader, writer = await asyncio.open_connection(self.bound.host, self.bound.port)
+        self.addCleanup(writer.close)
+        writer.write(line)
+        return reader, writer
+
+    async def wait_until(self, holds: Callable[[], bool]) -> None:
+        """Waits until ``holds`` is true; the time limit of the test ends it."""
+        while not holds():  # noqa: ASYNC110
+            await asyncio.sleep(0.005)
+
+    async def test_lines_pass_and_close_is_passed_on(self) -> None:
+        """Guards against lost bytes and connections that stay open."""
+        reader, writer = await self.connect(b"x" * 60_000 + b"\n")
+        self.assertEqual(len(await reader.readline()), 60_001)
+        await self.wait_until(lambda: self.link.report().bytes_passed == 120_002)
+        writer.close()
+        await self.wait_until(lambda: self.link.report().connections == 0)
+
+    async def test_delay(self) -> None:
+        """Guards against a delay in one direction only."""
+        await self.link.set_state(LinkState(LinkMode.PASS, 40.0))
+        start_s = asyncio.get_running_loop().time()
+        reader, _writer = await self.connect()
+        await reader.readline()
+        self.assertGreaterEqual(asyncio.get_running_loop().time() - start_s, 0.08)
+
+    async def test_held_bytes_arrive_on_healing(self) -> None:
+        """Guards against a short partition that breaks connections."""
+        reader, writer = await self.connect()
+        await reader.readline()
+        await self.link.set_state(LinkState(LinkMode.HOLD))
+        writer.write(b"held\n")
+        with self.assertRaises(TimeoutError):
+            await asyncio.wait_for(reader.readline(), 0.05)
+        await self.link.set_state(LinkState(LinkMode.PASS))
+        self.assertEqual(await reader.readline(), b"held\n")
+
+    async def test_dropped_bytes_close_the_connection_on_healing_only(self) -> None:
+        """Guards against a cut that the sides notice, and against streams with a hole."""
+        reader, writer = await self.connect()
+        await reader.readline()
+        await self.link.set_state(LinkState(LinkMode.DROP))
+        writer.write(b"b\n")
+        await self.wait_until(lambda: self.link.report().bytes_dropped == 2)
+        self.assertEqual(self.link.report().connections, 1)
+        self.assertFalse(reader.at_eof())
+        await self.link.set_state(LinkState(LinkMode.PASS))
+        with self.assertRaises(ConnectionResetError):
+            await reader.readline()
+
+    async def test_closed_link_refuses_until_healed(self) -> None:
+        """Guards against connections that survive a closed link."""
+        control = await self.enterAsyncContext(serve(build_control(self.link), LOOPBACK))
+        session = await self.enterAsyncContext(aiohttp.ClientSession())
+        client = Client(session, f"http://{control}")
+        old, _old_writer = await self.connect()
+        await old.readline()
+        self.assertEqual((await client.call("/link", {"mode": "close"}))["mode"], "close")
+        new, _new_writer = await self.connect()
+        for name, reader in (("old", old), ("new", new)):
+            with self.subTest(name), self.assertRaises(ConnectionResetError):
+                await reader.readline()
+        await client.call("/link", {"mode": "pass"})
+        healed, _healed_writer = await self.connect()
+        self.assertEqual(await healed.readline(), b"hello\n")
