--- a/src/medlarvale/settings/schema.py
+++ b/src/medlarvale/settings/schema.py
@@ -44,28 +44,73 @@
 class Values(Node):
     """Values that any branch may set; an unset value is inherited from the branch above."""
 
-    ttft_target_ms: DurationMs | None = None
-    tbt_target_ms: DurationMs | None = None
-    request_deadline_ms: DurationMs | None = None
-    max_body_bytes: Count | None = None
-    max_prompt_tokens: Count | None = None
-    max_output_tokens: Count | None = None
-    max_restarts: Annotated[int, Field(ge=0, le=10)] | None = None
-    retry_budget_percent: Percent | None = None
-    batch_share_percent: Percent | None = None
-    key_max_age_ms: DurationMs | None = None
-    crash_limit: Annotated[int, Field(ge=1, le=10)] | None = None
-    quarantine_ms: DurationMs | None = None
-    slots_per_engine: Count | None = None
-    pieces_per_engine: Count | None = None
-    tokens_per_piece: Count | None = None
-    kv_ttl_ms: DurationMs | None = None
-    kv_bytes_per_token: Count | None = None
-    link_rate_bytes_per_s: Annotated[int, Field(gt=0)] | None = None
-    prefill_tokens_per_s: Count | None = None
-    checks_fencing: bool | None = None
-    checks_giver: bool | None = None
-    drain_ms: DurationMs | None = None
+    ttft_target_ms: DurationMs | None = Field(
+        default=None,
+        description="Latency target for the first token; for a plain service, the whole answer.",
+    )
+    tbt_target_ms: DurationMs | None = Field(
+        default=None, description="Latency target for the time between tokens."
+    )
+    request_deadline_ms: DurationMs | None = Field(
+        default=None, description="Time after which an unanswered request is given up."
+    )
+    max_body_bytes: Count | None = Field(
+        default=None, description="Largest request body accepted from a caller."
+    )
+    max_prompt_tokens: Count | None = Field(default=None, description="Longest prompt accepted.")
+    max_output_tokens: Count | None = Field(
+        default=None, description="Most tokens generated for one request."
+    )
+    max_restarts: Annotated[int, Field(ge=0, le=10)] | None = Field(
+        default=None, description="New attempts of a request whose engine was lost."
+    )
+    retry_budget_percent: Percent | None = Field(
+        default=None, description="Retries allowed, relative to the requests of the service."
+    )
+    batch_share_percent: Percent | None = Field(
+        default=None, description="Share of prefill time that batch work receives at least."
+    )
+    key_max_age_ms: DurationMs | None = Field(
+        default=None, description="Retention of booking keys; older keys are refused."
+    )
+    crash_limit: Annotated[int, Field(ge=1, le=10)] | None = Field(
+        default=None, description="Servers that a request may crash before it is quarantined."
+    )
+    quarantine_ms: DurationMs | None = Field(
+        default=None, description="Time for which a quarantined request is refused."
+    )
+    slots_per_engine: Count | None = Field(
+        default=None, description="Requests that a decode engine holds at once."
+    )
+    pieces_per_engine: Count | None = Field(
+        default=None, description="Pieces of memory of an engine."
+    )
+    tokens_per_piece: Count | None = Field(
+        default=None, description="Tokens whose KV cache fits into one piece."
+    )
+    kv_ttl_ms: DurationMs | None = Field(
+        default=None, description="Time for which a prefill engine keeps a finished KV cache."
+    )
+    kv_bytes_per_token: Count | None = Field(
+        default=None, description="Size of the KV cache of one token."
+    )
+    link_rate_bytes_per_s: Annotated[int, Field(gt=0)] | None = Field(
+        default=None, description="Rate of the link out of a prefill engine."
+    )
+    prefill_tokens_per_s: Count | None = Field(
+        default=None, description="Prompt tokens that a prefill engine computes per second."
+    )
+    checks_fencing: bool | None = Field(
+        default=None,
+        description="Whether the engines refuse an order with an older fencing number.",
+    )
+    checks_giver: bool | None = Field(
+        default=None, description="Whether the backend servers check who gives them an order."
+    )
+    drain_ms: DurationMs | None = Field(
+        default=None,
+        description="Longest time that a leaving server or host is given for work in flight.",
+    )
 
 
 DEFAULT_VALUES = Values(
@@ -95,9 +140,15 @@
 
 
 class PoolBranch(Node):
-    """Overrides for one pool of a service in one failure domain."""
+    """Overrides for one pool of a service in one failure domain.
+
+    Attributes:
+        workers: backend servers that the pool is planned to have here; the host list says which
+            of them exist.
+    """
 
     values: Values = Values()
+    workers: Annotated[int, Field(ge=0, le=100_000)] | None = None
 
 
 class ServiceBranch(Node):
