Spread accepted settings versions over the hosts of a cell

Cause: a change has to be in force everywhere within 3 s while the calls to the configuration service stay independent of the number of hosts. Change: store of the version in force, sources (memory, file, platform service), pure decisions on who watches the service and whom a host behind asks, and the task around them. Conclusion: the membership task can feed versions and live hosts to the settings task.

--- /dev/null
+++ b/src/medlarvale/settings/source.py
@@ -0,0 +1,195 @@
+"""Sources of the settings tree: memory, a file, or the platform's configuration service."""
+
+from __future__ import annotations
+
+import asyncio
+from pathlib import Path
+from typing import Protocol
+
+import aiohttp
+import msgspec
+
+from medlarvale.clock import Clock
+from medlarvale.ids import ConfigVersion
+from medlarvale.settings.check import MAX_TREE_BYTES
+from medlarvale.settings.errors import SourceBusyError, SourceError
+
+GET_TIMEOUT_MS = 1_000
+# A watch that waits answers at the latest after its wait; the rest is for the network.
+WATCH_SLACK_MS = 500
+FILE_POLL_MS = 250
+# The envelope around a tree of the largest size.
+MAX_ANSWER_BYTES = MAX_TREE_BYTES + 1_000
+STATUS_OK = 200
+STATUS_NO_NEWER_VERSION = 204
+STATUS_TOO_MANY_CALLS = 429
+
+
+class SourceAnswer(msgspec.Struct, frozen=True):
+    """A version of the tree as a source gives it, not yet checked."""
+
+    version: ConfigVersion
+    text: bytes
+
+
+class SettingsSource(Protocol):
+    """Where versions of the tree come from."""
+
+    async def get(self) -> SourceAnswer:
+        """Returns the newest version that the source knows.
+
+        Raises:
+            SourceError: the source gave no usable answer in time.
+        """
+
+    async def watch(self, after: ConfigVersion, wait_ms: int) -> SourceAnswer | None:
+        """Waits for a version above ``after``; returns None if none came within ``wait_ms``.
+
+        Raises:
+            SourceError: the source gave no usable answer in time.
+        """
+
+
+class MemorySource:
+    """In-memory source.
+
+    Attributes:
+        down: while True, every call fails.
+    """
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        self._answer: SourceAnswer | None = None
+        self._published = asyncio.Event()
+        self.down = False
+
+    def publish(self, version: ConfigVersion, text: bytes) -> None:
+        """Replaces the version that the source gives."""
+        self._answer = SourceAnswer(version, text)
+        self._published.set()
+        self._published = asyncio.Event()
+
+    async def get(self) -> SourceAnswer:
+        """Returns the published version; see ``SettingsSource.get``."""
+        if self.down or self._answer is None:
+            raise SourceError("the source is down")
+        return self._answer
+
+    async def watch(self, after: ConfigVersion, wait_ms: int) -> SourceAnswer | None:
+        """Waits for a newer version; see ``SettingsSource.watch``."""
+        answer = await self.get()
+        if answer.version <= after:
+            waits = {
+                asyncio.ensure_future(self._published.wait()),
+                asyncio.ensure_future(self._clock.sleep_ms(wait_ms)),
+            }
+            try:
+                await asyncio.wait(waits, return_when=asyncio.FIRST_COMPLETED)
+            finally:
+                for wait in waits:
+                    wait.cancel()
+            answer = await self.get()
+        return answer if answer.version > after else None
+
+
+class FileSource:
+    """A tree in a file, whose version is the time of its last change in ms.
+
+    Hosts that read copies of their own agree on the copy that changed last. An edit that sets an
+    older time of change, as ``cp -p`` may, is not a newer version and is ignored.
+    """
+
+    def __init__(self, path: Path, clock: Clock) -> None:
+        self._path = path
+        self._clock = clock
+
+    async def get(self) -> SourceAnswer:
+        """Returns the content of the file; see ``SettingsSource.get``."""
+        try:
+            return await asyncio.to_thread(self._read)
+        except OSError as error:
+            raise SourceError(f"{self._path}: {error.strerror}") from error
+
+    async def watch(self, after: ConfigVersion, wait_ms: int) -> SourceAnswer | None:
+        """Looks for a change of the file every 250 ms; see ``SettingsSource.watch``."""
+        end_ms = self._clock.now_ms() + wait_ms
+        while True:
+            answer = await self.get()
+            if answer.version > after:
+                return answer
+            left_ms = end_ms - self._clock.now_ms()
+            if left_ms <= 0:
+                return None
+            await self._clock.sleep_ms(min(FILE_POLL_MS, left_ms))
+
+    def _read(self) -> SourceAnswer:
+        # The time is taken before the content: a change in between is seen as newer next time.
+        changed_ms = self._path.stat().st_mtime_ns // 1_000_000
+        return SourceAnswer(ConfigVersion(changed_ms), self._path.read_bytes())
+
+
+class _ServiceAnswer(msgspec.Struct):
+    """Body of the configuration service's answers; the tree stays text until it is checked."""
+
+    version: ConfigVersion
+    tree: msgspec.Raw
+
+
+class PlatformSource:
+    """The platform's configuration service over HTTP.
+
+    Args:
+        session: client session; its owner closes it.
+        base_url: address of the service such as ``http://10.0.0.1:8500``.
+    """
+
+    def __init__(self, session: aiohttp.ClientSession, base_url: str) -> None:
+        self._session = session
+        self._base_url = base_url.rstrip("/")
+        self._decoder = msgspec.json.Decoder(_ServiceAnswer)
+
+    async def get(self) -> SourceAnswer:
+        """Reads the newest version; see ``SettingsSource.get``."""
+        answer = await self._call("/config", {}, GET_TIMEOUT_MS)
+        if answer is None:
+            raise SourceError("the configuration service holds no tree")
+        return answer
+
+    async def watch(self, after: ConfigVersion, wait_ms: int) -> SourceAnswer | None:
+        """Waits at the service for a newer version; see ``SettingsSource.watch``."""
+        parameters = {"after": str(after), "wait_ms": str(wait_ms)}
+        return await self._call("/config/watch", parameters, wait_ms + WATCH_SLACK_MS)
+
+    async def _call(
+        self, path: str, parameters: dict[str, str], timeout_ms: int
+    ) -> SourceAnswer | None:
+        timeout = aiohttp.ClientTimeout(total=timeout_ms / 1000.0)
+        url = self._base_url + path
+        try:
+            async with self._session.get(url, params=parameters, timeout=timeout) as response:
+                if response.status == STATUS_TOO_MANY_CALLS:
+                    raise SourceBusyError(f"{url}: over the rate limit")
+                if response.status == STATUS_NO_NEWER_VERSION:
+                    return None
+                if response.status != STATUS_OK:
+                    raise SourceError(f"{url}: HTTP status {response.status}")
+                return self._decode(url, await _read_bounded(response))
+        except (aiohttp.ClientError, TimeoutError, OSError) as error:
+            raise SourceError(f"{url}: {error!r}") from error
+
+    def _decode(self, url: str, body: bytes) -> SourceAnswer:
+        try:
+            answer = self._decoder.decode(body)
+        except msgspec.MsgspecError as error:
+            raise SourceError(f"{url}: {error}") from error
+        return SourceAnswer(answer.version, bytes(answer.tree))
+
+
+async def _read_bounded(response: aiohttp.ClientResponse) -> bytes:
+    """Returns the body, without reading on past the largest size of an answer."""
+    body = bytearray()
+    async for chunk in response.content.iter_any():
+        body += chunk
+        if len(body) > MAX_ANSWER_BYTES:
+            raise SourceError(f"{response.url}: more than {MAX_ANSWER_BYTES} bytes")
+    return bytes(body)
--- /dev/null
+++ b/src/medlarvale/settings/task.py
@@ -0,0 +1,202 @@
+"""The task that owns the settings of a running host."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable, Coroutine, Iterable
+from functools import singledispatchmethod
+from typing import Any
+
+import msgspec
+
+from medlarvale.clock import Clock, Subscription
+from medlarvale.ids import ConfigVersion, HostId, HostIdentity
+from medlarvale.logs import Event, log_info, log_warning
+from medlarvale.peers.errors import PeerError
+from medlarvale.peers.transport import Transport
+from medlarvale.settings.errors import SourceError
+from medlarvale.settings.messages import TreeAnswer, TreeRequest
+from medlarvale.settings.source import SettingsSource, SourceAnswer
+from medlarvale.settings.spread import (
+    Action,
+    Announce,
+    AskPeer,
+    ReadService,
+    ReportRejection,
+    Spread,
+    StopWatch,
+    Watch,
+)
+from medlarvale.settings.store import Accepted, Rejected, SettingsStore
+
+TICK_MS = 100
+
+Subscriber = Callable[[Accepted], None]
+
+
+class SettingsTask:
+    """Keeps the newest settings in force and tells subscribers of each accepted version.
+
+    Args:
+        host: this host.
+        transport: messages to and from peers.
+        clock: time service.
+        source: file or configuration service.
+        default: tree text served when neither a peer nor the source answers, None for nothing.
+    """
+
+    def __init__(
+        self,
+        host: HostId,
+        transport: Transport,
+        clock: Clock,
+        source: SettingsSource,
+        default: bytes | None = None,
+    ) -> None:
+        self._transport = transport
+        self._clock = clock
+        self._source = source
+        self._store = SettingsStore()
+        self._spread = Spread(host, self._store, clock.now_ms(), default)
+        self._subscribers: list[Subscriber] = []
+        self._running: set[asyncio.Task[None]] = set()
+        self._watch: asyncio.Task[None] | None = None
+        self._ticks: Subscription | None = None
+        self._source_failed = False
+        transport.register(TreeRequest, self._answer_request)
+
+    @property
+    def in_force(self) -> Accepted | None:
+        """The version in force; None until the first one is accepted."""
+        return self._store.in_force
+
+    @property
+    def version(self) -> ConfigVersion:
+        """The version for this host's heartbeats; ``NO_VERSION`` while none is in force."""
+        return self._store.version
+
+    @property
+    def rejections(self) -> list[Rejected]:
+        """The latest rejected versions with their errors, oldest first."""
+        return self._store.rejections
+
+    def start(self) -> None:
+        """Starts to learn versions."""
+        self._ticks = self._clock.every_ms(TICK_MS, self._act)
+        self._act()
+
+    async def close(self) -> None:
+        """Ends all calls in flight."""
+        if self._ticks is not None:
+            self._ticks.cancel()
+        running = list(self._running)
+        for task in running:
+            task.cancel()
+        await asyncio.gather(*running, return_exceptions=True)
+
+    def subscribe(self, subscriber: Subscriber) -> None:
+        """Adds a callback for accepted versions; one already in force is told at once."""
+        self._subscribers.append(subscriber)
+        if self._store.in_force is not None:
+            subscriber(self._store.in_force)
+
+    def set_live_hosts(self, hosts: Iterable[HostId]) -> None:
+        """Replaces the live hosts of this host's cell."""
+        self._spread.set_live(hosts)
+
+    def peer_version(self, host: HostId, version: ConfigVersion) -> None:
+        """Records the version in a peer's heartbeat."""
+        self._spread.peer_version(host, version)
+
+    async def _answer_request(self, sender: HostIdentity, request: TreeRequest) -> TreeAnswer:
+        in_force = self._store.in_force
+        if in_force is None or in_force.version <= request.newer_than:
+            return TreeAnswer(self._store.version)
+        return TreeAnswer(in_force.version, in_force.text)
+
+    def _act(self) -> None:
+        for action in self._spread.actions(self._clock.now_ms(), self._clock.wall_ms()):
+            self._run(action)
+
+    @singledispatchmethod
+    def _run(self, action: Action) -> None:
+        raise TypeError(f"no way to run {type(action).__name__}")
+
+    @_run.register
+    def _(self, action: Watch) -> None:
+        self._watch = self._spawn(self._watch_source(action))
+
+    @_run.register
+    def _(self, action: StopWatch) -> None:
+        if self._watch is not None:
+            self._watch.cancel()
+            self._watch = None
+
+    @_run.register
+    def _(self, action: ReadService) -> None:
+        self._spawn(self._read_source())
+
+    @_run.register
+    def _(self, action: AskPeer) -> None:
+        self._spawn(self._ask_peer(action))
+
+    @_run.register
+    def _(self, action: Announce) -> None:
+        log_info(Event.CONFIG_ACCEPTED, version=action.accepted.version)
+        for subscriber in list(self._subscribers):
+            try:
+                subscriber(action.accepted)
+            except Exception as error:  # One faulty subscriber must not keep others uninformed.
+                log_warning(Event.CONFIG_SUBSCRIBER_FAILED, error=repr(error))
+
+    @_run.register
+    def _(self, action: ReportRejection) -> None:
+        problems = [str(problem) for problem in action.rejected.problems]
+        log_warning(Event.CONFIG_REJECTED, version=action.rejected.version, problems=problems)
+
+    async def _watch_source(self, action: Watch) -> None:
+        try:
+            answer = await self._source.watch(action.after, action.wait_ms)
+        except SourceError as error:
+            self._note_source(error)
+            self._spread.watch_failed(self._clock.now_ms())
+        else:
+            self._note_source(None)
+            self._spread.watch_answered(action.after, answer, self._clock.now_ms())
+        self._act()
+
+    async def _read_source(self) -> None:
+        try:
+            answer = await self._source.get()
+        except SourceError as error:
+            self._note_source(error)
+            self._spread.read_failed(self._clock.now_ms())
+        else:
+            self._note_source(None)
+            self._spread.read_answered(answer, self._clock.now_ms())
+        self._act()
+
+    async def _ask_peer(self, action: AskPeer) -> None:
+        request = TreeRequest(action.newer_than)
+        try:
+            reply = await self._transport.request(action.peer, request, action.timeout_ms)
+        except (PeerError, msgspec.MsgspecError):
+            self._spread.peer_failed(action.peer, self._clock.now_ms())
+        else:
+            answer = None
+            if isinstance(reply, TreeAnswer) and reply.text:
+                answer = SourceAnswer(reply.version, reply.text)
+            self._spread.peer_answered(action.peer, answer, self._clock.now_ms())
+        self._act()
+
+    def _note_source(self, error: SourceError | None) -> None:
+        """Logs the first failure of a row; a long outage would fill the log otherwise."""
+        if error is not None and not self._source_failed:
+            log_warning(Event.CONFIG_SOURCE_FAILED, code=error.code, error=error.message)
+        self._source_failed = error is not None
+
+    def _spawn(self, coroutine: Coroutine[Any, Any, None]) -> asyncio.Task[None]:
+        task = asyncio.get_running_loop().create_task(coroutine)
+        self._running.add(task)
+        task.add_done_callback(self._running.discard)
+        return task
