--- a/src/medlarvale/cli.py
+++ b/src/medlarvale/cli.py
@@ -6,6 +6,7 @@
 from collections.abc import Sequence
 
 from medlarvale.settings import commands as settings_commands
+from medlarvale.standins import platform_command
 
 
 def build_parser() -> argparse.ArgumentParser:
@@ -15,6 +16,7 @@
     )
     subparsers = parser.add_subparsers(dest="command", required=True)
     settings_commands.add_commands(subparsers)
+    platform_command.add_commands(subparsers)
     return parser
 
 
