Merge the settings slice and the platform stand-in

Cause: settings and stand-ins were built side by side and both made the standin parser. Conclusion: merged.

--- a/src/medlarvale/standins/commands.py
+++ b/src/medlarvale/standins/commands.py
@@ -4,13 +4,12 @@
 
 from typing import Any
 
-from medlarvale.standins import engine_command, link_command, plain_command
+from medlarvale.standins import engine_command, link_command, plain_command, platform_command
 
 
 def add_commands(subparsers: Any) -> None:
     """Adds the ``standin`` parser with one subcommand for each kind of stand-in."""
     parser = subparsers.add_parser("standin", help="run a stand-in for tests and demonstrations")
     kinds = parser.add_subparsers(dest="standin", required=True)
-    engine_command.add_commands(kinds)
-    plain_command.add_commands(kinds)
-    link_command.add_commands(kinds)
+    for command in (engine_command, plain_command, link_command, platform_command):
+        command.add_commands(kinds)
