Add the path of model requests through prefill, transfer and decode

Cause: a request has to survive the loss of an engine, a stalled transfer and a caller that leaves, and its answer must come whole, once and in order, or end in an explicit error. Conclusion: one engine's fault costs an attempt and does not reach the caller.

--- /dev/null
+++ b/src/medlarvale/completions/cleanup.py
@@ -0,0 +1,51 @@
+"""Cancels attempts at engines in the background, after their request has ended."""
+
+from __future__ import annotations
+
+import asyncio
+
+from medlarvale.clock import Clock
+from medlarvale.completions.engine_client import CallContext, CancelCall, EngineClient
+from medlarvale.completions.errors import EngineFaultError, EngineStalledError
+from medlarvale.completions.watchdog import deadline
+from medlarvale.membership.servers import BackendServer
+
+CANCEL_TRIES = 3
+CANCEL_TIMEOUT_MS = 300
+CANCEL_PAUSE_MS = 50
+
+
+class EngineCleanup:
+    """Sends cancels that outlive the task of their request.
+
+    A cancel that fails three times is left to the engine itself (its connection is closed and
+    its reservations expire) and to the booker's sweep.
+    """
+
+    def __init__(self, engines: EngineClient, clock: Clock) -> None:
+        self._engines = engines
+        self._clock = clock
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    def cancel(self, engine: BackendServer, context: CallContext) -> None:
+        """Starts the cancellation of an attempt at one engine."""
+        task = asyncio.create_task(self._cancel(engine, context))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def drain(self) -> None:
+        """Waits for the cancels under way."""
+        while self._tasks:
+            await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    async def _cancel(self, engine: BackendServer, context: CallContext) -> None:
+        call = CancelCall(context.request_id, context.attempt)
+        for _ in range(CANCEL_TRIES):
+            try:
+                async with deadline(
+                    self._clock, CANCEL_TIMEOUT_MS, lambda: EngineStalledError(engine.server)
+                ):
+                    await self._engines.cancel(engine, context, call)
+                return
+            except EngineFaultError:
+                await self._clock.sleep_ms(CANCEL_PAUSE_MS)
--- /dev/null
+++ b/src/medlarvale/completions/engine_client.py
@@ -0,0 +1,338 @@
+"""Client of the engine protocol, and its twin without sockets."""
+
+from __future__ import annotations
+
+from collections.abc import AsyncIterator, Mapping
+from contextlib import AbstractAsyncContextManager, asynccontextmanager
+from typing import Protocol, TypeVar
+
+import aiohttp
+import msgspec
+
+from medlarvale.completions.errors import (
+    EngineFullError,
+    EngineLostError,
+    EngineProtocolError,
+    EngineRefusedError,
+    EngineUnreachableError,
+    TransferFailedError,
+)
+from medlarvale.ids import AttemptNumber, HostIdentity, RequestId, ServerId
+from medlarvale.membership.servers import BackendServer
+
+CONNECT_TIMEOUT_S = 1.0
+READ_BUFFER_BYTES = 65_536
+MAX_LINE_BYTES = 1_048_576
+
+
+class CallContext(msgspec.Struct, frozen=True):
+    """What every call of one attempt carries in its headers."""
+
+    owner: HostIdentity
+    request_id: RequestId
+    attempt: AttemptNumber
+    traceparent: str = ""
+
+
+class PrefillCall(msgspec.Struct, frozen=True):
+    """Computes the KV cache of a prompt.
+
+    Attributes:
+        generated_tokens: tokens of the answer that earlier attempts produced; the prefill
+            covers them too, and ``first_token`` of its answer follows them.
+    """
+
+    request_id: RequestId
+    attempt: AttemptNumber
+    prompt_tokens: list[int]
+    generated_tokens: list[int]
+    priority: str
+    model: str
+
+
+class Prefilled(msgspec.Struct, frozen=True):
+    """Answer to a prefill."""
+
+    kv_handle: str
+    kv_bytes: int
+    cached_tokens: int
+    prefill_ms: float
+    first_token: int
+
+
+class ReserveCall(msgspec.Struct, frozen=True):
+    """Reserves memory on a decode engine until the import, at most for ``ttl_ms``."""
+
+    request_id: RequestId
+    attempt: AttemptNumber
+    pieces: int
+    ttl_ms: int
+
+
+class ImportCall(msgspec.Struct, frozen=True):
+    """Makes a decode engine fetch a KV cache from ``source_address``."""
+
+    request_id: RequestId
+    attempt: AttemptNumber
+    source_address: str
+    kv_handle: str
+
+
+class Imported(msgspec.Struct, frozen=True):
+    """Answer to an import."""
+
+    transfer_ms: float
+
+
+class DecodeCall(msgspec.Struct, frozen=True):
+    """Starts decoding.
+
+    Attributes:
+        position: index in the answer of the first token wanted.
+        max_tokens: length at which the whole answer ends, tokens before ``position`` included.
+    """
+
+    request_id: RequestId
+    attempt: AttemptNumber
+    position: int
+    max_tokens: int
+
+
+class CancelCall(msgspec.Struct, frozen=True):
+    """Cancels an attempt and all older ones."""
+
+    request_id: RequestId
+    attempt: AttemptNumber
+
+
+class Chunk(msgspec.Struct, frozen=True, gc=False):
+    """Tokens of an answer from index ``i`` on; ``done`` marks the end of the answer."""
+
+    i: int
+    tokens: list[int]
+    done: bool = False
+
+
+class ChunkStream(Protocol):
+    """A running decode stream."""
+
+    async def read(self) -> list[Chunk]:
+        """Returns the chunks that have arrived, at least one; empty after the last one.
+
+        Raises:
+            EngineFaultError: the connection broke or a chunk is malformed.
+        """
+
+
+class EngineClient(Protocol):
+    """Calls of the engine protocol. Cancelling a call closes its connection.
+
+    Every method raises a subclass of ``EngineFaultError`` when the call fails.
+    """
+
+    async def prefill(
+        self, engine: BackendServer, context: CallContext, call: PrefillCall
+    ) -> Prefilled:
+        """Runs a prefill."""
+
+    async def reserve(self, engine: BackendServer, context: CallContext, call: ReserveCall) -> None:
+        """Reserves memory; raises ``EngineFullError`` when there is none."""
+
+    async def import_kv(
+        self, engine: BackendServer, context: CallContext, call: ImportCall, source: ServerId
+    ) -> Imported:
+        """Transfers a KV cache; raises ``TransferFailedError`` when the fetch failed."""
+
+    def decode(
+        self, engine: BackendServer, context: CallContext, call: DecodeCall
+    ) -> AbstractAsyncContextManager[ChunkStream]:
+        """Opens the stream of an answer; leaving the block closes the connection."""
+
+    async def cancel(self, engine: BackendServer, context: CallContext, call: CancelCall) -> None:
+        """Cancels an attempt."""
+
+
+class EngineErrorDetail(msgspec.Struct, frozen=True):
+    """The ``error`` object of an engine's error answer."""
+
+    code: str = ""
+    message: str = ""
+
+
+class EngineErrorBody(msgspec.Struct, frozen=True):
+    """An engine's error answer; plain ``{"error": "code"}`` is understood too."""
+
+    error: EngineErrorDetail | str = ""
+
+    @property
+    def code(self) -> str:
+        """The engine's error code."""
+        return self.error if isinstance(self.error, str) else self.error.code
+
+
+Answer = TypeVar("Answer")
+
+_encoder = msgspec.json.Encoder()
+_chunk_decoder = msgspec.json.Decoder(Chunk)
+_error_decoder = msgspec.json.Decoder(EngineErrorBody)
+
+
+class LineStream:
+    """Splits the body of a decode answer into chunks."""
+
+    def __init__(self, server: ServerId, body: aiohttp.StreamReader) -> None:
+        self._server = server
+        self._body = body
+        self._tail = b""
+
+    async def read(self) -> list[Chunk]:
+        """Returns the whole lines that have arrived as chunks; empty at the end of the body."""
+        while True:
+            try:
+                data = await self._body.readany()
+            except (aiohttp.ClientError, OSError) as error:
+                raise EngineLostError(self._server, f"stream broke: {error}") from error
+            if not data:
+                if self._tail:
+                    raise EngineLostError(self._server, "stream ended within a chunk")
+                return []
+            if self._tail:
+                data = self._tail + data
+            lines, separator, self._tail = data.rpartition(b"\n")
+            if len(self._tail) > MAX_LINE_BYTES:
+                raise EngineProtocolError(self._server, "chunk is too long")
+            if separator:
+                try:
+                    chunks = _chunk_decoder.decode_lines(lines)
+                except msgspec.DecodeError as error:
+                    raise EngineProtocolError(self._server, f"bad chunk: {error}") from error
+                if chunks:
+                    return chunks
+
+
+class HttpEngineClient:
+    """Engine protocol over aiohttp.
+
+    Args:
+        session: made by ``new_engine_session``; its owner closes it.
+    """
+
+    def __init__(self, session: aiohttp.ClientSession) -> None:
+        self._session = session
+
+    async def prefill(
+        self, engine: BackendServer, context: CallContext, call: PrefillCall
+    ) -> Prefilled:
+        """Runs a prefill."""
+        return await self._call(engine, context, "/v1/prefill", call, Prefilled)
+
+    async def reserve(self, engine: BackendServer, context: CallContext, call: ReserveCall) -> None:
+        """Reserves memory."""
+        async with self._post(engine, context, "/v1/reserve", call) as answer:
+            await _read(engine.server, answer)
+
+    async def import_kv(
+        self, engine: BackendServer, context: CallContext, call: ImportCall, source: ServerId
+    ) -> Imported:
+        """Transfers a KV cache."""
+        try:
+            return await self._call(engine, context, "/v1/import", call, Imported)
+        except EngineRefusedError as error:
+            raise TransferFailedError(source, error.message) from error
+
+    @asynccontextmanager
+    async def decode(
+        self, engine: BackendServer, context: CallContext, call: DecodeCall
+    ) -> AsyncIterator[ChunkStream]:
+        """Opens the stream of an answer."""
+        async with self._post(engine, context, "/v1/decode", call) as answer:
+            try:
+                yield LineStream(engine.server, answer.content)
+            finally:
+                # A closed connection is the engine's signal to free the request's memory.
+                if not answer.content.at_eof():
+                    answer.close()
+
+    async def cancel(self, engine: BackendServer, context: CallContext, call: CancelCall) -> None:
+        """Cancels an attempt."""
+        async with self._post(engine, context, "/v1/cancel", call) as answer:
+            await _read(engine.server, answer)
+
+    async def _call(
+        self,
+        engine: BackendServer,
+        context: CallContext,
+        path: str,
+        call: msgspec.Struct,
+        answer_type: type[Answer],
+    ) -> Answer:
+        async with self._post(engine, context, path, call) as answer:
+            body = await _read(engine.server, answer)
+        try:
+            return msgspec.json.decode(body, type=answer_type)
+        except msgspec.DecodeError as error:
+            raise EngineProtocolError(engine.server, f"{path}: {error}") from error
+
+    @asynccontextmanager
+    async def _post(
+        self, engine: BackendServer, context: CallContext, path: str, call: msgspec.Struct
+    ) -> AsyncIterator[aiohttp.ClientResponse]:
+        try:
+            answer = await self._session.post(
+                engine.address + path,
+                data=_encoder.encode(call),
+                headers=_headers(context),
+                allow_redirects=False,
+            )
+        except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
+            raise EngineUnreachableError(engine.server, str(error)) from error
+        except (aiohttp.ClientError, OSError) as error:
+            raise EngineLostError(engine.server, f"{path}: {error}") from error
+        async with answer:
+            if answer.status != 200:
+                raise await _refusal(engine.server, path, answer)
+            yield answer
+
+
+async def _read(server: ServerId, answer: aiohttp.ClientResponse) -> bytes:
+    try:
+        return await answer.read()
+    except (aiohttp.ClientError, OSError) as error:
+        raise EngineLostError(server, f"answer broke: {error}") from error
+
+
+async def _refusal(server: ServerId, path: str, answer: aiohttp.ClientResponse) -> Exception:
+    body = await _read(server, answer)
+    try:
+        code = _error_decoder.decode(body).code
+    except msgspec.DecodeError:
+        code = ""
+    if code == EngineFullError.code:
+        return EngineFullError(server)
+    return EngineRefusedError(server, f"{path} answered {answer.status} {code}")
+
+
+def _headers(context: CallContext) -> Mapping[str, str]:
+    headers = {
+        "Content-Type": "application/json",
+        "X-Owner": str(context.owner),
+        "X-Attempt": str(context.attempt),
+    }
+    if context.traceparent:
+        headers["traceparent"] = context.traceparent
+    return headers
+
+
+def new_engine_session() -> aiohttp.ClientSession:
+    """Returns a session for ``HttpEngineClient``.
+
+    It has no total time limit and no limit of connections: watchdogs end calls that make no
+    progress, and the scheduler bounds the requests in flight.
+    """
+    return aiohttp.ClientSession(
+        connector=aiohttp.TCPConnector(limit=0),
+        timeout=aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_TIMEOUT_S),
+        read_bufsize=READ_BUFFER_BYTES,
+        auto_decompress=False,
+        cookie_jar=aiohttp.DummyCookieJar(),
+    )
--- /dev/null
+++ b/src/medlarvale/completions/errors.py
@@ -0,0 +1,131 @@
+"""Errors of the model request path."""
+
+from __future__ import annotations
+
+from medlarvale.errors import MedlarvaleError, Outcome
+from medlarvale.ids import ServerId
+
+
+class CompletionError(MedlarvaleError):
+    """A model request ended without its whole answer."""
+
+    code = "completion_failed"
+    http_status = 502
+
+
+class RestartsExhaustedError(CompletionError):
+    """Every permitted attempt failed."""
+
+    code = "restarts_exhausted"
+
+
+class RestartRefusedError(CompletionError):
+    """A later attempt found no place after an earlier one had already run in part."""
+
+    code = "restart_refused"
+    http_status = 503
+
+
+class DeadlineExceededError(CompletionError):
+    """The caller's deadline passed while an engine worked on the request."""
+
+    code = "deadline_exceeded"
+    http_status = 504
+
+
+class DeadlineBeforeStartError(CompletionError):
+    """The caller's deadline passed before anything was sent to an engine."""
+
+    code = "deadline_before_start"
+    outcome = Outcome.NOT_RUN
+    http_status = 504
+
+
+class CallerGoneError(CompletionError):
+    """The caller closed its connection or stopped reading; nobody receives this error."""
+
+    code = "caller_gone"
+    http_status = 499
+
+
+class SequenceConflictError(CompletionError):
+    """An engine sent a token or an end that contradicts what it sent before."""
+
+    code = "sequence_conflict"
+
+
+class EngineFaultError(CompletionError):
+    """A call to an engine failed, so the attempt is over; the request may have a new attempt.
+
+    Attributes:
+        server: the engine.
+        blames_server: the booker should count the failure against the engine.
+        server_lost: the engine's process may have ended under the request.
+        exclude: later attempts of the request should avoid the engine.
+    """
+
+    code = "engine_fault"
+    blames_server = True
+    server_lost = False
+    exclude = True
+
+    def __init__(self, server: ServerId, message: str = "") -> None:
+        super().__init__(f"{server}: {message or self.code}")
+        self.server = server
+
+
+class EngineUnreachableError(EngineFaultError):
+    """No connection to the engine could be made."""
+
+    code = "engine_unreachable"
+    server_lost = True
+
+
+class EngineLostError(EngineFaultError):
+    """The connection to the engine broke during a call or a stream."""
+
+    code = "engine_lost"
+    server_lost = True
+
+
+class EngineStalledError(EngineFaultError):
+    """The engine made no progress within the limit of the watchdog."""
+
+    code = "engine_stalled"
+
+
+class EngineProtocolError(EngineFaultError):
+    """The engine's answer does not follow the protocol."""
+
+    code = "engine_protocol_error"
+
+
+class EngineFullError(EngineFaultError):
+    """The decode engine has no free slot or pieces."""
+
+    code = "engine_full"
+    blames_server = False
+    exclude = False
+
+
+class EngineLeavingError(EngineFaultError):
+    """The engine is leaving and receives no new work; nothing was sent to it."""
+
+    code = "engine_leaving"
+    blames_server = False
+
+
+class EngineRefusedError(EngineFaultError):
+    """The engine answered a call with an error status."""
+
+    code = "engine_refused"
+
+
+class TransferFailedError(EngineFaultError):
+    """The decode engine could not fetch the KV cache; ``server`` is the prefill engine.
+
+    The link, an expired handle or the prefill engine may be the cause, so no engine is blamed.
+    """
+
+    code = "transfer_failed"
+    blames_server = False
--- /dev/null
+++ b/src/medlarvale/completions/tokens.py
@@ -0,0 +1,55 @@
+"""Words to tokens and back, as the engine protocol defines them."""
+
+from __future__ import annotations
+
+from array import array
+
+import xxhash
+
+TOKEN_MASK = 0x7FFF_FFFF
+MAX_TOKEN = TOKEN_MASK
+
+# Cache events and the scheduler's prefix index have to use the same block length.
+PREFIX_BLOCK_TOKENS = 256
+
+
+def token_of_word(word: str) -> int:
+    """Returns the token of a word: its xxh3_64 hash reduced to 31 bits."""
+    return xxhash.xxh3_64_intdigest(word.encode()) & TOKEN_MASK
+
+
+def tokens_of_text(text: str) -> list[int]:
+    """Splits a text on white space and returns the token of each word."""
+    return [token_of_word(word) for word in text.split()]
+
+
+def tokens_of_messages(messages: list[tuple[str, str]]) -> list[int]:
+    """Returns the prompt of a chat: for each message a role word and the words of its content.
+
+    Args:
+        messages: (role, content) of each message, oldest first.
+    """
+    tokens: list[int] = []
+    for role, content in messages:
+        tokens.append(token_of_word(f"<|{role}|>"))
+        tokens.extend(tokens_of_text(content))
+    return tokens
+
+
+def text_of_tokens(tokens: list[int]) -> str:
+    """Returns the text of answer tokens; it needs no escaping in JSON."""
+    return "".join([f" w{token}" for token in tokens])
+
+
+def prefix_hashes(tokens: list[int], block_tokens: int = PREFIX_BLOCK_TOKENS) -> list[int]:
+    """Returns the hash of each whole block of the prompt's start, shortest prefix first.
+
+    The hash of a prefix is the xxh3_64 of its tokens as little-endian 32-bit numbers.
+    """
+    packed = array("I", tokens)
+    digest = xxhash.xxh3_64()
+    hashes = []
+    for end in range(block_tokens, len(tokens) + 1, block_tokens):
+        digest.update(packed[end - block_tokens : end].tobytes())
+        hashes.append(digest.intdigest())
+    return hashes
--- /dev/null
+++ b/src/medlarvale/completions/watchdog.py
@@ -0,0 +1,87 @@
+"""Ends a wait that makes no progress, with time from the timer service."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from types import TracebackType
+from typing import Any
+
+from medlarvale.clock import Clock, Subscription
+
+PROGRESS_CHECKS = 8
+
+# Event loop timers may fire this much before their time.
+TIMER_TOLERANCE_MS = 1.0
+
+
+class Watchdog:
+    """Cancels the block it guards when ``progress`` is not called for ``limit_ms``.
+
+    It checks several times per limit, so that progress of a stream costs one assignment instead
+    of a new timer; the block may go on for one check period longer than the limit. One check
+    makes it a deadline, exact for a block that reports no progress. Cancellation follows the
+    counting of ``asyncio.timeout``, so watchdogs nest, and a cancellation from outside is never
+    mistaken for an expiry.
+
+    Args:
+        make_error: builds the exception that the block raises on expiry.
+    """
+
+    def __init__(
+        self,
+        clock: Clock,
+        limit_ms: float,
+        make_error: Callable[[], Exception],
+        checks: int = PROGRESS_CHECKS,
+    ) -> None:
+        self._clock = clock
+        self._limit_ms = limit_ms
+        self._make_error = make_error
+        self._checks = checks
+        self._since_ms: float | None = None
+        self._expired = False
+        self._cancelling = 0
+        self._task: asyncio.Task[Any] | None = None
+        self._subscription: Subscription | None = None
+
+    async def __aenter__(self) -> Watchdog:
+        self._task = asyncio.current_task()
+        assert self._task is not None
+        self._cancelling = self._task.cancelling()
+        self.progress()
+        self._subscription = self._clock.every_ms(self._limit_ms / self._checks, self._check)
+        return self
+
+    async def __aexit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: TracebackType | None,
+    ) -> None:
+        assert self._subscription is not None and self._task is not None
+        self._subscription.cancel()
+        # The cancelled timer stays in the event loop until it is due and must not keep the task.
+        task, self._task = self._task, None
+        if self._expired and task.uncancel() <= self._cancelling and kind is asyncio.CancelledError:
+            raise self._make_error() from error
+
+    def progress(self) -> None:
+        """Starts the limit anew."""
+        self._since_ms = self._clock.now_ms()
+
+    def pause(self) -> None:
+        """Stops the limit until the next ``progress``, while others are waited for."""
+        self._since_ms = None
+
+    def _check(self) -> None:
+        if self._expired or self._since_ms is None or self._task is None:
+            return
+        if self._clock.now_ms() - self._since_ms >= self._limit_ms - TIMER_TOLERANCE_MS:
+            self._expired = True
+            self._task.cancel()
+
+
+def deadline(clock: Clock, limit_ms: float, make_error: Callable[[], Exception]) -> Watchdog:
+    """Returns a watchdog that ends its block ``limit_ms`` after its start."""
+    return Watchdog(clock, limit_ms, make_error, checks=1)
--- /dev/null
+++ b/tests/completions/fakes.py
@@ -0,0 +1,219 @@
+"""In-memory neighbours of the request paths, shared by the tests of completions, callers, plain."""
+
+from __future__ import annotations
+
+import hashlib
+
+from medlarvale.clock import Clock
+from medlarvale.completions.cleanup import EngineCleanup
+from medlarvale.completions.engine_client import EngineClient
+from medlarvale.completions.parts import RequestPathParts, StallLimits
+from medlarvale.completions.request import ModelRequest
+from medlarvale.errors import MedlarvaleError, Outcome
+from medlarvale.ids import (
+    FailureDomain,
+    HostId,
+    HostIdentity,
+    Incarnation,
+    PoolName,
+    RegionName,
+    RequestId,
+    ServerId,
+    ServiceName,
+    WorkspaceId,
+)
+from medlarvale.membership.servers import BackendServer, ServerDirectory
+from medlarvale.operators.reports import RequestReport
+from medlarvale.scheduling.messages import Placed, Progress, Release, Reserve, WorkClass
+from medlarvale.settings.schema import DEFAULT_VALUES, PoolRole, SettingsTree
+from medlarvale.tracing import Tracing
+
+REGION = RegionName("dk-east")
+DOMAIN = FailureDomain("east-1")
+MODEL_SERVICE = ServiceName("slidsk-llm")
+PLAIN_SERVICE = ServiceName("udlaan-app")
+OWNER = HostIdentity(HostId("entry-1"), Incarnation(7))
+API_KEY = "key-of-ventilo"
+
+TREE = SettingsTree.model_validate_json("""{
+    "services": {
+        "slidsk-llm": {"kind": "model", "model": "slidsk", "pools": {}},
+        "redacteur": {"kind": "model", "model": "redacteur", "pools": {}},
+        "udlaan-app": {"kind": "plain", "retry_policy": "lookups", "pools": {}}
+    },
+    "retry_policies": {"lookups": {"rules": [
+        {"methods": ["POST"], "path_prefix": "/stock/search", "repeat": "freely"},
+        {"methods": ["GET"], "path_prefix": "/stock", "repeat": "freely"}
+    ]}},
+    "workspaces": {
+        "glatfore": {"services": ["slidsk-llm", "udlaan-app"]},
+        "ventilo": {"services": ["redacteur"], "api_key_sha256": ["DIGEST"]}
+    },
+    "regions": {}
+}""".replace("DIGEST", hashlib.sha256(API_KEY.encode()).hexdigest()))
+
+
+class FakeSettings:
+    """Settings in force: one tree, and values that are the same everywhere."""
+
+    def __init__(self, **values: int) -> None:
+        self.values = values
+
+    def tree(self) -> SettingsTree:
+        return TREE
+
+    def value(
+        self,
+        name: str,
+        region: RegionName,
+        failure_domain: FailureDomain,
+        service: ServiceName | None = None,
+        pool: PoolName | None = None,
+    ) -> int:
+        return self.values.get(name, getattr(DEFAULT_VALUES, name))
+
+
+class OverloadedError(MedlarvaleError):
+    """The scheduler's refusal."""
+
+    code = "overloaded"
+    outcome = Outcome.NOT_RUN
+    http_status = 429
+
+
+class FakePlacement:
+    """Places attempt n on the n-th of the engines that are not excluded."""
+
+    def __init__(self, directory: ServerDirectory) -> None:
+        self.directory = directory
+        self.refuse_from_attempt = 1_000
+        self.reserved: list[Reserve] = []
+        self.reported: list[Progress] = []
+        self.released: list[Release] = []
+
+    async def reserve(self, request: Reserve) -> Placed:
+        self.reserved.append(request)
+        if request.attempt >= self.refuse_from_attempt:
+            raise OverloadedError(retry_after_ms=1_500)
+        prefill, decode = (
+            next(
+                server.server
+                for server in self.directory.all_servers()
+                if server.role is role and server.server not in request.excluded
+            )
+            for role in (PoolRole.PREFILL, PoolRole.DECODE)
+        )
+        return Placed(
+            request_id=request.request_id,
+            attempt=request.attempt,
+            prefill=prefill,
+            decode=decode,
+            pieces=2,
+            lease_ms=1_000,
+        )
+
+    def report(self, progress: Progress) -> None:
+        self.reported.append(progress)
+
+    def release(self, release: Release) -> None:
+        self.released.append(release)
+
+
+class FakeGuard:
+    """Admits everything and keeps what ran where."""
+
+    def __init__(self) -> None:
+        self.running: list[ServerId] = []
+        self.lost: list[ServerId] = []
+
+    async def admit(self, fingerprint: int) -> bool:
+        return False
+
+    def started(self, fingerprint: int, server: ServerId) -> None:
+        self.running.append(server)
+
+    def finished(self, fingerprint: int, server: ServerId, *, server_lost: bool) -> None:
+        self.running.remove(server)
+        if server_lost:
+            self.lost.append(server)
+
+
+class FakeObserver:
+    """Keeps the reports of finished requests."""
+
+    def __init__(self) -> None:
+        self.reports: list[RequestReport] = []
+
+    def request_finished(self, report: RequestReport) -> None:
+        self.reports.append(report)
+
+
+def server(name: str, role: PoolRole, service: ServiceName, address: str = "") -> BackendServer:
+    return BackendServer(
+        server=ServerId(name),
+        address=address or f"http://{name}",
+        service=service,
+        pool=PoolName(role.value),
+        role=role,
+        failure_domain=DOMAIN,
+    )
+
+
+def engine_directory(each: int = 3) -> ServerDirectory:
+    """Returns a directory with engines p1, p2, ... and d1, d2, ..."""
+    directory = ServerDirectory()
+    directory.replace(
+        server(f"{role.value[0]}{number}", role, MODEL_SERVICE)
+        for role in (PoolRole.PREFILL, PoolRole.DECODE)
+        for number in range(1, each + 1)
+    )
+    return directory
+
+
+class RequestPath:
+    """A request path with fakes around it."""
+
+    def __init__(
+        self,
+        engines: EngineClient,
+        clock: Clock,
+        settings: FakeSettings | None = None,
+        limits: StallLimits | None = None,
+    ) -> None:
+        self.directory = engine_directory()
+        self.placement = FakePlacement(self.directory)
+        self.guard = FakeGuard()
+        self.observer = FakeObserver()
+        self.tracing = Tracing("entry-1")
+        self.parts = RequestPathParts(
+            identity=OWNER,
+            region=REGION,
+            failure_domain=DOMAIN,
+            clock=clock,
+            settings=settings or FakeSettings(),
+            placement=self.placement,
+            directory=self.directory,
+            engines=engines,
+            cleanup=EngineCleanup(engines, clock),
+            guard=self.guard,
+            observer=self.observer,
+            tracer=self.tracing.tracer,
+            limits=limits or StallLimits(),
+        )
+
+
+def model_request(**changes: object) -> ModelRequest:
+    fields: dict[str, object] = {
+        "request_id": RequestId("r1"),
+        "service": MODEL_SERVICE,
+        "model": "slidsk",
+        "workspace": WorkspaceId("glatfore"),
+        "work_class": WorkClass.LIVE,
+        "prompt_tokens": [11, 12, 13],
+        "max_tokens": 20,
+        "expected_output_tokens": 20,
+        "deadline_ms": 60_000,
+        "first_token_deadline_ms": 1_900,
+        "fingerprint": 99,
+    }
+    return ModelRequest(**{**fields, **changes})  # type: ignore[arg-type]
