--- /dev/null
+++ b/src/medlarvale/callers/app.py
@@ -0,0 +1,136 @@
+"""The HTTP interface for callers."""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable, Callable
+from http import HTTPStatus
+
+from aiohttp import web
+
+from medlarvale.callers.error_body import error_response
+from medlarvale.callers.errors import (
+    HttpRefusedError,
+    MalformedRequestError,
+    MethodNotAllowedError,
+    NotFoundError,
+)
+from medlarvale.callers.model_api import ModelApi
+from medlarvale.callers.parts import REQUEST_ID, CallerParts
+from medlarvale.callers.plain_api import PlainApi
+from medlarvale.callers.validation import check_framing
+from medlarvale.errors import MedlarvaleError
+from medlarvale.ids import new_request_id
+from medlarvale.logs import Event, log_warning
+
+Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
+
+# Longer request lines and header fields are refused by the parser.
+MAX_LINE_BYTES = 8_190
+
+PLAIN_API: web.AppKey[PlainApi] = web.AppKey("plain_api", PlainApi)
+
+
+def build_app(parts: CallerParts) -> web.Application:
+    """Returns the application; serve it with ``CallerServerRunner``."""
+    app = web.Application(middlewares=[_answer_errors])
+    model_api, plain_api = ModelApi(parts), PlainApi(parts)
+    app.router.add_post("/v1/chat/completions", model_api.chat)
+    app.router.add_post("/v1/completions", model_api.completions)
+    app.router.add_get("/v1/models", model_api.models, allow_head=False)
+    app.router.add_route("*", "/services/{service}/{path:.*}", plain_api.call)
+    app[PLAIN_API] = plain_api
+
+    async def drain(_: web.Application) -> None:
+        await plain_api.drain()
+        await parts.runner.drain()
+
+    app.on_cleanup.append(drain)
+    return app
+
+
+@web.middleware
+async def _answer_errors(request: web.Request, handler: Handler) -> web.StreamResponse:
+    """Gives each request its id and turns every error into an answer with a code."""
+    request_id = new_request_id()
+    request[REQUEST_ID] = request_id
+    try:
+        check_framing(request)
+        return await handler(request)
+    except MedlarvaleError as error:
+        response = error_response(error, request_id)
+        if isinstance(error, MalformedRequestError):
+            response.force_close()
+        return response
+    except web.HTTPException as error:
+        return error_response(_http_error(error.status), request_id)
+    except Exception as error:
+        # The request may have been dispatched, so the outcome is unknown.
+        log_warning(Event.REQUEST_FAILED, request_id=request_id, error=repr(error), exc_info=error)
+        return error_response(MedlarvaleError(type(error).__name__), request_id)
+
+
+def _http_error(status: int) -> MedlarvaleError:
+    if status == HTTPStatus.NOT_FOUND:
+        return NotFoundError("the interface has no such path")
+    if status == HTTPStatus.METHOD_NOT_ALLOWED:
+        return MethodNotAllowedError("the path does not support the method")
+    return HttpRefusedError(f"refused with status {status}")
+
+
+class CallerProtocol(web.RequestHandler):
+    """HTTP connection whose parse errors are answered with a code as well."""
+
+    def handle_error(
+        self,
+        request: web.BaseRequest,
+        status: int = 500,
+        exc: BaseException | None = None,
+        message: str | None = None,
+    ) -> web.StreamResponse:
+        """Answers a request that the parser refused, or whose handler failed."""
+        if request.writer.output_size > 0:
+            raise ConnectionError("the answer has already started")
+        error: MedlarvaleError
+        if status < HTTPStatus.INTERNAL_SERVER_ERROR:
+            error = MalformedRequestError("the request is not well-formed HTTP")
+        else:
+            error = MedlarvaleError()
+        response = error_response(error, new_request_id())
+        response.force_close()
+        return response
+
+
+class CallerServer(web.Server):
+    """Server that makes ``CallerProtocol`` connections."""
+
+    def __call__(self) -> web.RequestHandler:
+        """Returns the protocol of a new connection."""
+        return CallerProtocol(self, loop=self._loop, **self._kwargs)
+
+
+class CallerServerRunner(web.AppRunner):
+    """Runner of the callers' interface.
+
+    Handlers are cancelled when their caller disconnects, which is what frees engine memory.
+    """
+
+    def __init__(self, app: web.Application, *, shutdown_timeout_s: float = 60.0) -> None:
+        super().__init__(
+            app,
+            handler_cancellation=True,
+            shutdown_timeout=shutdown_timeout_s,
+            access_log=None,
+            max_line_size=MAX_LINE_BYTES,
+            max_field_size=MAX_LINE_BYTES,
+            auto_decompress=False,
+        )
+
+    async def _make_server(self) -> web.Server:
+        made = await super()._make_server()
+        return CallerServer(
+            made.request_handler,
+            request_factory=made.request_factory,
+            handler_cancellation=made.handler_cancellation,
+            loop=made._loop,
+            **made._kwargs,
+        )
--- /dev/null
+++ b/src/medlarvale/callers/errors.py
@@ -0,0 +1,152 @@
+"""Errors of the callers' interface; nothing was dispatched when one of them is raised."""
+
+from __future__ import annotations
+
+from medlarvale.errors import MedlarvaleError, Outcome
+
+
+class CallerRequestError(MedlarvaleError):
+    """The request is not acceptable as it stands.
+
+    Attributes:
+        param: field or header at fault, if one is.
+    """
+
+    code = "bad_request"
+    outcome = Outcome.NOT_RUN
+    http_status = 400
+
+    def __init__(self, message: str = "", *, param: str | None = None) -> None:
+        super().__init__(message)
+        self.param = param
+
+
+class MalformedRequestError(CallerRequestError):
+    """The request is not well-formed HTTP, or its framing is ambiguous."""
+
+    code = "malformed_request"
+
+
+class BadJsonError(CallerRequestError):
+    """The body is not the JSON that the interface expects."""
+
+    code = "bad_json"
+
+
+class BadValueError(CallerRequestError):
+    """A field of the body has a value outside its range."""
+
+    code = "bad_value"
+
+
+class UnsupportedParameterError(CallerRequestError):
+    """A field of the body asks for something that the engines cannot do."""
+
+    code = "unsupported_parameter"
+
+
+class PromptTooLongError(CallerRequestError):
+    """The prompt has more tokens than the service accepts."""
+
+    code = "prompt_too_long"
+
+
+class BadHeaderError(CallerRequestError):
+    """A header has an unacceptable value or is given twice."""
+
+    code = "bad_header"
+
+
+class BadPathError(CallerRequestError):
+    """The path is ambiguous, so the retry policy cannot be applied to it safely."""
+
+    code = "bad_path"
+
+
+class IdempotencyKeyMissingError(CallerRequestError):
+    """The call may run at most once and needs an ``Idempotency-Key``."""
+
+    code = "idempotency_key_missing"
+
+
+class BodyTooLargeError(CallerRequestError):
+    """The body is larger than the service accepts."""
+
+    code = "body_too_large"
+    http_status = 413
+
+
+class BodyTimeoutError(CallerRequestError):
+    """The body did not arrive in time."""
+
+    code = "body_timeout"
+    http_status = 408
+
+
+class WorkspaceMissingError(CallerRequestError):
+    """The request names no workspace."""
+
+    code = "workspace_missing"
+    http_status = 401
+
+
+class UnknownApiKeyError(CallerRequestError):
+    """No workspace has the API key that was presented."""
+
+    code = "unknown_api_key"
+    http_status = 401
+
+
+class ApiKeyRequiredError(CallerRequestError):
+    """The workspace has API keys, so its name alone does not admit a caller."""
+
+    code = "api_key_required"
+    http_status = 401
+
+
+class UnknownWorkspaceError(CallerRequestError):
+    """No workspace has the given name, or the API key belongs to another one."""
+
+    code = "unknown_workspace"
+    http_status = 403
+
+
+class ServiceForbiddenError(CallerRequestError):
+    """The workspace may not call the service."""
+
+    code = "service_forbidden"
+    http_status = 403
+
+
+class UnknownServiceError(CallerRequestError):
+    """No plain service has the given name."""
+
+    code = "unknown_service"
+    http_status = 404
+
+
+class UnknownModelError(CallerRequestError):
+    """No service offers the model."""
+
+    code = "model_not_found"
+    http_status = 404
+
+
+class NotFoundError(CallerRequestError):
+    """The interface has no such path."""
+
+    code = "not_found"
+    http_status = 404
+
+
+class MethodNotAllowedError(CallerRequestError):
+    """The path does not support the method."""
+
+    code = "method_not_allowed"
+    http_status = 405
+
+
+class HttpRefusedError(CallerRequestError):
+    """The HTTP layer refused the request, for example for an unknown ``Expect``."""
+
+    code = "http_refused"
--- /dev/null
+++ b/src/medlarvale/callers/parts.py
@@ -0,0 +1,43 @@
+"""What the callers' interface is built from."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from aiohttp import web
+from opentelemetry.trace import Tracer
+
+from medlarvale.callers.workspaces import WorkspaceDirectory
+from medlarvale.clock import Clock
+from medlarvale.completions.runner import CompletionRunner
+from medlarvale.ids import FailureDomain, RegionName, RequestId, ServiceName
+from medlarvale.operators.reports import RequestObserver
+from medlarvale.plain.interface import BookingService, PlainDispatcher
+from medlarvale.settings.interface import SettingsInForce
+
+REQUEST_ID: web.RequestKey[RequestId] = web.RequestKey("request_id", RequestId)
+
+
+@dataclass(frozen=True)
+class CallerParts:
+    """The parts that the callers' interface works with.
+
+    Attributes:
+        region: region of this host.
+        failure_domain: failure domain of this host.
+    """
+
+    region: RegionName
+    failure_domain: FailureDomain
+    clock: Clock
+    settings: SettingsInForce
+    workspaces: WorkspaceDirectory
+    runner: CompletionRunner
+    dispatcher: PlainDispatcher
+    bookings: BookingService
+    observer: RequestObserver
+    tracer: Tracer
+
+    def value(self, name: str, service: ServiceName | None = None) -> int:
+        """Returns a setting as it holds on this host."""
+        return self.settings.value(name, self.region, self.failure_domain, service, None)
--- /dev/null
+++ b/src/medlarvale/callers/plain_api.py
@@ -0,0 +1,189 @@
+"""Calls to plain services."""
+
+from __future__ import annotations
+
+import asyncio
+
+from aiohttp import web
+
+from medlarvale.callers.error_body import OUTCOME_HEADER, REQUEST_ID_HEADER
+from medlarvale.callers.errors import IdempotencyKeyMissingError
+from medlarvale.callers.parts import REQUEST_ID, CallerParts
+from medlarvale.callers.validation import (
+    check_forwarded_headers,
+    deadline_ms,
+    idempotency_key,
+    read_body,
+    service_path,
+)
+from medlarvale.callers.workspaces import WORKSPACE_HEADER
+from medlarvale.errors import MedlarvaleError, Outcome
+from medlarvale.ids import BookingKey, ServiceName, WorkspaceId
+from medlarvale.operators.reports import RequestReport
+from medlarvale.plain.client import end_to_end_headers
+from medlarvale.plain.messages import PlainAnswer, PlainCall
+from medlarvale.settings.schema import Repeat, RetryPolicy, ServiceDeclaration
+from medlarvale.tracing import TRACEPARENT, context_from, open_span, traceparent_of
+
+# These are addressed to the router or set by it.
+OWN_HEADERS = frozenset(
+    {
+        "authorization",
+        TRACEPARENT,
+        WORKSPACE_HEADER.lower(),
+        REQUEST_ID_HEADER.lower(),
+        "x-deadline-ms",
+        "x-priority",
+        "expect",
+    }
+)
+
+
+def repeat_of(policy: RetryPolicy | None, method: str, path: str) -> Repeat:
+    """Returns whether a call may be repeated: the first rule that covers it holds.
+
+    Args:
+        path: decoded path below the service, without the query.
+    """
+    for rule in policy.rules if policy is not None else []:
+        if (not rule.methods or method in rule.methods) and path.startswith(rule.path_prefix):
+            return rule.repeat
+    return Repeat.AT_MOST_ONCE
+
+
+class PlainApi:
+    """Handler of ``/services/{service}/{path}``."""
+
+    def __init__(self, parts: CallerParts) -> None:
+        self._parts = parts
+        self._bookings: set[asyncio.Task[PlainAnswer]] = set()
+
+    async def call(self, request: web.Request) -> web.StreamResponse:
+        """Passes a call to a backend server and returns its answer."""
+        parts = self._parts
+        workspace = parts.workspaces.workspace_of(request)
+        name = request.match_info["service"]
+        declaration = parts.workspaces.plain_service(workspace, name)
+        service = ServiceName(name)
+        check_forwarded_headers(request)
+        target, path = service_path(request.raw_path, name)
+        repeat = repeat_of(self._policy(declaration), request.method, path)
+        key = idempotency_key(request)
+        if repeat is Repeat.AT_MOST_ONCE and key is None:
+            raise IdempotencyKeyMissingError(
+                "this call may run at most once and needs an Idempotency-Key",
+            )
+        limit_ms = deadline_ms(request, parts.value("request_deadline_ms", service))
+        body = await read_body(request, parts.value("max_body_bytes", service), parts.clock)
+        attributes = {"request_id": request[REQUEST_ID], "service": name, "workspace": workspace}
+        parent = context_from(request.headers)
+        with open_span(parts.tracer, "caller request", parent, attributes) as span:
+            call = PlainCall(
+                service=service,
+                workspace=workspace,
+                method=request.method,
+                path=target,
+                headers=_forwarded_headers(request, workspace, traceparent_of(span)),
+                body=body,
+                deadline_ms=limit_ms,
+            )
+            answer = await self._dispatch(
+                request, call, key if repeat is not Repeat.FREELY else None
+            )
+        headers = end_to_end_headers(answer.headers)
+        own = {OUTCOME_HEADER.lower(), REQUEST_ID_HEADER.lower()}
+        return web.Response(
+            status=answer.status,
+            body=answer.body,
+            headers=[pair for pair in headers if pair[0].lower() not in own]
+            + [
+                (OUTCOME_HEADER, Outcome.ANSWERED.value),
+                (REQUEST_ID_HEADER, request[REQUEST_ID]),
+            ],
+        )
+
+    async def drain(self) -> None:
+        """Waits for the bookings whose callers have gone."""
+        while self._bookings:
+            await asyncio.gather(*self._bookings, return_exceptions=True)
+
+    def _policy(self, declaration: ServiceDeclaration) -> RetryPolicy | None:
+        name = declaration.retry_policy
+        return self._parts.settings.tree().retry_policies.get(name) if name else None
+
+    async def _dispatch(
+        self, request: web.Request, call: PlainCall, key: str | None
+    ) -> PlainAnswer:
+        """Runs a call, at most once if it has a key, and reports how it ended."""
+        started_ms = self._parts.clock.now_ms()
+        code, outcome, status = "", Outcome.ANSWERED, 0
+        try:
+            if key is None:
+                answer = await self._parts.dispatcher.call_freely(call)
+            else:
+                answer = await self._book(BookingKey(key), call)
+            status = answer.status
+            return answer
+        except MedlarvaleError as error:
+            code, outcome = error.code, error.outcome
+            raise
+        except BaseException as error:
+            gone = isinstance(error, asyncio.CancelledError)
+            code, outcome = "caller_gone" if gone else MedlarvaleError.code, Outcome.UNKNOWN
+            raise
+        finally:
+            self._report(request, call, started_ms, code, outcome, status)
+
+    async def _book(self, key: BookingKey, call: PlainCall) -> PlainAnswer:
+        """Submits a booking; a caller that goes away does not break it off, since it may come
+        back with the same key for the verdict."""
+        task = asyncio.ensure_future(self._parts.bookings.submit(key, call))
+        self._bookings.add(task)
+        task.add_done_callback(self._forget)
+        return await asyncio.shield(task)
+
+    def _forget(self, task: asyncio.Task[PlainAnswer]) -> None:
+        self._bookings.discard(task)
+        if not task.cancelled():
+            # The caller may be gone; an unread exception would be logged at some later time.
+            task.exception()
+
+    def _report(
+        self,
+        request: web.Request,
+        call: PlainCall,
+        started_ms: float,
+        code: str,
+        outcome: Outcome,
+        status: int,
+    ) -> None:
+        total_ms = self._parts.clock.now_ms() - started_ms
+        target_ms = self._parts.value("ttft_target_ms", call.service)
+        self._parts.observer.request_finished(
+            RequestReport(
+                request_id=request[REQUEST_ID],
+                service=call.service,
+                workspace=call.workspace,
+                failure_domain=self._parts.failure_domain,
+                outcome=outcome,
+                code=code,
+                within_targets=not code and status < 500 and total_ms <= target_ms,
+                ttft_ms=total_ms,
+                total_ms=total_ms,
+            )
+        )
+
+
+def _forwarded_headers(
+    request: web.Request, workspace: WorkspaceId, traceparent: str
+) -> list[tuple[str, str]]:
+    headers = [
+        pair
+        for pair in end_to_end_headers(request.headers.items())
+        if pair[0].lower() not in OWN_HEADERS
+    ]
+    headers.append((WORKSPACE_HEADER, workspace))
+    headers.append((REQUEST_ID_HEADER, request[REQUEST_ID]))
+    if traceparent:
+        headers.append((TRACEPARENT, traceparent))
+    return headers
--- /dev/null
+++ b/src/medlarvale/callers/sse.py
@@ -0,0 +1,166 @@
+"""Server-sent events in the shape of the openai API."""
+
+from __future__ import annotations
+
+import msgspec
+from aiohttp import web
+
+from medlarvale.callers.error_body import REQUEST_ID_HEADER, error_body
+from medlarvale.completions.errors import CallerGoneError
+from medlarvale.completions.request import Completion
+from medlarvale.completions.tokens import text_of_tokens
+from medlarvale.errors import MedlarvaleError
+from medlarvale.ids import RequestId
+
+DONE_EVENT = b"data: [DONE]\n\n"
+
+
+class AnswerShape(msgspec.Struct, frozen=True):
+    """What all objects of one answer have in common.
+
+    Attributes:
+        chat: the answer belongs to the chat endpoint.
+        created_s: time of the request in seconds since the Unix epoch.
+    """
+
+    request_id: RequestId
+    model: str
+    created_s: int
+    chat: bool
+
+    @property
+    def answer_id(self) -> str:
+        """The id of the answer as the openai API forms it."""
+        return f"{'chatcmpl' if self.chat else 'cmpl'}-{self.request_id}"
+
+    def head(self, kind: str) -> bytes:
+        """Returns the start of an object, without its closing brace.
+
+        Args:
+            kind: value of the field ``object``.
+        """
+        fields = {
+            "id": self.answer_id,
+            "object": kind,
+            "created": self.created_s,
+            "model": self.model,
+        }
+        return msgspec.json.encode(fields)[:-1]
+
+
+def usage_json(completion: Completion) -> bytes:
+    """Returns the ``usage`` object of an answer."""
+    return msgspec.json.encode(
+        {
+            "prompt_tokens": completion.prompt_tokens,
+            "completion_tokens": completion.output_tokens,
+            "total_tokens": completion.prompt_tokens + completion.output_tokens,
+        }
+    )
+
+
+def whole_answer(shape: AnswerShape, tokens: list[int], completion: Completion) -> bytes:
+    """Returns the body of an answer that is not streamed."""
+    text = msgspec.json.encode(text_of_tokens(tokens))
+    if shape.chat:
+        kind = "chat.completion"
+        content = b'"message":{"role":"assistant","content":' + text + b"}"
+    else:
+        kind = "text_completion"
+        content = b'"text":' + text
+    return b"".join(
+        [
+            shape.head(kind),
+            b',"choices":[{"index":0,',
+            content,
+            b',"logprobs":null,"finish_reason":"',
+            completion.finish_reason.value.encode(),
+            b'"}],"usage":',
+            usage_json(completion),
+            b"}",
+        ]
+    )
+
+
+class EventStream:
+    """Sink that sends each delivery to the caller as one event.
+
+    The parts of an event that do not change are built once, so that an event costs the text of
+    its tokens and one write. The answer's headers go out with the first tokens; until then an
+    error can still become a proper status.
+    """
+
+    def __init__(self, request: web.Request, shape: AnswerShape, *, include_usage: bool) -> None:
+        self._request = request
+        self._include_usage = include_usage
+        self._chat = shape.chat
+        kind = "chat.completion.chunk" if shape.chat else "text_completion"
+        self._head = b"data: " + shape.head(kind)
+        usage = b',"usage":null}\n\n' if include_usage else b"}\n\n"
+        field = b'"delta":{"content":"' if shape.chat else b'"text":"'
+        self._before = self._head + b',"choices":[{"index":0,' + field
+        self._after = (
+            (b'"}' if shape.chat else b'"') + b',"logprobs":null,"finish_reason":null}]' + usage
+        )
+        self._usage = usage
+        self.response = web.StreamResponse(
+            headers={
+                "Content-Type": "text/event-stream",
+                "Cache-Control": "no-cache",
+                REQUEST_ID_HEADER: shape.request_id,
+            }
+        )
+
+    @property
+    def started(self) -> bool:
+        """Whether the caller has already received the status of the answer."""
+        return self.response.prepared
+
+    async def deliver(self, tokens: list[int]) -> None:
+        """Sends tokens as one event."""
+        event = self._before + text_of_tokens(tokens).encode() + self._after
+        await self._write(event if self.started else self._opening() + event)
+
+    async def finish(self, completion: Completion) -> None:
+        """Sends the end of a whole answer."""
+        content = b'"delta":{}' if self._chat else b'"text":""'
+        reason = completion.finish_reason.value.encode()
+        parts = [
+            b"" if self.started else self._opening(),
+            self._head + b',"choices":[{"index":0,' + content,
+            b',"logprobs":null,"finish_reason":"' + reason + b'"}]' + self._usage,
+        ]
+        if self._include_usage:
+            parts.append(self._head + b',"choices":[],"usage":' + usage_json(completion) + b"}\n\n")
+        parts.append(DONE_EVENT)
+        await self._write(b"".join(parts))
+        await self._end()
+
+    async def fail(self, error: MedlarvaleError, request_id: RequestId) -> None:
+        """Ends a started answer with an error event and without the closing ``[DONE]``."""
+        await self._write(b"data: " + error_body(error, request_id) + b"\n\n")
+        await self._end()
+
+    def _opening(self) -> bytes:
+        if not self._chat:
+            return b""
+        return (
+            self._head
+            + b',"choices":[{"index":0,"delta":{"role":"assistant","content":""},'
+            + b'"logprobs":null,"finish_reason":null}]'
+            + self._usage
+        )
+
+    async def _write(self, data: bytes) -> None:
+        try:
+            if not self.started:
+                await self.response.prepare(self._request)
+            await self.response.write(data)
+        except ConnectionError as error:
+            raise CallerGoneError from error
+
+    async def _end(self) -> None:
+        try:
+            await self.response.write_eof()
+        except ConnectionError as error:
+            raise CallerGoneError from error
