Test the request paths, and check the callers' interface with the openai client

Cause: the paths were only tried through the runner's own tests. Faults found and fixed: header names from aiohttp are a subclass of str that neither the JSON encoder nor a peer message takes; an unknown Expect header was answered without a code. Conclusion: no request that fails a check reaches an engine or a server in these tests.

--- a/src/medlarvale/callers/app.py
+++ b/src/medlarvale/callers/app.py
@@ -34,10 +34,13 @@
     """Returns the application; serve it with ``CallerServerRunner``."""
     app = web.Application(middlewares=[_answer_errors])
     model_api, plain_api = ModelApi(parts), PlainApi(parts)
-    app.router.add_post("/v1/chat/completions", model_api.chat)
-    app.router.add_post("/v1/completions", model_api.completions)
-    app.router.add_get("/v1/models", model_api.models, allow_head=False)
-    app.router.add_route("*", "/services/{service}/{path:.*}", plain_api.call)
+    for method, path, handler in [
+        ("POST", "/v1/chat/completions", model_api.chat),
+        ("POST", "/v1/completions", model_api.completions),
+        ("GET", "/v1/models", model_api.models),
+        ("*", "/services/{service}/{path:.*}", plain_api.call),
+    ]:
+        app.router.add_route(method, path, handler, expect_handler=_answer_expect)
     app[PLAIN_API] = plain_api
 
     async def drain(_: web.Application) -> None:
@@ -69,6 +72,16 @@
         return error_response(MedlarvaleError(type(error).__name__), request_id)
 
 
+async def _answer_expect(request: web.Request) -> web.StreamResponse | None:
+    """Lets a caller send its body, or refuses an expectation other than that."""
+    if request.headers.get("Expect", "").lower() == "100-continue":
+        await request.writer.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+        # The count decides whether a later error can still be answered.
+        request.writer.output_size = 0
+        return None
+    return error_response(HttpRefusedError("unknown Expect"), new_request_id())
+
+
 def _http_error(status: int) -> MedlarvaleError:
     if status == HTTPStatus.NOT_FOUND:
         return NotFoundError("the interface has no such path")
--- a/src/medlarvale/callers/errors.py
+++ b/src/medlarvale/callers/errors.py
@@ -18,7 +18,8 @@
 
     def __init__(self, message: str = "", *, param: str | None = None) -> None:
         super().__init__(message)
-        self.param = param
+        # Header names of aiohttp are a subclass of str that the JSON encoder refuses.
+        self.param = None if param is None else str(param)
 
 
 class MalformedRequestError(CallerRequestError):
--- a/src/medlarvale/callers/validation.py
+++ b/src/medlarvale/callers/validation.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import re
-from typing import Annotated, Literal, TypeVar
+from typing import Annotated, Any, Literal, TypeVar
 from urllib.parse import unquote
 
 import msgspec
@@ -86,9 +86,9 @@
     presence_penalty: Penalty | None = None
     frequency_penalty: Penalty | None = None
     n: PositiveCount | None = None
-    stop: msgspec.Raw | None = None
-    logprobs: msgspec.Raw | None = None
-    tools: msgspec.Raw | None = None
+    stop: Any = None
+    logprobs: Any = None
+    tools: Any = None
 
     def check_supported(self) -> None:
         """Refuses fields that change the answer in a way that the engines cannot follow.
@@ -99,8 +99,7 @@
         if self.n not in (None, 1):
             raise UnsupportedParameterError("n must be 1", param="n")
         for name in ("stop", "logprobs", "tools"):
-            value = getattr(self, name)
-            if value is not None and bytes(value) not in (b"null", b"false", b"[]", b"0"):
+            if getattr(self, name):
                 raise UnsupportedParameterError(f"{name} is not supported", param=name)
 
 
--- a/src/medlarvale/plain/client.py
+++ b/src/medlarvale/plain/client.py
@@ -306,7 +306,8 @@
         for token in value.split(",")
     }
     dropped = HOP_BY_HOP_HEADERS | named | {"content-length", "host"}
-    return [(name, value) for name, value in pairs if name.lower() not in dropped]
+    # Header names of aiohttp are a subclass of str, which does not travel in a peer message.
+    return [(str(name), value) for name, value in pairs if name.lower() not in dropped]
 
 
 def _request_headers(call: PlainCall, traceparent: str) -> list[tuple[str, str]]:
--- /dev/null
+++ b/tests/callers/support.py
@@ -0,0 +1,109 @@
+"""The callers' interface on a loopback port, with in-memory engines and plain services behind."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import re
+import unittest
+
+import aiohttp
+from aiohttp import web
+
+from medlarvale.callers.app import CallerServerRunner, build_app
+from medlarvale.callers.parts import CallerParts
+from medlarvale.callers.workspaces import WorkspaceDirectory
+from medlarvale.clock import SystemClock
+from medlarvale.completions.memory_engines import MemoryEngineClient
+from medlarvale.completions.runner import CompletionRunner
+from medlarvale.ids import BookingKey
+from medlarvale.plain.messages import PlainAnswer, PlainCall
+from tests.completions.fakes import DOMAIN, REGION, FakeSettings, RequestPath
+
+ANSWER = PlainAnswer(201, [("Set-Cookie", "a=1"), ("Set-Cookie", "b=2")], b"done")
+
+
+class FakePlainServices:
+    """Dispatcher and bookings in one; answers every call and keeps it.
+
+    Attributes:
+        hold: bookings wait for this event when it is set to one.
+    """
+
+    def __init__(self) -> None:
+        self.free: list[PlainCall] = []
+        self.booked: list[tuple[BookingKey, PlainCall]] = []
+        self.finished: list[BookingKey] = []
+        self.hold: asyncio.Event | None = None
+        self.started = asyncio.Event()
+        self.error: Exception | None = None
+
+    async def call_freely(self, call: PlainCall) -> PlainAnswer:
+        self.free.append(call)
+        if self.error is not None:
+            raise self.error
+        return ANSWER
+
+    async def dispatch_once(self, call: PlainCall) -> PlainAnswer:
+        raise AssertionError("the callers' interface never dispatches bookings itself")
+
+    async def submit(self, key: BookingKey, call: PlainCall) -> PlainAnswer:
+        self.booked.append((key, call))
+        self.started.set()
+        if self.hold is not None:
+            await self.hold.wait()
+        self.finished.append(key)
+        return ANSWER
+
+
+class CallerTestCase(unittest.IsolatedAsyncioTestCase):
+    """Serves the interface on loopback."""
+
+    values: dict[str, int] = {}
+
+    async def asyncSetUp(self) -> None:
+        clock = SystemClock()
+        settings = FakeSettings(**self.values)
+        self.engines = MemoryEngineClient()
+        self.path = RequestPath(self.engines, clock, settings)
+        self.runner = CompletionRunner(self.path.parts)
+        self.plain = FakePlainServices()
+        parts = CallerParts(
+            region=REGION,
+            failure_domain=DOMAIN,
+            clock=clock,
+            settings=settings,
+            workspaces=WorkspaceDirectory(settings),
+            runner=self.runner,
+            dispatcher=self.plain,
+            bookings=self.plain,
+            observer=self.path.observer,
+            tracer=self.path.tracing.tracer,
+        )
+        self.server = CallerServerRunner(build_app(parts), shutdown_timeout_s=1.0)
+        await self.server.setup()
+        await web.TCPSite(self.server, "127.0.0.1", 0).start()
+        self.port = self.server.addresses[0][1]
+        self.url = f"http://127.0.0.1:{self.port}"
+        self.session = aiohttp.ClientSession(headers={"X-Workspace": "glatfore"})
+
+    async def asyncTearDown(self) -> None:
+        await self.session.close()
+        await self.server.cleanup()
+
+    async def raw(self, request: bytes) -> tuple[int, dict[str, object]]:
+        """Sends bytes as they are; returns the status and the error object of the answer."""
+        reader, writer = await asyncio.open_connection("127.0.0.1", self.port)
+        writer.write(request)
+        async with asyncio.timeout(5):
+            head = (await reader.readuntil(b"\r\n\r\n")).decode()
+            length = re.search(r"Content-Length: (\d+)", head)
+            assert length is not None, head
+            body = await reader.readexactly(int(length.group(1)))
+        writer.close()
+        return int(head.split()[1]), json.loads(body)["error"]
+
+    def assert_nothing_dispatched(self) -> None:
+        self.assertEqual(self.engines.contexts, [])
+        self.assertEqual(self.path.placement.reserved, [])
+        self.assertEqual((self.plain.free, self.plain.booked), ([], []))
--- a/tests/completions/fakes.py
+++ b/tests/completions/fakes.py
@@ -33,9 +33,11 @@
 MODEL_SERVICE = ServiceName("slidsk-llm")
 PLAIN_SERVICE = ServiceName("udlaan-app")
 OWNER = HostIdentity(HostId("entry-1"), Incarnation(7))
-API_KEY = "key-of-ventilo"
+API_KEY = "key-of-breizh"
+RIVAL_KEY = "key-of-ventilo"
 
-TREE = SettingsTree.model_validate_json("""{
+TREE = SettingsTree.model_validate_json(
+    """{
     "services": {
         "slidsk-llm": {"kind": "model", "model": "slidsk", "pools": {}},
         "redacteur": {"kind": "model", "model": "redacteur", "pools": {}},
@@ -47,10 +49,14 @@
     ]}},
     "workspaces": {
         "glatfore": {"services": ["slidsk-llm", "udlaan-app"]},
-        "ventilo": {"services": ["redacteur"], "api_key_sha256": ["DIGEST"]}
+        "ventilo": {"services": ["redacteur"], "api_key_sha256": ["RIVAL"]},
+        "breizh": {"services": ["slidsk-llm"], "api_key_sha256": ["OWN"]}
     },
     "regions": {}
-}""".replace("DIGEST", hashlib.sha256(API_KEY.encode()).hexdigest()))
+}""".replace("RIVAL", hashlib.sha256(RIVAL_KEY.encode()).hexdigest()).replace(
+        "OWN", hashlib.sha256(API_KEY.encode()).hexdigest()
+    )
+)
 
 
 class FakeSettings:
--- /dev/null
+++ b/tests/plain/test_client.py
@@ -0,0 +1,236 @@
+"""Calls to plain services: at most one server ever receives a call that may not be repeated."""
+
+import asyncio
+import unittest
+
+import msgspec
+
+from medlarvale.clock import SystemClock
+from medlarvale.errors import MedlarvaleError, Outcome
+from medlarvale.ids import WorkspaceId
+from medlarvale.membership.servers import ServerDirectory
+from medlarvale.plain.budget import RetryBudget
+from medlarvale.plain.client import PlainClient, new_plain_session
+from medlarvale.plain.messages import PlainAnswer, PlainCall
+from medlarvale.settings.schema import PoolRole
+from medlarvale.tracing import Tracing
+from tests.completions.fakes import (
+    DOMAIN,
+    PLAIN_SERVICE,
+    REGION,
+    FakeGuard,
+    FakeSettings,
+    server,
+)
+
+OK = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\nX-A: 1\r\nConnection: x-hop\r\nX-Hop: 1\r\n\r\nok"
+BUSY = b"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n"
+MOVED = b"HTTP/1.1 307 Moved\r\nLocation: /elsewhere\r\nContent-Length: 0\r\n\r\n"
+HALF = b"HTTP/1.1 200 OK\r\nContent-Length: 20\r\n\r\nhalf"
+
+
+class RawServer:
+    """Server on a plain socket that accepts, reads the head of one request, answers and closes.
+
+    Attributes:
+        heads: heads of the requests that arrived, one for each connection that sent one.
+        answer: bytes sent back, None to keep silent.
+        read: whether to read before closing.
+    """
+
+    def __init__(self, answer: bytes | None = OK, *, read: bool = True, keep: bool = False) -> None:
+        self.answer, self.read, self.keep = answer, read, keep
+        self.connections = 0
+        self.heads: list[bytes] = []
+
+    async def start(self) -> str:
+        self.server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        self.port = self.server.sockets[0].getsockname()[1]
+        return f"http://127.0.0.1:{self.port}"
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.connections += 1
+        try:
+            while self.read:
+                self.heads.append(await reader.readuntil(b"\r\n\r\n"))
+                if self.answer is None:
+                    await reader.read()
+                writer.write(self.answer or b"")
+                await writer.drain()
+                if not self.keep:
+                    break
+        except (asyncio.IncompleteReadError, ConnectionError):
+            pass
+        finally:
+            writer.close()
+
+
+def call(method: str = "POST", deadline_ms: int = 5_000) -> PlainCall:
+    return PlainCall(
+        service=PLAIN_SERVICE,
+        workspace=WorkspaceId("glatfore"),
+        method=method,
+        path="/stock%20x?a=1",
+        headers=[("X-Test", "1"), ("traceparent", f"00-{'a' * 32}-{'b' * 16}-01")],
+        body=b"",
+        deadline_ms=deadline_ms,
+    )
+
+
+class PlainClientTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self) -> None:
+        self.directory = ServerDirectory()
+        self.guard = FakeGuard()
+        self.session = new_plain_session()
+        self.client = PlainClient(
+            session=self.session,
+            directory=self.directory,
+            settings=FakeSettings(),
+            region=REGION,
+            failure_domain=DOMAIN,
+            guard=self.guard,
+            clock=SystemClock(),
+            tracer=Tracing("entry-1").tracer,
+        )
+        self.servers: list[RawServer] = []
+
+    async def asyncTearDown(self) -> None:
+        await self.session.close()
+        for raw in self.servers:
+            raw.server.close()
+            await raw.server.wait_closed()
+
+    async def use(self, *servers: RawServer | None) -> None:
+        """Lists servers s0, s1, ...; None stands for an address where nothing listens."""
+        listed = []
+        for number, raw in enumerate(servers):
+            address = await (raw or RawServer()).start() if raw else "http://127.0.0.1:1"
+            listed.append(server(f"s{number}", PoolRole.PLAIN, PLAIN_SERVICE, address))
+            if raw:
+                self.servers.append(raw)
+        self.directory.replace(listed)
+
+    async def outcome(self, work: object) -> tuple[Outcome, str]:
+        try:
+            answer = await work  # type: ignore[misc]
+        except MedlarvaleError as error:
+            return error.outcome, error.code
+        assert isinstance(answer, PlainAnswer)
+        return Outcome.ANSWERED, str(answer.status)
+
+    async def test_once_reaches_one_server_only(self) -> None:
+        """Guards against a second dispatch after the first may have been written; aiohttp itself
+        repeats GET, PUT and DELETE when a connection closes without an answer."""
+        unknown = (Outcome.UNKNOWN, "plain_outcome_unknown")
+        table = [
+            ("answers", OK, True, (Outcome.ANSWERED, "200")),
+            ("busy", BUSY, True, (Outcome.ANSWERED, "503")),
+            ("redirects", MOVED, True, (Outcome.ANSWERED, "307")),
+            ("reads and closes", b"", True, unknown),
+            ("closes at once", b"", False, unknown),
+            ("closes in the answer", HALF, True, unknown),
+        ]
+        for name, answer, read, expected in table:
+            for method in ("POST", "GET", "PUT", "DELETE"):
+                with self.subTest(name=name, method=method):
+                    pair = RawServer(answer, read=read), RawServer(answer, read=read)
+                    await self.use(*pair)
+                    result = await self.outcome(self.client.dispatch_once(call(method)))
+                    self.assertEqual(result, expected)
+                    self.assertEqual(pair[0].connections + pair[1].connections, 1)
+
+    async def test_once_uses_a_fresh_connection_each_time(self) -> None:
+        """Guards against a pooled connection, whose failure would not say what was written."""
+        raw = RawServer(OK, keep=True)
+        await self.use(raw)
+        for number in range(1, 4):
+            await self.client.dispatch_once(call())
+            self.assertEqual((raw.connections, len(raw.heads)), (number, number))
+
+    async def test_once_moves_on_only_if_nothing_was_written(self) -> None:
+        """Guards against a refusal while another server could run the call, and against "not
+        run" or "unknown" in the wrong place."""
+        for _ in range(4):
+            raw = RawServer()
+            await self.use(None, raw)
+            result = await self.outcome(self.client.dispatch_once(call()))
+            self.assertEqual(result, (Outcome.ANSWERED, "200"))
+            self.assertEqual(raw.connections, 1)
+        await self.use(None, None)
+        result = await self.outcome(self.client.dispatch_once(call()))
+        self.assertEqual(result, (Outcome.NOT_RUN, "plain_unreachable"))
+        await self.use()
+        result = await self.outcome(self.client.dispatch_once(call()))
+        self.assertEqual(result, (Outcome.NOT_RUN, "no_plain_server"))
+        silent = RawServer(None)
+        await self.use(silent)
+        result = await self.outcome(self.client.dispatch_once(call(deadline_ms=200)))
+        self.assertEqual(result, (Outcome.UNKNOWN, "plain_timeout"))
+
+    async def test_freely_moves_on(self) -> None:
+        """Guards against a lookup that fails while another server could answer it."""
+        for name, bad in [
+            ("unreachable", None),
+            ("closes", RawServer(b"")),
+            ("busy", RawServer(BUSY)),
+        ]:
+            for _ in range(2):
+                with self.subTest(name=name):
+                    await self.use(bad, RawServer())
+                    result = await self.outcome(self.client.call_freely(call("GET")))
+                    self.assertEqual(result, (Outcome.ANSWERED, "200"))
+        await self.use(RawServer(b""), None)
+        result = await self.outcome(self.client.call_freely(call("GET")))
+        self.assertEqual(result, (Outcome.UNKNOWN, "plain_outcome_unknown"))
+        self.assertIn("s0", self.guard.lost)
+        self.assertEqual(self.guard.running, [])
+
+    async def test_retries_stay_within_the_budget(self) -> None:
+        """Guards against retries that multiply an overload."""
+        pair = RawServer(BUSY), RawServer(BUSY)
+        await self.use(*pair)
+        for _ in range(100):
+            await self.client.call_freely(call("GET"))
+        tries = pair[0].connections + pair[1].connections
+        self.assertTrue(100 < tries <= 100 + 10 + 10, tries)
+
+    async def test_leaving_servers_receive_nothing(self) -> None:
+        """Guards against new work for a leaving server, on first tries and on retries."""
+        leaving, staying = RawServer(), RawServer(BUSY)
+        await self.use(leaving, staying)
+        self.directory.mark_leaving(self.directory.all_servers()[0].server, True)
+        for _ in range(3):
+            await self.outcome(self.client.call_freely(call("GET")))
+            await self.outcome(self.client.dispatch_once(call()))
+        self.assertEqual((leaving.connections, staying.connections), (0, 6))
+
+    async def test_headers_and_path(self) -> None:
+        """Guards against changed paths, lost traces and hop-by-hop headers passed on."""
+        raw = RawServer()
+        await self.use(raw)
+        answer = await self.client.call_freely(call("GET"))
+        self.assertEqual(answer.headers, [("X-A", "1")])
+        msgspec.msgpack.encode(answer)
+        head = raw.heads[0].decode()
+        self.assertIn("GET /stock%20x?a=1 HTTP/1.1\r\n", head)
+        self.assertIn("X-Test: 1\r\n", head)
+        self.assertEqual(head.count("traceparent"), 1)
+        self.assertIn(f"00-{'a' * 32}-", head)
+        self.assertNotIn("b" * 16, head)
+
+
+class RetryBudgetTest(unittest.TestCase):
+    def test_share(self) -> None:
+        """Guards against a share other than the configured one."""
+        for percent, expected in [(0, 10), (10, 10 + 100), (100, 1_000)]:
+            with self.subTest(percent=percent):
+                budget = RetryBudget()
+                retries = 0
+                for _ in range(1_000):
+                    budget.call_started(PLAIN_SERVICE, percent)
+                    retries += budget.take_retry(PLAIN_SERVICE)
+                self.assertAlmostEqual(retries, expected, delta=2)
+
+
+if __name__ == "__main__":
+    unittest.main()
