Place prefill and decode jointly at one booker per service

Cause: an entry host that decides alone on lagging reports computes prefills for which no decode slot is free.

--- /dev/null
+++ b/src/medlarvale/scheduling/booker.py
@@ -0,0 +1,329 @@
+"""The joint placement of prefill and decode for one engine group.
+
+The booker is pure: messages and reports go in with the current time, decisions come out. Its
+state is soft; whatever it promises, an engine still refuses what it cannot hold.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+from medlarvale.ids import AttemptNumber, RequestId, ServerId
+from medlarvale.scheduling.admission import Admission, Decision, RefusalCode
+from medlarvale.scheduling.candidates import Choice, choose, open_engines
+from medlarvale.scheduling.engines import RELEASE_SETTLE_MS, Availability, EngineTable
+from medlarvale.scheduling.health import HealthTable
+from medlarvale.scheduling.limits import GroupLimits
+from medlarvale.scheduling.messages import (
+    Phase,
+    Placed,
+    Progress,
+    Release,
+    RenewReservations,
+    Reserve,
+)
+from medlarvale.scheduling.prefixes import PrefixIndex
+from medlarvale.scheduling.reports import CacheEvents, EngineRequest, LoadReport
+from medlarvale.scheduling.reservations import Reservation, ReservationTable
+from medlarvale.scheduling.waiting import QUEUE_SILENCE_MS, Waiting, WaitingRoom
+
+HEALTH_PERIOD_MS = 100.0
+PHASE_ORDER = list(Phase)
+
+
+def _is_for(message: Progress, reservation: Reservation) -> bool:
+    return message.attempt == reservation.request.attempt and message.owner == reservation.owner
+
+
+def _is_later(phase: Phase, known: Phase | None) -> bool:
+    return known is None or PHASE_ORDER.index(phase) > PHASE_ORDER.index(known)
+
+
+class Booker:
+    """Places attempts of one engine group on prefill and decode engines.
+
+    Args:
+        limits: sizes, rates and shares of the group.
+    """
+
+    def __init__(self, limits: GroupLimits) -> None:
+        self.limits = limits
+        self.engines = EngineTable(limits)
+        self.reservations = ReservationTable(limits.lease_ms)
+        self.waiting = WaitingRoom(limits)
+        self.prefixes = PrefixIndex()
+        self.health = HealthTable()
+        self.admission = Admission(self.engines, self.waiting, self.prefixes)
+        self._leaving: set[ServerId] = set()
+        self._next_health_ms = 0.0
+
+    # Messages from entry hosts
+
+    def reserve(self, request: Reserve, now_ms: float) -> list[Decision]:
+        """Handles a request for a place; without a decision on it, it is queued.
+
+        A repeated request gets the same answer while its reservation lasts.
+        """
+        if self.reservations.has_ended(request.request_id, request.attempt):
+            return [self.admission.refuse(request, RefusalCode.ATTEMPT_ENDED, now_ms)]
+        known = self._known_attempt(request.request_id)
+        if known is not None and (known.attempt > request.attempt or known.owner != request.owner):
+            return [self.admission.refuse(request, RefusalCode.ATTEMPT_ENDED, now_ms)]
+        if known is not None and known.attempt == request.attempt:
+            return self._repeat(request, now_ms)
+        if known is not None:
+            self._end(request.request_id, known.attempt, now_ms)
+        admitted = self.admission.admit(request, now_ms)
+        if isinstance(admitted, Decision):
+            return [admitted]
+        self.waiting.push(admitted)
+        return self._dispatch(now_ms)
+
+    def progress(self, message: Progress, now_ms: float) -> list[Decision]:
+        """Handles a phase change of an attempt."""
+        reservation = self.reservations.get(message.request_id)
+        if reservation is None or not _is_for(message, reservation):
+            return []
+        self.reservations.renew(reservation, now_ms)
+        if message.phase is Phase.PREFILLED and reservation.phase is None:
+            self._prefilled(reservation, now_ms)
+        if _is_later(message.phase, reservation.phase):
+            reservation.phase = message.phase
+        return self._dispatch(now_ms)
+
+    def release(self, message: Release, now_ms: float) -> list[Decision]:
+        """Handles the end of an attempt."""
+        known = self._known_attempt(message.request_id)
+        if known is not None and known.owner != message.owner:
+            return []
+        ended = self._end(message.request_id, message.attempt, now_ms)
+        # A repeated or late release must not count the same failure again.
+        if ended and message.failed is not None:
+            self._record_failure(message.failed, now_ms)
+        return self._dispatch(now_ms)
+
+    def renew(self, message: RenewReservations, now_ms: float) -> None:
+        """Handles a heartbeat of an owner: renews what it lists."""
+        for request_id in message.requests:
+            reservation = self.reservations.get(request_id)
+            if reservation is not None and reservation.owner == message.owner:
+                self.reservations.renew(reservation, now_ms)
+            entry = self.waiting.get(request_id)
+            if entry is not None and entry.request.owner == message.owner:
+                entry.asked_ms = now_ms
+
+    def tick(self, now_ms: float) -> list[Decision]:
+        """Ends what has expired and places what fits now; called every few ms."""
+        for reservation in self.reservations.expire(now_ms):
+            self._free(reservation, now_ms)
+        decisions = [
+            self._drop(entry, now_ms)
+            for entry in self.waiting.entries()
+            if entry.due_ms - now_ms < entry.shortest_ms
+            or now_ms - entry.asked_ms > QUEUE_SILENCE_MS
+        ]
+        if now_ms >= self._next_health_ms:
+            self._next_health_ms = now_ms + HEALTH_PERIOD_MS
+            for server in [*self.engines.prefill, *self.engines.decode]:
+                self._apply_health(server, now_ms)
+        return decisions + self._dispatch(now_ms)
+
+    # Reports of the platform and the engines
+
+    def set_engines(
+        self,
+        prefill: Iterable[ServerId],
+        decode: Iterable[ServerId],
+        leaving: Iterable[ServerId],
+        now_ms: float,
+    ) -> None:
+        """Takes over the listed engines; leaving ones get no new work."""
+        for server in self.engines.replace(prefill, decode):
+            self.prefixes.forget(server)
+            self.health.forget(server)
+        self._leaving = set(leaving)
+        for server in [*self.engines.prefill, *self.engines.decode]:
+            self._apply_health(server, now_ms)
+
+    def observe_load(self, server: ServerId, report: LoadReport, now_ms: float) -> None:
+        """Takes over a load report, which may lag."""
+        engine = self.engines.get(server)
+        if engine is None:
+            return
+        if engine.epoch not in (None, report.epoch):
+            self.prefixes.forget(server)
+        if server in self.engines.decode:
+            self.engines.decode[server].resize(report)
+        elif engine.epoch is None:
+            # Later reports lag behind the booker's own placements and would count them twice.
+            prefill = self.engines.prefill[server]
+            prefill.busy_until_ms = max(prefill.busy_until_ms, now_ms + report.queue_ms)
+        engine.epoch = report.epoch
+        if report.leaving:
+            self._leaving.add(server)
+        else:
+            self._leaving.discard(server)
+        self.health.record_reachable(server, now_ms)
+        self._apply_health(server, now_ms)
+
+    def observe_unreachable(self, server: ServerId, now_ms: float) -> bool:
+        """Records a probe without answer; returns True if this ejects the engine."""
+        ejected = self.health.record_unreachable(server, now_ms, self._group_size(server))
+        self._apply_health(server, now_ms)
+        return ejected
+
+    def observe_requests(
+        self, server: ServerId, requests: Iterable[EngineRequest], now_ms: float
+    ) -> None:
+        """Counts the requests on a decode engine that the booker did not place."""
+        engine = self.engines.decode.get(server)
+        if engine is None:
+            return
+        since_ms = now_ms - RELEASE_SETTLE_MS
+        engine.list_requests(
+            request
+            for request in requests
+            if request.request_id not in engine.held
+            and not self.reservations.ended_since(request.request_id, request.attempt, since_ms)
+        )
+
+    def observe_cache(self, server: ServerId, answer: CacheEvents, now_ms: float) -> None:
+        """Takes over cache events of a prefill engine."""
+        if server in self.engines.prefill:
+            self.prefixes.apply(server, answer, now_ms)
+
+    # Attempts
+
+    def _known_attempt(self, request_id: RequestId) -> Reserve | None:
+        reservation = self.reservations.get(request_id)
+        if reservation is not None:
+            return reservation.request
+        entry = self.waiting.get(request_id)
+        return entry.request if entry is not None else None
+
+    def _repeat(self, request: Reserve, now_ms: float) -> list[Decision]:
+        reservation = self.reservations.get(request.request_id)
+        if reservation is not None:
+            self.reservations.renew(reservation, now_ms)
+            return [Decision(request.owner, reservation.placed)]
+        entry = self.waiting.get(request.request_id)
+        if entry is not None:
+            entry.asked_ms = now_ms
+        return []
+
+    def _end(self, request_id: RequestId, attempt: AttemptNumber, now_ms: float) -> bool:
+        entry = self.waiting.get(request_id)
+        if entry is not None and entry.request.attempt <= attempt:
+            self.waiting.remove(entry)
+        reservation = self.reservations.end(request_id, attempt, now_ms)
+        if reservation is not None:
+            self._free(reservation, now_ms)
+            return True
+        for engine in self.engines.decode.values():
+            engine.forget_foreign(request_id, attempt)
+        return False
+
+    def _free(self, reservation: Reservation, now_ms: float) -> None:
+        request_id = reservation.request.request_id
+        decode = self.engines.decode.get(reservation.placed.decode)
+        if decode is not None:
+            decode.free(request_id)
+            decode.suspects.discard(request_id)
+        prefill = self.engines.prefill.get(reservation.placed.prefill)
+        if prefill is not None:
+            prefill.finish(request_id, now_ms)
+            prefill.suspects.discard(request_id)
+        if reservation.phase is Phase.DECODING:
+            self.admission.estimate.record_residence(now_ms - reservation.placed_at_ms)
+
+    def _prefilled(self, reservation: Reservation, now_ms: float) -> None:
+        server = reservation.placed.prefill
+        prefill = self.engines.prefill.get(server)
+        if prefill is not None:
+            prefill.finish(reservation.request.request_id, now_ms)
+            prefill.suspects.discard(reservation.request.request_id)
+
+    # Placement
+
+    def _dispatch(self, now_ms: float) -> list[Decision]:
+        decisions: list[Decision] = []
+        while self.waiting:
+            engines = open_engines(self.engines, now_ms)
+            if not engines:
+                break
+            decision = None
+            for entry in self.waiting.next_entries():
+                choice = choose(entry.request, engines, self.engines, self.prefixes, now_ms)
+                if choice is not None:
+                    decision = self._settle(entry, choice, now_ms)
+                    break
+            if decision is None:
+                break
+            decisions.append(decision)
+        return decisions
+
+    def _settle(self, entry: Waiting, choice: Choice, now_ms: float) -> Decision:
+        if choice.transfer_end_ms > entry.due_ms:
+            return self._drop(entry, now_ms)
+        return self._place(entry, choice, now_ms)
+
+    def _place(self, entry: Waiting, choice: Choice, now_ms: float) -> Decision:
+        request = entry.request
+        self.waiting.serve(entry, choice.prefill_ms)
+        choice.prefill.start(request.request_id, choice.prefill_ms, choice.prefill_end_ms)
+        choice.decode.hold(request.request_id, choice.pieces)
+        choice.prefill.link_free_ms = choice.decode.link_free_ms = choice.transfer_end_ms
+        if request.isolate:
+            choice.prefill.suspects.add(request.request_id)
+            choice.decode.suspects.add(request.request_id)
+        self.prefixes.expect(choice.prefill.server, request.prefix_hashes, now_ms)
+        self.admission.waits.record_wait(request.workspace, entry.arrived_ms, now_ms)
+        self.admission.waits.record_served(request.workspace, choice.prefill_ms, now_ms)
+        placed = Placed(
+            request_id=request.request_id,
+            attempt=request.attempt,
+            prefill=choice.prefill.server,
+            decode=choice.decode.server,
+            pieces=choice.pieces,
+            lease_ms=self.limits.lease_ms,
+        )
+        self.reservations.add(
+            Reservation(
+                request=request,
+                placed=placed,
+                prefill_ms=choice.prefill_ms,
+                placed_at_ms=now_ms,
+                expires_ms=now_ms + self.limits.lease_ms,
+            )
+        )
+        return Decision(request.owner, placed)
+
+    def _drop(self, entry: Waiting, now_ms: float) -> Decision:
+        self.waiting.remove(entry)
+        return self.admission.refuse(entry.request, RefusalCode.DEADLINE, now_ms, entry.arrived_ms)
+
+    # Health
+
+    def _record_failure(self, server: ServerId, now_ms: float) -> None:
+        self.health.record_failure(server, now_ms, self._group_size(server))
+        self._apply_health(server, now_ms)
+
+    def _group_size(self, server: ServerId) -> int:
+        in_prefill = server in self.engines.prefill
+        return len(self.engines.prefill if in_prefill else self.engines.decode)
+
+    def _apply_health(self, server: ServerId, now_ms: float) -> None:
+        engine = self.engines.get(server)
+        if engine is None:
+            return
+        share = self.health.share_allowed(server, now_ms)
+        if server in self._leaving:
+            engine.availability = Availability.LEAVING
+        elif share <= 0.0:
+            engine.availability = Availability.EJECTED
+        else:
+            engine.availability = Availability.OPEN
+        decode = self.engines.decode.get(server)
+        if decode is not None:
+            decode.slot_limit = max(1, int(decode.slots * share))
+            decode.refresh()
--- /dev/null
+++ b/src/medlarvale/scheduling/engines.py
@@ -0,0 +1,180 @@
+"""What the booker believes of the engines of its group."""
+
+from __future__ import annotations
+
+import enum
+from collections.abc import Iterable
+
+import msgspec
+
+from medlarvale.ids import AttemptNumber, RequestId, ServerId
+from medlarvale.scheduling.limits import GroupLimits
+from medlarvale.scheduling.reports import EngineRequest, LoadReport
+
+# Two jobs keep an engine busy while a message travels; more would only queue there.
+MAX_PREFILL_JOBS = 3
+# A prefill this much later than predicted means a paused or slow engine, not a wrong estimate.
+PREFILL_OVERDUE_MS = 500.0
+# An answer of an engine may predate a release by one poll round trip at most.
+RELEASE_SETTLE_MS = 1_000.0
+
+
+class Availability(enum.Enum):
+    """Whether an engine may be chosen for new work."""
+
+    OPEN = "open"
+    LEAVING = "leaving"
+    EJECTED = "ejected"
+
+
+class PrefillJob(msgspec.Struct):
+    """A prefill that was placed and is not known to have ended."""
+
+    prefill_ms: float
+    due_ms: float
+
+
+class PrefillEngine:
+    """Queue, link and suspects of one prefill engine."""
+
+    def __init__(self, server: ServerId, limits: GroupLimits) -> None:
+        self.server = server
+        self.tokens_per_ms = limits.prefill_tokens_per_s / 1000.0
+        self.availability = Availability.OPEN
+        self.busy_until_ms = 0.0
+        self.link_free_ms = 0.0
+        self.jobs: dict[RequestId, PrefillJob] = {}
+        self.suspects: set[RequestId] = set()
+        self.epoch: int | None = None
+
+    def accepts(self, now_ms: float) -> bool:
+        """Tells whether a further prefill may be placed."""
+        if self.availability is not Availability.OPEN or len(self.jobs) >= MAX_PREFILL_JOBS:
+            return False
+        for job in self.jobs.values():
+            return now_ms <= job.due_ms + PREFILL_OVERDUE_MS
+        return True
+
+    def start(self, request: RequestId, prefill_ms: float, due_ms: float) -> None:
+        """Queues a prefill that is expected to end at ``due_ms``."""
+        self.jobs[request] = PrefillJob(prefill_ms, due_ms)
+        self.busy_until_ms = due_ms
+
+    def finish(self, request: RequestId, now_ms: float) -> None:
+        """Removes a prefill; the jobs behind it are then expected back to back from now."""
+        if self.jobs.pop(request, None) is None:
+            return
+        end_ms = now_ms
+        for job in self.jobs.values():
+            end_ms += job.prefill_ms
+            job.due_ms = end_ms
+        self.busy_until_ms = end_ms
+
+
+class DecodeEngine:
+    """Slots, pieces, link and suspects of one decode engine.
+
+    ``held`` are the booker's own promises; ``foreign`` are requests that the engine lists and the
+    booker did not place: those of an earlier booker or of a host in fallback.
+    """
+
+    def __init__(self, server: ServerId, limits: GroupLimits) -> None:
+        self.server = server
+        self.availability = Availability.OPEN
+        self.slots = limits.slots_per_engine
+        self.pieces = limits.pieces_per_engine
+        self.slot_limit = self.slots
+        self.held: dict[RequestId, int] = {}
+        self.held_pieces = 0
+        self.foreign: dict[RequestId, EngineRequest] = {}
+        self.foreign_pieces = 0
+        self.free_slots = 0
+        self.link_free_ms = 0.0
+        self.suspects: set[RequestId] = set()
+        self.epoch: int | None = None
+        # A new booker knows nothing of what an engine holds until the engine has listed it.
+        self.listed = False
+
+    @property
+    def free_pieces(self) -> int:
+        """Pieces that are neither promised nor held by foreign requests."""
+        return self.pieces - self.held_pieces - self.foreign_pieces
+
+    def refresh(self) -> None:
+        """Recomputes ``free_slots``, which decisions read for every engine."""
+        if self.availability is not Availability.OPEN or not self.listed:
+            self.free_slots = 0
+            return
+        used = len(self.held) + len(self.foreign)
+        self.free_slots = max(0, min(self.slots, self.slot_limit) - used)
+
+    def hold(self, request: RequestId, pieces: int) -> None:
+        """Promises one slot and so many pieces."""
+        self.held[request] = pieces
+        self.held_pieces += pieces
+        self.refresh()
+
+    def free(self, request: RequestId) -> None:
+        """Ends a promise."""
+        self.held_pieces -= self.held.pop(request, 0)
+        self.refresh()
+
+    def forget_foreign(self, request: RequestId, attempt: AttemptNumber) -> None:
+        """Drops a foreign request whose owner ended this attempt or a newer one."""
+        found = self.foreign.get(request)
+        if found is not None and found.attempt <= attempt:
+            del self.foreign[request]
+            self.foreign_pieces -= found.pieces
+            self.refresh()
+
+    def list_requests(self, foreign: Iterable[EngineRequest]) -> None:
+        """Takes over the requests that the engine holds and the booker did not place."""
+        self.foreign = {request.request_id: request for request in foreign}
+        self.foreign_pieces = sum(request.pieces for request in self.foreign.values())
+        self.listed = True
+        self.refresh()
+
+    def resize(self, report: LoadReport) -> None:
+        """Takes over the sizes that the engine reports of itself."""
+        if report.slots != self.slots or report.pieces != self.pieces:
+            self.slots = self.slot_limit = report.slots
+            self.pieces = report.pieces
+            self.refresh()
+
+
+class EngineTable:
+    """The engines of one group."""
+
+    def __init__(self, limits: GroupLimits) -> None:
+        self.limits = limits
+        self.prefill: dict[ServerId, PrefillEngine] = {}
+        self.decode: dict[ServerId, DecodeEngine] = {}
+
+    def replace(self, prefill: Iterable[ServerId], decode: Iterable[ServerId]) -> set[ServerId]:
+        """Takes over the listed engines and returns those that are gone."""
+        prefill, decode = set(prefill), set(decode)
+        gone = (self.prefill.keys() - prefill) | (self.decode.keys() - decode)
+        for server in gone:
+            self.prefill.pop(server, None)
+            self.decode.pop(server, None)
+        for server in sorted(prefill - self.prefill.keys()):
+            self.prefill[server] = PrefillEngine(server, self.limits)
+        for server in sorted(decode - self.decode.keys()):
+            self.decode[server] = DecodeEngine(server, self.limits)
+        return gone
+
+    def get(self, server: ServerId) -> PrefillEngine | DecodeEngine | None:
+        """Returns an engine of either role, or None."""
+        return self.prefill.get(server) or self.decode.get(server)
+
+    def free_slots(self) -> int:
+        """Returns the decode slots that may be promised now."""
+        return sum([engine.free_slots for engine in self.decode.values()])
+
+    def held_slots(self) -> int:
+        """Returns the decode slots that are promised."""
+        return sum([len(engine.held) for engine in self.decode.values()])
+
+    def open_prefill(self) -> int:
+        """Returns the number of prefill engines that take work."""
+        return [engine.availability for engine in self.prefill.values()].count(Availability.OPEN)
--- /dev/null
+++ b/src/medlarvale/scheduling/fallback.py
@@ -0,0 +1,139 @@
+"""Placement by an entry host alone, while the booker cannot be reached.
+
+Power of two choices: Mitzenmacher, "The power of two choices in randomized load balancing" (2001).
+"""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable, Collection
+
+import msgspec
+
+from medlarvale.ids import ServerId
+from medlarvale.scheduling.limits import GroupLimits
+from medlarvale.scheduling.messages import Placed, Refused, Reserve
+from medlarvale.scheduling.reports import LoadReport
+
+LONE_RETRY_AFTER_MS = 500
+# A report this old says nothing of an engine.
+REPORT_TRUST_MS = 5_000.0
+
+
+class _Known(msgspec.Struct):
+    report: LoadReport
+    received_ms: float
+    sent_ms: float = 0.0
+    sent_requests: int = 0
+
+
+class LagTable:
+    """Newest load reports, with what this host has sent to each engine since."""
+
+    def __init__(self) -> None:
+        self._known: dict[ServerId, _Known] = {}
+
+    def observe(self, server: ServerId, report: LoadReport, now_ms: float) -> None:
+        """Takes over a report."""
+        self._known[server] = _Known(report, now_ms)
+
+    def forget(self, server: ServerId) -> None:
+        """Drops an engine that did not answer or is no longer listed."""
+        self._known.pop(server, None)
+
+    def record_prefill(self, server: ServerId, prefill_ms: float) -> None:
+        """Counts work sent to a prefill engine."""
+        if server in self._known:
+            self._known[server].sent_ms += prefill_ms
+
+    def record_decode(self, server: ServerId) -> None:
+        """Counts a request sent to a decode engine."""
+        if server in self._known:
+            self._known[server].sent_requests += 1
+
+    def queue_ms(self, server: ServerId, now_ms: float) -> float | None:
+        """Returns the believed prefill queue, or None if it is not known."""
+        known = self._fresh(server, now_ms)
+        if known is None:
+            return None
+        return max(0.0, known.report.queue_ms + known.sent_ms - (now_ms - known.received_ms))
+
+    def free_slots(self, server: ServerId, now_ms: float) -> int | None:
+        """Returns the believed free decode slots, or None if they are not known."""
+        known = self._fresh(server, now_ms)
+        if known is None:
+            return None
+        return known.report.slots - known.report.slots_used - known.sent_requests
+
+    def _fresh(self, server: ServerId, now_ms: float) -> _Known | None:
+        known = self._known.get(server)
+        if known is None or now_ms - known.received_ms > REPORT_TRUST_MS or known.report.leaving:
+            return None
+        return known
+
+
+def better_of_two(
+    candidates: list[ServerId],
+    score: Callable[[ServerId], float | None],
+    generator: random.Random,
+) -> ServerId | None:
+    """Returns the better of two random candidates; the lower score is better.
+
+    Candidates without a score are left out.
+    """
+    scored = [server for server in candidates if score(server) is not None]
+    picked = generator.sample(scored, min(2, len(scored)))
+    return min(picked, key=lambda server: score(server) or 0.0, default=None)
+
+
+def place_alone(
+    request: Reserve,
+    prefill: Collection[ServerId],
+    decode: Collection[ServerId],
+    table: LagTable,
+    limits: GroupLimits,
+    generator: random.Random,
+    now_ms: float,
+) -> Placed | Refused:
+    """Places an attempt on lagging reports; the decode engine still refuses when it is full."""
+    source = better_of_two(
+        _allowed(prefill, request), lambda server: table.queue_ms(server, now_ms), generator
+    )
+    roomy = [
+        server
+        for server in _allowed(decode, request)
+        if (table.free_slots(server, now_ms) or 0) > 0
+    ]
+    target = better_of_two(
+        roomy, lambda server: -float(table.free_slots(server, now_ms) or 0), generator
+    )
+    prefill_ms = 1000.0 * request.prompt_tokens / limits.prefill_tokens_per_s
+    if source is None or target is None:
+        return _refuse(request)
+    needed_ms = (table.queue_ms(source, now_ms) or 0.0) + prefill_ms
+    if needed_ms + limits.transfer_ms(request.prompt_tokens) > request.deadline_ms:
+        return _refuse(request)
+    table.record_prefill(source, prefill_ms)
+    table.record_decode(target)
+    return Placed(
+        request_id=request.request_id,
+        attempt=request.attempt,
+        prefill=source,
+        decode=target,
+        pieces=limits.pieces_for(request.prompt_tokens + request.expected_output_tokens),
+        lease_ms=limits.lease_ms,
+    )
+
+
+def _allowed(servers: Collection[ServerId], request: Reserve) -> list[ServerId]:
+    return [server for server in servers if server not in request.excluded]
+
+
+def _refuse(request: Reserve) -> Refused:
+    return Refused(
+        request_id=request.request_id,
+        attempt=request.attempt,
+        code="overloaded",
+        retry_after_ms=LONE_RETRY_AFTER_MS,
+        waited_for=[],
+    )
--- /dev/null
+++ b/src/medlarvale/scheduling/group.py
@@ -0,0 +1,104 @@
+"""The booker of one service at this host, with the requests that wait for its answers."""
+
+from __future__ import annotations
+
+import asyncio
+
+from medlarvale.clock import Clock
+from medlarvale.ids import AttemptNumber, RequestId, ServiceName
+from medlarvale.membership.servers import ServerDirectory
+from medlarvale.scheduling.admission import Decision
+from medlarvale.scheduling.booker import Booker
+from medlarvale.scheduling.limits import GroupLimits
+from medlarvale.scheduling.messages import (
+    Placed,
+    Progress,
+    Queued,
+    Refused,
+    Release,
+    RenewReservations,
+    Reserve,
+)
+from medlarvale.settings.schema import PoolRole
+
+# An entry host asks again after this time. It learns that a booker died at the latest then, with
+# most of a TTFT of 1.9 s left.
+QUEUE_POLL_MS = 300.0
+
+
+class BookerGroup:
+    """Runs a booker and hands its decisions to the handlers that wait for them."""
+
+    def __init__(
+        self, service: ServiceName, limits: GroupLimits, directory: ServerDirectory, clock: Clock
+    ) -> None:
+        self.service = service
+        self.booker = Booker(limits)
+        self._directory = directory
+        self._clock = clock
+        self._waiters: dict[
+            tuple[RequestId, AttemptNumber], asyncio.Future[Placed | Refused | None]
+        ] = {}
+        self.last_used_ms = clock.now_ms()
+        self.refresh_engines()
+
+    def refresh_engines(self) -> None:
+        """Takes over the engines that the directory lists now."""
+        listed = [
+            server for server in self._directory.all_servers() if server.service == self.service
+        ]
+        self.booker.set_engines(
+            [server.server for server in listed if server.role is PoolRole.PREFILL],
+            [server.server for server in listed if server.role is PoolRole.DECODE],
+            [server.server for server in listed if not self._directory.accepts_work(server.server)],
+            self._clock.now_ms(),
+        )
+
+    async def reserve(self, request: Reserve) -> Placed | Refused | Queued:
+        """Returns the decision on a request, or ``Queued`` if it takes too long."""
+        now_ms = self.last_used_ms = self._clock.now_ms()
+        key = (request.request_id, request.attempt)
+        waiter = self._waiters.get(key)
+        if waiter is None:
+            waiter = self._waiters[key] = asyncio.get_running_loop().create_future()
+        self._deliver(self.booker.reserve(request, now_ms))
+        timer = self._clock.every_ms(QUEUE_POLL_MS, lambda: _resolve(waiter, None))
+        try:
+            answer = await asyncio.shield(waiter)
+        finally:
+            timer.cancel()
+            if self._waiters.get(key) is waiter:
+                del self._waiters[key]
+        return answer or Queued(request.request_id, request.attempt)
+
+    def progress(self, message: Progress) -> None:
+        """Handles a phase change."""
+        self._deliver(self.booker.progress(message, self._clock.now_ms()))
+
+    def release(self, message: Release) -> None:
+        """Handles the end of an attempt."""
+        self._deliver(self.booker.release(message, self._clock.now_ms()))
+
+    def renew(self, message: RenewReservations) -> None:
+        """Handles the heartbeat of an owner."""
+        self.last_used_ms = self._clock.now_ms()
+        self.booker.renew(message, self._clock.now_ms())
+
+    def tick(self) -> None:
+        """Ends what has expired and places what fits now."""
+        self._deliver(self.booker.tick(self._clock.now_ms()))
+
+    def _deliver(self, decisions: list[Decision]) -> None:
+        for decision in decisions:
+            key = (decision.answer.request_id, decision.answer.attempt)
+            waiter = self._waiters.get(key)
+            # Without a waiter the entry host is between two polls; its next one gets the answer.
+            if waiter is not None:
+                _resolve(waiter, decision.answer)
+
+
+def _resolve(
+    waiter: asyncio.Future[Placed | Refused | None], answer: Placed | Refused | None
+) -> None:
+    if not waiter.done():
+        waiter.set_result(answer)
--- a/src/medlarvale/scheduling/messages.py
+++ b/src/medlarvale/scheduling/messages.py
@@ -30,6 +30,7 @@
         prompt_tokens: length of the prompt, with tokens already sent to the caller on a restart.
         expected_output_tokens: estimate of the tokens still to be generated.
         prefix_hashes: hash of each whole block of the prompt's start, shortest prefix first.
+        prefix_block_tokens: length of one such block.
         deadline_ms: time left until the first token is due.
         excluded: servers that failed earlier attempts.
         isolate: the request is suspected of crashing servers and may not share an engine with
@@ -48,6 +49,7 @@
     deadline_ms: int
     excluded: list[ServerId]
     isolate: bool = False
+    prefix_block_tokens: int = 256
 
 
 class Placed(msgspec.Struct, tag="placed", frozen=True):
@@ -65,6 +67,13 @@
     lease_ms: int
 
 
+class Queued(msgspec.Struct, tag="queued", frozen=True):
+    """No place is free yet; the entry host sends the same ``Reserve`` again to go on waiting."""
+
+    request_id: RequestId
+    attempt: AttemptNumber
+
+
 class Refused(msgspec.Struct, tag="refused", frozen=True):
     """No place can meet the deadline.
 
@@ -123,3 +132,36 @@
 
 class Acknowledged(msgspec.Struct, tag="acknowledged", frozen=True):
     """Confirms a message that asks for nothing."""
+
+
+class QueryRequests(msgspec.Struct, tag="query_requests", frozen=True):
+    """Asks an owner which of its requests it still serves."""
+
+    requests: list[RequestId]
+
+
+class KnownRequest(msgspec.Struct, frozen=True):
+    """The newest attempt that an owner serves of a request."""
+
+    request_id: RequestId
+    attempt: AttemptNumber
+
+
+class KnownRequests(msgspec.Struct, tag="known_requests", frozen=True):
+    """The requests of a query that the owner still serves; all others are gone."""
+
+    requests: list[KnownRequest]
+
+
+SCHEDULING_MESSAGES: tuple[type[msgspec.Struct], ...] = (
+    Reserve,
+    Placed,
+    Queued,
+    Refused,
+    Progress,
+    Release,
+    RenewReservations,
+    Acknowledged,
+    QueryRequests,
+    KnownRequests,
+)
--- /dev/null
+++ b/src/medlarvale/scheduling/prefixes.py
@@ -0,0 +1,107 @@
+"""Which prompt prefixes the prefill engines are believed to cache.
+
+Engines publish cache events late and with gaps, so an entry is only a hint: a wrong one costs the
+prefill time of the missing tokens.
+"""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+from collections.abc import Sequence
+
+import msgspec
+
+from medlarvale.ids import ServerId
+from medlarvale.scheduling.reports import CacheEventKind, CacheEvents
+
+# 1,024 hashes take about 100 KB an engine; a control budget of 64 MB holds them for 64 engines.
+MAX_PREFIXES_PER_ENGINE = 1_024
+# Entries older than this may have been evicted by an event that fell into a gap.
+GAP_TRUST_MS = 5_000.0
+
+
+class EnginePrefixes(msgspec.Struct):
+    """Prefixes believed to be cached at one engine, least recently seen first.
+
+    Attributes:
+        next_event: number of the next cache event to ask for.
+    """
+
+    seen_at_ms: OrderedDict[int, float] = msgspec.field(default_factory=OrderedDict)
+    next_event: int = 0
+
+
+class PrefixIndex:
+    """Finds the engines that hold the longest prefix of a prompt."""
+
+    def __init__(self) -> None:
+        self._engines: dict[ServerId, EnginePrefixes] = {}
+        self._holders: dict[int, set[ServerId]] = {}
+
+    def next_event(self, server: ServerId) -> int:
+        """Returns the number of the next cache event to ask an engine for."""
+        engine = self._engines.get(server)
+        return engine.next_event if engine else 0
+
+    def apply(self, server: ServerId, answer: CacheEvents, now_ms: float) -> None:
+        """Takes over cache events; events already seen are skipped."""
+        engine = self._engines.setdefault(server, EnginePrefixes())
+        for event in answer.events:
+            if event.n < engine.next_event:
+                continue
+            if event.n > engine.next_event:
+                self._distrust(server, engine, now_ms)
+            engine.next_event = event.n + 1
+            if event.kind is CacheEventKind.STORED:
+                self._store(server, engine, event.prefix_hash, now_ms)
+            else:
+                self._drop(server, engine, event.prefix_hash)
+        if answer.next > engine.next_event:
+            self._distrust(server, engine, now_ms)
+            engine.next_event = answer.next
+
+    def expect(self, server: ServerId, hashes: Sequence[int], now_ms: float) -> None:
+        """Records prefixes that a placed prefill is about to cache."""
+        engine = self._engines.setdefault(server, EnginePrefixes())
+        for prefix in hashes:
+            self._store(server, engine, prefix, now_ms)
+
+    def cached_blocks(self, hashes: Sequence[int]) -> dict[ServerId, int]:
+        """Returns the longest cached prefix in blocks of each engine that has one."""
+        found: dict[ServerId, int] = {}
+        for index, prefix in enumerate(hashes):
+            holders = self._holders.get(prefix)
+            if not holders:
+                break
+            for server in holders:
+                found[server] = index + 1
+        return found
+
+    def forget(self, server: ServerId) -> None:
+        """Drops everything known of an engine that restarted or left."""
+        engine = self._engines.pop(server, None)
+        if engine is not None:
+            for prefix in list(engine.seen_at_ms):
+                self._drop(server, engine, prefix)
+
+    def _store(self, server: ServerId, engine: EnginePrefixes, prefix: int, now_ms: float) -> None:
+        engine.seen_at_ms[prefix] = now_ms
+        engine.seen_at_ms.move_to_end(prefix)
+        self._holders.setdefault(prefix, set()).add(server)
+        if len(engine.seen_at_ms) > MAX_PREFIXES_PER_ENGINE:
+            self._drop(server, engine, next(iter(engine.seen_at_ms)))
+
+    def _drop(self, server: ServerId, engine: EnginePrefixes, prefix: int) -> None:
+        engine.seen_at_ms.pop(prefix, None)
+        holders = self._holders.get(prefix)
+        if holders is not None:
+            holders.discard(server)
+            if not holders:
+                del self._holders[prefix]
+
+    def _distrust(self, server: ServerId, engine: EnginePrefixes, now_ms: float) -> None:
+        while engine.seen_at_ms:
+            oldest = next(iter(engine.seen_at_ms))
+            if engine.seen_at_ms[oldest] > now_ms - GAP_TRUST_MS:
+                return
+            self._drop(server, engine, oldest)
--- /dev/null
+++ b/src/medlarvale/scheduling/reports.py
@@ -0,0 +1,78 @@
+"""What engines report of themselves."""
+
+from __future__ import annotations
+
+import enum
+
+import msgspec
+
+from medlarvale.ids import AttemptNumber, HostId, HostIdentity, Incarnation, RequestId
+
+
+class LoadReport(msgspec.Struct, frozen=True):
+    """Answer of ``GET /v1/load``; it lags behind the engine.
+
+    Attributes:
+        queue_ms: prefill time waiting at the engine.
+        epoch: changes at each start of the engine, whose cache and requests are then gone.
+    """
+
+    role: str
+    slots: int
+    slots_used: int
+    pieces: int
+    pieces_used: int
+    queue_ms: float = 0.0
+    leaving: bool = False
+    epoch: int = 0
+    model: str = ""
+
+
+class EngineRequest(msgspec.Struct, frozen=True):
+    """One entry of ``GET /v1/requests``.
+
+    Attributes:
+        owner: ``host/incarnation`` as given in ``X-Owner``.
+        idle_ms: time since the client last read.
+    """
+
+    request_id: RequestId
+    attempt: AttemptNumber
+    owner: str
+    phase: str
+    pieces: int
+    idle_ms: float
+
+
+class CacheEventKind(enum.Enum):
+    """What happened to a cached prefix."""
+
+    STORED = "stored"
+    EVICTED = "evicted"
+
+
+class CacheEvent(msgspec.Struct, frozen=True):
+    """One numbered event of an engine's prefix cache."""
+
+    n: int
+    kind: CacheEventKind
+    prefix_hash: int
+
+
+class CacheEvents(msgspec.Struct, frozen=True):
+    """Answer of ``GET /v1/cache-events``.
+
+    Attributes:
+        next: number to ask from next time.
+    """
+
+    events: list[CacheEvent]
+    next: int
+
+
+def parse_owner(owner: str) -> HostIdentity | None:
+    """Returns the identity in an ``X-Owner`` value, or None if it is malformed."""
+    host, separator, incarnation = owner.rpartition("/")
+    if not separator or not incarnation.isdigit():
+        return None
+    return HostIdentity(HostId(host), Incarnation(int(incarnation)))
--- /dev/null
+++ b/src/medlarvale/scheduling/retry_budget.py
@@ -0,0 +1,33 @@
+"""Bounds retries to a share of the requests, so that faults do not multiply the load.
+
+The idea of a retry budget is from Beyer et al., "Site Reliability Engineering" (2016), chapter 21.
+"""
+
+from __future__ import annotations
+
+# The loss of one engine restarts about one engine's slots at once.
+INITIAL_RETRIES = 20.0
+MAX_SAVED_RETRIES = 100.0
+
+
+class RetryBudget:
+    """Counts retries of one service against its requests.
+
+    Args:
+        share: retries allowed per request.
+    """
+
+    def __init__(self, share: float) -> None:
+        self._share = share
+        self._saved = INITIAL_RETRIES if share > 0 else 0.0
+
+    def record_request(self) -> None:
+        """Counts a first attempt."""
+        self._saved = min(MAX_SAVED_RETRIES, self._saved + self._share)
+
+    def take_retry(self) -> bool:
+        """Takes one retry from the budget; returns False if it is spent."""
+        if self._saved < 1.0:
+            return False
+        self._saved -= 1.0
+        return True
--- /dev/null
+++ b/src/medlarvale/scheduling/task.py
@@ -0,0 +1,337 @@
+"""Places requests of this host through the bookers, and is the booker of some services.
+
+The booker of a service is the live host with the highest rendezvous weight. Hosts with different
+views may pick two bookers; engines refuse what they cannot hold, so this costs round trips only.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections.abc import Callable, Collection, Coroutine, Iterable
+from typing import Any
+
+import msgspec
+
+from medlarvale import hashing
+from medlarvale.clock import Clock, Subscription
+from medlarvale.ids import AttemptNumber, HostId, HostIdentity, RequestId, ServiceName
+from medlarvale.membership.servers import ServerDirectory
+from medlarvale.peers.errors import PeerError
+from medlarvale.peers.transport import Transport
+from medlarvale.scheduling.errors import PlacementRefusedError
+from medlarvale.scheduling.fallback import LagTable, place_alone
+from medlarvale.scheduling.group import QUEUE_POLL_MS, BookerGroup
+from medlarvale.scheduling.limits import GroupLimits
+from medlarvale.scheduling.messages import (
+    Acknowledged,
+    KnownRequest,
+    KnownRequests,
+    Placed,
+    Progress,
+    QueryRequests,
+    Queued,
+    Refused,
+    Release,
+    RenewReservations,
+    Reserve,
+)
+from medlarvale.scheduling.polling import EnginePoller
+from medlarvale.scheduling.probe import EngineProbe
+from medlarvale.settings.schema import PoolRole
+
+TICK_MS = 5.0
+RENEW_PERIOD_MS = 250.0
+POLL_PERIOD_MS = 500.0
+PEER_TIMEOUT_MS = 250.0
+# Heartbeats show a dead host after 1 s; until then its requests fall back without asking it.
+UNREACHABLE_MS = 1_000.0
+# A booker that no host has used for this long has lost its service to another host.
+IDLE_BOOKER_MS = 10_000.0
+
+
+class _Owned(msgspec.Struct):
+    """A request of this host.
+
+    Attributes:
+        booker: host that was asked last; None for a placement in fallback.
+    """
+
+    attempt: AttemptNumber
+    service: ServiceName
+    booker: HostId | None = None
+
+
+class SchedulingTask:
+    """Placement for the local request path, and bookers for all hosts.
+
+    Args:
+        identity: this host.
+        transport: to the other entry hosts.
+        probe: to the engines.
+        directory: listed backend servers.
+        live_hosts: entry hosts that may be bookers, with this one.
+        live_owners: entry hosts whose heartbeats arrive, with this one.
+        limits_of: limits in force of a service.
+        generator: randomness of the fallback.
+    """
+
+    def __init__(
+        self,
+        identity: HostIdentity,
+        transport: Transport,
+        probe: EngineProbe,
+        directory: ServerDirectory,
+        clock: Clock,
+        live_hosts: Callable[[], list[HostId]],
+        live_owners: Callable[[], Collection[HostIdentity]],
+        limits_of: Callable[[ServiceName], GroupLimits],
+        generator: random.Random,
+    ) -> None:
+        self._identity = identity
+        self._transport = transport
+        self._directory = directory
+        self._clock = clock
+        self._live_hosts = live_hosts
+        self._limits_of = limits_of
+        self._generator = generator
+        self._lag_table = LagTable()
+        self._poller = EnginePoller(
+            probe, directory, self._lag_table, clock, live_owners, self._ask_owner
+        )
+        self._groups: dict[ServiceName, BookerGroup] = {}
+        self._owned: dict[RequestId, _Owned] = {}
+        self._unreachable_until_ms: dict[HostId, float] = {}
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._subscriptions: list[Subscription] = []
+        transport.register(Reserve, self._on_reserve)
+        transport.register(Progress, self._on_progress)
+        transport.register(Release, self._on_release)
+        transport.register(RenewReservations, self._on_renew)
+        transport.register(QueryRequests, self._on_query)
+
+    def start(self) -> None:
+        """Starts the periodic duties."""
+        self._subscriptions = [
+            self._clock.every_ms(TICK_MS, self._tick),
+            self._clock.every_ms(RENEW_PERIOD_MS, self._renew_all),
+            self._clock.every_ms(POLL_PERIOD_MS, self._start_poll),
+        ]
+        self._start_poll()
+
+    async def close(self) -> None:
+        """Ends the periodic duties and the messages under way."""
+        for subscription in self._subscriptions:
+            subscription.cancel()
+        for task in list(self._tasks):
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    def booked_services(self) -> list[ServiceName]:
+        """Returns the services that this host is the booker of."""
+        return [
+            service
+            for service in self._model_services()
+            if self._booker_of(service) == self._identity.host
+        ]
+
+    def group(self, service: ServiceName) -> BookerGroup:
+        """Returns the booker of a service at this host, started at need."""
+        found = self._groups.get(service)
+        if found is None:
+            found = BookerGroup(service, self._limits_of(service), self._directory, self._clock)
+            self._groups[service] = found
+            self._start_poll()
+        return found
+
+    # Placement
+
+    async def reserve(self, request: Reserve) -> Placed:
+        """Returns a place; see ``Placement.reserve``."""
+        due_ms = self._clock.now_ms() + request.deadline_ms
+        self._owned[request.request_id] = _Owned(request.attempt, request.service)
+        try:
+            answer = await self._ask_until(request, due_ms)
+        except BaseException:
+            # The caller is gone: nobody will use the place.
+            self.release(
+                Release(request.request_id, request.attempt, request.owner, request.service)
+            )
+            raise
+        if isinstance(answer, Refused):
+            self._owned.pop(request.request_id, None)
+            raise PlacementRefusedError(answer.code, answer.retry_after_ms, answer.waited_for)
+        return answer
+
+    def report(self, progress: Progress) -> None:
+        """Tells the booker of a phase change; does not wait."""
+        for host in self._bookers_of(progress.request_id, progress.service):
+            if host == self._identity.host:
+                self.group(progress.service).progress(progress)
+            else:
+                self._spawn(self._send(host, progress))
+
+    def release(self, release: Release) -> None:
+        """Ends a reservation; does not wait."""
+        hosts = self._bookers_of(release.request_id, release.service)
+        owned = self._owned.get(release.request_id)
+        if owned is not None and owned.attempt <= release.attempt:
+            del self._owned[release.request_id]
+        for host in hosts:
+            if host == self._identity.host:
+                self.group(release.service).release(release)
+            else:
+                self._spawn(self._send(host, release))
+
+    async def _ask_until(self, request: Reserve, due_ms: float) -> Placed | Refused:
+        while True:
+            left_ms = int(due_ms - self._clock.now_ms())
+            if left_ms <= 0:
+                return Refused(request.request_id, request.attempt, "deadline_unreachable", 100, [])
+            answer = await self._ask(msgspec.structs.replace(request, deadline_ms=left_ms))
+            if not isinstance(answer, Queued):
+                return answer
+
+    async def _ask(self, request: Reserve) -> Placed | Refused | Queued:
+        host = self._booker_of(request.service)
+        owned = self._owned.get(request.request_id)
+        if owned is not None:
+            owned.booker = host
+        if host == self._identity.host:
+            return await self.group(request.service).reserve(request)
+        if host is not None and self._reachable(host):
+            try:
+                return await self._ask_peer(host, request)
+            except PeerError:
+                self._unreachable_until_ms[host] = self._clock.now_ms() + UNREACHABLE_MS
+        return self._place_alone(request, owned)
+
+    async def _ask_peer(self, host: HostId, request: Reserve) -> Placed | Refused | Queued:
+        answer = await self._transport.request(host, request, QUEUE_POLL_MS + PEER_TIMEOUT_MS)
+        if not isinstance(answer, Placed | Refused | Queued):
+            raise PeerError(f"host {host} answered with {type(answer).__name__}")
+        return answer
+
+    def _place_alone(self, request: Reserve, owned: _Owned | None) -> Placed | Refused:
+        # A reservation that the booker may have made meanwhile is not renewed and expires.
+        if owned is not None:
+            owned.booker = None
+        service = request.service
+        return place_alone(
+            request,
+            [server.server for server in self._directory.of_service(service, PoolRole.PREFILL)],
+            [server.server for server in self._directory.of_service(service, PoolRole.DECODE)],
+            self._lag_table,
+            self._limits_of(service),
+            self._generator,
+            self._clock.now_ms(),
+        )
+
+    # Messages from other entry hosts
+
+    async def _on_reserve(
+        self, sender: HostIdentity, request: Reserve
+    ) -> Placed | Refused | Queued:
+        _check_owner(sender, request.owner)
+        return await self.group(request.service).reserve(request)
+
+    async def _on_progress(self, sender: HostIdentity, message: Progress) -> Acknowledged:
+        _check_owner(sender, message.owner)
+        self.group(message.service).progress(message)
+        return Acknowledged()
+
+    async def _on_release(self, sender: HostIdentity, message: Release) -> Acknowledged:
+        _check_owner(sender, message.owner)
+        self.group(message.service).release(message)
+        return Acknowledged()
+
+    async def _on_renew(self, sender: HostIdentity, message: RenewReservations) -> Acknowledged:
+        _check_owner(sender, message.owner)
+        self.group(message.service).renew(message)
+        return Acknowledged()
+
+    async def _on_query(self, sender: HostIdentity, message: QueryRequests) -> KnownRequests:
+        return KnownRequests(
+            [
+                KnownRequest(request, self._owned[request].attempt)
+                for request in message.requests
+                if request in self._owned
+            ]
+        )
+
+    async def _ask_owner(self, owner: HostIdentity, requests: list[RequestId]) -> KnownRequests:
+        query = QueryRequests(requests)
+        if owner == self._identity:
+            return await self._on_query(owner, query)
+        answer = await self._transport.request(owner.host, query, PEER_TIMEOUT_MS)
+        if not isinstance(answer, KnownRequests):
+            raise PeerError(f"host {owner.host} answered with {type(answer).__name__}")
+        return answer
+
+    # Periodic duties
+
+    def _tick(self) -> None:
+        for group in list(self._groups.values()):
+            group.tick()
+
+    def _start_poll(self) -> None:
+        booked = set(self.booked_services())
+        for service in booked - self._groups.keys():
+            self._groups[service] = BookerGroup(
+                service, self._limits_of(service), self._directory, self._clock
+            )
+        now_ms = self._clock.now_ms()
+        for service, group in list(self._groups.items()):
+            if service not in booked and now_ms - group.last_used_ms > IDLE_BOOKER_MS:
+                del self._groups[service]
+            else:
+                group.refresh_engines()
+        self._spawn(self._poller.poll_all(list(self._groups.values())))
+
+    def _renew_all(self) -> None:
+        by_booker: dict[tuple[HostId, ServiceName], list[RequestId]] = {}
+        for request, owned in self._owned.items():
+            if owned.booker is not None:
+                by_booker.setdefault((owned.booker, owned.service), []).append(request)
+        for (host, service), requests in by_booker.items():
+            message = RenewReservations(self._identity, service, requests)
+            if host == self._identity.host:
+                self.group(service).renew(message)
+            else:
+                self._spawn(self._send(host, message))
+
+    # Helpers
+
+    def _model_services(self) -> list[ServiceName]:
+        servers = self._directory.all_servers()
+        return sorted({server.service for server in servers if server.role is not PoolRole.PLAIN})
+
+    def _booker_of(self, service: ServiceName) -> HostId | None:
+        return hashing.choose(f"booker/{service}", self._live_hosts())
+
+    def _bookers_of(self, request: RequestId, service: ServiceName) -> Iterable[HostId]:
+        # The host that placed the request holds its reservation; the booker of now, if another,
+        # counts the request among those it found at the engine.
+        owned = self._owned.get(request)
+        hosts = [owned.booker if owned is not None else None, self._booker_of(service)]
+        return dict.fromkeys(host for host in hosts if host is not None)
+
+    def _reachable(self, host: HostId) -> bool:
+        return self._clock.now_ms() >= self._unreachable_until_ms.get(host, 0.0)
+
+    async def _send(self, host: HostId, message: msgspec.Struct) -> None:
+        try:
+            await self._transport.request(host, message, PEER_TIMEOUT_MS)
+        except PeerError:
+            # A lost release or renewal ends with the reservation's lease.
+            return
+
+    def _spawn(self, coroutine: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.get_running_loop().create_task(coroutine)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+
+def _check_owner(sender: HostIdentity, owner: HostIdentity) -> None:
+    if sender != owner:
+        raise PeerError(f"host {sender} may not speak for {owner}")
--- /dev/null
+++ b/src/medlarvale/scheduling/waiting.py
@@ -0,0 +1,114 @@
+"""Requests that wait in the booker: which one is next, and how long a new one would wait."""
+
+from __future__ import annotations
+
+import msgspec
+
+from medlarvale.ids import RequestId
+from medlarvale.scheduling.fairness import FairQueue
+from medlarvale.scheduling.limits import GroupLimits
+from medlarvale.scheduling.messages import Reserve, WorkClass
+
+# An entry whose host has not asked for this long is dropped: nobody waits for the answer.
+QUEUE_SILENCE_MS = 1_500.0
+# Heads of this many workspaces are tried when the first one fits nowhere.
+HEADS_TRIED = 4
+# Bounds the burst of batch work after a time in which none of it fitted anywhere.
+MAX_BATCH_CREDIT_MS = 2_000.0
+
+
+class Waiting(msgspec.Struct, eq=False):
+    """One queued attempt.
+
+    Attributes:
+        due_ms: when the first token is due.
+        shortest_ms: time from a placement on idle engines to the first token.
+        cost_ms: expected prefill time.
+    """
+
+    request: Reserve
+    arrived_ms: float
+    due_ms: float
+    shortest_ms: float
+    cost_ms: float
+    asked_ms: float
+
+
+class WaitingRoom:
+    """Queues by class: restarts first, then live work, then batch work with its share."""
+
+    def __init__(self, limits: GroupLimits) -> None:
+        self._batch_share = limits.batch_share
+        self._by_request: dict[RequestId, Waiting] = {}
+        self.restarts: FairQueue[Waiting] = FairQueue(limits.weights)
+        self.live: FairQueue[Waiting] = FairQueue(limits.weights)
+        self.batch: FairQueue[Waiting] = FairQueue(limits.weights)
+        self._batch_credit_ms = 0.0
+
+    def __len__(self) -> int:
+        return len(self._by_request)
+
+    def get(self, request: RequestId) -> Waiting | None:
+        """Returns the queued attempt of a request, or None."""
+        return self._by_request.get(request)
+
+    def entries(self) -> list[Waiting]:
+        """Returns all queued attempts."""
+        return list(self._by_request.values())
+
+    def queue_of(self, request: Reserve) -> FairQueue[Waiting]:
+        """Returns the queue that a request belongs to."""
+        if request.work_class is WorkClass.BATCH:
+            return self.batch
+        # A restart has a caller in the middle of an answer; the retry budget bounds them.
+        return self.restarts if request.attempt > 1 else self.live
+
+    def push(self, entry: Waiting) -> None:
+        """Queues an attempt."""
+        self._by_request[entry.request.request_id] = entry
+        self.queue_of(entry.request).push(entry.request.workspace, entry, entry.cost_ms)
+
+    def remove(self, entry: Waiting) -> None:
+        """Takes an attempt out without serving it."""
+        del self._by_request[entry.request.request_id]
+        self.queue_of(entry.request).remove(entry.request.workspace, entry)
+
+    def serve(self, entry: Waiting, charged_ms: float) -> None:
+        """Takes an attempt out and charges its prefill time to its workspace and class."""
+        request = entry.request
+        queue = self.queue_of(request)
+        if not queue.is_head(request.workspace, entry):
+            raise ValueError(f"request {request.request_id} is not the first of its workspace")
+        queue.take(request.workspace, charged_ms)
+        del self._by_request[request.request_id]
+        self._count_share(request.work_class, charged_ms)
+
+    def next_entries(self) -> list[Waiting]:
+        """Returns the entries to try now, in order."""
+        batch = self.batch.heads(HEADS_TRIED)
+        first = [*self.restarts.heads(HEADS_TRIED), *self.live.heads(HEADS_TRIED)]
+        if batch and self._batch_credit_ms >= min(batch[0].cost_ms, MAX_BATCH_CREDIT_MS):
+            return batch + first
+        return first + batch
+
+    def ahead_ms(self, request: Reserve) -> float:
+        """Returns the prefill time that is served before a new request."""
+        ahead_ms = self.queue_of(request).ahead_ms(request.workspace)
+        if request.work_class is WorkClass.BATCH:
+            return ahead_ms + self.live.total_ms + self.restarts.total_ms
+        return ahead_ms + self.restarts.total_ms
+
+    def total_ms(self) -> float:
+        """Returns the prefill time of all queued attempts."""
+        return self.restarts.total_ms + self.live.total_ms + self.batch.total_ms
+
+    def _count_share(self, work_class: WorkClass, charged_ms: float) -> None:
+        if work_class is WorkClass.BATCH:
+            self._batch_credit_ms = max(0.0, self._batch_credit_ms - charged_ms)
+            return
+        if not self.batch:
+            # No batch work waits, so none is delayed and no credit accrues.
+            self._batch_credit_ms = 0.0
+            return
+        earned_ms = charged_ms * self._batch_share / max(0.01, 1.0 - self._batch_share)
+        self._batch_credit_ms = min(MAX_BATCH_CREDIT_MS, self._batch_credit_ms + earned_ms)
