--- /dev/null
+++ b/scripts/deployment.py
@@ -0,0 +1,280 @@
+"""Starts a whole deployment on loopback as separate processes: stand-ins and entry hosts."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import secrets
+import signal
+import socket
+import sys
+import tempfile
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+from pathlib import Path
+
+import aiohttp
+import msgspec
+
+from medlarvale.settings.parsing import parse_text
+from medlarvale.settings.schema import PoolRole, SettingsTree
+
+REPOSITORY = Path(__file__).resolve().parent.parent
+START_TIMEOUT_S = 30.0
+STOP_TIMEOUT_S = 20.0
+READY_HEADERS: dict[str, str] = {}
+PROGRAM = (sys.executable, "-m", "medlarvale")
+
+
+class StartFailedError(Exception):
+    """A process ended or stayed silent instead of becoming ready."""
+
+
+@dataclass
+class Node:
+    """One running process.
+
+    Attributes:
+        address: base URL of its interface (callers' interface for entry hosts).
+        arguments: command line, for a restart.
+    """
+
+    name: str
+    arguments: list[str]
+    process: asyncio.subprocess.Process
+    address: str = ""
+    operators: str = ""
+
+    @property
+    def alive(self) -> bool:
+        """Whether the process has not ended."""
+        return self.process.returncode is None
+
+    def signal(self, number: signal.Signals) -> None:
+        """Sends a signal to this process only."""
+        if self.alive:
+            self.process.send_signal(number)
+
+    async def wait(self) -> int:
+        """Returns the exit status once the process has ended."""
+        return await asyncio.wait_for(self.process.wait(), STOP_TIMEOUT_S)
+
+
+@dataclass
+class DeploymentPlan:
+    """What to start.
+
+    Attributes:
+        tree_file: settings tree; one entry host is started in each failure domain.
+        extra_entry_hosts: further entry hosts, in the first failure domains.
+        engine_flags: further flags for all stand-in engines.
+        serve_flags: further flags for all entry hosts.
+    """
+
+    tree_file: Path
+    extra_entry_hosts: int = 0
+    engine_flags: list[str] = field(default_factory=list)
+    plain_flags: list[str] = field(default_factory=list)
+    serve_flags: list[str] = field(default_factory=list)
+
+
+def free_port(ip: str) -> int:
+    """Returns a port that is free now on ``ip``."""
+    with socket.socket() as probe:
+        probe.bind((ip, 0))
+        port: int = probe.getsockname()[1]
+        return port
+
+
+class Deployment:
+    """The processes of one deployment.
+
+    Args:
+        plan: what to start.
+        log_file: receives the standard error of all processes.
+    """
+
+    def __init__(self, plan: DeploymentPlan, log_file: Path) -> None:
+        self._plan = plan
+        self._log = log_file.open("ab")
+        self._folder = tempfile.TemporaryDirectory()
+        text = parse_text(plan.tree_file.read_bytes())
+        self.tree = SettingsTree.model_validate_json(json.dumps(text.value))
+        self.platform: Node | None = None
+        self.engines: dict[str, Node] = {}
+        self.plain: dict[str, Node] = {}
+        self.entry_hosts: dict[str, Node] = {}
+        self._servers: list[dict[str, str]] = []
+        self._hosts: list[dict[str, str]] = []
+        self.operator_token = secrets.token_hex(16)
+
+    async def start(self) -> None:
+        """Starts everything and returns when all entry hosts are ready.
+
+        Raises:
+            StartFailedError: if a process does not become ready.
+        """
+        self._write_secrets()
+        await self._start_backend_servers()
+        self._plan_entry_hosts()
+        hosts_file = Path(self._folder.name) / "hosts.json"
+        listed = {"entry_hosts": self._hosts, "backend_servers": self._servers}
+        hosts_file.write_text(json.dumps(listed))
+        self.platform = await self._spawn_standin(
+            "platform",
+            ["platform", "--tree", str(self._plan.tree_file), "--hosts", str(hosts_file)],
+        )
+        await asyncio.gather(*(self.start_entry_host(host["host"]) for host in self._hosts))
+        await asyncio.gather(*(self.await_ready(node) for node in self.entry_hosts.values()))
+
+    def _write_secrets(self) -> None:
+        folder = Path(self._folder.name)
+        (folder / "peer-keys").write_text(f"first {secrets.token_hex(32)}\n")
+        (folder / "operator-token").write_text(self.operator_token + "\n")
+
+    async def _start_backend_servers(self) -> None:
+        starts = []
+        for region in self.tree.regions.values():
+            for domain, branch in region.failure_domains.items():
+                for service, service_branch in branch.services.items():
+                    for pool, pool_branch in service_branch.pools.items():
+                        for number in range(pool_branch.workers or 0):
+                            starts.append(self._start_server(domain, service, pool, number))
+        await asyncio.gather(*starts)
+        self._servers.sort(key=lambda server: server["server"])
+
+    async def _start_server(self, domain: str, service: str, pool: str, number: int) -> None:
+        declaration = self.tree.services[service]
+        role = declaration.pools[pool].role
+        name = f"{service}-{pool}-{domain}-{number}"
+        if role is PoolRole.PLAIN:
+            flags = ["plain", "--server", name, "--service", service, *self._plan.plain_flags]
+            node = await self._spawn_standin(name, flags)
+            self.plain[name] = node
+        else:
+            flags = ["engine", "--server", name, "--service", service, "--role", role.value]
+            flags += ["--model", declaration.model or service, *self._plan.engine_flags]
+            node = await self._spawn_standin(name, flags)
+            self.engines[name] = node
+        self._servers.append(
+            {
+                "server": name,
+                "address": node.address,
+                "service": service,
+                "pool": pool,
+                "role": role.value,
+                "failure_domain": domain,
+                "state": "live",
+            }
+        )
+
+    def _plan_entry_hosts(self) -> None:
+        places = [
+            (region, domain)
+            for region, branch in self.tree.regions.items()
+            for domain in branch.failure_domains
+        ]
+        places += places[: self._plan.extra_entry_hosts]
+        self._arguments: dict[str, list[str]] = {}
+        for number, (region, domain) in enumerate(places, start=1):
+            ip = f"127.0.0.{10 + number}"
+            name = f"entry-{domain}-{number}"
+            ports = {kind: free_port(ip) for kind in ("caller", "peer", "operators")}
+            self._hosts.append(
+                {
+                    "host": name,
+                    "peer_address": f"tcp://{ip}:{ports['peer']}",
+                    "failure_domain": domain,
+                    "state": "live",
+                }
+            )
+            arguments = ["serve", "--host", name, "--region", region, "--failure-domain", domain]
+            for kind, port in ports.items():
+                arguments += [f"--listen-{kind}", f"{ip}:{port}"]
+            folder = Path(self._folder.name)
+            arguments += ["--peer-key-file", str(folder / "peer-keys")]
+            arguments += ["--operator-token-file", str(folder / "operator-token")]
+            self._arguments[name] = [*arguments, *self._plan.serve_flags]
+
+    async def start_entry_host(self, name: str) -> Node:
+        """Starts an entry host, or a new life of one that has ended."""
+        assert self.platform is not None
+        arguments = [*self._arguments[name], "--platform-url", self.platform.address]
+        process = await self._spawn(arguments)
+        flags = dict(zip(arguments[1::2], arguments[2::2], strict=False))
+        node = Node(name, arguments, process)
+        node.address = f"http://{flags['--listen-caller']}"
+        node.operators = f"http://{flags['--listen-operators']}"
+        await self._read_line(node)
+        self.entry_hosts[name] = node
+        return node
+
+    async def await_ready(self, node: Node) -> None:
+        """Waits until an entry host says that it is ready for callers."""
+        async with asyncio.timeout(START_TIMEOUT_S), aiohttp.ClientSession() as session:
+            while node.alive:
+                try:
+                    async with session.get(
+                        f"{node.address}/v1/models", headers=READY_HEADERS
+                    ) as response:
+                        if response.status in (200, 401):
+                            return
+                except aiohttp.ClientError:
+                    pass
+                await asyncio.sleep(0.05)
+        raise StartFailedError(f"{node.name} ended before it was ready")
+
+    async def publish(self, message: Mapping[str, object]) -> None:
+        """Sends a control message to the platform stand-in."""
+        assert self.platform is not None
+        async with aiohttp.ClientSession() as session:
+            await post(session, f"{self.platform.address}/control", message)
+
+    async def stop(self) -> None:
+        """Ends all processes, entry hosts first."""
+        nodes = [*self.entry_hosts.values(), *self.engines.values(), *self.plain.values()]
+        if self.platform is not None:
+            nodes.append(self.platform)
+        for node in nodes:
+            node.signal(signal.SIGCONT)
+            node.signal(signal.SIGKILL)
+        await asyncio.gather(*(node.process.wait() for node in nodes))
+        self._folder.cleanup()
+        self._log.close()
+
+    async def _spawn_standin(self, name: str, flags: list[str]) -> Node:
+        arguments = ["standin", *flags]
+        node = Node(name, arguments, await self._spawn(arguments))
+        line = await self._read_line(node)
+        node.address = json.loads(line)["address"]
+        return node
+
+    async def _spawn(self, arguments: list[str]) -> asyncio.subprocess.Process:
+        environment = dict(os.environ, PYTHONPATH=str(REPOSITORY / "src"))
+        return await asyncio.create_subprocess_exec(
+            *PROGRAM,
+            *arguments,
+            stdout=asyncio.subprocess.PIPE,
+            stderr=self._log,
+            env=environment,
+        )
+
+    async def _read_line(self, node: Node) -> str:
+        assert node.process.stdout is not None
+        line = await asyncio.wait_for(node.process.stdout.readline(), START_TIMEOUT_S)
+        if not line:
+            raise StartFailedError(f"{node.name} ended before it was ready")
+        return line.decode()
+
+
+async def post(session: aiohttp.ClientSession, url: str, body: Mapping[str, object]) -> object:
+    """Posts JSON and returns the JSON answer.
+
+    Raises:
+        aiohttp.ClientResponseError: for an answer that is not a success.
+    """
+    async with session.post(url, json=dict(body)) as response:
+        text = await response.read()
+        response.raise_for_status()
+        return msgspec.json.decode(text) if text else None
--- a/src/medlarvale/cli.py
+++ b/src/medlarvale/cli.py
@@ -5,6 +5,7 @@
 import argparse
 from collections.abc import Sequence
 
+from medlarvale import serve
 from medlarvale.settings import commands as settings_commands
 from medlarvale.standins import commands as standin_commands
 
@@ -15,6 +16,7 @@
         prog="medlarvale", description="Router for separate prefill and decode pools."
     )
     subparsers = parser.add_subparsers(dest="command", required=True)
+    serve.add_commands(subparsers)
     settings_commands.add_commands(subparsers)
     standin_commands.add_commands(subparsers)
     return parser
--- /dev/null
+++ b/src/medlarvale/composition.py
@@ -0,0 +1,290 @@
+"""Composition root: builds every part of an entry host and wires them."""
+
+from __future__ import annotations
+
+import random
+
+import aiohttp
+from aiohttp import web
+
+from medlarvale.bookings import messages as booking_messages
+from medlarvale.bookings.lease import LeaseState
+from medlarvale.bookings.ledger import Ledger
+from medlarvale.bookings.task import BookingTask
+from medlarvale.callers.app import CallerServerRunner, build_app
+from medlarvale.callers.parts import CallerParts
+from medlarvale.callers.workspaces import WorkspaceDirectory
+from medlarvale.clock import SystemClock
+from medlarvale.completions.cleanup import EngineCleanup
+from medlarvale.completions.engine_client import HttpEngineClient, new_engine_session
+from medlarvale.completions.parts import RequestPathParts
+from medlarvale.completions.runner import CompletionRunner
+from medlarvale.ids import HostIdentity, ServerId, ServiceName, WorkspaceId, new_incarnation
+from medlarvale.logs import Event, log_info
+from medlarvale.membership import messages as membership_messages
+from medlarvale.membership.messages import HostState
+from medlarvale.membership.servers import ServerDirectory
+from medlarvale.membership.source import PlatformHostListSource
+from medlarvale.membership.task import MembershipTask
+from medlarvale.membership.view import MembershipView
+from medlarvale.operators.reports import RequestReport
+from medlarvale.peers.auth import FrameGuard, SharedKeys
+from medlarvale.peers.pynng_transport import PynngTransport
+from medlarvale.peers.transport import MessageCodec
+from medlarvale.plain.client import PlainClient, new_plain_session
+from medlarvale.process_settings import ProcessSettings
+from medlarvale.scheduling import messages as scheduling_messages
+from medlarvale.scheduling.limits import GroupLimits, limits_from_values
+from medlarvale.scheduling.probe import HttpEngineProbe
+from medlarvale.scheduling.task import SchedulingTask
+from medlarvale.settings import messages as settings_messages
+from medlarvale.settings.current import CurrentSettings
+from medlarvale.settings.source import FileSource, PlatformSource, SettingsSource
+from medlarvale.settings.store import Accepted
+from medlarvale.settings.task import SettingsTask
+from medlarvale.settings.tree import BranchPath
+from medlarvale.tracing import Tracing
+
+PEER_MESSAGES = (
+    membership_messages.Heartbeat,
+    membership_messages.HostList,
+    membership_messages.HostListRequest,
+    settings_messages.TreeRequest,
+    settings_messages.TreeAnswer,
+    booking_messages.LeaseRequest,
+    booking_messages.LeaseReply,
+    booking_messages.Submit,
+    booking_messages.Verdict,
+    booking_messages.Lookup,
+    booking_messages.HandOver,
+    booking_messages.HandOverDone,
+    booking_messages.RecordResult,
+    booking_messages.RecordStored,
+    scheduling_messages.Reserve,
+    scheduling_messages.Placed,
+    scheduling_messages.Queued,
+    scheduling_messages.Refused,
+    scheduling_messages.Progress,
+    scheduling_messages.Release,
+    scheduling_messages.RenewReservations,
+    scheduling_messages.Acknowledged,
+    scheduling_messages.QueryRequests,
+    scheduling_messages.KnownRequests,
+)
+
+# Verdicts are kept for the longest time that a tree may set, since the ledger outlives trees.
+KEY_MAX_AGE_MS = 600_000
+DRAIN_POLL_MS = 100.0
+# Longer than any request may take; a stop that is planned cuts off nothing.
+DRAIN_LIMIT_MS = 3_600_000.0
+
+
+class OpenGuard:
+    async def admit(self, fingerprint: int) -> bool:
+        return False
+
+    def started(self, fingerprint: int, server: ServerId) -> None:
+        pass
+
+    def finished(self, fingerprint: int, server: ServerId, *, server_lost: bool) -> None:
+        pass
+
+
+class DiscardReports:
+    def request_finished(self, report: RequestReport) -> None:
+        pass
+
+
+class EntryHost:
+    """All parts of one entry host, from its process settings.
+
+    Args:
+        process: what the process learns from flags and environment.
+    """
+
+    def __init__(self, process: ProcessSettings) -> None:
+        self._process = process
+        self.clock = SystemClock()
+        started_wall_ms = self.clock.wall_ms()
+        self.identity = HostIdentity(process.host, new_incarnation(started_wall_ms))
+        self.tracing = Tracing(process.host, path=process.trace_file)
+        self.current = CurrentSettings()
+        self.directory = ServerDirectory()
+        guard = FrameGuard(SharedKeys(process.peer_keys), self.identity, started_wall_ms)
+        self.transport = PynngTransport(
+            self.identity,
+            f"tcp://{process.listen_peer}",
+            guard,
+            MessageCodec(PEER_MESSAGES),
+            self.clock,
+        )
+        self._platform_session = aiohttp.ClientSession()
+        self._engine_session = new_engine_session()
+        self._plain_session = new_plain_session()
+        self.settings = self._build_settings()
+        self.membership = self._build_membership()
+        self.observer = DiscardReports()
+        self.guard = OpenGuard()
+        self.scheduling = self._build_scheduling()
+        self.dispatcher = PlainClient(
+            session=self._plain_session,
+            directory=self.directory,
+            settings=self.current,
+            region=process.region,
+            failure_domain=process.failure_domain,
+            guard=self.guard,
+            clock=self.clock,
+            tracer=self.tracing.tracer,
+        )
+        self.bookings = self._build_bookings(started_wall_ms)
+        self.runner = self._build_runner()
+        self._caller_server = CallerServerRunner(
+            build_app(
+                CallerParts(
+                    process.region,
+                    process.failure_domain,
+                    self.clock,
+                    self.current,
+                    WorkspaceDirectory(self.current),
+                    self.runner,
+                    self.dispatcher,
+                    self.bookings,
+                    self.observer,
+                    self.tracing.tracer,
+                )
+            )
+        )
+
+    def _build_settings(self) -> SettingsTask:
+        process = self._process
+        default = process.settings_file.read_bytes() if process.settings_file else None
+        source: SettingsSource
+        if process.platform_url:
+            source = PlatformSource(self._platform_session, process.platform_url)
+        else:
+            assert process.settings_file is not None
+            source = FileSource(process.settings_file, self.clock)
+        settings = SettingsTask(process.host, self.transport, self.clock, source, default)
+        settings.subscribe(self._accept_settings)
+        return settings
+
+    def _accept_settings(self, accepted: Accepted) -> None:
+        self.current.accept(accepted)
+        if self.membership.view.state is HostState.JOINING:
+            self.membership.set_state(HostState.LIVE)
+
+    def _build_membership(self) -> MembershipTask:
+        membership = MembershipTask(
+            MembershipView(self.identity),
+            self.directory,
+            self.transport,
+            self.transport,
+            PlatformHostListSource(self._platform_session, self._process.platform_url),
+            self.clock,
+            lambda: self.settings.version,
+        )
+        membership.on_heartbeat(
+            lambda sender, beat: self.settings.peer_version(sender.host, beat.config_version)
+        )
+        membership.on_tick(lambda: self.settings.set_live_hosts(membership.live_hosts()))
+        membership.report_leaving_servers(self.directory.leaving_by_own_word)
+        return membership
+
+    def _build_scheduling(self) -> SchedulingTask:
+        return SchedulingTask(
+            self.identity,
+            self.transport,
+            HttpEngineProbe(self._engine_session, self.identity),
+            self.directory,
+            self.clock,
+            self.membership.live_hosts,
+            lambda: self.membership.view.answering_lives(self.clock.now_ms()),
+            self._limits_of,
+            random.Random(self.identity.incarnation),
+        )
+
+    def _limits_of(self, service: ServiceName) -> GroupLimits:
+        process = self._process
+        path = BranchPath(process.region, process.failure_domain, service)
+        weights = {
+            WorkspaceId(name): workspace.weight
+            for name, workspace in self.current.tree().workspaces.items()
+        }
+        return limits_from_values(self.current.values(path), weights)
+
+    def _build_bookings(self, started_wall_ms: int) -> BookingTask:
+        leases = LeaseState(self.identity, started_wall_ms)
+        bookings = BookingTask(
+            leases,
+            Ledger(leases, KEY_MAX_AGE_MS),
+            self.dispatcher,
+            self.transport,
+            self.clock,
+            self.membership.live_hosts,
+        )
+        self.membership.on_list(bookings.learn_list)
+        return bookings
+
+    def _build_runner(self) -> CompletionRunner:
+        engines = HttpEngineClient(self._engine_session)
+        return CompletionRunner(
+            RequestPathParts(
+                self.identity,
+                self._process.region,
+                self._process.failure_domain,
+                self.clock,
+                self.current,
+                self.scheduling,
+                self.directory,
+                engines,
+                EngineCleanup(engines, self.clock),
+                self.guard,
+                self.observer,
+                self.tracing.tracer,
+            )
+        )
+
+    async def start(self) -> None:
+        """Listens at all ports and starts all tasks.
+
+        Raises:
+            OSError: if a port can't be bound.
+        """
+        self.transport.start()
+        self.settings.start()
+        self.membership.start()
+        self.scheduling.start()
+        self.bookings.start()
+        await self._caller_server.setup()
+        listen = self._process.listen_caller
+        await web.TCPSite(self._caller_server, listen.ip, listen.port).start()
+        log_info(
+            Event.HOST_STARTED,
+            host=str(self.identity),
+            failure_domain=self._process.failure_domain,
+            listen_caller=str(listen),
+        )
+
+    async def drain(self) -> None:
+        """Leaves without cutting off a request: hands over, and waits for what is in flight."""
+        log_info(Event.HOST_DRAINING, host=str(self.identity))
+        self.membership.set_state(HostState.LEAVING)
+        # The balancer's list lags: callers still arrive for a while and are still served.
+        await self.clock.sleep_ms(self._process.leave_grace_ms)
+        await self.bookings.drain(DRAIN_LIMIT_MS)
+        end_ms = self.clock.now_ms() + DRAIN_LIMIT_MS
+        while self.runner.count() and self.clock.now_ms() < end_ms:
+            await self.clock.sleep_ms(DRAIN_POLL_MS)
+
+    async def close(self) -> None:
+        """Ends all tasks and closes all sockets."""
+        await self._caller_server.cleanup()
+        await self.bookings.close()
+        await self.scheduling.close()
+        await self.membership.close()
+        await self.settings.close()
+        await self.transport.close()
+        for session in (self._platform_session, self._engine_session, self._plain_session):
+            await session.close()
+        self.tracing.shutdown()
+        log_info(Event.HOST_STOPPED, host=str(self.identity))
--- a/src/medlarvale/membership/servers.py
+++ b/src/medlarvale/membership/servers.py
@@ -58,6 +58,10 @@
         else:
             self._leaving.discard(server)
 
+    def leaving_by_own_word(self) -> list[ServerId]:
+        """Returns the servers that said themselves that they leave, in order."""
+        return sorted(self._leaving)
+
     def get(self, server: ServerId) -> BackendServer | None:
         """Returns a server, or None if no list names it."""
         return self._servers.get(server)
--- a/src/medlarvale/membership/task.py
+++ b/src/medlarvale/membership/task.py
@@ -67,6 +67,7 @@
         self._own_leaving_servers: Callable[[], Iterable[ServerId]] = tuple
         self._list_callbacks: list[Callable[[HostList], None]] = []
         self._heartbeat_callbacks: list[Callable[[HostIdentity, Heartbeat], None]] = []
+        self._tick_callbacks: list[Callable[[], None]] = []
         self._states: dict[HostId, PeerState] = {}
         self._subscriptions: list[Subscription] = []
         self._tasks: set[asyncio.Task[None]] = set()
@@ -82,6 +83,10 @@
         """Calls back with each heartbeat of a peer."""
         self._heartbeat_callbacks.append(callback)
 
+    def on_tick(self, callback: Callable[[], None]) -> None:
+        """Calls back once each heartbeat period, after the states of the peers are known."""
+        self._tick_callbacks.append(callback)
+
     def report_leaving_servers(self, source: Callable[[], Iterable[ServerId]]) -> None:
         """Sets who tells the servers that said themselves that they leave."""
         self._own_leaving_servers = source
@@ -119,6 +124,8 @@
         for host in self.view.peer_addresses():
             self._spawn(self._exchange(host, heartbeat))
         self._note_states(now_ms)
+        for callback in self._tick_callbacks:
+            callback()
         newer_at = self.view.newer_list_at(now_ms)
         if newer_at is not None:
             self._spawn(self._fetch_list(newer_at))
--- /dev/null
+++ b/src/medlarvale/process_settings.py
@@ -0,0 +1,168 @@
+"""Process settings of an entry host: flags, and environment variables of the same names."""
+
+from __future__ import annotations
+
+import argparse
+import ipaddress
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+from medlarvale.errors import MedlarvaleError
+from medlarvale.flags import add_flag
+from medlarvale.ids import FailureDomain, HostId, RegionName
+
+MIN_TOKEN_CHARACTERS = 16
+
+
+class ProcessSettingsError(MedlarvaleError):
+    """A process setting can't be used; the process does not start."""
+
+    code = "process_settings_invalid"
+
+
+@dataclass(frozen=True)
+class Listen:
+    """An IP address and port to listen at."""
+
+    ip: str
+    port: int
+
+    def __str__(self) -> str:
+        return f"[{self.ip}]:{self.port}" if ":" in self.ip else f"{self.ip}:{self.port}"
+
+
+@dataclass(frozen=True)
+class ProcessSettings:
+    """What a process learns of itself when it starts.
+
+    Attributes:
+        platform_url: base URL of the configuration service and host list; empty without one.
+        settings_file: settings tree to serve when no other source gives one, or without platform.
+        peer_keys: shared keys between entry hosts, the signing one first.
+        leave_grace_ms: how long a leaving host goes on accepting requests, until the balancer
+            has seen that it leaves.
+    """
+
+    host: HostId
+    region: RegionName
+    failure_domain: FailureDomain
+    listen_caller: Listen
+    listen_peer: Listen
+    listen_operators: Listen
+    platform_url: str
+    settings_file: Path | None
+    peer_keys: dict[str, bytes]
+    operator_token: str
+    trace_file: Path | None
+    log_level: str
+    leave_grace_ms: int
+
+
+def parse_listen(text: str) -> Listen:
+    """Returns the address in ``ip:port``.
+
+    Raises:
+        ValueError: for anything but an IP number and a port from 1 to 65535.
+    """
+    ip, separator, port = text.rpartition(":")
+    ip = ip.removeprefix("[").removesuffix("]")
+    ipaddress.ip_address(ip)
+    if not separator or not port.isdecimal() or not 1 <= int(port) <= 65_535:
+        raise ValueError(f"{text!r}: expected ip:port")
+    return Listen(ip, int(port))
+
+
+def add_serve_flags(parser: argparse.ArgumentParser) -> None:
+    """Adds the flags of ``medlarvale serve``."""
+    add_flag(parser, "--host", help_text="name of this entry host in the platform's list")
+    add_flag(parser, "--region", help_text="region of this host")
+    add_flag(parser, "--failure-domain", help_text="failure domain of this host")
+    for name, purpose in [
+        ("caller", "HTTP interface for callers"),
+        ("peer", "messages between entry hosts"),
+        ("operators", "HTTP interface for operators"),
+    ]:
+        add_flag(parser, f"--listen-{name}", help_text=f"ip:port, {purpose}", parse=parse_listen)
+    add_flag(parser, "--platform-url", help_text="configuration service and host list", default="")
+    add_flag(parser, "--settings-file", help_text="settings tree used as default", default="")
+    add_flag(
+        parser,
+        "--peer-key-file",
+        help_text="lines of 'key-id hex-secret', the signing key first; more are accepted too",
+    )
+    add_flag(parser, "--operator-token-file", help_text="bearer token of the operators' port")
+    add_flag(parser, "--trace-file", help_text="file for spans as JSON lines", default="")
+    add_flag(parser, "--log-level", help_text="debug, info, warning or error", default="info")
+    add_flag(
+        parser,
+        "--leave-grace-ms",
+        help_text="time for which a leaving host still accepts requests",
+        default="3000",
+        parse=int,
+    )
+
+
+def read_process_settings(options: argparse.Namespace) -> ProcessSettings:
+    """Returns the settings that the flags give.
+
+    Raises:
+        ProcessSettingsError: with every fault found, one a line.
+    """
+    faults: list[str] = []
+    keys = _collect(faults, "--peer-key-file", _read_keys, options.peer_key_file) or {}
+    token = _collect(faults, "--operator-token-file", _read_token, options.operator_token_file)
+    if not options.platform_url and not options.settings_file:
+        faults.append("--platform-url or --settings-file: one of them is needed")
+    if options.settings_file and not Path(options.settings_file).is_file():
+        faults.append(f"--settings-file: no file {options.settings_file!r}")
+    if options.log_level not in ("debug", "info", "warning", "error"):
+        faults.append(f"--log-level: unknown level {options.log_level!r}")
+    if options.leave_grace_ms < 0:
+        faults.append("--leave-grace-ms: expected 0 or more")
+    if faults:
+        raise ProcessSettingsError("\n".join(faults))
+    return ProcessSettings(
+        HostId(options.host),
+        RegionName(options.region),
+        FailureDomain(options.failure_domain),
+        options.listen_caller,
+        options.listen_peer,
+        options.listen_operators,
+        options.platform_url,
+        Path(options.settings_file) if options.settings_file else None,
+        keys,
+        token or "",
+        Path(options.trace_file) if options.trace_file else None,
+        options.log_level,
+        options.leave_grace_ms,
+    )
+
+
+def _collect(faults: list[str], flag: str, read: Any, path: str) -> Any:
+    try:
+        return read(Path(path))
+    except (OSError, ValueError) as error:
+        faults.append(f"{flag}: {error}")
+        return None
+
+
+def _read_keys(path: Path) -> dict[str, bytes]:
+    keys = {}
+    for number, line in enumerate(path.read_text().splitlines(), start=1):
+        parts = line.split()
+        if not parts:
+            continue
+        if len(parts) != 2:
+            raise ValueError(f"line {number}: expected 'key-id hex-secret'")
+        keys[parts[0]] = bytes.fromhex(parts[1])
+    if not keys:
+        raise ValueError("the file holds no key")
+    return keys
+
+
+def _read_token(path: Path) -> str:
+    token = path.read_text().strip()
+    if len(token) < MIN_TOKEN_CHARACTERS:
+        raise ValueError(f"expected a token of at least {MIN_TOKEN_CHARACTERS} characters")
+    return token
--- /dev/null
+++ b/src/medlarvale/serve.py
@@ -0,0 +1,70 @@
+"""Subcommand ``medlarvale serve``: runs one entry host until it is told to stop."""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import signal
+import sys
+from typing import Any
+
+import uvloop
+
+from medlarvale.composition import EntryHost
+from medlarvale.logs import configure_logging
+from medlarvale.process_settings import (
+    ProcessSettings,
+    ProcessSettingsError,
+    add_serve_flags,
+    read_process_settings,
+)
+
+EXIT_SETTINGS = 2
+EXIT_NOT_STARTED = 1
+
+
+def add_commands(subparsers: Any) -> None:
+    """Adds the subcommand."""
+    parser = subparsers.add_parser("serve", help="run an entry host")
+    add_serve_flags(parser)
+    parser.set_defaults(run=run)
+
+
+def run(options: argparse.Namespace) -> int:
+    """Runs an entry host; returns the exit status."""
+    try:
+        process = read_process_settings(options)
+    except ProcessSettingsError as error:
+        print(f"medlarvale serve: {error.message}", file=sys.stderr)
+        return EXIT_SETTINGS
+    configure_logging(process.log_level)
+    try:
+        uvloop.run(_serve(process))
+    except OSError as error:
+        print(f"medlarvale serve: {error}", file=sys.stderr)
+        return EXIT_NOT_STARTED
+    return 0
+
+
+async def _serve(process: ProcessSettings) -> None:
+    """Serves until SIGTERM, then drains; a second signal stops at once."""
+    first, second = asyncio.Event(), asyncio.Event()
+
+    def stop() -> None:
+        (second if first.is_set() else first).set()
+
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stop)
+    host = EntryHost(process)
+    try:
+        await host.start()
+        print(f"serving callers at http://{process.listen_caller}", flush=True)
+        await first.wait()
+        drained = asyncio.ensure_future(host.drain())
+        stopped = asyncio.ensure_future(second.wait())
+        await asyncio.wait({drained, stopped}, return_when=asyncio.FIRST_COMPLETED)
+        drained.cancel()
+        stopped.cancel()
+    finally:
+        await host.close()
--- a/src/medlarvale/standins/platform.py
+++ b/src/medlarvale/standins/platform.py
@@ -19,6 +19,7 @@
     ServerId,
     ServiceName,
 )
+from medlarvale.settings.schema import PoolRole
 
 CALLS_PER_S = 2_000
 MAX_VALUE_BYTES = 1_000_000
@@ -51,6 +52,7 @@
     address: str
     service: ServiceName
     pool: PoolName
+    role: PoolRole
     failure_domain: FailureDomain
     state: MemberState = MemberState.LIVE
 
