--- a/src/medlarvale/standins/engine_errors.py
+++ b/src/medlarvale/standins/engine_errors.py
@@ -87,7 +87,7 @@
     http_status = 502
 
 
-class CancelledError(EngineError):
+class AttemptCancelledError(EngineError):
     """The attempt was cancelled or expired while the call was open."""
 
     code = "cancelled"
--- a/src/medlarvale/standins/engine_model.py
+++ b/src/medlarvale/standins/engine_model.py
@@ -3,8 +3,9 @@
 from __future__ import annotations
 
 import struct
-from collections.abc import Sequence
+from collections.abc import Iterable, Sequence
 
+import msgspec
 import xxhash
 
 ANSWER_VOCABULARY = 50_000
@@ -22,6 +23,22 @@
     return [token_of_word(word) for word in text.split()]
 
 
+class ChatMessage(msgspec.Struct, frozen=True):
+    """One message of a chat."""
+
+    role: str
+    content: str
+
+
+def chat_prompt(messages: Iterable[ChatMessage]) -> list[int]:
+    """Returns the prompt tokens of a chat: a token for each role, then those of the content."""
+    return [
+        token
+        for message in messages
+        for token in (token_of_word(f"<{message.role}>"), *tokenize(message.content))
+    ]
+
+
 def token_text(token: int) -> str:
     """Returns the text of an answer token."""
     return f" w{token}"
--- a/src/medlarvale/standins/engine_transfer.py
+++ b/src/medlarvale/standins/engine_transfer.py
@@ -10,7 +10,7 @@
 from medlarvale.standins.engine_core import EngineCore
 from medlarvale.standins.engine_decode import DecodeRunner
 from medlarvale.standins.engine_errors import (
-    CancelledError,
+    AttemptCancelledError,
     TransferFailedError,
     UnknownKvError,
 )
@@ -76,7 +76,7 @@
         except asyncio.CancelledError:
             pull.cancel()
             if self._core.memory.find(holding.key) is not holding:
-                raise CancelledError("the attempt was cancelled") from None
+                raise AttemptCancelledError("the attempt was cancelled") from None
             self._decode.abandon(holding)
             raise
         except BaseException:
@@ -84,6 +84,9 @@
             raise
         finally:
             self._pulls.pop(holding.key, None)
+        if self._core.memory.find(holding.key) is not holding:
+            self._core.counters.wasted_prefill_ms += cache.prefill_ms
+            raise AttemptCancelledError("the attempt was cancelled")
         self._decode.finish_import(holding, cache)
         return ImportAnswer(self._core.clock.now_ms() - started_ms)
 
