Agree on cache events, prefix hashes and tokens between engine stand-in and router

Cause: stand-in and router were written apart; the event kind 'added' ejected both prefill engines, and different prefix hashes would never have matched. Change: kind 'stored', blocks of 256 tokens and the router's hashes in the stand-in, and a test that compares both.

--- a/src/medlarvale/standins/engine_command.py
+++ b/src/medlarvale/standins/engine_command.py
@@ -25,7 +25,7 @@
     SettingFlag("prefill_tokens_per_s", int, "rate of uncached prompt tokens"),
     SettingFlag("step_base_ms", float, "time of a decode step without its requests"),
     SettingFlag("step_per_request_ms", float, "time that each request adds to a decode step"),
-    SettingFlag("cache_blocks", int, "blocks of 128 tokens in the prefix cache"),
+    SettingFlag("cache_blocks", int, "blocks of 256 tokens in the prefix cache"),
     SettingFlag("report_lag_ms", int, "lag of the load report"),
     SettingFlag("cache_event_lag_ms", int, "lag of cache events"),
     SettingFlag("cache_event_gap", int, "every n-th cache event is lost; 0 loses none"),
--- a/src/medlarvale/standins/engine_memory.py
+++ b/src/medlarvale/standins/engine_memory.py
@@ -180,7 +180,7 @@
 
 
 class PrefixChange(msgspec.Struct, frozen=True):
-    """A block that entered (``added``) or left (``evicted``) the prefix cache."""
+    """A block that entered (``stored``) or left (``evicted``) the prefix cache."""
 
     kind: str
     prefix_hash: int
@@ -221,7 +221,7 @@
         # The start of the prompt is touched last and so evicted last.
         for prefix_hash in reversed(hashes[: self.capacity_blocks]):
             if prefix_hash not in self._blocks:
-                changes.append(PrefixChange("added", prefix_hash))
+                changes.append(PrefixChange("stored", prefix_hash))
             self._blocks[prefix_hash] = None
             self._blocks.move_to_end(prefix_hash)
         while len(self._blocks) > self.capacity_blocks:
--- a/src/medlarvale/standins/engine_messages.py
+++ b/src/medlarvale/standins/engine_messages.py
@@ -142,7 +142,7 @@
 
 
 class CacheEvent(msgspec.Struct, frozen=True):
-    """A prefix was ``added`` to or ``evicted`` from the prefix cache."""
+    """A prefix was ``stored`` to or ``evicted`` from the prefix cache."""
 
     n: int
     kind: str
--- a/src/medlarvale/standins/engine_model.py
+++ b/src/medlarvale/standins/engine_model.py
@@ -9,13 +9,14 @@
 import xxhash
 
 ANSWER_VOCABULARY = 50_000
+TOKEN_MASK = (1 << 31) - 1
 # Prompts share cached prefixes in whole blocks; a smaller block means more hashes per prompt.
-CACHE_BLOCK_TOKENS = 128
+CACHE_BLOCK_TOKENS = 256
 
 
 def token_of_word(word: str) -> int:
     """Returns the token of a word, the same in every process."""
-    return xxhash.xxh32_intdigest(word.encode())
+    return xxhash.xxh3_64_intdigest(word.encode()) & TOKEN_MASK
 
 
 def tokenize(text: str) -> list[int]:
@@ -70,10 +71,14 @@
 
 
 def prefix_hashes(tokens: Sequence[int], block_tokens: int = CACHE_BLOCK_TOKENS) -> list[int]:
-    """Returns the hash of each prefix of whole blocks, shortest first; each chains the last."""
+    """Returns the hash of each prefix of whole blocks, shortest first.
+
+    The hash of a prefix is the xxh3_64 of its tokens as little-endian 32-bit numbers.
+    """
+    digest = xxhash.xxh3_64()
     hashes: list[int] = []
-    chained = 0
     for start in range(0, len(tokens) - block_tokens + 1, block_tokens):
-        chained = hash_tokens(tokens[start : start + block_tokens], seed=chained)
-        hashes.append(chained)
+        block = tokens[start : start + block_tokens]
+        digest.update(struct.pack(f"<{block_tokens}I", *block))
+        hashes.append(digest.intdigest())
     return hashes
--- a/tests/standins/test_engine_app.py
+++ b/tests/standins/test_engine_app.py
@@ -64,12 +64,13 @@
     async def test_repeated_prompt_is_cached(self) -> None:
         """Guards against a prefix cache that saves no time or publishes nothing."""
         prefill = await self.start_engine("prefill")
-        first = await prefill.call("/v1/prefill", prefill_body(PROMPT))
-        second = await prefill.call("/v1/prefill", prefill_body([*PROMPT, 1], request_id="r2"))
-        self.assertEqual((first["cached_tokens"], second["cached_tokens"]), (0, 256))
+        prompt = PROMPT * 2
+        first = await prefill.call("/v1/prefill", prefill_body(prompt))
+        second = await prefill.call("/v1/prefill", prefill_body([*prompt, 1], request_id="r2"))
+        self.assertEqual((first["cached_tokens"], second["cached_tokens"]), (0, 512))
         self.assertLess(second["prefill_ms"], first["prefill_ms"])
         published = await prefill.get("/v1/cache-events?from=1")
-        self.assertEqual([event["kind"] for event in published["events"]], ["added"] * 2)
+        self.assertEqual([event["kind"] for event in published["events"]], ["stored"] * 2)
         self.assertEqual(published["next"], 3)
 
     async def test_load_and_leaving(self) -> None:
--- a/tests/standins/test_engine_memory.py
+++ b/tests/standins/test_engine_memory.py
@@ -32,7 +32,7 @@
         cache.add([1, 2])
         cache.add([5])
         self.assertEqual(cache.cached_tokens([1, 2, 3]), 20)
-        self.assertEqual(cache.add([7]), [PrefixChange("added", 7), PrefixChange("evicted", 5)])
+        self.assertEqual(cache.add([7]), [PrefixChange("stored", 7), PrefixChange("evicted", 5)])
         self.assertEqual(cache.cached_tokens([5]), 0)
         self.assertEqual(cache.cached_tokens([9, 2]), 0)
         self.assertEqual(len(cache.add([11, 12, 13, 14])), 6)
--- a/tests/standins/test_engine_model.py
+++ b/tests/standins/test_engine_model.py
@@ -2,6 +2,7 @@
 
 import unittest
 
+from medlarvale.completions import tokens
 from medlarvale.standins.engine_model import (
     ChatMessage,
     chat_prompt,
@@ -16,8 +17,8 @@
 class EngineModelTest(unittest.TestCase):
     def test_tokens_are_stable(self) -> None:
         """Guards against a hash that differs between processes or versions."""
-        # The first value is the published XXH32 of no bytes.
-        for word, token in (("", 0x02CC5D05), ("ice", 381723802)):
+        # The first value is the published XXH3_64 of no bytes, 0x2D06800538D394C2, in 31 bits.
+        for word, token in (("", 0x38D394C2), ("ice", 1034349960)):
             with self.subTest(word=word):
                 self.assertEqual(token_of_word(word), token)
         self.assertEqual(
@@ -27,6 +28,13 @@
         self.assertEqual(chat_prompt(chat), tokenize("<system> be brief <user> ice"))
         self.assertEqual(token_text(7), " w7")
 
+    def test_request_path_hashes_alike(self) -> None:
+        """Guards against cache hits that the scheduler expects and the engine does not find."""
+        words = tokenize(" ".join(f"word{number}" for number in range(600)))
+        self.assertEqual(words[:1], [tokens.token_of_word("word0")])
+        self.assertEqual(prefix_hashes(words), tokens.prefix_hashes(words))
+        self.assertEqual(len(prefix_hashes(words)), 2)
+
     def test_answers_differ_between_prompts_and_extend(self) -> None:
         """Guards against mixed answers that a test could not tell apart."""
         one, other = tokenize("two pairs please"), tokenize("two pairs pleased")
--- a/tests/standins/test_engine_reports.py
+++ b/tests/standins/test_engine_reports.py
@@ -28,7 +28,7 @@
     def test_events_are_late_and_gappy(self) -> None:
         """Guards against events that are complete or immediate, and against reused numbers."""
         log = CacheEventLog(lag_ms=300, gap_every=3)
-        log.append([PrefixChange("added", number * 10) for number in range(1, 6)], 0.0)
+        log.append([PrefixChange("stored", number * 10) for number in range(1, 6)], 0.0)
         cases = (
             ("too early", 1, 299.0, [], 1),
             ("with a gap", 1, 300.0, [1, 2, 4, 5], 6),
