Show the whole path under faults with make demo

Cause: nobody could see the path work under kills and pauses, and a booking sent to a host that died waited for the caller's whole deadline. Change: demonstration load that checks every answer and every run, launcher with kill, pause and planned stop; submits wait 1 s at the owner and are repeated, which its record makes harmless; one write for each log line.

--- a/src/medlarvale/bookings/messages.py
+++ b/src/medlarvale/bookings/messages.py
@@ -105,10 +105,15 @@
 
 
 class Submit(msgspec.Struct, tag="submit", frozen=True):
-    """Asks the owner of a key for its one answer. May be sent any number of times."""
+    """Asks the owner of a key for its one answer. May be sent any number of times.
+
+    Attributes:
+        wait_ms: how long the owner waits for a running call before it answers ``RUNNING``.
+    """
 
     key: BookingKey
     call: PlainCall
+    wait_ms: int
 
 
 class Lookup(msgspec.Struct, tag="lookup", frozen=True):
--- a/src/medlarvale/bookings/task.py
+++ b/src/medlarvale/bookings/task.py
@@ -48,6 +48,8 @@
 HAND_OVER_TIMEOUT_MS = 2_000
 OWNER_RETRY_MS = 50
 EXPIRE_PERIOD_MS = 5_000
+# A holder that dies or pauses is noticed after this time, not at the caller's deadline.
+SUBMIT_WAIT_MS = 1_000
 # The owner's answer needs time to come back before the entry host gives up.
 ANSWER_MARGIN_MS = 100
 
@@ -159,10 +161,11 @@
         while (left_ms := end_ms - self._clock.now_ms()) > 0:
             left_call = msgspec.structs.replace(call, deadline_ms=max(1, int(left_ms)))
             verdict = await self._submit_to_holder(key, left_call)
-            if verdict.kind is not VerdictKind.NOT_OWNER:
+            if verdict.kind not in (VerdictKind.NOT_OWNER, VerdictKind.RUNNING):
                 break
-            # A fresh key waits for the next holder of its shard instead of being refused.
-            await self._clock.sleep_ms(min(OWNER_RETRY_MS, left_ms))
+            if verdict.kind is VerdictKind.NOT_OWNER:
+                # A fresh key waits for the next holder of its shard instead of being refused.
+                await self._clock.sleep_ms(min(OWNER_RETRY_MS, left_ms))
         if verdict.kind in (VerdictKind.UNKNOWN, VerdictKind.RUNNING):
             log_warning(Event.BOOKING_OUTCOME_UNKNOWN, key=key, verdict=verdict.kind.value)
         return answer_of(verdict)
@@ -171,20 +174,21 @@
         holder = self.leases.holder_of(shard_of(key), self._clock.wall_ms())
         if holder is None:
             return Verdict(VerdictKind.NOT_OWNER)
+        wait_ms = min(call.deadline_ms, SUBMIT_WAIT_MS)
         if holder.host == self._here:
-            return await self._decide(key, call)
+            return await self._decide(key, call, wait_ms)
+        submit = Submit(key, call, wait_ms)
         try:
-            timeout_ms = call.deadline_ms + ANSWER_MARGIN_MS
-            reply = await self._transport.request(holder.host, Submit(key, call), timeout_ms)
+            reply = await self._transport.request(holder.host, submit, wait_ms + ANSWER_MARGIN_MS)
         except PeerError:
             # The holder may have run the call. Only a host that can vouch may say more.
             return Verdict(VerdictKind.NOT_OWNER)
         return reply if isinstance(reply, Verdict) else UNKNOWN
 
     async def _answer_submit(self, sender: HostIdentity, submit: Submit) -> Verdict:
-        return await self._decide(submit.key, submit.call)
+        return await self._decide(submit.key, submit.call, submit.wait_ms)
 
-    async def _decide(self, key: BookingKey, call: PlainCall) -> Verdict:
+    async def _decide(self, key: BookingKey, call: PlainCall, wait_ms: int) -> Verdict:
         fingerprint = fingerprint_of(call)
         acceptance = self.ledger.accept(key, fingerprint, self._clock.wall_ms())
         if acceptance.dispatch:
@@ -194,7 +198,7 @@
         if acceptance.lookup:
             return await self._ask_peers(key, fingerprint)
         if acceptance.verdict.kind is VerdictKind.RUNNING:
-            return await self._await_verdict(key, fingerprint, acceptance, call.deadline_ms)
+            return await self._await_verdict(key, fingerprint, acceptance, wait_ms)
         return acceptance.verdict
 
     async def _await_verdict(
--- a/src/medlarvale/cli.py
+++ b/src/medlarvale/cli.py
@@ -5,7 +5,7 @@
 import argparse
 from collections.abc import Sequence
 
-from medlarvale import serve
+from medlarvale import demo, serve
 from medlarvale.settings import commands as settings_commands
 from medlarvale.standins import commands as standin_commands
 
@@ -17,6 +17,7 @@
     )
     subparsers = parser.add_subparsers(dest="command", required=True)
     serve.add_commands(subparsers)
+    demo.add_commands(subparsers)
     settings_commands.add_commands(subparsers)
     standin_commands.add_commands(subparsers)
     return parser
--- a/src/medlarvale/logs.py
+++ b/src/medlarvale/logs.py
@@ -65,7 +65,8 @@
         wrapper_class=structlog.make_filtering_bound_logger(
             logging.getLevelNamesMapping()[level.upper()]
         ),
-        logger_factory=structlog.PrintLoggerFactory(file=sys.stderr),
+        # One write a line, so that lines of several processes in one file stay whole.
+        logger_factory=structlog.WriteLoggerFactory(file=sys.stderr),
         cache_logger_on_first_use=False,
     )
 
--- a/src/medlarvale/standins/engine_model.py
+++ b/src/medlarvale/standins/engine_model.py
@@ -36,7 +36,7 @@
     return [
         token
         for message in messages
-        for token in (token_of_word(f"<{message.role}>"), *tokenize(message.content))
+        for token in (token_of_word(f"<|{message.role}|>"), *tokenize(message.content))
     ]
 
 
--- a/tests/standins/test_engine_model.py
+++ b/tests/standins/test_engine_model.py
@@ -25,7 +25,7 @@
             tokenize(" ice\n cleats "), [token_of_word("ice"), token_of_word("cleats")]
         )
         chat = [ChatMessage("system", "be brief"), ChatMessage("user", "ice")]
-        self.assertEqual(chat_prompt(chat), tokenize("<system> be brief <user> ice"))
+        self.assertEqual(chat_prompt(chat), tokenize("<|system|> be brief <|user|> ice"))
         self.assertEqual(token_text(7), " w7")
 
     def test_request_path_hashes_alike(self) -> None:
