Tighten the tests of the stand-ins after a mutation trial

Cause: on a scratch copy three mutations of the code passed the tests: an end that is due exactly now, answer tokens that ignore their index, and waste of an import cut after its body arrived. A test of the link or of a stream could also hang instead of failing. Change: few distinct times in the memory machine, so that ends and the time coincide; distinct answer tokens are checked; a stall on the decode engine's link is a third row of the stalled transfer; every call, stream and line has a time limit.

--- a/tests/standins/running.py
+++ b/tests/standins/running.py
@@ -23,6 +23,7 @@
 LOOPBACK = parse_address("127.0.0.1:0")
 # A hang fails the test instead of the run.
 EVENT_TIMEOUT_S = 20.0
+EVENT_TIMEOUT = aiohttp.ClientTimeout(total=EVENT_TIMEOUT_S)
 FREED_WITHIN_S = 0.2  # stated bound between a closed connection and free memory
 LOAD_FIELDS = "role model slots slots_used pieces pieces_used queue_ms leaving epoch"
 PROMPT = tokenize("which cleats are left in the depot " * 40)
@@ -94,7 +95,7 @@
 
     async def start(self, application: web.Application) -> Client:
         bound = await self.enterAsyncContext(serve(application, LOOPBACK))
-        session = await self.enterAsyncContext(aiohttp.ClientSession())
+        session = await self.enterAsyncContext(aiohttp.ClientSession(timeout=EVENT_TIMEOUT))
         return Client(session, f"http://{bound}")
 
     async def start_engine(self, role: str, **changes: Any) -> Client:
--- a/tests/standins/test_engine_app.py
+++ b/tests/standins/test_engine_app.py
@@ -191,21 +191,28 @@
 
     async def test_stalled_transfer(self) -> None:
         """Guards against stalls that end by themselves, and memory that a stall keeps."""
-        for closed in (False, True):
-            with self.subTest(closed=closed):
+        for stalled, phases, closed in (
+            ("prefill", ["kv_sending"], False),
+            ("prefill", ["kv_sending"], True),
+            ("decode", [], True),
+        ):
+            with self.subTest(stalled=stalled, closed=closed):
                 prefill, decode = await self.start_pair(kv_ttl_ms=500)
-                await prefill.call("/fault", {"kind": "stall", "target": "transfers"})
+                engine = prefill if stalled == "prefill" else decode
+                await engine.call("/fault", {"kind": "stall", "target": "transfers"})
                 call = asyncio.create_task(self.import_prompt(prefill, decode))
-                await prefill.wait_for_phases("kv_sending")
+                await decode.wait_for_phases("transferring")
+                await prefill.wait_for_phases(*phases)
                 if not closed:
                     self.assertFalse(call.done())
-                    await prefill.call("/fault", {"kind": "none"})
+                    await engine.call("/fault", {"kind": "none"})
                     await call
                     continue
                 call.cancel()
-                await self.assert_freed(decode)
+                freed = await self.assert_freed(decode)
                 memory = await prefill.wait_until("/test/memory", lambda m: not m["kv_handles"])
-                self.assertEqual(memory["wasted_prefill_ms"], memory["prefill_ms"])
+                wasted = memory["wasted_prefill_ms"] + freed["wasted_prefill_ms"]
+                self.assertEqual(wasted, memory["prefill_ms"])
 
 
 class EngineStreamTest(StandinTestCase):
--- a/tests/standins/test_engine_memory_properties.py
+++ b/tests/standins/test_engine_memory_properties.py
@@ -12,6 +12,7 @@
 
 SLOTS = 3
 PIECES = 8
+TIMES_MS = st.integers(1, 6)  # few values, so that ends and the time often coincide
 KEYS = st.builds(
     HoldKey,
     st.sampled_from([RequestId(name) for name in "abcd"]),
@@ -36,12 +37,11 @@
         key=KEYS,
         pieces=st.integers(0, PIECES + 1),
         uses_slot=st.booleans(),
-        ends_at_ms=st.none() | st.integers(1, 1_000),
+        ttl_ms=st.none() | TIMES_MS,
     )
-    def hold(self, key: HoldKey, pieces: int, uses_slot: bool, ends_at_ms: int | None) -> object:
-        holding = Holding(
-            key, "host-a/1", HoldPhase.RESERVED, pieces, uses_slot, ends_at_ms, self.now_ms
-        )
+    def hold(self, key: HoldKey, pieces: int, uses_slot: bool, ttl_ms: int | None) -> object:
+        end_ms = None if ttl_ms is None else self.now_ms + ttl_ms
+        holding = Holding(key, "host-a/1", HoldPhase.RESERVED, pieces, uses_slot, end_ms, 0.0)
         if key.attempt <= self.refused_through.get(key.request_id, 0):
             self.expect_refused(holding)
             return multiple()
@@ -77,7 +77,7 @@
     def cancel(self, key: HoldKey) -> None:
         self.forget(self.memory.cancel(key, self.now_ms), key, key.attempt)
 
-    @rule(step_ms=st.integers(1, 400))
+    @rule(step_ms=TIMES_MS)
     def pass_time(self, step_ms: int) -> None:
         """Guards against a holding that outlives its end, or ends early."""
         self.now_ms += step_ms
--- a/tests/standins/test_engine_model.py
+++ b/tests/standins/test_engine_model.py
@@ -32,6 +32,7 @@
         one, other = tokenize("two pairs please"), tokenize("two pairs pleased")
         self.assertNotEqual(expected_answer(one, 8), expected_answer(other, 8))
         self.assertEqual(expected_answer(one, 8)[:5], expected_answer(one, 5))
+        self.assertEqual(len(set(expected_answer(one, 8))), 8)
 
     def test_prefix_hashes_cover_whole_blocks(self) -> None:
         """Guards against cache hits on prompts that differ before the block."""
--- a/tests/standins/test_link.py
+++ b/tests/standins/test_link.py
@@ -22,10 +22,13 @@
         self.transport.write(data)
 
 
+async def read_line(reader: asyncio.StreamReader) -> bytes:
+    return await asyncio.wait_for(reader.readline(), EVENT_TIMEOUT_S)
+
+
 class LinkTest(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self) -> None:  # noqa: N802
         """Runs a link to an echo server."""
-        await self.enterAsyncContext(asyncio.timeout(EVENT_TIMEOUT_S))
         server = await asyncio.get_running_loop().create_server(Echo, "127.0.0.1", 0)
         self.addCleanup(server.close)
         self.link = Link(Address(*server.sockets[0].getsockname()), SystemClock())
@@ -41,18 +44,19 @@
 
     async def connect_echoed(self) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
         reader, writer = await self.connect()
-        self.assertEqual(await reader.readline(), b"hello\n")
+        self.assertEqual(await read_line(reader), b"hello\n")
         return reader, writer
 
     async def wait_until(self, holds: Callable[[], bool]) -> None:
-        """Waits until ``holds`` is true; the time limit of the test ends it."""
-        while not holds():  # noqa: ASYNC110
-            await asyncio.sleep(0.005)
+        """Waits until ``holds`` is true."""
+        async with asyncio.timeout(EVENT_TIMEOUT_S):
+            while not holds():  # noqa: ASYNC110
+                await asyncio.sleep(0.005)
 
     async def test_lines_pass_and_close_is_passed_on(self) -> None:
         """Guards against lost bytes and connections that stay open."""
         reader, writer = await self.connect(b"x" * 60_000 + b"\n")
-        self.assertEqual(len(await reader.readline()), 60_001)
+        self.assertEqual(len(await read_line(reader)), 60_001)
         await self.wait_until(lambda: self.link.report().bytes_passed == 120_002)
         writer.close()
         await self.wait_until(lambda: self.link.report().connections == 0)
@@ -62,7 +66,7 @@
         await self.link.set_state(LinkState(LinkMode.PASS, 40.0))
         start_s = asyncio.get_running_loop().time()
         reader, _writer = await self.connect()
-        await reader.readline()
+        await read_line(reader)
         self.assertGreaterEqual(asyncio.get_running_loop().time() - start_s, 0.08)
 
     async def test_held_bytes_arrive_on_healing(self) -> None:
@@ -73,7 +77,7 @@
         with self.assertRaises(TimeoutError):
             await asyncio.wait_for(reader.readline(), 0.05)
         await self.link.set_state(LinkState(LinkMode.PASS))
-        self.assertEqual(await reader.readline(), b"held\n")
+        self.assertEqual(await read_line(reader), b"held\n")
 
     async def test_dropped_bytes_close_the_connection_on_healing_only(self) -> None:
         """Guards against a cut that the sides notice, and against streams with a hole."""
@@ -84,7 +88,7 @@
         self.assertEqual((self.link.report().connections, reader.at_eof()), (1, False))
         await self.link.set_state(LinkState(LinkMode.PASS))
         with self.assertRaises(ConnectionResetError):
-            await reader.readline()
+            await read_line(reader)
 
     async def test_closed_link_refuses_until_healed(self) -> None:
         """Guards against connections that survive a closed link."""
@@ -96,6 +100,6 @@
         new, _new_writer = await self.connect()
         for name, reader in (("old", old), ("new", new)):
             with self.subTest(name), self.assertRaises(ConnectionResetError):
-                await reader.readline()
+                await read_line(reader)
         await client.call("/link", {"mode": "pass"})
         await self.connect_echoed()
