--- a/tests/standins/running.py
+++ b/tests/standins/running.py
@@ -21,8 +21,7 @@
 from medlarvale.standins.serving import parse_address, serve
 
 LOOPBACK = parse_address("127.0.0.1:0")
-# A hang fails the test instead of the run.
-EVENT_TIMEOUT_S = 20.0
+EVENT_TIMEOUT_S = 20.0  # a hang fails the test instead of the run
 EVENT_TIMEOUT = aiohttp.ClientTimeout(total=EVENT_TIMEOUT_S)
 FREED_WITHIN_S = 0.2  # stated bound between a closed connection and free memory
 LOAD_FIELDS = "role model slots slots_used pieces pieces_used queue_ms leaving epoch"
--- a/tests/standins/test_engine_app.py
+++ b/tests/standins/test_engine_app.py
@@ -191,18 +191,14 @@
 
     async def test_stalled_transfer(self) -> None:
         """Guards against stalls that end by themselves, and memory that a stall keeps."""
-        for stalled, phases, closed in (
-            ("prefill", ["kv_sending"], False),
-            ("prefill", ["kv_sending"], True),
-            ("decode", [], True),
-        ):
+        for stalled, closed in (("prefill", False), ("prefill", True), ("decode", True)):
             with self.subTest(stalled=stalled, closed=closed):
                 prefill, decode = await self.start_pair(kv_ttl_ms=500)
                 engine = prefill if stalled == "prefill" else decode
                 await engine.call("/fault", {"kind": "stall", "target": "transfers"})
                 call = asyncio.create_task(self.import_prompt(prefill, decode))
                 await decode.wait_for_phases("transferring")
-                await prefill.wait_for_phases(*phases)
+                await prefill.wait_for_phases(*["kv_sending"] * (engine is prefill))
                 if not closed:
                     self.assertFalse(call.done())
                     await engine.call("/fault", {"kind": "none"})
--- a/tests/standins/test_engine_memory_properties.py
+++ b/tests/standins/test_engine_memory_properties.py
@@ -5,19 +5,16 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import Bundle, RuleBasedStateMachine, consumes, invariant, multiple, rule
 
-from medlarvale.ids import AttemptNumber, RequestId
+from medlarvale.ids import RequestId
 from medlarvale.standins.engine_errors import EngineError, EngineFullError, StaleAttemptError
 from medlarvale.standins.engine_memory import EngineMemory, Holding, HoldKey
 from medlarvale.standins.engine_messages import HoldPhase
+from tests.standins.running import key
 
 SLOTS = 3
 PIECES = 8
 TIMES_MS = st.integers(1, 6)  # few values, so that ends and the time often coincide
-KEYS = st.builds(
-    HoldKey,
-    st.sampled_from([RequestId(name) for name in "abcd"]),
-    st.integers(1, 4).map(AttemptNumber),
-)
+KEYS = st.builds(key, st.sampled_from("abcd"), st.integers(1, 4))
 
 
 class MemoryMachine(RuleBasedStateMachine):
--- a/tests/standins/test_plain_service.py
+++ b/tests/standins/test_plain_service.py
@@ -10,17 +10,11 @@
 from tests.standins.running import LOAD_FIELDS, Client, StandinTestCase
 
 
-class CrashedError(MedlarvaleError):
-    """Stands for the end of the process."""
-
-    code = "crashed"
-
-
 class PlainServiceTest(StandinTestCase):
     async def start_plain(self, **changes: Any) -> Client:
         settings = PlainSettings("app-1", "udlaan-app", **{"report_lag_ms": 0, **changes})
         return await self.start(
-            PlainService(settings, SystemClock(), crash=Mock(side_effect=CrashedError)).build()
+            PlainService(settings, SystemClock(), crash=Mock(side_effect=MedlarvaleError)).build()
         )
 
     async def send(self, client: Client, key: str, method: str = "POST", **headers: str) -> int:
