--- /dev/null
+++ b/tests/settings/test_parsing.py
@@ -0,0 +1,48 @@
+"""Guards against text that is read differently from how its author meant it."""
+
+from __future__ import annotations
+
+import unittest
+
+from medlarvale.settings.parsing import parse_text
+
+
+class ParseTextTest(unittest.TestCase):
+    def test_scalars_are_read_as_in_json(self) -> None:
+        cases = {
+            b"a: 12": 12,
+            b"a: -1.5e3": -1500.0,
+            b"a: true": True,
+            b"a: no": "no",
+            b"a: 010": "010",
+            b"a: 1:30": "1:30",
+            b"a: 2026-01-01": "2026-01-01",
+            b"a:": None,
+            b'{"a": "\\ud83d\\ude00"}': "\U0001f600",
+            b"a: " + b"9" * 6_000: "9" * 6_000,
+        }
+        for text, expected in cases.items():
+            with self.subTest(text=text[:30]):
+                parsed = parse_text(text)
+                self.assertEqual(parsed.value, {"a": expected})
+                self.assertEqual(parsed.problems, [])
+
+    def test_faults_of_the_text_are_found_with_their_path(self) -> None:
+        cases = [
+            (b"a: {b: 1, b: 2}", "a/b", "each key once"),
+            (b'{"a": [{"b": 1, "b": 2}]}', "a/0/b", "each key once"),
+            (b"a: &x [1]\nb: *x", "b", "a value without YAML aliases"),
+            (b"7: x", "7", "a key that is a string"),
+            (b"? [a]\n: 1", "?", "a key that is a string"),
+        ]
+        for text, path, expected in cases:
+            with self.subTest(text=text):
+                found = [(problem.path, problem.expected) for problem in parse_text(text).problems]
+                self.assertEqual(found, [(path, expected)])
+
+    def test_unreadable_text_is_reported_and_not_raised(self) -> None:
+        for text in (b"\xff", b"a: [", b"[" * 50_000, b'{"a":' * 50_000, b"- " * 50_000):
+            with self.subTest(text=text[:10]):
+                parsed = parse_text(text)
+                self.assertFalse(parsed.readable)
+                self.assertEqual(len(parsed.problems), 1)
--- /dev/null
+++ b/tests/settings/test_spread_properties.py
@@ -0,0 +1,106 @@
+"""An accepted configuration comes into force everywhere within 3 s and never reverts.
+
+The machine drives several hosts through loss, delay, duplication, reordering, restarts,
+partitions and a stale or down service.
+"""
+
+from __future__ import annotations
+
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
+
+from medlarvale.ids import ConfigVersion, HostId
+from medlarvale.settings.spread import SPOT_CHECK_MS
+from medlarvale.settings.store import NO_VERSION
+from tests.settings.spread_cell import SimulatedCell
+
+# Section 1.2 of the design, property 8.
+IN_FORCE_WITHIN_MS = 3_000
+# Section 10 of the design.
+WATCHES_PER_CELL = 2
+STEADY_MS = 3_000
+HOSTS = 5
+host_indexes = st.integers(0, HOSTS - 1)
+# Up to the time after which a silent host is suspect and a lost watch has timed out.
+durations_ms = st.integers(0, 1_600)
+
+
+class SpreadMachine(RuleBasedStateMachine):
+    @initialize(seed=st.integers(0, 2**32 - 1))
+    def start(self, seed: int) -> None:
+        self.cell = SimulatedCell(HOSTS, seed)
+
+    @rule(valid=st.sampled_from([True, True, False]), duration_ms=durations_ms)
+    def publish(self, valid: bool, duration_ms: int) -> None:
+        self.cell.publish(valid)
+        self.cell.run(duration_ms)
+
+    @rule(index=host_indexes, duration_ms=durations_ms)
+    def restart(self, index: int, duration_ms: int) -> None:
+        self.cell.restart(HostId(f"h{index}"))
+        self.cell.run(duration_ms)
+
+    @rule(
+        sides=st.none() | st.lists(st.integers(0, 2), min_size=HOSTS, max_size=HOSTS),
+        duration_ms=durations_ms,
+    )
+    def partition(self, sides: list[int] | None, duration_ms: int) -> None:
+        """Side 0 reaches the service, the others only their own hosts; None ends the partition."""
+        self.cell.groups = {HostId(f"h{index}"): side for index, side in enumerate(sides or [])}
+        self.cell.run(duration_ms)
+
+    @rule(
+        loss=st.sampled_from([0, 10, 60]),
+        duplicates=st.sampled_from([0, 50]),
+        delay_ms=st.sampled_from([5.0, 100.0, 900.0]),
+        duration_ms=durations_ms,
+    )
+    def disturb(self, loss: int, duplicates: int, delay_ms: float, duration_ms: int) -> None:
+        self.cell.loss_percent = loss
+        self.cell.duplicate_percent = duplicates
+        self.cell.max_delay_ms = delay_ms
+        self.cell.run(duration_ms)
+
+    @rule(down=st.booleans(), back=st.none() | st.integers(1, 3), duration_ms=durations_ms)
+    def switch_service(self, down: bool, back: int | None, duration_ms: int) -> None:
+        """Takes the service down or up, and makes it answer a version ``back`` versions old."""
+        self.cell.down = down
+        stale = None if back is None else ConfigVersion(self.cell.newest - back)
+        self.cell.stale_version = stale if stale in self.cell.published else None
+        self.cell.service_changed()
+        self.cell.run(duration_ms)
+
+    @rule()
+    def heal(self) -> None:
+        cell = self.cell
+        cell.heal()
+        highest = max(host.store.version for host in cell.hosts.values())
+        cell.run(IN_FORCE_WITHIN_MS)
+        versions = {host.store.version for host in cell.hosts.values()}
+        assert len(versions) == 1, f"hosts disagree: {versions}"
+        if cell.newest in cell.valid:
+            assert versions == {cell.newest}, f"{versions} in force, newest is {cell.newest}"
+        assert versions.pop() >= highest
+        self._check_calls()
+
+    def _check_calls(self) -> None:
+        """In steady state two hosts watch, and one reads the service each second."""
+        cell = self.cell
+        cell.most_waiting = cell.reads = 0
+        cell.run(STEADY_MS)
+        if next(iter(cell.hosts.values())).store.version != NO_VERSION:
+            assert cell.most_waiting == WATCHES_PER_CELL, f"{cell.most_waiting} watches"
+            assert cell.reads <= STEADY_MS // SPOT_CHECK_MS + 1, f"{cell.reads} reads"
+
+    def teardown(self) -> None:
+        if hasattr(self, "cell"):
+            self.heal()
+            self.properties_hold()
+
+    @invariant()
+    def properties_hold(self) -> None:
+        if hasattr(self, "cell"):
+            assert not self.cell.broken, self.cell.broken
+
+
+TestSpread = SpreadMachine.TestCase
