--- /dev/null
+++ b/tests/settings/test_source.py
@@ -0,0 +1,34 @@
+"""Guards against a file source that misses a change."""
+
+from __future__ import annotations
+
+import os
+import tempfile
+import unittest
+from pathlib import Path
+
+from medlarvale.clock import SystemClock
+from medlarvale.settings.errors import SourceError
+from medlarvale.settings.source import FileSource
+
+
+def write(path: Path, text: bytes, changed_ms: int) -> None:
+    """Writes a file with a chosen time of change."""
+    path.write_bytes(text)
+    os.utime(path, ns=(0, changed_ms * 1_000_000))
+
+
+class FileSourceTest(unittest.IsolatedAsyncioTestCase):
+    async def test_version_is_the_time_of_the_last_change(self) -> None:
+        with tempfile.TemporaryDirectory() as folder:
+            path = Path(folder, "tree.yaml")
+            source = FileSource(path, SystemClock())
+            with self.assertRaises(SourceError):
+                await source.get()
+            write(path, b"a: 1", 5)
+            first = await source.get()
+            self.assertEqual((first.version, first.text), (5, b"a: 1"))
+            self.assertIsNone(await source.watch(first.version, 1))
+            write(path, b"a: 2", 6)
+            changed = await source.watch(first.version, 1)
+            self.assertEqual(changed and (changed.version, changed.text), (6, b"a: 2"))
--- /dev/null
+++ b/tests/settings/test_task.py
@@ -0,0 +1,90 @@
+"""Guards against decisions of the spread that the task does not carry out."""
+
+from __future__ import annotations
+
+import asyncio
+import unittest
+
+from structlog.testing import capture_logs
+
+from medlarvale.clock import ManualClock
+from medlarvale.ids import ConfigVersion, HostId, HostIdentity, Incarnation
+from medlarvale.logs import Event
+from medlarvale.peers.transport import MemoryNetwork, MemoryTransport, MessageCodec
+from medlarvale.settings.messages import MESSAGE_TYPES
+from medlarvale.settings.source import MemorySource
+from medlarvale.settings.store import NO_VERSION, Accepted
+from medlarvale.settings.task import SettingsTask
+from tests.settings.trees import tree_text
+
+NAMES = [HostId(f"h{index}") for index in range(4)]
+
+
+class SettingsTaskTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self) -> None:
+        self.logged = self.enterContext(capture_logs())
+        self.clock = ManualClock()
+        self.network = MemoryNetwork(MessageCodec(MESSAGE_TYPES))
+        self.sources = {name: MemorySource(self.clock) for name in NAMES}
+        self.tasks: dict[HostId, SettingsTask] = {}
+
+    def start(self, name: HostId, default: bytes | None = None) -> SettingsTask:
+        transport = MemoryTransport(HostIdentity(name, Incarnation(1)), self.network)
+        task = SettingsTask(name, transport, self.clock, self.sources[name], default)
+        task.set_live_hosts(NAMES)
+        self.tasks[name] = task
+        self.addAsyncCleanup(task.close)
+        task.start()
+        return task
+
+    async def run_for(self, duration_ms: int) -> None:
+        """Moves the clock in steps, with heartbeats between all tasks after each."""
+        for _ in range(duration_ms // 50):
+            self.clock.advance_ms(50)
+            for _ in range(10):
+                await asyncio.sleep(0)
+            for name, task in self.tasks.items():
+                for other in self.tasks.values():
+                    other.peer_version(name, task.version)
+
+    async def test_new_version_reaches_hosts_cut_off_from_the_service(self) -> None:
+        """Only h0 reaches its source; the others have to learn every version from peers."""
+        told: list[int] = []
+        for name in NAMES:
+            self.start(name).subscribe(lambda accepted: told.append(accepted.version))
+            self.sources[name].down = name != NAMES[0]
+        for version in (1, 2):
+            self.sources[NAMES[0]].publish(ConfigVersion(version), tree_text(version))
+            await self.run_for(15_000)
+            self.assertEqual({task.version for task in self.tasks.values()}, {version})
+        self.assertEqual(told, [1] * len(NAMES) + [2] * len(NAMES))
+
+    async def test_rejected_version_is_kept_with_its_errors(self) -> None:
+        task = self.start(NAMES[0])
+        self.sources[NAMES[0]].publish(ConfigVersion(3), b"{}")
+        await self.run_for(2_000)
+        self.assertIsNone(task.in_force)
+        self.assertEqual([rejected.version for rejected in task.rejections], [3])
+        numbers = [entry["event_number"] for entry in self.logged]
+        self.assertEqual(numbers.count(Event.CONFIG_REJECTED.number), 1)
+
+    async def test_default_is_served_only_when_told_so(self) -> None:
+        without, having = self.start(NAMES[0]), self.start(NAMES[1], tree_text(7))
+        del self.tasks[NAMES[1]]  # Its version stays unknown to the other.
+        await self.run_for(5_000)
+        self.assertEqual((without.version, having.version), (NO_VERSION, 0))
+
+    async def test_late_and_faulty_subscribers(self) -> None:
+        task = self.start(NAMES[0])
+
+        def fail(accepted: Accepted) -> None:
+            raise RuntimeError("subscriber")
+
+        told: list[int] = []
+        task.subscribe(fail)
+        task.subscribe(lambda accepted: told.append(accepted.version))
+        self.sources[NAMES[0]].publish(ConfigVersion(1), tree_text(1))
+        await self.run_for(2_000)
+        with self.assertRaises(RuntimeError):
+            task.subscribe(fail)
+        self.assertEqual(told, [1])
