--- /dev/null
+++ b/bench/decision_cost.py
@@ -0,0 +1,72 @@
+"""Processor time of the booker's message handling, by the number of engines in view."""
+
+from __future__ import annotations
+
+import dataclasses
+import time
+from dataclasses import dataclass
+
+import msgspec
+from hdrh.histogram import HdrHistogram
+
+from bench.experiments import make_scenario
+from bench.policies import BookerPolicy
+from bench.runner import Runner
+from medlarvale.scheduling.limits import GroupLimits
+from medlarvale.scheduling.messages import Reserve
+
+ENGINE_COUNTS = (20, 100, 300, 1_000)
+COST_LOADS = (0.9, 1.2)
+# The engines fill within the time of one average answer.
+WARM_UP_MS = 16_000.0
+MEASURED_REQUESTS = 4_000
+LARGEST_NS = 1_000_000_000
+
+
+class TimedBookerPolicy(BookerPolicy):
+    """Booker policy that measures how long each message takes to handle."""
+
+    def __init__(self, limits: GroupLimits) -> None:
+        super().__init__(limits)
+        self.reserve_ns = HdrHistogram(1, LARGEST_NS, 3)
+        self.other_ns = HdrHistogram(1, LARGEST_NS, 3)
+
+    def _handle(self, message: msgspec.Struct) -> None:
+        start_ns = time.perf_counter_ns()
+        super()._handle(message)
+        taken_ns = max(1, time.perf_counter_ns() - start_ns)
+        if self._events.now_ms < self._runner.scenario.warm_up_ms:
+            return
+        histogram = self.reserve_ns if isinstance(message, Reserve) else self.other_ns
+        histogram.record_value(taken_ns)
+
+
+@dataclass(frozen=True, slots=True)
+class DecisionCost:
+    """Times in µs; ``other`` are progress, release and renewal, which also place queued work."""
+
+    engines: int
+    load: float
+    reserve_p50_us: float
+    reserve_p99_us: float
+    other_p50_us: float
+    other_p99_us: float
+
+
+def measure_cost(engines: int, load: float) -> DecisionCost:
+    """Measures a run of the booker policy with so many engines in view."""
+    prefill = max(1, round(engines * 0.15))
+    scenario = make_scenario(prefill, engines - prefill, load)
+    window_ms = 1_000.0 * MEASURED_REQUESTS / scenario.rate_per_s
+    scenario = dataclasses.replace(scenario, warm_up_ms=WARM_UP_MS, window_ms=window_ms)
+    limits = GroupLimits()
+    policy = TimedBookerPolicy(limits)
+    Runner(scenario, limits, policy).run()
+    return DecisionCost(
+        engines,
+        load,
+        policy.reserve_ns.get_value_at_percentile(50) / 1_000.0,
+        policy.reserve_ns.get_value_at_percentile(99) / 1_000.0,
+        policy.other_ns.get_value_at_percentile(50) / 1_000.0,
+        policy.other_ns.get_value_at_percentile(99) / 1_000.0,
+    )
--- /dev/null
+++ b/bench/oracle.py
@@ -0,0 +1,181 @@
+"""A placement that sees everything without lag: true queues, caches and remaining lengths.
+
+It keeps the booker's order of work (live before batch, fair shares) and its deadlines, so that the
+difference to the booker is what lag, message delays, estimates and held slots cost. Knowing when a
+stream will end, it starts a prefill for a slot that is still in use.
+"""
+
+from __future__ import annotations
+
+from bench.fakes import Attempt, FakeDecode, FakePrefill
+from bench.policies import reserve_message
+from bench.runner import ONE_WAY_MS, Runner
+from medlarvale.scheduling.engines import MAX_PREFILL_JOBS
+from medlarvale.scheduling.limits import GroupLimits
+from medlarvale.scheduling.waiting import Waiting, WaitingRoom
+
+TICK_MS = 1.0
+
+
+class OraclePolicy:
+    """Places attempts with perfect knowledge and without message delays."""
+
+    def __init__(self, limits: GroupLimits) -> None:
+        self._limits = limits
+        self._waiting = WaitingRoom(limits)
+        self._attempts: dict[str, Attempt] = {}
+        self._booked_ms: dict[str, float] = {}
+        self._pending: dict[FakeDecode, dict[Attempt, float]] = {}
+
+    def attach(self, runner: Runner) -> None:
+        """Starts looking for free engines."""
+        self._runner = runner
+        self._events = runner.events
+        self._pending = {engine: {} for engine in runner.decode}
+        runner.events.every(TICK_MS, self._dispatch)
+
+    def reserve(self, attempt: Attempt) -> None:
+        """Queues an attempt."""
+        now_ms = self._events.now_ms
+        request = reserve_message(attempt, now_ms)
+        nominal_ms = 1000.0 * attempt.prompt_tokens / self._limits.prefill_tokens_per_s
+        self._attempts[request.request_id] = attempt
+        self._waiting.push(
+            Waiting(
+                request=request,
+                arrived_ms=now_ms,
+                due_ms=attempt.due_ms,
+                shortest_ms=0.0,
+                cost_ms=nominal_ms,
+                asked_ms=now_ms,
+            )
+        )
+        self._dispatch()
+
+    def pick_decode(self, attempt: Attempt, tried: set[str]) -> FakeDecode | None:
+        """Never needed: every place comes with a decode engine."""
+        raise NotImplementedError
+
+    def prefilled(self, attempt: Attempt) -> None:
+        """Seen at the engine already."""
+
+    def decoding(self, attempt: Attempt) -> None:
+        """Seen at the engine already."""
+
+    def ended(self, attempt: Attempt, failed: str | None) -> None:
+        """Forgets the attempt."""
+        for pending in self._pending.values():
+            pending.pop(attempt, None)
+
+    def _dispatch(self) -> None:
+        while self._waiting and self._place_one(self._events.now_ms):
+            pass
+
+    def _entries(self) -> list[Waiting]:
+        return self._waiting.next_entries()
+
+    def _serve(self, entry: Waiting, prefill_ms: float) -> None:
+        self._waiting.serve(entry, prefill_ms)
+
+    def _place_one(self, now_ms: float) -> bool:
+        prefill = [
+            (engine, engine.queue_ms())
+            for engine in self._runner.prefill
+            if len(engine.waiting()) < MAX_PREFILL_JOBS
+        ]
+        if not any(queue_ms <= self._limits.place_ahead_ms for _, queue_ms in prefill):
+            return False
+        slots_ms = {
+            engine: self._slot_free_ms(engine, now_ms)
+            for engine in self._runner.decode
+            if engine.alive
+        }
+        return any(self._try(entry, prefill, slots_ms, now_ms) for entry in self._entries())
+
+    def _try(
+        self,
+        entry: Waiting,
+        engines: list[tuple[FakePrefill, float]],
+        slots_ms: dict[FakeDecode, float],
+        now_ms: float,
+    ) -> bool:
+        """Places or refuses an entry; returns False if it has to wait."""
+        attempt = self._attempts[entry.request.request_id]
+        option = min(
+            self._option(attempt, prefill, queue_ms, slots_ms, now_ms)
+            for prefill, queue_ms in engines
+        )
+        _, _, end_ms, hold_ms, duration_ms, prefill_server, decode_server = option
+        if end_ms > entry.due_ms:
+            # A slot may still free sooner than foreseen while the prefill alone fits in the time.
+            if hold_ms > 0.0 and now_ms + duration_ms < entry.due_ms:
+                return False
+            self._waiting.remove(entry)
+            self._runner.refused(attempt)
+            return True
+        if hold_ms > self._limits.kv_ttl_ms / 4:
+            return False
+        self._serve(entry, duration_ms)
+        prefill = self._runner.by_server[prefill_server]
+        decode = self._runner.by_server[decode_server]
+        assert isinstance(prefill, FakePrefill) and isinstance(decode, FakeDecode)
+        self._pending[decode][attempt] = end_ms
+        self._booked_ms[prefill.server] = self._booked_ms[decode.server] = end_ms - ONE_WAY_MS
+        self._runner.placed_by_oracle(attempt, prefill, decode)
+        return True
+
+    def _option(
+        self,
+        attempt: Attempt,
+        prefill: FakePrefill,
+        queue_ms: float,
+        slots_ms: dict[FakeDecode, float],
+        now_ms: float,
+    ) -> tuple[float, int, float, float, float, str, str]:
+        """Returns score, tie-break, first token, wait of the KV cache, prefill time and servers."""
+        duration_ms = prefill.duration_ms(attempt)
+        transfer_ms = self._limits.transfer_ms(attempt.prompt_tokens)
+        ready_ms = now_ms + queue_ms + duration_ms + 2 * ONE_WAY_MS
+        link_ms = max(ready_ms, prefill.link_free_ms, self._booked_ms.get(prefill.server, 0.0))
+        start_ms, used, server = min(
+            (
+                max(
+                    link_ms,
+                    engine.link_free_ms,
+                    self._booked_ms.get(engine.server, 0.0),
+                    slot_ms - transfer_ms,
+                ),
+                engine.slots_used + len(self._pending[engine]),
+                engine.server,
+            )
+            for engine, slot_ms in slots_ms.items()
+        )
+        end_ms = start_ms + transfer_ms + ONE_WAY_MS
+        hold_ms = start_ms - ready_ms
+        score = end_ms + duration_ms
+        return score, used, end_ms, hold_ms, duration_ms, prefill.server, server
+
+    def _slot_free_ms(self, engine: FakeDecode, now_ms: float) -> float:
+        """Returns when the engine has a slot for one more than those already promised."""
+        pending = self._pending[engine]
+        for attempt in [item for item in pending if item in engine.active or item.ended]:
+            del pending[attempt]
+        needed = len(engine.active) + len(pending) + 1 - self._limits.slots_per_engine
+        return now_ms + engine.remaining_ms(needed) if needed > 0 else now_ms
+
+
+class ShortestFirstOraclePolicy(OraclePolicy):
+    """The oracle without fair shares and classes: the shortest answer goes first.
+
+    It shows how much goodput the order of work costs; no target refers to it.
+    """
+
+    def _entries(self) -> list[Waiting]:
+        shortest = min(
+            self._waiting.entries(),
+            key=lambda entry: self._attempts[entry.request.request_id].request.output_tokens,
+        )
+        return [shortest]
+
+    def _serve(self, entry: Waiting, prefill_ms: float) -> None:
+        self._waiting.remove(entry)
--- /dev/null
+++ b/bench/policies.py
@@ -0,0 +1,372 @@
+"""Placement policies: the booker, and hosts that decide alone on lagging reports."""
+
+from __future__ import annotations
+
+import random
+from collections import deque
+
+import msgspec
+
+from bench.fakes import Attempt, FakeDecode, FakePrefill
+from bench.runner import ONE_WAY_MS, Runner
+from medlarvale.ids import (
+    AttemptNumber,
+    HostId,
+    HostIdentity,
+    Incarnation,
+    RequestId,
+    ServerId,
+    ServiceName,
+    WorkspaceId,
+)
+from medlarvale.scheduling.admission import Decision
+from medlarvale.scheduling.booker import Booker
+from medlarvale.scheduling.fallback import LagTable, place_alone
+from medlarvale.scheduling.limits import GroupLimits
+from medlarvale.scheduling.messages import (
+    Phase,
+    Placed,
+    Progress,
+    Release,
+    RenewReservations,
+    Reserve,
+)
+from medlarvale.scheduling.reports import (
+    CacheEvent,
+    CacheEventKind,
+    CacheEvents,
+    EngineRequest,
+    LoadReport,
+)
+
+SERVICE = ServiceName("model")
+POLL_MS = 500.0
+RENEW_MS = 250.0
+TICK_MS = 5.0
+REPORT_SAMPLE_MS = 100.0
+CACHE_EVENT_LAG_MS = 500.0
+CACHE_EVENT_GAP_SHARE = 0.05
+
+
+def owner_of(attempt: Attempt) -> HostIdentity:
+    """Returns the identity of the entry host that a request came to."""
+    return HostIdentity(HostId(f"host-{attempt.request.host}"), Incarnation(1))
+
+
+def reserve_message(attempt: Attempt, now_ms: float) -> Reserve:
+    """Returns the message that asks for a place for an attempt."""
+    request = attempt.request
+    return Reserve(
+        request_id=RequestId(attempt.key),
+        attempt=AttemptNumber(attempt.number),
+        owner=owner_of(attempt),
+        service=SERVICE,
+        workspace=WorkspaceId(request.workspace),
+        work_class=request.work_class,
+        prompt_tokens=attempt.prompt_tokens,
+        expected_output_tokens=max(1, request.expected_output_tokens - attempt.start_tokens),
+        prefix_hashes=request.hashes,
+        deadline_ms=max(1, int(attempt.due_ms - now_ms)),
+        excluded=[ServerId(server) for server in request.excluded],
+    )
+
+
+def load_report(engine: FakePrefill | FakeDecode) -> LoadReport | None:
+    """Returns an engine's true load, or None if it is lost."""
+    if isinstance(engine, FakePrefill):
+        return LoadReport("prefill", 0, 0, 0, 0, queue_ms=engine.queue_ms())
+    if not engine.alive:
+        return None
+    limits = engine.limits
+    return LoadReport(
+        "decode",
+        limits.slots_per_engine,
+        engine.slots_used,
+        limits.pieces_per_engine,
+        engine.pieces_used,
+        epoch=engine.epoch,
+    )
+
+
+class LaggingReports:
+    """Load reports as they read after the lag."""
+
+    def __init__(self, runner: Runner) -> None:
+        self._runner = runner
+        self._samples: dict[str, deque[LoadReport | None]] = {}
+        depth = max(1, round(runner.scenario.report_lag_ms / REPORT_SAMPLE_MS))
+        for server in runner.by_server:
+            self._samples[server] = deque(maxlen=depth + 1)
+        runner.events.every(REPORT_SAMPLE_MS, self._sample)
+
+    def read(self, server: str) -> LoadReport | None:
+        """Returns the oldest kept report; None while the engine does not answer."""
+        samples = self._samples[server]
+        return samples[0] if samples and samples[-1] is not None else None
+
+    def _sample(self) -> None:
+        for server, engine in self._runner.by_server.items():
+            self._samples[server].append(load_report(engine))
+
+
+class BookerPolicy:
+    """The booker of medlarvale, with message delays, polls and heartbeats."""
+
+    def __init__(self, limits: GroupLimits) -> None:
+        self.booker = Booker(limits)
+        self._attempts: dict[tuple[str, int], Attempt] = {}
+        self._generator = random.Random(7)
+
+    def attach(self, runner: Runner) -> None:
+        """Starts ticks, polls and heartbeats."""
+        self._runner = runner
+        self._events = runner.events
+        self.booker.set_engines(
+            [ServerId(engine.server) for engine in runner.prefill],
+            [ServerId(engine.server) for engine in runner.decode],
+            [],
+            0.0,
+        )
+        self._reports = LaggingReports(runner)
+        self._cache_next = {engine.server: 0 for engine in runner.prefill}
+        self._events.every(TICK_MS, lambda: self._deliver(self.booker.tick(self._events.now_ms)))
+        self._events.every(POLL_MS, self._poll)
+        self._events.every(RENEW_MS, self._renew)
+
+    def reserve(self, attempt: Attempt) -> None:
+        """Sends the request to the booker."""
+        self._attempts[attempt.key, attempt.number] = attempt
+        message = reserve_message(attempt, self._events.now_ms + ONE_WAY_MS)
+        self._send(message)
+
+    def pick_decode(self, attempt: Attempt, tried: set[str]) -> FakeDecode | None:
+        """Never needed: every place comes with a decode engine."""
+        raise NotImplementedError
+
+    def prefilled(self, attempt: Attempt) -> None:
+        """Reports the end of the prefill."""
+        self._progress(attempt, Phase.PREFILLED)
+
+    def decoding(self, attempt: Attempt) -> None:
+        """Reports the first token."""
+        self._progress(attempt, Phase.DECODING)
+
+    def ended(self, attempt: Attempt, failed: str | None) -> None:
+        """Releases the reservation."""
+        self._attempts.pop((attempt.key, attempt.number), None)
+        server = ServerId(failed) if failed else None
+        self._send(
+            Release(
+                RequestId(attempt.key),
+                AttemptNumber(attempt.number),
+                owner_of(attempt),
+                SERVICE,
+                server,
+            )
+        )
+
+    def _progress(self, attempt: Attempt, phase: Phase) -> None:
+        self._send(
+            Progress(
+                RequestId(attempt.key),
+                AttemptNumber(attempt.number),
+                owner_of(attempt),
+                SERVICE,
+                phase,
+            )
+        )
+
+    def _send(self, message: msgspec.Struct) -> None:
+        self._events.after(ONE_WAY_MS, self._handle, message)
+
+    def _handle(self, message: msgspec.Struct) -> None:
+        now_ms = self._events.now_ms
+        match message:
+            case Reserve():
+                self._deliver(self.booker.reserve(message, now_ms))
+            case Progress():
+                self._deliver(self.booker.progress(message, now_ms))
+            case Release():
+                self._deliver(self.booker.release(message, now_ms))
+            case RenewReservations():
+                self.booker.renew(message, now_ms)
+
+    def _deliver(self, decisions: list[Decision]) -> None:
+        for decision in decisions:
+            self._events.after(ONE_WAY_MS, self._receive, decision)
+
+    def _receive(self, decision: Decision) -> None:
+        answer = decision.answer
+        attempt = self._attempts.get((answer.request_id, answer.attempt))
+        if attempt is None:
+            return
+        if isinstance(answer, Placed):
+            prefill = self._runner.by_server[answer.prefill]
+            decode = self._runner.by_server[answer.decode]
+            assert isinstance(prefill, FakePrefill) and isinstance(decode, FakeDecode)
+            self._runner.placed(attempt, prefill, decode)
+        else:
+            self._runner.refused(attempt)
+
+    def _renew(self) -> None:
+        by_owner: dict[HostIdentity, list[RequestId]] = {}
+        for attempt in self._attempts.values():
+            by_owner.setdefault(owner_of(attempt), []).append(RequestId(attempt.key))
+        for owner, requests in by_owner.items():
+            self._send(RenewReservations(owner, SERVICE, requests))
+
+    def _poll(self) -> None:
+        now_ms = self._events.now_ms
+        for prefill in self._runner.prefill:
+            self._observe_load(prefill.server)
+            events = self._cache_events(prefill)
+            self.booker.observe_cache(ServerId(prefill.server), events, now_ms)
+        for decode in self._runner.decode:
+            if decode.alive:
+                self._observe_load(decode.server)
+                self._observe_requests(decode)
+            else:
+                self.booker.observe_unreachable(ServerId(decode.server), now_ms)
+
+    def _observe_load(self, server: str) -> None:
+        report = self._reports.read(server)
+        if report is not None:
+            self.booker.observe_load(ServerId(server), report, self._events.now_ms)
+
+    def _observe_requests(self, decode: FakeDecode) -> None:
+        requests = [
+            EngineRequest(
+                RequestId(attempt.key),
+                AttemptNumber(attempt.number),
+                str(owner_of(attempt)),
+                "decoding",
+                pieces,
+                0.0,
+            )
+            for attempt, pieces in [*decode.reserved.items(), *decode.active.items()]
+        ]
+        self.booker.observe_requests(ServerId(decode.server), requests, self._events.now_ms)
+
+    def _cache_events(self, engine: FakePrefill) -> CacheEvents:
+        """Returns the published events since the last poll, some of them missing."""
+        events = []
+        position = self._cache_next[engine.server]
+        published_until_ms = self._events.now_ms - CACHE_EVENT_LAG_MS
+        while position < len(engine.published):
+            at_ms, prefix, stored = engine.published[position]
+            if at_ms > published_until_ms:
+                break
+            if self._generator.random() >= CACHE_EVENT_GAP_SHARE:
+                kind = CacheEventKind.STORED if stored else CacheEventKind.EVICTED
+                events.append(CacheEvent(position, kind, prefix))
+            position += 1
+        self._cache_next[engine.server] = position
+        return CacheEvents(events, position)
+
+
+class _LonePolicy:
+    """Entry hosts that each poll the engines and know nothing of each other."""
+
+    def __init__(self, limits: GroupLimits) -> None:
+        self._limits = limits
+        self._generator = random.Random(11)
+
+    def attach(self, runner: Runner) -> None:
+        """Starts the polls of each host, spread over the poll period."""
+        self._runner = runner
+        self._events = runner.events
+        self._reports = LaggingReports(runner)
+        hosts = runner.scenario.hosts
+        self._tables = [LagTable() for _ in range(hosts)]
+        for host in range(hosts):
+            start_ms = host * POLL_MS / hosts
+            self._events.every(
+                POLL_MS, lambda table=self._tables[host]: self._poll(table), start_ms
+            )
+
+    def prefilled(self, attempt: Attempt) -> None:
+        """Nobody else needs to know."""
+
+    def decoding(self, attempt: Attempt) -> None:
+        """Nobody else needs to know."""
+
+    def ended(self, attempt: Attempt, failed: str | None) -> None:
+        """Forgets an engine that failed until it answers a poll again."""
+        if failed is not None:
+            self._tables[attempt.request.host].forget(ServerId(failed))
+
+    def _poll(self, table: LagTable) -> None:
+        for server in self._runner.by_server:
+            report = self._reports.read(server)
+            if report is None:
+                table.forget(ServerId(server))
+            else:
+                table.observe(ServerId(server), report, self._events.now_ms)
+
+
+class AlonePolicy(_LonePolicy):
+    """Picks prefill and decode one after the other, each the best by lagging reports.
+
+    The decode engine is chosen when the prefill has ended, as routers do that place the two
+    separately. A full engine refuses; then the next best is asked until the KV cache expires.
+    """
+
+    def reserve(self, attempt: Attempt) -> None:
+        """Picks the prefill engine with the shortest reported queue."""
+        table = self._tables[attempt.request.host]
+        now_ms = self._events.now_ms
+        queues = [
+            (queue_ms, self._generator.random(), engine)
+            for engine in self._runner.prefill
+            if (queue_ms := table.queue_ms(ServerId(engine.server), now_ms)) is not None
+        ]
+        best = min(queues, default=None)
+        prefill_ms = 1000.0 * attempt.prompt_tokens / self._limits.prefill_tokens_per_s
+        if best is None or now_ms + best[0] + prefill_ms > attempt.due_ms:
+            self._runner.refused(attempt)
+            return
+        self._runner.placed(attempt, best[2], None)
+
+    def pick_decode(self, attempt: Attempt, tried: set[str]) -> FakeDecode | None:
+        """Picks the decode engine with the most reported free slots among those not tried."""
+        table = self._tables[attempt.request.host]
+        options = [
+            (slots, self._generator.random(), engine)
+            for engine in self._runner.decode
+            if engine.server not in tried
+            and (slots := table.free_slots(ServerId(engine.server), self._events.now_ms))
+            is not None
+        ]
+        best = max(options, default=None)
+        return best[2] if best is not None else None
+
+
+class TwoChoicesPolicy(_LonePolicy):
+    """The fallback of medlarvale: both engines at once, each the better of two random ones.
+
+    The slot is taken at the decode engine while the prefill starts, so a full engine costs a
+    cancelled prefill and a new attempt.
+    """
+
+    def reserve(self, attempt: Attempt) -> None:
+        """Places an attempt by the fallback module."""
+        answer = place_alone(
+            reserve_message(attempt, self._events.now_ms),
+            [ServerId(engine.server) for engine in self._runner.prefill],
+            [ServerId(engine.server) for engine in self._runner.decode],
+            self._tables[attempt.request.host],
+            self._limits,
+            self._generator,
+            self._events.now_ms,
+        )
+        if not isinstance(answer, Placed):
+            self._runner.refused(attempt)
+            return
+        prefill = self._runner.by_server[answer.prefill]
+        decode = self._runner.by_server[answer.decode]
+        assert isinstance(prefill, FakePrefill) and isinstance(decode, FakeDecode)
+        self._runner.placed(attempt, prefill, decode)
+
+    def pick_decode(self, attempt: Attempt, tried: set[str]) -> FakeDecode | None:
+        """Never needed: every place comes with a decode engine."""
+        raise NotImplementedError
--- a/src/medlarvale/scheduling/prefixes.py
+++ b/src/medlarvale/scheduling/prefixes.py
@@ -36,7 +36,8 @@
 
     def __init__(self) -> None:
         self._engines: dict[ServerId, EnginePrefixes] = {}
-        self._holders: dict[int, set[ServerId]] = {}
+        # Ordered, so that a run with the same inputs makes the same choices.
+        self._holders: dict[int, dict[ServerId, None]] = {}
 
     def next_event(self, server: ServerId) -> int:
         """Returns the number of the next cache event to ask an engine for."""
@@ -87,7 +88,7 @@
     def _store(self, server: ServerId, engine: EnginePrefixes, prefix: int, now_ms: float) -> None:
         engine.seen_at_ms[prefix] = now_ms
         engine.seen_at_ms.move_to_end(prefix)
-        self._holders.setdefault(prefix, set()).add(server)
+        self._holders.setdefault(prefix, {})[server] = None
         if len(engine.seen_at_ms) > MAX_PREFIXES_PER_ENGINE:
             self._drop(server, engine, next(iter(engine.seen_at_ms)))
 
@@ -95,7 +96,7 @@
         engine.seen_at_ms.pop(prefix, None)
         holders = self._holders.get(prefix)
         if holders is not None:
-            holders.discard(server)
+            holders.pop(server, None)
             if not holders:
                 del self._holders[prefix]
 
