Choose decode engines from an index by free slots

Change: decode engines are indexed by free slots with running totals; a request that competes with no other skips the queue; two misfits end a class's turn; a cheap check precedes the comparison of prefill engines; prefill engines are compared with their link; any progress ends the prefill job.

--- a/bench/decision_cost.py
+++ b/bench/decision_cost.py
@@ -13,7 +13,7 @@
 from bench.policies import BookerPolicy
 from bench.runner import Runner
 from medlarvale.scheduling.limits import GroupLimits
-from medlarvale.scheduling.messages import Reserve
+from medlarvale.scheduling.messages import RenewReservations, Reserve
 
 ENGINE_COUNTS = (20, 100, 300, 1_000)
 COST_LOADS = (0.9, 1.2)
@@ -29,6 +29,7 @@
     def __init__(self, limits: GroupLimits) -> None:
         super().__init__(limits)
         self.reserve_ns = HdrHistogram(1, LARGEST_NS, 3)
+        self.renew_ns = HdrHistogram(1, LARGEST_NS, 3)
         self.other_ns = HdrHistogram(1, LARGEST_NS, 3)
 
     def _handle(self, message: msgspec.Struct) -> None:
@@ -37,13 +38,22 @@
         taken_ns = max(1, time.perf_counter_ns() - start_ns)
         if self._events.now_ms < self._runner.scenario.warm_up_ms:
             return
-        histogram = self.reserve_ns if isinstance(message, Reserve) else self.other_ns
-        histogram.record_value(taken_ns)
+        match message:
+            case Reserve():
+                self.reserve_ns.record_value(taken_ns)
+            case RenewReservations():
+                self.renew_ns.record_value(taken_ns)
+            case _:
+                self.other_ns.record_value(taken_ns)
 
 
 @dataclass(frozen=True, slots=True)
 class DecisionCost:
-    """Times in µs; ``other`` are progress, release and renewal, which also place queued work."""
+    """Times in µs.
+
+    ``other`` are progress and release, which place queued work. A renewal decides nothing; it names
+    all requests of a host, so it grows with the engines.
+    """
 
     engines: int
     load: float
@@ -51,6 +61,7 @@
     reserve_p99_us: float
     other_p50_us: float
     other_p99_us: float
+    renew_p99_us: float
 
 
 def measure_cost(engines: int, load: float) -> DecisionCost:
@@ -69,4 +80,5 @@
         policy.reserve_ns.get_value_at_percentile(99) / 1_000.0,
         policy.other_ns.get_value_at_percentile(50) / 1_000.0,
         policy.other_ns.get_value_at_percentile(99) / 1_000.0,
+        policy.renew_ns.get_value_at_percentile(99) / 1_000.0,
     )
--- a/bench/oracle.py
+++ b/bench/oracle.py
@@ -7,6 +7,8 @@
 
 from __future__ import annotations
 
+import itertools
+
 from bench.fakes import Attempt, FakeDecode, FakePrefill
 from bench.policies import reserve_message
 from bench.runner import ONE_WAY_MS, Runner
@@ -15,6 +17,7 @@
 from medlarvale.scheduling.waiting import Waiting, WaitingRoom
 
 TICK_MS = 1.0
+HEADS_TRIED = 4
 
 
 class OraclePolicy:
@@ -72,7 +75,11 @@
             pass
 
     def _entries(self) -> list[Waiting]:
-        return self._waiting.next_entries()
+        return [
+            entry
+            for queue in self._waiting.queues_in_order()
+            for entry in itertools.islice(queue.heads(), HEADS_TRIED)
+        ]
 
     def _serve(self, entry: Waiting, prefill_ms: float) -> None:
         self._waiting.serve(entry, prefill_ms)
--- a/src/medlarvale/scheduling/admission.py
+++ b/src/medlarvale/scheduling/admission.py
@@ -87,7 +87,7 @@
         return Decision(request.owner, refused)
 
     def _new_entry(self, request: Reserve, now_ms: float) -> Waiting:
-        blocks = max(self._prefixes.cached_blocks(request.prefix_hashes).values(), default=0)
+        blocks = self._prefixes.longest(request.prefix_hashes)
         tokens = request.prompt_tokens - usable_cached_tokens(request, blocks)
         cost_ms = 1000.0 * tokens / self._limits.prefill_tokens_per_s
         transfer_ms = self._limits.transfer_ms(request.prompt_tokens)
@@ -106,8 +106,8 @@
         else:
             ahead_ms = self._waiting.ahead_ms(request)
             ahead = len(self._waiting) * min(1.0, ahead_ms / self._waiting.total_ms())
-        slots_needed = ahead + 1 - self._engines.free_slots()
+        slots_needed = ahead + 1 - self._engines.slots.free_slots
         return max(
             ahead_ms / max(1, self._engines.open_prefill()),
-            self.estimate.slot_wait_ms(slots_needed, self._engines.held_slots()),
+            self.estimate.slot_wait_ms(slots_needed, self._engines.slots.held_slots),
         )
--- a/src/medlarvale/scheduling/booker.py
+++ b/src/medlarvale/scheduling/booker.py
@@ -8,10 +8,20 @@
 
 from collections.abc import Iterable
 
-from medlarvale.ids import AttemptNumber, RequestId, ServerId
+from medlarvale.ids import AttemptNumber, HostIdentity, RequestId, ServerId
 from medlarvale.scheduling.admission import Admission, Decision, RefusalCode
-from medlarvale.scheduling.candidates import Choice, choose, open_engines
-from medlarvale.scheduling.engines import RELEASE_SETTLE_MS, Availability, EngineTable
+from medlarvale.scheduling.candidates import (
+    Choice,
+    choose,
+    is_constrained,
+    open_prefill_engines,
+)
+from medlarvale.scheduling.engines import (
+    RELEASE_SETTLE_MS,
+    Availability,
+    EngineTable,
+    PrefillEngine,
+)
 from medlarvale.scheduling.health import HealthTable
 from medlarvale.scheduling.limits import GroupLimits
 from medlarvale.scheduling.messages import (
@@ -28,6 +38,8 @@
 from medlarvale.scheduling.waiting import QUEUE_SILENCE_MS, Waiting, WaitingRoom
 
 HEALTH_PERIOD_MS = 100.0
+# Requests without constraints fail for want of link time or pieces, which the next ones want too.
+MISFITS_TRIED = 2
 PHASE_ORDER = list(Phase)
 
 
@@ -76,8 +88,10 @@
         admitted = self.admission.admit(request, now_ms)
         if isinstance(admitted, Decision):
             return [admitted]
-        self.waiting.push(admitted)
-        return self._dispatch(now_ms)
+        if self.waiting:
+            self.waiting.push(admitted)
+            return self._dispatch(now_ms)
+        return self._place_at_once(admitted, now_ms)
 
     def progress(self, message: Progress, now_ms: float) -> list[Decision]:
         """Handles a phase change of an attempt."""
@@ -85,7 +99,8 @@
         if reservation is None or not _is_for(message, reservation):
             return []
         self.reservations.renew(reservation, now_ms)
-        if message.phase is Phase.PREFILLED and reservation.phase is None:
+        if reservation.phase is None:
+            # Any phase means that the prefill has ended, also when messages come out of order.
             self._prefilled(reservation, now_ms)
         if _is_later(message.phase, reservation.phase):
             reservation.phase = message.phase
@@ -106,11 +121,10 @@
         """Handles a heartbeat of an owner: renews what it lists."""
         for request_id in message.requests:
             reservation = self.reservations.get(request_id)
-            if reservation is not None and reservation.owner == message.owner:
+            if reservation is None:
+                self._keep_waiting(request_id, message.owner, now_ms)
+            elif reservation.request.owner == message.owner:
                 self.reservations.renew(reservation, now_ms)
-            entry = self.waiting.get(request_id)
-            if entry is not None and entry.request.owner == message.owner:
-                entry.asked_ms = now_ms
 
     def tick(self, now_ms: float) -> list[Decision]:
         """Ends what has expired and places what fits now; called every few ms."""
@@ -243,33 +257,58 @@
             prefill.finish(reservation.request.request_id, now_ms)
             prefill.suspects.discard(reservation.request.request_id)
 
+    def _keep_waiting(self, request_id: RequestId, owner: HostIdentity, now_ms: float) -> None:
+        entry = self.waiting.get(request_id)
+        if entry is not None and entry.request.owner == owner:
+            entry.asked_ms = now_ms
+
     # Placement
 
+    def _place_at_once(self, entry: Waiting, now_ms: float) -> list[Decision]:
+        """Places an entry that competes with no other, or queues it."""
+        open_prefill = open_prefill_engines(self.engines, now_ms)
+        choice = None
+        if open_prefill and self.engines.slots.free_slots:
+            choice = choose(entry.request, open_prefill, self.engines, self.prefixes, now_ms)
+        if choice is not None and choice.transfer_end_ms <= entry.due_ms:
+            return [self._place(entry, choice, now_ms)]
+        self.waiting.push(entry)
+        return [] if choice is None else [self._drop(entry, now_ms)]
+
     def _dispatch(self, now_ms: float) -> list[Decision]:
         decisions: list[Decision] = []
         while self.waiting:
-            engines = open_engines(self.engines, now_ms)
-            if not engines:
+            open_prefill = open_prefill_engines(self.engines, now_ms)
+            if not open_prefill or not self.engines.slots.free_slots:
                 break
-            decision = None
-            for entry in self.waiting.next_entries():
-                choice = choose(entry.request, engines, self.engines, self.prefixes, now_ms)
-                if choice is not None:
-                    decision = self._settle(entry, choice, now_ms)
-                    break
+            decision = self._place_next(open_prefill, now_ms)
             if decision is None:
                 break
             decisions.append(decision)
         return decisions
 
+    def _place_next(self, open_prefill: list[PrefillEngine], now_ms: float) -> Decision | None:
+        for queue in self.waiting.queues_in_order():
+            misfits = 0
+            for entry in queue.heads():
+                choice = choose(entry.request, open_prefill, self.engines, self.prefixes, now_ms)
+                if choice is not None:
+                    return self._settle(entry, choice, now_ms)
+                # A request that excludes engines may fit nowhere while the next one does.
+                if not is_constrained(entry.request):
+                    misfits += 1
+                if misfits == MISFITS_TRIED:
+                    break
+        return None
+
     def _settle(self, entry: Waiting, choice: Choice, now_ms: float) -> Decision:
         if choice.transfer_end_ms > entry.due_ms:
             return self._drop(entry, now_ms)
+        self.waiting.serve(entry, choice.prefill_ms)
         return self._place(entry, choice, now_ms)
 
     def _place(self, entry: Waiting, choice: Choice, now_ms: float) -> Decision:
         request = entry.request
-        self.waiting.serve(entry, choice.prefill_ms)
         choice.prefill.start(request.request_id, choice.prefill_ms, choice.prefill_end_ms)
         choice.decode.hold(request.request_id, choice.pieces)
         choice.prefill.link_free_ms = choice.decode.link_free_ms = choice.transfer_end_ms
--- a/src/medlarvale/scheduling/candidates.py
+++ b/src/medlarvale/scheduling/candidates.py
@@ -3,11 +3,10 @@
 from __future__ import annotations
 
 from collections.abc import Iterable
-from operator import attrgetter
 
 import msgspec
 
-from medlarvale.scheduling.engines import DecodeEngine, EngineTable, PrefillEngine
+from medlarvale.scheduling.engines import MAX_PREFILL_JOBS, DecodeEngine, EngineTable, PrefillEngine
 from medlarvale.scheduling.limits import GroupLimits
 from medlarvale.scheduling.messages import Reserve
 from medlarvale.scheduling.prefixes import PrefixIndex
@@ -15,9 +14,6 @@
 # A transfer that waits longer than this share of the KV ttl risks losing the finished prefill.
 KV_WAIT_SHARE = 0.5
 
-_by_busy_until = attrgetter("busy_until_ms")
-_by_free_slots = attrgetter("free_slots")
-
 
 class Choice(msgspec.Struct):
     """A place for one request and the times expected there.
@@ -37,27 +33,14 @@
     transfer_end_ms: float
 
 
-class OpenEngines(msgspec.Struct):
-    """Engines that could take one more request now."""
-
-    prefill: list[PrefillEngine]
-    decode: list[DecodeEngine]
-
-    def __bool__(self) -> bool:
-        return bool(self.prefill) and bool(self.decode)
-
-
-def open_engines(table: EngineTable, now_ms: float) -> OpenEngines:
-    """Returns the engines with a short prefill queue, and those with a free decode slot."""
+def open_prefill_engines(table: EngineTable, now_ms: float) -> list[PrefillEngine]:
+    """Returns the prefill engines whose queue is short enough for one more request."""
     latest_ms = now_ms + table.limits.place_ahead_ms
-    return OpenEngines(
-        [
-            engine
-            for engine in table.prefill.values()
-            if engine.busy_until_ms <= latest_ms and engine.accepts(now_ms)
-        ],
-        [engine for engine in table.decode.values() if engine.free_slots > 0],
-    )
+    return [
+        engine
+        for engine in table.prefill.values()
+        if engine.busy_until_ms <= latest_ms and engine.accepts(now_ms)
+    ]
 
 
 class _PrefillChoice(msgspec.Struct):
@@ -68,14 +51,24 @@
 
 
 def choose(
-    request: Reserve, engines: OpenEngines, table: EngineTable, prefixes: PrefixIndex, now_ms: float
+    request: Reserve,
+    open_prefill: list[PrefillEngine],
+    table: EngineTable,
+    prefixes: PrefixIndex,
+    now_ms: float,
 ) -> Choice | None:
-    """Returns the place where the first token comes earliest, or None if no place is free."""
-    prefill = _choose_prefill(request, engines, table, prefixes, now_ms)
+    """Returns the place where the first token comes earliest, or None if no place is free.
+
+    Args:
+        open_prefill: engines that ``open_prefill_engines`` returned for the same time.
+    """
+    pieces = table.limits.pieces_for(request.prompt_tokens + request.expected_output_tokens)
+    if not _may_fit(request, table, pieces, now_ms):
+        return None
+    prefill = _choose_prefill(request, open_prefill, table, prefixes, now_ms)
     if prefill is None:
         return None
-    pieces = table.limits.pieces_for(request.prompt_tokens + request.expected_output_tokens)
-    decode = _choose_decode(request, engines.decode, pieces, prefill)
+    decode = _choose_decode(request, table.slots.emptiest_first(), pieces, prefill.end_ms)
     if decode is None:
         return None
     start_ms = max(prefill.end_ms, prefill.engine.link_free_ms, decode.link_free_ms)
@@ -92,20 +85,44 @@
     )
 
 
+def is_constrained(request: Reserve) -> bool:
+    """Tells whether a request may not go to every engine with room."""
+    return bool(request.excluded) or request.isolate
+
+
 def usable_cached_tokens(request: Reserve, blocks: int) -> int:
     """Returns the cached tokens that a prefill may skip; the last token is always computed."""
     return max(0, min(blocks * request.prefix_block_tokens, request.prompt_tokens - 1))
 
 
+def _may_fit(request: Reserve, table: EngineTable, pieces: int, now_ms: float) -> bool:
+    """Tells cheaply whether any decode engine has pieces, and its link in time.
+
+    Under load most requests fail here, before the prefill engines are compared.
+    """
+    limits = table.limits
+    prefill_ms = 1000.0 * request.prompt_tokens / limits.prefill_tokens_per_s
+    latest_ms = now_ms + MAX_PREFILL_JOBS * prefill_ms + limits.kv_ttl_ms * KV_WAIT_SHARE
+    return any(
+        engine.link_free_ms <= latest_ms and engine.free_pieces >= pieces
+        for engine in table.slots.emptiest_first()
+    )
+
+
 def _choose_prefill(
-    request: Reserve, engines: OpenEngines, table: EngineTable, prefixes: PrefixIndex, now_ms: float
+    request: Reserve,
+    open_prefill: list[PrefillEngine],
+    table: EngineTable,
+    prefixes: PrefixIndex,
+    now_ms: float,
 ) -> _PrefillChoice | None:
     found = _choose_cached(request, table, prefixes, now_ms)
-    plain = _allowed(engines.prefill, request)
+    plain = _allowed(open_prefill, request)
     if not plain:
         # With every engine busy the request waits in the booker, where the choice stays open.
-        return found if found and found.engine in engines.prefill else None
-    engine = min(plain, key=_by_busy_until)
+        return found if found and found.engine in open_prefill else None
+    prefill_ms = 1000.0 * request.prompt_tokens / table.limits.prefill_tokens_per_s
+    engine = min(plain, key=lambda item: max(item.busy_until_ms + prefill_ms, item.link_free_ms))
     uncached = _estimate(engine, request, 0, table.limits, now_ms)
     if found is None or _score(uncached) < _score(found):
         return uncached
@@ -127,8 +144,9 @@
 
 
 def _score(option: _PrefillChoice) -> float:
-    # Prefill time counts twice: once as this request's delay and once as others' queueing.
-    return option.end_ms + option.prefill_ms
+    # Prefill time counts twice: once as this request's delay and once as others' queueing. A
+    # prefill that ends before the engine's link is free has to wait for it.
+    return max(option.end_ms, option.engine.link_free_ms) + option.prefill_ms
 
 
 def _estimate(
@@ -141,27 +159,26 @@
 
 
 def _choose_decode(
-    request: Reserve, engines: Iterable[DecodeEngine], pieces: int, prefill: _PrefillChoice
+    request: Reserve, emptiest_first: Iterable[DecodeEngine], pieces: int, prefill_end_ms: float
 ) -> DecodeEngine | None:
-    fitting = [
-        engine
-        for engine in engines
-        if engine.pieces - engine.held_pieces - engine.foreign_pieces >= pieces
-    ]
-    if request.excluded or request.isolate:
-        fitting = [engine for engine in fitting if _allows(engine, request)]
-    if not fitting:
-        return None
-    # The emptiest engine has the shortest time between tokens and the most room for error.
-    end_ms = prefill.end_ms
-    link_free = [engine for engine in fitting if engine.link_free_ms <= end_ms]
-    if link_free:
-        return max(link_free, key=_by_free_slots)
-    return min(fitting, key=lambda engine: engine.link_free_ms)
+    """Returns the emptiest engine whose link is free in time, else the one whose link is first.
+
+    The emptiest engine has the shortest time between tokens and the most room for error.
+    """
+    best: DecodeEngine | None = None
+    constrained = is_constrained(request)
+    for engine in emptiest_first:
+        if engine.free_pieces < pieces or (constrained and not _allows(engine, request)):
+            continue
+        if engine.link_free_ms <= prefill_end_ms:
+            return engine
+        if best is None or engine.link_free_ms < best.link_free_ms:
+            best = engine
+    return best
 
 
 def _allowed(engines: list[PrefillEngine], request: Reserve) -> list[PrefillEngine]:
-    if not request.excluded and not request.isolate:
+    if not is_constrained(request):
         return engines
     return [engine for engine in engines if _allows(engine, request)]
 
--- a/src/medlarvale/scheduling/engines.py
+++ b/src/medlarvale/scheduling/engines.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 import enum
-from collections.abc import Iterable
+import math
+from collections.abc import Iterable, Iterator
 
 import msgspec
 
@@ -42,6 +43,7 @@
         self.tokens_per_ms = limits.prefill_tokens_per_s / 1000.0
         self.availability = Availability.OPEN
         self.busy_until_ms = 0.0
+        self._overdue_ms = math.inf
         self.link_free_ms = 0.0
         self.jobs: dict[RequestId, PrefillJob] = {}
         self.suspects: set[RequestId] = set()
@@ -49,14 +51,16 @@
 
     def accepts(self, now_ms: float) -> bool:
         """Tells whether a further prefill may be placed."""
-        if self.availability is not Availability.OPEN or len(self.jobs) >= MAX_PREFILL_JOBS:
-            return False
-        for job in self.jobs.values():
-            return now_ms <= job.due_ms + PREFILL_OVERDUE_MS
-        return True
+        return (
+            len(self.jobs) < MAX_PREFILL_JOBS
+            and now_ms <= self._overdue_ms
+            and self.availability is Availability.OPEN
+        )
 
     def start(self, request: RequestId, prefill_ms: float, due_ms: float) -> None:
         """Queues a prefill that is expected to end at ``due_ms``."""
+        if not self.jobs:
+            self._overdue_ms = due_ms + PREFILL_OVERDUE_MS
         self.jobs[request] = PrefillJob(prefill_ms, due_ms)
         self.busy_until_ms = due_ms
 
@@ -69,6 +73,36 @@
             end_ms += job.prefill_ms
             job.due_ms = end_ms
         self.busy_until_ms = end_ms
+        first = next(iter(self.jobs.values()), None)
+        self._overdue_ms = math.inf if first is None else first.due_ms + PREFILL_OVERDUE_MS
+
+
+class SlotIndex:
+    """Decode engines by their number of free slots, with totals.
+
+    A decision looks at the emptiest engines first and needs no pass over all of them.
+    """
+
+    def __init__(self) -> None:
+        self._by_free: dict[int, dict[ServerId, DecodeEngine]] = {}
+        self.free_slots = 0
+        self.held_slots = 0
+
+    def move(self, engine: DecodeEngine, free_before: int) -> None:
+        """Files an engine under its present number of free slots."""
+        if free_before:
+            bucket = self._by_free[free_before]
+            del bucket[engine.server]
+            if not bucket:
+                del self._by_free[free_before]
+        if engine.free_slots:
+            self._by_free.setdefault(engine.free_slots, {})[engine.server] = engine
+        self.free_slots += engine.free_slots - free_before
+
+    def emptiest_first(self) -> Iterator[DecodeEngine]:
+        """Yields the engines with free slots, the emptiest first."""
+        for free in sorted(self._by_free, reverse=True):
+            yield from self._by_free[free].values()
 
 
 class DecodeEngine:
@@ -78,8 +112,9 @@
     booker did not place: those of an earlier booker or of a host in fallback.
     """
 
-    def __init__(self, server: ServerId, limits: GroupLimits) -> None:
+    def __init__(self, server: ServerId, limits: GroupLimits, index: SlotIndex) -> None:
         self.server = server
+        self._index = index
         self.availability = Availability.OPEN
         self.slots = limits.slots_per_engine
         self.pieces = limits.pieces_per_engine
@@ -101,22 +136,36 @@
         return self.pieces - self.held_pieces - self.foreign_pieces
 
     def refresh(self) -> None:
-        """Recomputes ``free_slots``, which decisions read for every engine."""
-        if self.availability is not Availability.OPEN or not self.listed:
+        """Recomputes ``free_slots`` after a change."""
+        free_before = self.free_slots
+        if self.availability is Availability.OPEN and self.listed:
+            used = len(self.held) + len(self.foreign)
+            self.free_slots = max(0, min(self.slots, self.slot_limit) - used)
+        else:
             self.free_slots = 0
-            return
-        used = len(self.held) + len(self.foreign)
-        self.free_slots = max(0, min(self.slots, self.slot_limit) - used)
+        if self.free_slots != free_before:
+            self._index.move(self, free_before)
 
     def hold(self, request: RequestId, pieces: int) -> None:
         """Promises one slot and so many pieces."""
         self.held[request] = pieces
         self.held_pieces += pieces
+        self._index.held_slots += 1
         self.refresh()
 
     def free(self, request: RequestId) -> None:
         """Ends a promise."""
-        self.held_pieces -= self.held.pop(request, 0)
+        pieces = self.held.pop(request, None)
+        if pieces is not None:
+            self.held_pieces -= pieces
+            self._index.held_slots -= 1
+            self.refresh()
+
+    def retire(self) -> None:
+        """Takes the engine out of the index when it is no longer listed."""
+        self._index.held_slots -= len(self.held)
+        self.held.clear()
+        self.availability = Availability.EJECTED
         self.refresh()
 
     def forget_foreign(self, request: RequestId, attempt: AttemptNumber) -> None:
@@ -149,6 +198,7 @@
         self.limits = limits
         self.prefill: dict[ServerId, PrefillEngine] = {}
         self.decode: dict[ServerId, DecodeEngine] = {}
+        self.slots = SlotIndex()
 
     def replace(self, prefill: Iterable[ServerId], decode: Iterable[ServerId]) -> set[ServerId]:
         """Takes over the listed engines and returns those that are gone."""
@@ -156,25 +206,19 @@
         gone = (self.prefill.keys() - prefill) | (self.decode.keys() - decode)
         for server in gone:
             self.prefill.pop(server, None)
-            self.decode.pop(server, None)
+            decode_engine = self.decode.pop(server, None)
+            if decode_engine is not None:
+                decode_engine.retire()
         for server in sorted(prefill - self.prefill.keys()):
             self.prefill[server] = PrefillEngine(server, self.limits)
         for server in sorted(decode - self.decode.keys()):
-            self.decode[server] = DecodeEngine(server, self.limits)
+            self.decode[server] = DecodeEngine(server, self.limits, self.slots)
         return gone
 
     def get(self, server: ServerId) -> PrefillEngine | DecodeEngine | None:
         """Returns an engine of either role, or None."""
         return self.prefill.get(server) or self.decode.get(server)
 
-    def free_slots(self) -> int:
-        """Returns the decode slots that may be promised now."""
-        return sum([engine.free_slots for engine in self.decode.values()])
-
-    def held_slots(self) -> int:
-        """Returns the decode slots that are promised."""
-        return sum([len(engine.held) for engine in self.decode.values()])
-
     def open_prefill(self) -> int:
         """Returns the number of prefill engines that take work."""
         return [engine.availability for engine in self.prefill.values()].count(Availability.OPEN)
--- a/src/medlarvale/scheduling/fairness.py
+++ b/src/medlarvale/scheduling/fairness.py
@@ -19,10 +19,12 @@
 
 # About the prefill time of an average prompt, so that most entries are served in one turn.
 QUANTUM_MS = 100.0
-BUCKET_MS = 250.0
+BUCKET_MS = 500.0
 # Waits are attributed over at most this time; live requests wait less.
 HISTORY_MS = 5_000.0
 WAITED_FOR_LIMIT = 3
+# A shorter wait is the pace of messages, not other workspaces' work.
+SHORTEST_WAIT_MS = 20.0
 
 
 class FairQueue(Generic[EntryT]):
@@ -68,17 +70,15 @@
         self._count += 1
         self.total_ms += cost_ms
 
-    def heads(self, limit: int) -> list[EntryT]:
-        """Returns the entry whose turn it is, then the first entries of the next workspaces."""
-        if not self._ring:
-            return []
-        self._advance()
-        found = []
+    def heads(self) -> Iterator[EntryT]:
+        """Yields the entry whose turn it is, then the first entries of the next workspaces.
+
+        The queue may not be changed between two entries.
+        """
+        if self._ring:
+            self._advance()
         for workspace in self._ring:
-            found.append(self._queues[workspace][0][0])
-            if len(found) == limit:
-                break
-        return found
+            yield self._queues[workspace][0][0]
 
     def is_head(self, workspace: WorkspaceId, entry: EntryT) -> bool:
         """Tells whether an entry is the workspace's first."""
@@ -168,7 +168,7 @@
 
     def record_wait(self, workspace: WorkspaceId, since_ms: float, now_ms: float) -> None:
         """Attributes a wait to the workspaces served most meanwhile, by their prefill time."""
-        if now_ms <= since_ms:
+        if now_ms - since_ms < SHORTEST_WAIT_MS:
             return
         served = self._served_since(since_ms)
         total_ms = sum(prefill_ms for _, prefill_ms in served)
--- a/src/medlarvale/scheduling/prefixes.py
+++ b/src/medlarvale/scheduling/prefixes.py
@@ -16,6 +16,8 @@
 
 # 1,024 hashes take about 100 KB an engine; a control budget of 64 MB holds them for 64 engines.
 MAX_PREFIXES_PER_ENGINE = 1_024
+# More holders of a prefix than this give no better choice, only a longer one.
+MAX_HOLDERS = 4
 # Entries older than this may have been evicted by an event that fell into a gap.
 GAP_TRUST_MS = 5_000.0
 
@@ -67,15 +69,24 @@
         for prefix in hashes:
             self._store(server, engine, prefix, now_ms)
 
+    def longest(self, hashes: Sequence[int]) -> int:
+        """Returns the longest prefix that any engine has, in blocks."""
+        holders = self._holders
+        blocks = 0
+        for prefix in hashes:
+            if prefix not in holders:
+                break
+            blocks += 1
+        return blocks
+
     def cached_blocks(self, hashes: Sequence[int]) -> dict[ServerId, int]:
-        """Returns the longest cached prefix in blocks of each engine that has one."""
+        """Returns the engines with the longest cached prefixes, and these in blocks."""
         found: dict[ServerId, int] = {}
-        for index, prefix in enumerate(hashes):
-            holders = self._holders.get(prefix)
-            if not holders:
+        for blocks in range(self.longest(hashes), 0, -1):
+            for server in self._holders[hashes[blocks - 1]]:
+                found.setdefault(server, blocks)
+            if len(found) >= MAX_HOLDERS:
                 break
-            for server in holders:
-                found[server] = index + 1
         return found
 
     def forget(self, server: ServerId) -> None:
@@ -86,11 +97,14 @@
                 self._drop(server, engine, prefix)
 
     def _store(self, server: ServerId, engine: EnginePrefixes, prefix: int, now_ms: float) -> None:
-        engine.seen_at_ms[prefix] = now_ms
-        engine.seen_at_ms.move_to_end(prefix)
-        self._holders.setdefault(prefix, {})[server] = None
-        if len(engine.seen_at_ms) > MAX_PREFIXES_PER_ENGINE:
-            self._drop(server, engine, next(iter(engine.seen_at_ms)))
+        seen_at_ms = engine.seen_at_ms
+        if prefix in seen_at_ms:
+            seen_at_ms.move_to_end(prefix)
+        else:
+            self._holders.setdefault(prefix, {})[server] = None
+        seen_at_ms[prefix] = now_ms
+        if len(seen_at_ms) > MAX_PREFIXES_PER_ENGINE:
+            self._drop(server, engine, next(iter(seen_at_ms)))
 
     def _drop(self, server: ServerId, engine: EnginePrefixes, prefix: int) -> None:
         engine.seen_at_ms.pop(prefix, None)
--- a/src/medlarvale/scheduling/waiting.py
+++ b/src/medlarvale/scheduling/waiting.py
@@ -11,8 +11,6 @@
 
 # An entry whose host has not asked for this long is dropped: nobody waits for the answer.
 QUEUE_SILENCE_MS = 1_500.0
-# Heads of this many workspaces are tried when the first one fits nowhere.
-HEADS_TRIED = 4
 # Bounds the burst of batch work after a time in which none of it fitted anywhere.
 MAX_BATCH_CREDIT_MS = 2_000.0
 
@@ -83,13 +81,12 @@
         del self._by_request[request.request_id]
         self._count_share(request.work_class, charged_ms)
 
-    def next_entries(self) -> list[Waiting]:
-        """Returns the entries to try now, in order."""
-        batch = self.batch.heads(HEADS_TRIED)
-        first = [*self.restarts.heads(HEADS_TRIED), *self.live.heads(HEADS_TRIED)]
-        if batch and self._batch_credit_ms >= min(batch[0].cost_ms, MAX_BATCH_CREDIT_MS):
-            return batch + first
-        return first + batch
+    def queues_in_order(self) -> list[FairQueue[Waiting]]:
+        """Returns the queues in the order in which they are served now."""
+        first = next(self.batch.heads(), None)
+        if first and self._batch_credit_ms >= min(first.cost_ms, MAX_BATCH_CREDIT_MS):
+            return [self.batch, self.restarts, self.live]
+        return [self.restarts, self.live, self.batch]
 
     def ahead_ms(self, request: Reserve) -> float:
         """Returns the prefill time that is served before a new request."""
