--- a/src/medlarvale/quarantine/interface.py
+++ b/src/medlarvale/quarantine/interface.py
@@ -13,10 +13,12 @@
     async def admit(self, fingerprint: int) -> bool:
         """Returns whether the request has to be isolated from other suspects.
 
-        A suspect waits here until no other copy of it runs in the cell.
+        A suspect waits here until no other copy of it runs in the cell. Called before each
+        placement, those after a restart included; each return is followed by one ``ended``.
 
         Raises:
-            RequestQuarantinedError: the request crashed too many servers; nothing was run.
+            RequestQuarantinedError: the request crashed too many servers; this attempt was not
+                run.
         """
 
     def started(self, fingerprint: int, server: ServerId) -> None:
@@ -24,3 +26,13 @@
 
     def finished(self, fingerprint: int, server: ServerId, *, server_lost: bool) -> None:
         """Records that the request left a server, and whether the server was lost under it."""
+
+    def ended(self, fingerprint: int, *, answered: bool) -> None:
+        """Records the end of an admitted attempt.
+
+        Leaving one server unharmed proves nothing, since a request may pass the prefill engine
+        and crash the decode engine; only a whole answer clears a suspect.
+
+        Args:
+            answered: the attempt ran to the end of its answer.
+        """
