Guard the request paths against requests that crash servers

Cause: the quarantine needs to hear of the end of each admitted attempt, and the composition root had no crash guard. Conclusion: wired; whether it stops a poison request among processes is tested next.

--- a/scripts/run_tests.py
+++ b/scripts/run_tests.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import argparse
-import logging
 import os
 import sys
 import unittest
@@ -63,7 +62,8 @@
     parser.add_argument("--pattern", default="test_*.py")
     parser.add_argument("--only", default="", help="run only test ids that contain this text")
     arguments = parser.parse_args()
-    structlog.configure(wrapper_class=structlog.make_filtering_bound_logger(logging.CRITICAL))
+    # Log lines go nowhere; tests that check them capture them.
+    structlog.configure(logger_factory=structlog.ReturnLoggerFactory())
     settings.load_profile(os.environ.get("HYPOTHESIS_PROFILE", "ci"))
     known_red = read_known_red(REPOSITORY / "KNOWN-RED.txt")
     found = unittest.defaultTestLoader.discover(
--- a/src/medlarvale/completions/attempt.py
+++ b/src/medlarvale/completions/attempt.py
@@ -73,6 +73,7 @@
         prefill_ms: prefill time spent by the attempt.
         prefill_used: the decode engine produced tokens from the prefill, or the answer was whole
             after it.
+        admitted: the crash guard let the attempt run and awaits its end.
         freed_by_engine: the engine ended the answer itself and so holds no memory for it.
     """
 
@@ -83,6 +84,7 @@
         self.decode: ServerId | None = None
         self.prefill_ms = 0.0
         self.prefill_used = False
+        self.admitted = False
         self.freed_by_engine = False
 
     def handle(self, event: AttemptEvent) -> None:
--- a/src/medlarvale/completions/request_run.py
+++ b/src/medlarvale/completions/request_run.py
@@ -142,6 +142,9 @@
 
     def _end_attempt(self, attempt: Attempt, failed: ServerId | None) -> None:
         self.account.attempt_ended(attempt)
+        if attempt.admitted:
+            answered = attempt.state is AttemptState.DONE
+            self._parts.guard.ended(self._request.fingerprint, answered=answered)
         self._parts.placement.release(
             Release(
                 request_id=self._request.request_id,
@@ -161,6 +164,7 @@
     async def _place(self, attempt: Attempt) -> Placed:
         request, parts = self._request, self._parts
         isolate = await parts.guard.admit(request.fingerprint)
+        attempt.admitted = True
         tokens = request.prompt_tokens + self.sequence.tokens
         elapsed_ms = parts.clock.now_ms() - self._started_ms
         # After a restart the first token may already be with the caller; what is left of the
--- a/src/medlarvale/composition.py
+++ b/src/medlarvale/composition.py
@@ -19,7 +19,7 @@
 from medlarvale.completions.engine_client import HttpEngineClient, new_engine_session
 from medlarvale.completions.parts import RequestPathParts
 from medlarvale.completions.runner import CompletionRunner
-from medlarvale.ids import HostIdentity, ServerId, ServiceName, WorkspaceId, new_incarnation
+from medlarvale.ids import HostIdentity, ServiceName, WorkspaceId, new_incarnation
 from medlarvale.logs import Event, log_info
 from medlarvale.membership import messages as membership_messages
 from medlarvale.membership.messages import HostState
@@ -33,6 +33,9 @@
 from medlarvale.peers.transport import MessageCodec
 from medlarvale.plain.client import PlainClient, new_plain_session
 from medlarvale.process_settings import ProcessSettings
+from medlarvale.quarantine import messages as quarantine_messages
+from medlarvale.quarantine.suspects import QuarantineLimits
+from medlarvale.quarantine.task import QuarantineTask
 from medlarvale.scheduling import messages as scheduling_messages
 from medlarvale.scheduling.limits import GroupLimits, limits_from_values
 from medlarvale.scheduling.probe import HttpEngineProbe
@@ -70,6 +73,12 @@
     scheduling_messages.Acknowledged,
     scheduling_messages.QueryRequests,
     scheduling_messages.KnownRequests,
+    quarantine_messages.ShareEvidence,
+    quarantine_messages.AcquirePermit,
+    quarantine_messages.PermitAnswer,
+    quarantine_messages.RenewPermits,
+    quarantine_messages.ReleasePermit,
+    quarantine_messages.QuarantineAccepted,
 )
 
 # Verdicts are kept for the longest time that a tree may set, since the ledger outlives trees.
@@ -79,17 +88,6 @@
 DRAIN_LIMIT_MS = 3_600_000.0
 
 
-class OpenGuard:
-    async def admit(self, fingerprint: int) -> bool:
-        return False
-
-    def started(self, fingerprint: int, server: ServerId) -> None:
-        pass
-
-    def finished(self, fingerprint: int, server: ServerId, *, server_lost: bool) -> None:
-        pass
-
-
 class DiscardReports:
     def request_finished(self, report: RequestReport) -> None:
         pass
@@ -124,7 +122,7 @@
         self.settings = self._build_settings()
         self.membership = self._build_membership()
         self.observer = DiscardReports()
-        self.guard = OpenGuard()
+        self.guard = self._build_quarantine()
         self.scheduling = self._build_scheduling()
         self.dispatcher = PlainClient(
             session=self._plain_session,
@@ -190,6 +188,25 @@
         membership.report_leaving_servers(self.directory.leaving_by_own_word)
         return membership
 
+    def _build_quarantine(self) -> QuarantineTask:
+        return QuarantineTask(
+            self.identity,
+            self.transport,
+            self.clock,
+            lambda: self.membership.view.live_lives(self.clock.now_ms()),
+            self._quarantine_limits,
+        )
+
+    def _quarantine_limits(self) -> QuarantineLimits:
+        if not self.current.ready:
+            return QuarantineLimits()
+        process = self._process
+        crash_limit, quarantine_ms = (
+            self.current.value(name, process.region, process.failure_domain)
+            for name in ("crash_limit", "quarantine_ms")
+        )
+        return QuarantineLimits(crash_limit, quarantine_ms)
+
     def _build_scheduling(self) -> SchedulingTask:
         return SchedulingTask(
             self.identity,
@@ -254,6 +271,7 @@
         self.settings.start()
         self.membership.start()
         self.scheduling.start()
+        self.guard.start()
         self.bookings.start()
         await self._caller_server.setup()
         listen = self._process.listen_caller
@@ -281,6 +299,7 @@
         await self._caller_server.cleanup()
         await self.bookings.close()
         await self.scheduling.close()
+        await self.guard.close()
         await self.membership.close()
         await self.settings.close()
         await self.transport.close()
--- a/src/medlarvale/plain/client.py
+++ b/src/medlarvale/plain/client.py
@@ -137,15 +137,16 @@
         tried: set[ServerId] = set()
         may_have_run = False
         while True:
-            await self._admit(call, may_have_run)
-            server = self._next_server(call, tried, may_have_run)
-            tried.add(server.server)
-            left_ms = end_ms - self._clock.now_ms()
-            others = self._has_other_server(call, tried)
+            others = False
             try:
-                answer = await self._try(
-                    call, server, min(left_ms, FREE_TRY_MS) if others else left_ms
-                )
+                async with self._admitted(call, may_have_run):
+                    server = self._next_server(call, tried, may_have_run)
+                    tried.add(server.server)
+                    left_ms = end_ms - self._clock.now_ms()
+                    others = self._has_other_server(call, tried)
+                    answer = await self._try(
+                        call, server, min(left_ms, FREE_TRY_MS) if others else left_ms
+                    )
                 if answer.status not in RETRYABLE_STATUSES or not others:
                     return answer
                 if not self._budget.take_retry(call.service):
@@ -166,24 +167,33 @@
             MedlarvaleError: outcome ``NOT_RUN`` only if no connection to any server was made.
         """
         end_ms = self._clock.now_ms() + call.deadline_ms
-        await self._admit(call, may_have_run=False)
         tried: set[ServerId] = set()
-        while True:
-            server = self._next_server(call, tried, may_have_run=False)
-            tried.add(server.server)
-            try:
-                return await self._try(call, server, end_ms - self._clock.now_ms())
-            except (PlainUnreachableError, PlainNotSentError):
-                if not self._has_other_server(call, tried) or self._clock.now_ms() >= end_ms:
-                    raise
+        async with self._admitted(call, may_have_run=False):
+            while True:
+                server = self._next_server(call, tried, may_have_run=False)
+                tried.add(server.server)
+                try:
+                    return await self._try(call, server, end_ms - self._clock.now_ms())
+                except (PlainUnreachableError, PlainNotSentError):
+                    if not self._has_other_server(call, tried) or self._clock.now_ms() >= end_ms:
+                        raise
 
-    async def _admit(self, call: PlainCall, may_have_run: bool) -> None:
+    @asynccontextmanager
+    async def _admitted(self, call: PlainCall, may_have_run: bool) -> AsyncIterator[None]:
+        """Runs a block that the crash guard admits, and tells it how the block ended."""
+        fingerprint = plain_fingerprint(call)
         try:
-            await self._guard.admit(plain_fingerprint(call))
+            await self._guard.admit(fingerprint)
         except MedlarvaleError as error:
             if may_have_run:
                 raise PlainOutcomeUnknownError(error.message) from error
             raise
+        answered = False
+        try:
+            yield
+            answered = True
+        finally:
+            self._guard.ended(fingerprint, answered=answered)
 
     def _servers(self, call: PlainCall) -> list[BackendServer]:
         return self._directory.of_service(call.service, PoolRole.PLAIN)
--- a/tests/completions/fakes.py
+++ b/tests/completions/fakes.py
@@ -131,10 +131,16 @@
     def __init__(self) -> None:
         self.running: list[ServerId] = []
         self.lost: list[ServerId] = []
+        self.admitted = 0
+        self.ends: list[bool] = []
 
     async def admit(self, fingerprint: int) -> bool:
+        self.admitted += 1
         return False
 
+    def ended(self, fingerprint: int, *, answered: bool) -> None:
+        self.ends.append(answered)
+
     def started(self, fingerprint: int, server: ServerId) -> None:
         self.running.append(server)
 
--- a/tests/standins/test_platform_command.py
+++ b/tests/standins/test_platform_command.py
@@ -20,7 +20,7 @@
         self.addCleanup(process.kill)
         assert process.stdout is not None
         self.addCleanup(process.stdout.close)
-        address = process.stdout.readline().removeprefix("listening on ").strip()
+        address = json.loads(process.stdout.readline())["address"]
         with urllib.request.urlopen(f"{address}/config", timeout=10) as response:
             answer = json.load(response)
         self.assertEqual(answer["version"], 1)
