--- a/src/medlarvale/callers/sse.py
+++ b/src/medlarvale/callers/sse.py
@@ -8,7 +8,7 @@
 from medlarvale.callers.error_body import REQUEST_ID_HEADER, error_body
 from medlarvale.completions.errors import CallerGoneError
 from medlarvale.completions.request import Completion
-from medlarvale.completions.tokens import text_of_tokens
+from medlarvale.completions.tokens import text_of_tokens, utf8_of_tokens
 from medlarvale.errors import MedlarvaleError
 from medlarvale.ids import RequestId
 
@@ -99,10 +99,9 @@
         usage = b',"usage":null}\n\n' if include_usage else b"}\n\n"
         field = b'"delta":{"content":"' if shape.chat else b'"text":"'
         self._before = self._head + b',"choices":[{"index":0,' + field
-        self._after = (
-            (b'"}' if shape.chat else b'"') + b',"logprobs":null,"finish_reason":null}]' + usage
-        )
+        self._after = (b'"}' if shape.chat else b'"') + b',"finish_reason":null}]' + usage
         self._usage = usage
+        self._started = False
         self.response = web.StreamResponse(
             headers={
                 "Content-Type": "text/event-stream",
@@ -114,12 +113,18 @@
     @property
     def started(self) -> bool:
         """Whether the caller has already received the status of the answer."""
-        return self.response.prepared
+        return self._started
 
     async def deliver(self, tokens: list[int]) -> None:
         """Sends tokens as one event."""
-        event = self._before + text_of_tokens(tokens).encode() + self._after
-        await self._write(event if self.started else self._opening() + event)
+        event = self._before + utf8_of_tokens(tokens) + self._after
+        if not self._started:
+            await self._write(self._opening() + event)
+            return
+        try:
+            await self.response.write(event)
+        except ConnectionError as error:
+            raise CallerGoneError from error
 
     async def finish(self, completion: Completion) -> None:
         """Sends the end of a whole answer."""
@@ -128,7 +133,7 @@
         parts = [
             b"" if self.started else self._opening(),
             self._head + b',"choices":[{"index":0,' + content,
-            b',"logprobs":null,"finish_reason":"' + reason + b'"}]' + self._usage,
+            b',"finish_reason":"' + reason + b'"}]' + self._usage,
         ]
         if self._include_usage:
             parts.append(self._head + b',"choices":[],"usage":' + usage_json(completion) + b"}\n\n")
@@ -147,13 +152,14 @@
         return (
             self._head
             + b',"choices":[{"index":0,"delta":{"role":"assistant","content":""},'
-            + b'"logprobs":null,"finish_reason":null}]'
+            + b'"finish_reason":null}]'
             + self._usage
         )
 
     async def _write(self, data: bytes) -> None:
         try:
-            if not self.started:
+            if not self._started:
+                self._started = True
                 await self.response.prepare(self._request)
             await self.response.write(data)
         except ConnectionError as error:
--- a/src/medlarvale/completions/accounting.py
+++ b/src/medlarvale/completions/accounting.py
@@ -37,18 +37,15 @@
         self.servers: list[ServerId] = []
         self.waited_for: list[WorkspaceId] = []
 
-    def tokens_arrived(self, now_ms: float, count: int) -> None:
-        """Counts tokens that are about to be sent to the caller."""
+    def tokens_sent(self, count: int, arrived_ms: float, sent_ms: float) -> None:
+        """Counts tokens that went to the caller; the next gap starts when they were sent."""
         if not self.ttft_ms:
-            self.ttft_ms = now_ms - self._started_ms
+            self.ttft_ms = arrived_ms - self._started_ms
             count -= 1
-        if count > 0:
-            self._gap_ms.append((now_ms - self._ready_ms) / count)
+        if count:
+            self._gap_ms.append((arrived_ms - self._ready_ms) / count)
             self._gap_tokens.append(count)
-
-    def tokens_sent(self, now_ms: float) -> None:
-        """Starts the gap before the next tokens."""
-        self._ready_ms = now_ms
+        self._ready_ms = sent_ms
 
     def attempt_ended(self, attempt: Attempt) -> None:
         """Adds the cost of an attempt."""
--- a/src/medlarvale/completions/engine_client.py
+++ b/src/medlarvale/completions/engine_client.py
@@ -196,18 +196,16 @@
                 if self._tail:
                     raise EngineLostError(self._server, "stream ended within a chunk")
                 return []
-            if self._tail:
-                data = self._tail + data
-            lines, separator, self._tail = data.rpartition(b"\n")
-            if len(self._tail) > MAX_LINE_BYTES:
-                raise EngineProtocolError(self._server, "chunk is too long")
-            if separator:
-                try:
-                    chunks = _chunk_decoder.decode_lines(lines)
-                except msgspec.DecodeError as error:
-                    raise EngineProtocolError(self._server, f"bad chunk: {error}") from error
-                if chunks:
-                    return chunks
+            if self._tail or not data.endswith(b"\n"):
+                data, _, self._tail = (self._tail + data).rpartition(b"\n")
+                if len(self._tail) > MAX_LINE_BYTES:
+                    raise EngineProtocolError(self._server, "chunk is too long")
+            try:
+                chunks = _chunk_decoder.decode_lines(data)
+            except msgspec.DecodeError as error:
+                raise EngineProtocolError(self._server, f"bad chunk: {error}") from error
+            if chunks:
+                return chunks
 
 
 class HttpEngineClient:
--- a/src/medlarvale/completions/request_run.py
+++ b/src/medlarvale/completions/request_run.py
@@ -37,7 +37,7 @@
 from medlarvale.completions.parts import RequestPathParts
 from medlarvale.completions.request import Completion, ModelRequest, TokenSink
 from medlarvale.completions.sequence import TokenSequence
-from medlarvale.completions.watchdog import Watchdog, deadline
+from medlarvale.completions.watchdog import RelayWatchdog, deadline
 from medlarvale.errors import MedlarvaleError, Outcome
 from medlarvale.ids import AttemptNumber, ServerId
 from medlarvale.logs import Event, log_info
@@ -228,7 +228,10 @@
         attempt.prefill_ms = prefilled.prefill_ms
         first = Chunk(i=len(generated), tokens=[prefilled.first_token])
         self._report(attempt, Phase.PREFILLED)
-        await self._deliver(attempt, engine.server, [first])
+        fresh = self._accept(attempt.number, engine.server, [first])
+        arrived_ms = parts.clock.now_ms()
+        await self._sink.deliver(fresh)
+        self.account.tokens_sent(len(fresh), arrived_ms, parts.clock.now_ms())
         return prefilled
 
     async def _transfer(
@@ -302,46 +305,55 @@
             position=len(self.sequence.tokens),
             max_tokens=request.max_tokens,
         )
+        watchdog = RelayWatchdog(
+            parts.clock,
+            source_limit_ms=limit_ms,
+            make_source_error=_stalled(engine),
+            destination_limit_ms=parts.limits.caller_ms,
+            make_destination_error=CallerGoneError,
+        )
         with self._hop("decode", attempt, engine) as context, self._exposed(engine.server):
-            async with (
-                Watchdog(parts.clock, limit_ms, _stalled(engine)) as stall,
-                parts.engines.decode(engine, context, call) as stream,
-            ):
-                await self._relay(attempt, engine.server, stream, stall)
+            async with watchdog, parts.engines.decode(engine, context, call) as stream:
+                await self._relay(attempt, engine.server, stream, watchdog)
 
     async def _relay(
-        self, attempt: Attempt, server: ServerId, stream: ChunkStream, stall: Watchdog
+        self, attempt: Attempt, server: ServerId, stream: ChunkStream, watchdog: RelayWatchdog
     ) -> None:
-        async with Watchdog(
-            self._parts.clock, self._parts.limits.caller_ms, CallerGoneError
-        ) as caller:
-            caller.pause()
-            while not self.sequence.whole:
-                stall.progress()
-                chunks = await stream.read()
-                if not chunks:
-                    raise EngineLostError(server, "stream ended before the answer was whole")
-                stall.pause()
-                caller.progress()
-                await self._deliver(attempt, server, chunks)
-                caller.pause()
+        """Passes on what the stream gives until the answer is whole.
+
+        This loop runs once per chunk of every answer and holds most of the router's cost.
+        """
+        read, deliver, now = stream.read, self._sink.deliver, self._parts.clock.now_ms
+        sequence, count_sent = self.sequence, self.account.tokens_sent
+        while not sequence.whole:
+            chunks = await read()
+            if not chunks:
+                raise EngineLostError(server, "stream ended before the answer was whole")
+            fresh = self._accept(attempt.number, server, chunks)
+            if fresh:
+                arrived_ms = now()
+                watchdog.wait_for_destination(arrived_ms)
+                await deliver(fresh)
+                sent_ms = now()
+                count_sent(len(fresh), arrived_ms, sent_ms)
+                watchdog.wait_for_source(sent_ms)
                 if not attempt.prefill_used:
                     attempt.prefill_used = True
                     self._report(attempt, Phase.DECODING)
-                attempt.freed_by_engine = chunks[-1].done
+        attempt.freed_by_engine = chunks[-1].done
 
-    async def _deliver(self, attempt: Attempt, server: ServerId, chunks: list[Chunk]) -> None:
-        fresh: list[int] = []
+    def _accept(self, attempt: AttemptNumber, server: ServerId, chunks: list[Chunk]) -> list[int]:
+        """Returns the tokens that chunks add to the answer."""
         try:
+            if len(chunks) == 1:
+                chunk = chunks[0]
+                return self.sequence.accept(attempt, chunk.i, chunk.tokens, chunk.done)
+            fresh: list[int] = []
             for chunk in chunks:
-                accepted = self.sequence.accept(attempt.number, chunk.i, chunk.tokens, chunk.done)
-                fresh = fresh + accepted if fresh else accepted
+                fresh += self.sequence.accept(attempt, chunk.i, chunk.tokens, chunk.done)
+            return fresh
         except SequenceConflictError as error:
             raise EngineProtocolError(server, error.message) from error
-        if fresh:
-            self.account.tokens_arrived(self._parts.clock.now_ms(), len(fresh))
-            await self._sink.deliver(fresh)
-            self.account.tokens_sent(self._parts.clock.now_ms())
 
     @contextmanager
     def _hop(self, name: str, attempt: Attempt, engine: BackendServer) -> Iterator[CallContext]:
--- a/src/medlarvale/completions/sequence.py
+++ b/src/medlarvale/completions/sequence.py
@@ -27,10 +27,12 @@
 
     Attributes:
         tokens: the answer so far, without gaps.
+        whole: whether every token of the answer is in ``tokens``.
     """
 
     def __init__(self, limit: int) -> None:
         self.tokens: list[int] = []
+        self.whole = False
         self._limit = limit
         self._attempt = AttemptNumber(0)
         self._ahead: dict[int, int] = {}
@@ -42,11 +44,6 @@
         self._ahead.clear()
         self._end = None
 
-    @property
-    def whole(self) -> bool:
-        """Whether every token of the answer is in ``tokens``."""
-        return len(self.tokens) >= self._limit or self._end == len(self.tokens)
-
     @property
     def finish_reason(self) -> FinishReason:
         """Why the whole answer ended."""
@@ -72,11 +69,14 @@
         if done:
             self._set_end(first_index + len(tokens))
         if first_index == known and not self._ahead and self._end is None:
-            fresh = tokens[: self._limit - known]
-            self.tokens.extend(fresh)
-            return fresh
-        self._store(first_index, tokens)
-        return self._take_ahead()
+            fresh = tokens if known + len(tokens) <= self._limit else tokens[: self._limit - known]
+            self.tokens += fresh
+        else:
+            self._store(first_index, tokens)
+            fresh = self._take_ahead()
+        known = len(self.tokens)
+        self.whole = known >= self._limit or known == self._end
+        return fresh
 
     def _set_end(self, end: int) -> None:
         if self._end not in (None, end) or end < len(self.tokens):
--- a/src/medlarvale/completions/tokens.py
+++ b/src/medlarvale/completions/tokens.py
@@ -4,6 +4,7 @@
 
 from array import array
 
+import msgspec
 import xxhash
 
 TOKEN_MASK = 0x7FFF_FFFF
@@ -36,9 +37,19 @@
     return tokens
 
 
+def utf8_of_tokens(tokens: list[int]) -> bytes:
+    """Returns the text of answer tokens as UTF-8; it needs no escaping in JSON.
+
+    The detour over JSON takes about half the time of formatting each number in Python.
+    """
+    if not tokens:
+        return b""
+    return b" w" + msgspec.json.encode(tokens)[1:-1].replace(b",", b" w")
+
+
 def text_of_tokens(tokens: list[int]) -> str:
-    """Returns the text of answer tokens; it needs no escaping in JSON."""
-    return "".join([f" w{token}" for token in tokens])
+    """Returns the text of answer tokens."""
+    return utf8_of_tokens(tokens).decode()
 
 
 def prefix_hashes(tokens: list[int], block_tokens: int = PREFIX_BLOCK_TOKENS) -> list[int]:
--- a/src/medlarvale/completions/watchdog.py
+++ b/src/medlarvale/completions/watchdog.py
@@ -39,7 +39,7 @@
         self._limit_ms = limit_ms
         self._make_error = make_error
         self._checks = checks
-        self._since_ms: float | None = None
+        self._since_ms = 0.0
         self._expired = False
         self._cancelling = 0
         self._task: asyncio.Task[Any] | None = None
@@ -70,18 +70,48 @@
         """Starts the limit anew."""
         self._since_ms = self._clock.now_ms()
 
-    def pause(self) -> None:
-        """Stops the limit until the next ``progress``, while others are waited for."""
-        self._since_ms = None
-
     def _check(self) -> None:
-        if self._expired or self._since_ms is None or self._task is None:
+        if self._expired or self._task is None:
             return
         if self._clock.now_ms() - self._since_ms >= self._limit_ms - TIMER_TOLERANCE_MS:
             self._expired = True
             self._task.cancel()
 
 
+class RelayWatchdog(Watchdog):
+    """Watchdog of a relay, which waits for its source and its destination in turn.
+
+    Each has its own limit and error; one timer serves both, and a turn costs three assignments.
+    """
+
+    def __init__(
+        self,
+        clock: Clock,
+        *,
+        source_limit_ms: float,
+        make_source_error: Callable[[], Exception],
+        destination_limit_ms: float,
+        make_destination_error: Callable[[], Exception],
+    ) -> None:
+        super().__init__(clock, source_limit_ms, make_source_error)
+        self._source_limit_ms = source_limit_ms
+        self._make_source_error = make_source_error
+        self._destination_limit_ms = destination_limit_ms
+        self._make_destination_error = make_destination_error
+
+    def wait_for_source(self, now_ms: float) -> None:
+        """Starts the limit of the source."""
+        self._since_ms = now_ms
+        self._limit_ms = self._source_limit_ms
+        self._make_error = self._make_source_error
+
+    def wait_for_destination(self, now_ms: float) -> None:
+        """Starts the limit of the destination."""
+        self._since_ms = now_ms
+        self._limit_ms = self._destination_limit_ms
+        self._make_error = self._make_destination_error
+
+
 def deadline(clock: Clock, limit_ms: float, make_error: Callable[[], Exception]) -> Watchdog:
     """Returns a watchdog that ends its block ``limit_ms`` after its start."""
     return Watchdog(clock, limit_ms, make_error, checks=1)
--- a/tests/callers/test_validation.py
+++ b/tests/callers/test_validation.py
@@ -122,7 +122,7 @@
             ("/stock/%ff", "bad_path"),
             ("/stock/%zz", "bad_path"),
             ("/stock#x", "bad_path"),
-            ("/%72eservations", "idempotency_key_missing"),
+            ("/stock/%72eserve", "idempotency_key_missing"),
         ]
         for path, code in table:
             with self.subTest(path=path):
--- a/tests/completions/fakes.py
+++ b/tests/completions/fakes.py
@@ -44,6 +44,7 @@
         "udlaan-app": {"kind": "plain", "retry_policy": "lookups", "pools": {}}
     },
     "retry_policies": {"lookups": {"rules": [
+        {"path_prefix": "/stock/reserve", "repeat": "at_most_once"},
         {"methods": ["POST"], "path_prefix": "/stock/search", "repeat": "freely"},
         {"methods": ["GET"], "path_prefix": "/stock", "repeat": "freely"}
     ]}},
