--- a/tests/callers/support.py
+++ b/tests/callers/support.py
@@ -68,18 +68,10 @@
         self.path = RequestPath(self.engines, clock, settings)
         self.runner = CompletionRunner(self.path.parts)
         self.plain = FakePlainServices()
-        parts = CallerParts(
-            region=REGION,
-            failure_domain=DOMAIN,
-            clock=clock,
-            settings=settings,
-            workspaces=WorkspaceDirectory(settings),
-            runner=self.runner,
-            dispatcher=self.plain,
-            bookings=self.plain,
-            observer=self.path.observer,
-            tracer=self.path.tracing.tracer,
-        )
+        directory = WorkspaceDirectory(settings)
+        here = REGION, DOMAIN, clock, settings, directory, self.runner
+        around = self.plain, self.plain, self.path.observer, self.path.tracing.tracer
+        parts = CallerParts(*here, *around)
         self.server = CallerServerRunner(build_app(parts), shutdown_timeout_s=1.0)
         await self.server.setup()
         await web.TCPSite(self.server, "127.0.0.1", 0).start()
--- a/tests/completions/fakes.py
+++ b/tests/completions/fakes.py
@@ -7,7 +7,7 @@
 from medlarvale.clock import Clock
 from medlarvale.completions.cleanup import EngineCleanup
 from medlarvale.completions.engine_client import EngineClient
-from medlarvale.completions.parts import RequestPathParts, StallLimits
+from medlarvale.completions.parts import RequestPathParts
 from medlarvale.completions.request import ModelRequest
 from medlarvale.errors import MedlarvaleError, Outcome
 from medlarvale.ids import (
@@ -110,14 +110,7 @@
             )
             for role in (PoolRole.PREFILL, PoolRole.DECODE)
         )
-        return Placed(
-            request_id=request.request_id,
-            attempt=request.attempt,
-            prefill=prefill,
-            decode=decode,
-            pieces=2,
-            lease_ms=1_000,
-        )
+        return Placed(request.request_id, request.attempt, prefill, decode, 2, 1_000)
 
     def report(self, progress: Progress) -> None:
         self.reported.append(progress)
@@ -156,14 +149,8 @@
 
 
 def server(name: str, role: PoolRole, service: ServiceName, address: str = "") -> BackendServer:
-    return BackendServer(
-        server=ServerId(name),
-        address=address or f"http://{name}",
-        service=service,
-        pool=PoolName(role.value),
-        role=role,
-        failure_domain=DOMAIN,
-    )
+    address = address or f"http://{name}"
+    return BackendServer(ServerId(name), address, service, PoolName(role.value), role, DOMAIN)
 
 
 def engine_directory(each: int = 3) -> ServerDirectory:
@@ -181,32 +168,17 @@
     """A request path with fakes around it."""
 
     def __init__(
-        self,
-        engines: EngineClient,
-        clock: Clock,
-        settings: FakeSettings | None = None,
-        limits: StallLimits | None = None,
+        self, engines: EngineClient, clock: Clock, settings: FakeSettings | None = None
     ) -> None:
         self.directory = engine_directory()
         self.placement = FakePlacement(self.directory)
         self.guard = FakeGuard()
         self.observer = FakeObserver()
         self.tracing = Tracing("entry-1")
-        self.parts = RequestPathParts(
-            identity=OWNER,
-            region=REGION,
-            failure_domain=DOMAIN,
-            clock=clock,
-            settings=settings or FakeSettings(),
-            placement=self.placement,
-            directory=self.directory,
-            engines=engines,
-            cleanup=EngineCleanup(engines, clock),
-            guard=self.guard,
-            observer=self.observer,
-            tracer=self.tracing.tracer,
-            limits=limits or StallLimits(),
-        )
+        cleanup = EngineCleanup(engines, clock)
+        here = OWNER, REGION, DOMAIN, clock, settings or FakeSettings()
+        around = self.placement, self.directory, engines, cleanup, self.guard, self.observer
+        self.parts = RequestPathParts(*here, *around, self.tracing.tracer)
 
 
 def model_request(**changes: object) -> ModelRequest:
--- a/tests/completions/test_engine_client.py
+++ b/tests/completions/test_engine_client.py
@@ -7,28 +7,19 @@
 
 from aiohttp import web
 
+from medlarvale.completions import engine_client as protocol
 from medlarvale.completions import errors
-from medlarvale.completions.engine_client import (
-    CallContext,
-    Chunk,
-    DecodeCall,
-    HttpEngineClient,
-    ImportCall,
-    PrefillCall,
-    ReserveCall,
-    new_engine_session,
-)
 from medlarvale.ids import AttemptNumber, RequestId, ServerId
 from medlarvale.membership.servers import BackendServer
 from medlarvale.settings.schema import PoolRole
 from tests.completions.fakes import MODEL_SERVICE, OWNER, server
 
 R1, FIRST = RequestId("r1"), AttemptNumber(1)
-CONTEXT = CallContext(OWNER, R1, FIRST, "00-aa-bb-01")
-PREFILL = PrefillCall(R1, FIRST, [1, 2], [3], "live", "slidsk")
-RESERVE = ReserveCall(R1, FIRST, 2, 2_000)
-IMPORT = ImportCall(R1, FIRST, "http://p1", "h")
-DECODE = DecodeCall(R1, FIRST, 1, 9)
+CONTEXT = protocol.CallContext(OWNER, R1, FIRST, "00-aa-bb-01")
+PREFILL = protocol.PrefillCall(R1, FIRST, [1, 2], [3], "live", "slidsk")
+RESERVE = protocol.ReserveCall(R1, FIRST, 2, 2_000)
+IMPORT = protocol.ImportCall(R1, FIRST, "http://p1", "h")
+DECODE = protocol.DecodeCall(R1, FIRST, 1, 9)
 
 Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
 
@@ -46,8 +37,8 @@
         await site.start()
         port = self.runner.addresses[0][1]
         self.engine = server("d1", PoolRole.DECODE, MODEL_SERVICE, f"http://127.0.0.1:{port}")
-        self.session = new_engine_session()
-        self.client = HttpEngineClient(self.session)
+        self.session = protocol.new_engine_session()
+        self.client = protocol.HttpEngineClient(self.session)
 
     async def asyncTearDown(self) -> None:
         await self.session.close()
@@ -89,7 +80,11 @@
 
                 self.handler = stream
                 chunks = await self._call("decode", self.engine)
-                expected = [Chunk(1, [1, 2]), Chunk(3, [3, 4]), Chunk(5, [5, 6], True)]
+                expected = [
+                    protocol.Chunk(1, [1, 2]),
+                    protocol.Chunk(3, [3, 4]),
+                    protocol.Chunk(5, [5, 6], True),
+                ]
                 self.assertEqual(chunks, expected)
         path, headers, body = self.seen[0]
         self.assertEqual(path, "/v1/decode")
@@ -161,7 +156,3 @@
         await asyncio.wait_for(self.arrived.wait(), 5)
         task.cancel()
         await asyncio.wait_for(self.closed.wait(), 5)
-
-
-if __name__ == "__main__":
-    unittest.main()
--- a/tests/completions/test_sequence_properties.py
+++ b/tests/completions/test_sequence_properties.py
@@ -64,7 +64,3 @@
         if first < start + size and start < first + foreign_size:
             with self.assertRaises(SequenceConflictError):
                 sequence.accept(AttemptNumber(1), first, [-1] * foreign_size, False)
-
-
-if __name__ == "__main__":
-    unittest.main()
--- a/tests/plain/test_client.py
+++ b/tests/plain/test_client.py
@@ -14,14 +14,7 @@
 from medlarvale.plain.messages import PlainAnswer, PlainCall
 from medlarvale.settings.schema import PoolRole
 from medlarvale.tracing import Tracing
-from tests.completions.fakes import (
-    DOMAIN,
-    PLAIN_SERVICE,
-    REGION,
-    FakeGuard,
-    FakeSettings,
-    server,
-)
+from tests.completions.fakes import DOMAIN, PLAIN_SERVICE, REGION, FakeGuard, FakeSettings, server
 
 OK = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\nX-A: 1\r\nConnection: x-hop\r\nX-Hop: 1\r\n\r\nok"
 BUSY = b"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n"
@@ -32,10 +25,7 @@
 class RawServer:
     """Server on a plain socket that accepts, reads the head of one request, answers and closes.
 
-    Attributes:
-        heads: heads of the requests that arrived, one for each connection that sent one.
-        answer: bytes sent back, None to keep silent.
-        read: whether to read before closing.
+    ``answer`` None keeps it silent, ``read`` False closes unread, ``keep`` keeps the connection.
     """
 
     def __init__(self, answer: bytes | None = OK, *, read: bool = True, keep: bool = False) -> None:
@@ -66,15 +56,9 @@
 
 
 def call(method: str = "POST", deadline_ms: int = 5_000) -> PlainCall:
-    return PlainCall(
-        service=PLAIN_SERVICE,
-        workspace=WorkspaceId("glatfore"),
-        method=method,
-        path="/stock%20x?a=1",
-        headers=[("X-Test", "1"), ("traceparent", f"00-{'a' * 32}-{'b' * 16}-01")],
-        body=b"",
-        deadline_ms=deadline_ms,
-    )
+    headers = [("X-Test", "1"), ("traceparent", f"00-{'a' * 32}-{'b' * 16}-01")]
+    workspace, path = WorkspaceId("glatfore"), "/stock%20x?a=1"
+    return PlainCall(PLAIN_SERVICE, workspace, method, path, headers, b"", deadline_ms)
 
 
 class PlainClientTest(unittest.IsolatedAsyncioTestCase):
@@ -169,11 +153,8 @@
 
     async def test_freely_moves_on(self) -> None:
         """Guards against a lookup that fails while another server could answer it."""
-        for name, bad in [
-            ("unreachable", None),
-            ("closes", RawServer(b"")),
-            ("busy", RawServer(BUSY)),
-        ]:
+        table = [("unreachable", None), ("closes", RawServer(b"")), ("busy", RawServer(BUSY))]
+        for name, bad in table:
             for _ in range(2):
                 with self.subTest(name=name):
                     await self.use(bad, RawServer())
@@ -230,7 +211,3 @@
                     budget.call_started(PLAIN_SERVICE, percent)
                     retries += budget.take_retry(PLAIN_SERVICE)
                 self.assertAlmostEqual(retries, expected, delta=2)
-
-
-if __name__ == "__main__":
-    unittest.main()
--- a/tests/test_errors.py
+++ b/tests/test_errors.py
@@ -39,7 +39,3 @@
         self.assertEqual(sorted(listed), in_code)
         codes = [code for code, _, _ in listed]
         self.assertEqual(len(codes), len(set(codes)), "a code has one meaning")
-
-
-if __name__ == "__main__":
-    unittest.main()
