Add the operators' port, accounting, wall page and event catalogue

Cause: operators need to see whether long requests are answered in time, and why a firm's work stalls. Change: accounting by region, failure domain, service, pool and workspace; Prometheus text; typed status with parts; merged status of all nodes; wall page; medlarvale status; docs/EVENTS.md with a test.

--- a/src/medlarvale/cli.py
+++ b/src/medlarvale/cli.py
@@ -5,13 +5,16 @@
 import argparse
 from collections.abc import Sequence
 
+from medlarvale.operators import commands as operator_commands
+
 
 def build_parser() -> argparse.ArgumentParser:
     """Returns the parser; each subcommand sets ``run``, which returns the exit status."""
     parser = argparse.ArgumentParser(
         prog="medlarvale", description="Router for separate prefill and decode pools."
     )
-    parser.add_subparsers(dest="command", required=True)
+    subparsers = parser.add_subparsers(dest="command", required=True)
+    operator_commands.add_commands(subparsers)
     return parser
 
 
--- /dev/null
+++ b/src/medlarvale/operators/fleet.py
@@ -0,0 +1,148 @@
+"""Status of all nodes, asked of the peers and merged."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable, Iterable
+
+import msgspec
+
+from medlarvale.clock import Clock
+from medlarvale.ids import HostId, HostIdentity
+from medlarvale.operators.accounting import Figures, Key, merge_figures
+from medlarvale.operators.status import NodeStatus, PoolStatus
+from medlarvale.peers.errors import PeerError
+from medlarvale.peers.transport import Transport
+
+ASK_TIMEOUT_MS = 700.0
+# Several screens refresh each second; they share one round of questions.
+CACHE_MS = 900.0
+# Keeps 360 replies of about 50 KB from being in flight at once.
+CONCURRENT_ASKS = 32
+
+
+class AskStatus(msgspec.Struct, tag="ask_status", frozen=True):
+    """Asks a peer for its status."""
+
+
+class StatusReply(msgspec.Struct, tag="status_reply", frozen=True):
+    """The status of the asked node."""
+
+    status: NodeStatus
+
+
+FLEET_MESSAGES: tuple[type[msgspec.Struct], ...] = (AskStatus, StatusReply)
+
+
+class UnreachableNode(msgspec.Struct):
+    """A listed node that gave no status."""
+
+    host: HostId
+    reason: str
+
+
+class FleetStatus(msgspec.Struct):
+    """Status of all nodes that could be reached.
+
+    Attributes:
+        asked_by: the node that asked the others.
+        figures: figures merged over the nodes.
+        pools: pools as the node with the highest load report sees them.
+        unreachable: listed nodes without an answer; the figures lack theirs.
+    """
+
+    asked_by: HostId
+    nodes: list[NodeStatus]
+    unreachable: list[UnreachableNode]
+    figures: list[Figures]
+    pools: list[PoolStatus]
+
+
+def merge_statuses(
+    asked_by: HostId, nodes: list[NodeStatus], unreachable: list[UnreachableNode]
+) -> FleetStatus:
+    """Returns the merged status; the nodes' own figures and pools are left out of it."""
+    totals: dict[tuple[Key, str], Figures] = {}
+    pools: dict[tuple[str, str, str], PoolStatus] = {}
+    for node in nodes:
+        for figures in node.figures:
+            place = (Key(figures.dimension, figures.name), figures.window)
+            if place not in totals:
+                totals[place] = Figures(
+                    *(figures.dimension, figures.name, figures.window),
+                    reasons={},
+                    waited_for={},
+                    faults={},
+                )
+            merge_figures(totals[place], figures)
+        for pool in node.pools:
+            name = (pool.service, pool.pool, pool.failure_domain)
+            if name not in pools or pool.used_share > pools[name].used_share:
+                pools[name] = pool
+    slim = [msgspec.structs.replace(node, figures=[], pools=[]) for node in nodes]
+    slim.sort(key=lambda node: node.host)
+    return FleetStatus(asked_by, slim, unreachable, list(totals.values()), list(pools.values()))
+
+
+class FleetTask:
+    """Answers peers' questions for the status and asks them.
+
+    Args:
+        identity: this host.
+        transport: requests to peers.
+        clock: time service.
+        listed_hosts: hosts of the newest host list, this one included.
+        own_status: status of this node.
+    """
+
+    def __init__(
+        self,
+        identity: HostIdentity,
+        transport: Transport,
+        clock: Clock,
+        listed_hosts: Callable[[], Iterable[HostId]],
+        own_status: Callable[[], NodeStatus],
+    ) -> None:
+        self._identity = identity
+        self._transport = transport
+        self._clock = clock
+        self._listed_hosts = listed_hosts
+        self._own_status = own_status
+        self._lock = asyncio.Lock()
+        self._cached: FleetStatus | None = None
+        self._cached_at_ms = 0.0
+
+    def start(self) -> None:
+        """Registers the message handler."""
+        self._transport.register(AskStatus, self._on_ask)
+
+    async def fleet_status(self) -> FleetStatus:
+        """Returns the status of all listed nodes, at most 0.9 s old."""
+        async with self._lock:
+            now_ms = self._clock.now_ms()
+            if self._cached is None or now_ms - self._cached_at_ms >= CACHE_MS:
+                self._cached = await self._ask_all()
+                self._cached_at_ms = now_ms
+            return self._cached
+
+    async def _ask_all(self) -> FleetStatus:
+        limit = asyncio.Semaphore(CONCURRENT_ASKS)
+        hosts = sorted(set(self._listed_hosts()) - {self._identity.host})
+        answers = await asyncio.gather(*(self._ask(host, limit) for host in hosts))
+        nodes = [self._own_status()]
+        nodes += [answer for answer in answers if isinstance(answer, NodeStatus)]
+        unreachable = [answer for answer in answers if isinstance(answer, UnreachableNode)]
+        return merge_statuses(self._identity.host, nodes, unreachable)
+
+    async def _ask(self, host: HostId, limit: asyncio.Semaphore) -> NodeStatus | UnreachableNode:
+        async with limit:
+            try:
+                reply = await self._transport.request(host, AskStatus(), ASK_TIMEOUT_MS)
+            except PeerError as error:
+                return UnreachableNode(host, error.message)
+        if isinstance(reply, StatusReply):
+            return reply.status
+        return UnreachableNode(host, f"unexpected reply {type(reply).__name__}")
+
+    async def _on_ask(self, _sender: HostIdentity, _message: AskStatus) -> msgspec.Struct:
+        return StatusReply(self._own_status())
