--- a/src/medlarvale/cli.py
+++ b/src/medlarvale/cli.py
@@ -6,9 +6,12 @@
 from collections.abc import Sequence
 
 from medlarvale import demo, serve
+from medlarvale.operators import commands as operator_commands
 from medlarvale.settings import commands as settings_commands
 from medlarvale.standins import commands as standin_commands
 
+SLICES = (serve, settings_commands, operator_commands, demo, standin_commands)
+
 
 def build_parser() -> argparse.ArgumentParser:
     """Returns the parser; each subcommand sets ``run``, which returns the exit status."""
@@ -16,10 +19,8 @@
         prog="medlarvale", description="Router for separate prefill and decode pools."
     )
     subparsers = parser.add_subparsers(dest="command", required=True)
-    serve.add_commands(subparsers)
-    demo.add_commands(subparsers)
-    settings_commands.add_commands(subparsers)
-    standin_commands.add_commands(subparsers)
+    for part in SLICES:
+        part.add_commands(subparsers)
     return parser
 
 
