--- a/src/medlarvale/completions/request_run.py
+++ b/src/medlarvale/completions/request_run.py
@@ -226,8 +226,8 @@
             attempt.prefill_ms = parts.clock.now_ms() - started_ms
             raise
         attempt.prefill_ms = prefilled.prefill_ms
-        first = Chunk(i=len(generated), tokens=[prefilled.first_token])
         self._report(attempt, Phase.PREFILLED)
+        first = Chunk(i=len(generated), tokens=[prefilled.first_token])
         fresh = self._accept(attempt.number, engine.server, [first])
         arrived_ms = parts.clock.now_ms()
         await self._sink.deliver(fresh)
@@ -276,10 +276,7 @@
     ) -> None:
         parts = self._parts
         call = ReserveCall(
-            request_id=context.request_id,
-            attempt=context.attempt,
-            pieces=placed.pieces,
-            ttl_ms=RESERVATION_TTL_MS,
+            context.request_id, context.attempt, placed.pieces, ttl_ms=RESERVATION_TTL_MS
         )
         kv_ttl_ms = parts.value(
             "kv_ttl_ms", self._request.service, prefill.failure_domain, prefill.pool
