Report suspects in the status and say what a refusal after a restart means

Cause: operators see how many requests are quarantined; a request that is refused on a restart has run once, so its caller may not be told not_run. Change: QuarantineTask is a status part; the interface says what the request path has to report.

--- a/src/medlarvale/operators/status.py
+++ b/src/medlarvale/operators/status.py
@@ -125,7 +125,7 @@
 
 def collect_status(identity: HostIdentity, parts: Iterable[StatusPart]) -> NodeStatus:
     """Returns the status of this node from all parts."""
-    status = NodeStatus(identity.host, identity.incarnation)
+    status = NodeStatus(identity.host, identity.incarnation, counts={})
     for part in parts:
         part.add_to(status)
     return status
--- a/src/medlarvale/quarantine/interface.py
+++ b/src/medlarvale/quarantine/interface.py
@@ -18,7 +18,8 @@
 
         Raises:
             RequestQuarantinedError: the request crashed too many servers; this attempt was not
-                run.
+                run. After a restart the caller must hear ``UNKNOWN`` all the same, since an
+                earlier attempt of its request did run.
         """
 
     def started(self, fingerprint: int, server: ServerId) -> None:
--- a/src/medlarvale/quarantine/suspects.py
+++ b/src/medlarvale/quarantine/suspects.py
@@ -126,6 +126,10 @@
             return 0
         return max(0, losses[-1].lost_at_ms + self.limits.quarantine_ms - wall_ms)
 
+    def suspect_count(self, wall_ms: int) -> int:
+        """Returns the number of requests with losses that count."""
+        return sum(1 for known in self._entries if self.is_suspect(known, wall_ms))
+
     def quarantined_count(self, wall_ms: int) -> int:
         """Returns the number of requests refused at present."""
         return sum(1 for known in self._entries if self.quarantine_left_ms(known, wall_ms) > 0)
--- a/src/medlarvale/quarantine/task.py
+++ b/src/medlarvale/quarantine/task.py
@@ -13,6 +13,7 @@
 from medlarvale.hashing import choose
 from medlarvale.ids import HostId, HostIdentity, ServerId
 from medlarvale.logs import Event, log_warning
+from medlarvale.operators.status import NodeStatus
 from medlarvale.peers.errors import PeerError
 from medlarvale.peers.transport import Transport
 from medlarvale.quarantine.errors import RequestQuarantinedError
@@ -173,6 +174,12 @@
         elif fingerprint in self._held:
             self._end_held(self._held[fingerprint])
 
+    def add_to(self, status: NodeStatus) -> None:
+        """Gives this slice's part of the status; see ``StatusPart``."""
+        wall_ms = self._clock.wall_ms()
+        status.counts["suspect_requests"] = self.book.suspect_count(wall_ms)
+        status.counts["quarantined_requests"] = self.book.quarantined_count(wall_ms)
+
     def _count_unsuspected(self, fingerprint: int) -> None:
         copies = self._unsuspected.setdefault(fingerprint, UnsuspectedCopies())
         copies.count += 1
--- a/tests/quarantine/test_task.py
+++ b/tests/quarantine/test_task.py
@@ -5,6 +5,7 @@
 
 from medlarvale.errors import Outcome
 from medlarvale.ids import HostId, ServerId
+from medlarvale.operators.status import collect_status
 from medlarvale.quarantine.errors import RequestQuarantinedError
 from tests.quarantine.cell import Cell
 
@@ -44,6 +45,9 @@
                 await self.admit(host, FAULTY)
             self.assertIs(caught.exception.outcome, Outcome.NOT_RUN)
             self.assertGreater(caught.exception.retry_after_ms or 0, 0)
+            status = collect_status(self.cell.hosts[host], [self.cell.guards[host]])
+            expected = {"suspect_requests": 1, "quarantined_requests": 1}
+            self.assertEqual(status.counts, expected)
 
     async def test_unlucky_request_beside_two_faulty_ones_is_not_refused(self) -> None:
         # Each faulty request is unsuspected only once, so two of them make two losses at most.
