Wire the operators' port into the entry host

Cause: status, metrics, traces and the wall page existed but were not served. Change: status parts of the slices, operators' application, readiness, drain order; plain servers are polled for their leaving state too. Conclusion: wired.

--- a/scripts/deployment.py
+++ b/scripts/deployment.py
@@ -23,7 +23,6 @@
 REPOSITORY = Path(__file__).resolve().parent.parent
 START_TIMEOUT_S = 30.0
 STOP_TIMEOUT_S = 20.0
-READY_HEADERS: dict[str, str] = {}
 PROGRAM = (sys.executable, "-m", "medlarvale")
 
 
@@ -215,10 +214,8 @@
         async with asyncio.timeout(START_TIMEOUT_S), aiohttp.ClientSession() as session:
             while node.alive:
                 try:
-                    async with session.get(
-                        f"{node.address}/v1/models", headers=READY_HEADERS
-                    ) as response:
-                        if response.status in (200, 401):
+                    async with session.get(f"{node.operators}/readyz") as response:
+                        if response.status == 200:
                             return
                 except aiohttp.ClientError:
                     pass
--- a/src/medlarvale/composition.py
+++ b/src/medlarvale/composition.py
@@ -2,9 +2,11 @@
 
 from __future__ import annotations
 
+import asyncio
 import random
 
 import aiohttp
+import msgspec
 from aiohttp import web
 
 from medlarvale.bookings import messages as booking_messages
@@ -19,7 +21,17 @@
 from medlarvale.completions.engine_client import HttpEngineClient, new_engine_session
 from medlarvale.completions.parts import RequestPathParts
 from medlarvale.completions.runner import CompletionRunner
-from medlarvale.ids import HostIdentity, ServiceName, WorkspaceId, new_incarnation
+from medlarvale.ids import (
+    FailureDomain,
+    HostId,
+    HostIdentity,
+    PoolName,
+    RegionName,
+    ServerId,
+    ServiceName,
+    WorkspaceId,
+    new_incarnation,
+)
 from medlarvale.logs import Event, log_info
 from medlarvale.membership import messages as membership_messages
 from medlarvale.membership.messages import HostState
@@ -27,7 +39,12 @@
 from medlarvale.membership.source import PlatformHostListSource
 from medlarvale.membership.task import MembershipTask
 from medlarvale.membership.view import MembershipView
-from medlarvale.operators.reports import RequestReport
+from medlarvale.operators.accounting import Accounting
+from medlarvale.operators.app import OperatorsApp
+from medlarvale.operators.fleet import FLEET_MESSAGES, FleetTask
+from medlarvale.operators.metrics import Metrics
+from medlarvale.operators.parts import BookingPart, CountsPart, PlacePart, ServersPart, SettingsPart
+from medlarvale.operators.status import FiguresPart, NodeStatus, StatusPart, collect_status
 from medlarvale.peers.auth import FrameGuard, SharedKeys
 from medlarvale.peers.pynng_transport import PynngTransport
 from medlarvale.peers.transport import MessageCodec
@@ -46,9 +63,9 @@
 from medlarvale.settings.store import Accepted
 from medlarvale.settings.task import SettingsTask
 from medlarvale.settings.tree import BranchPath
-from medlarvale.tracing import Tracing
+from medlarvale.tracing import Tracing, span_as_json
 
-PEER_MESSAGES = (
+PEER_MESSAGES: tuple[type[msgspec.Struct], ...] = (
     membership_messages.Heartbeat,
     membership_messages.HostList,
     membership_messages.HostListRequest,
@@ -79,6 +96,7 @@
     quarantine_messages.RenewPermits,
     quarantine_messages.ReleasePermit,
     quarantine_messages.QuarantineAccepted,
+    *FLEET_MESSAGES,
 )
 
 # Verdicts are kept for the longest time that a tree may set, since the ledger outlives trees.
@@ -88,11 +106,6 @@
 DRAIN_LIMIT_MS = 3_600_000.0
 
 
-class DiscardReports:
-    def request_finished(self, report: RequestReport) -> None:
-        pass
-
-
 class EntryHost:
     """All parts of one entry host, from its process settings.
 
@@ -104,6 +117,7 @@
         self._process = process
         self.clock = SystemClock()
         started_wall_ms = self.clock.wall_ms()
+        self.drain_requested = asyncio.Event()
         self.identity = HostIdentity(process.host, new_incarnation(started_wall_ms))
         self.tracing = Tracing(process.host, path=process.trace_file)
         self.current = CurrentSettings()
@@ -121,7 +135,7 @@
         self._plain_session = new_plain_session()
         self.settings = self._build_settings()
         self.membership = self._build_membership()
-        self.observer = DiscardReports()
+        self.accounting = Accounting(self.clock, self._region_of, self._pool_of)
         self.guard = self._build_quarantine()
         self.scheduling = self._build_scheduling()
         self.dispatcher = PlainClient(
@@ -136,6 +150,10 @@
         )
         self.bookings = self._build_bookings(started_wall_ms)
         self.runner = self._build_runner()
+        self.fleet = FleetTask(
+            self.identity, self.transport, self.clock, self._listed_hosts, self.status
+        )
+        self._operators_runner = web.AppRunner(self._build_operators().build(), access_log=None)
         self._caller_server = CallerServerRunner(
             build_app(
                 CallerParts(
@@ -147,7 +165,7 @@
                     self.runner,
                     self.dispatcher,
                     self.bookings,
-                    self.observer,
+                    self.accounting,
                     self.tracing.tracer,
                 )
             )
@@ -188,6 +206,54 @@
         membership.report_leaving_servers(self.directory.leaving_by_own_word)
         return membership
 
+    def _region_of(self, failure_domain: FailureDomain) -> RegionName | None:
+        if not self.current.ready:
+            return None
+        for name, region in self.current.tree().regions.items():
+            if failure_domain in region.failure_domains:
+                return RegionName(name)
+        return None
+
+    def _pool_of(self, server: ServerId) -> PoolName | None:
+        known = self.directory.get(server)
+        return known.pool if known is not None else None
+
+    def _listed_hosts(self) -> list[HostId]:
+        return [self.identity.host, *self.membership.view.peers()]
+
+    def status(self) -> NodeStatus:
+        """Returns what operators see of this host."""
+        return collect_status(self.identity, self._status_parts)
+
+    def _build_operators(self) -> OperatorsApp:
+        process = self._process
+        view = self.membership.view
+        self._status_parts: list[StatusPart] = [
+            PlacePart(process.region, process.failure_domain, view, self.clock),
+            SettingsPart(self.settings),
+            BookingPart(self.bookings.leases, self.bookings.ledger, self.clock),
+            ServersPart(self.directory, self.scheduling.load_of),
+            self.guard,
+            CountsPart(
+                {
+                    "requests_under_way": self.runner.count,
+                    "peer_frames_dropped": lambda: self.transport.dropped_frames,
+                    "peer_bytes_sent": lambda: self.transport.sent_bytes,
+                    "peer_bytes_received": lambda: self.transport.received_bytes,
+                }
+            ),
+            FiguresPart(self.accounting),
+        ]
+        return OperatorsApp(
+            process.operator_token,
+            self.status,
+            self.fleet.fleet_status,
+            Metrics(self.accounting, self.status),
+            lambda: [span_as_json(span) for span in self.tracing.ring.spans()],
+            lambda: self.membership.view.state is HostState.LIVE,
+            self.drain_requested.set,
+        )
+
     def _build_quarantine(self) -> QuarantineTask:
         return QuarantineTask(
             self.identity,
@@ -256,7 +322,7 @@
                 engines,
                 EngineCleanup(engines, self.clock),
                 self.guard,
-                self.observer,
+                self.accounting,
                 self.tracing.tracer,
             )
         )
@@ -268,14 +334,19 @@
             OSError: if a port can't be bound.
         """
         self.transport.start()
+        self.fleet.start()
         self.settings.start()
         self.membership.start()
         self.scheduling.start()
         self.guard.start()
         self.bookings.start()
-        await self._caller_server.setup()
         listen = self._process.listen_caller
-        await web.TCPSite(self._caller_server, listen.ip, listen.port).start()
+        for runner, address in [
+            (self._operators_runner, self._process.listen_operators),
+            (self._caller_server, listen),
+        ]:
+            await runner.setup()
+            await web.TCPSite(runner, address.ip, address.port).start()
         log_info(
             Event.HOST_STARTED,
             host=str(self.identity),
@@ -297,6 +368,7 @@
     async def close(self) -> None:
         """Ends all tasks and closes all sockets."""
         await self._caller_server.cleanup()
+        await self._operators_runner.cleanup()
         await self.bookings.close()
         await self.scheduling.close()
         await self.guard.close()
--- a/src/medlarvale/scheduling/fallback.py
+++ b/src/medlarvale/scheduling/fallback.py
@@ -37,6 +37,11 @@
         """Takes over a report."""
         self._known[server] = _Known(report, now_ms)
 
+    def report(self, server: ServerId) -> LoadReport | None:
+        """Returns the newest report, or None if the engine did not answer the last poll."""
+        known = self._known.get(server)
+        return known.report if known is not None else None
+
     def forget(self, server: ServerId) -> None:
         """Drops an engine that did not answer or is no longer listed."""
         self._known.pop(server, None)
--- a/src/medlarvale/scheduling/polling.py
+++ b/src/medlarvale/scheduling/polling.py
@@ -51,13 +51,16 @@
         self._polling: set[ServerId] = set()
 
     async def poll_all(self, groups: Iterable[BookerGroup]) -> None:
-        """Polls every model engine once; engines still being polled are skipped."""
+        """Polls every server once; servers still being polled are skipped.
+
+        Plain servers are asked for their load only, which says whether they leave.
+        """
         by_service = {group.service: group for group in groups}
         await asyncio.gather(
             *(
                 self._poll(server, by_service.get(server.service))
                 for server in self._directory.all_servers()
-                if server.role is not PoolRole.PLAIN and server.server not in self._polling
+                if server.server not in self._polling
             )
         )
 
--- a/src/medlarvale/scheduling/task.py
+++ b/src/medlarvale/scheduling/task.py
@@ -15,7 +15,7 @@
 
 from medlarvale import hashing
 from medlarvale.clock import Clock, Subscription
-from medlarvale.ids import AttemptNumber, HostId, HostIdentity, RequestId, ServiceName
+from medlarvale.ids import AttemptNumber, HostId, HostIdentity, RequestId, ServerId, ServiceName
 from medlarvale.membership.servers import ServerDirectory
 from medlarvale.peers.errors import PeerError
 from medlarvale.peers.transport import Transport
@@ -38,6 +38,7 @@
 )
 from medlarvale.scheduling.polling import EnginePoller
 from medlarvale.scheduling.probe import EngineProbe
+from medlarvale.scheduling.reports import LoadReport
 from medlarvale.settings.schema import PoolRole
 
 TICK_MS = 5.0
@@ -135,6 +136,10 @@
             if self._booker_of(service) == self._identity.host
         ]
 
+    def load_of(self, server: ServerId) -> LoadReport | None:
+        """Returns the newest load report of a server, or None without one."""
+        return self._lag_table.report(server)
+
     def group(self, service: ServiceName) -> BookerGroup:
         """Returns the booker of a service at this host, started at need."""
         found = self._groups.get(service)
--- a/src/medlarvale/serve.py
+++ b/src/medlarvale/serve.py
@@ -47,8 +47,9 @@
 
 
 async def _serve(process: ProcessSettings) -> None:
-    """Serves until SIGTERM, then drains; a second signal stops at once."""
-    first, second = asyncio.Event(), asyncio.Event()
+    """Serves until SIGTERM or a drain order, then drains; a second signal stops at once."""
+    host = EntryHost(process)
+    first, second = host.drain_requested, asyncio.Event()
 
     def stop() -> None:
         (second if first.is_set() else first).set()
@@ -56,7 +57,6 @@
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop)
-    host = EntryHost(process)
     try:
         await host.start()
         print(f"serving callers at http://{process.listen_caller}", flush=True)
