Keep a held interval when a granter has restarted

Cause: a restarted host vouches only for key times above its boot floor. Its grant in a quorum moved the start of every other holder's interval, and shards were handed over to it before its floor had passed, so fresh keys were answered as unknown for about a second after each restart. Change: the lowest start that some quorum vouches for counts; a held interval is not replaced while it runs; shards go to a host only when its floor has passed. Directed lease tests.

--- a/src/medlarvale/bookings/lease.py
+++ b/src/medlarvale/bookings/lease.py
@@ -15,7 +15,7 @@
 from medlarvale.bookings.keys import SHARD_COUNT
 from medlarvale.bookings.messages import Grant, HandOver, LeaseReply, LeaseRequest, View
 from medlarvale.bookings.views import ViewTracker
-from medlarvale.ids import HostId, HostIdentity, ShardId
+from medlarvale.ids import HostId, HostIdentity, ShardId, start_of_incarnation_ms
 
 LEASE_MS = 1_000
 RENEW_PERIOD_MS = 250
@@ -53,11 +53,18 @@
 
 
 class _Round(msgspec.Struct):
-    """Grants collected for one request; ``above_ms`` by shard and granter."""
+    """Grants collected for one request.
+
+    Attributes:
+        above_ms: start that each granter vouches for, by shard and granter.
+        gained: shards whose interval began in this round.
+    """
 
     number: int
+    started_ms: int
     until_ms: int
     above_ms: dict[ShardId, dict[HostId, int]]
+    gained: set[ShardId]
 
 
 class LeaseState:
@@ -80,13 +87,24 @@
         self.views = ViewTracker(identity)
         self._lease_ms = lease_ms
         self._clock_bound_ms = clock_bound_ms
-        boot_floor_ms = started_wall_ms + lease_ms + 2 * clock_bound_ms
+        self._boot_floor_after_ms = lease_ms + 2 * clock_bound_ms
+        boot_floor_ms = started_wall_ms + self._boot_floor_after_ms
         self._promises = [_Promise(None, 0, boot_floor_ms) for _ in range(SHARD_COUNT)]
         self._intervals: dict[ShardId, _Interval] = {}
-        self._round = _Round(0, 0, {})
+        self._round = _Round(0, 0, 0, {}, set())
         self._released: set[ShardId] = set()
         self._taken_until_ms: dict[tuple[HostIdentity, ShardId], int] = {}
 
+    def can_hold(self, host: HostId, wall_ms: int) -> bool:
+        """Tells whether a host takes part in leases and vouches for the key times of now.
+
+        A shard handed over to a host before that would lose the keys issued meanwhile.
+        """
+        incarnation = self.views.incarnation_of(host)
+        if incarnation is None or not self.views.settled(host):
+            return False
+        return start_of_incarnation_ms(incarnation) + self._boot_floor_after_ms < wall_ms
+
     def learn_list(self, view: View) -> None:
         """Takes over a version of the platform's list, if it is newer."""
         self.views.learn_list(view)
@@ -98,7 +116,9 @@
         """
         wanted = [] if self.views.joining else sorted(shards)
         until_ms = wall_ms + self._lease_ms
-        self._round = _Round(self._round.number + 1, until_ms, {shard: {} for shard in wanted})
+        self._round = _Round(
+            self._round.number + 1, wall_ms, until_ms, {shard: {} for shard in wanted}, set()
+        )
         released = sorted(self._released.difference(wanted))
         request = LeaseRequest(self._round.number, self.views.report(), wanted, until_ms, released)
         self.handle_reply(self.identity, self.handle_request(self.identity, request, wall_ms))
@@ -156,20 +176,34 @@
         if granters is None:
             return False
         granters[granter] = grant.above_ms
-        if not self.views.is_quorum(granters.keys()):
+        above_ms = self._lowest_start(granters)
+        if above_ms is None:
             return False
-        above_ms = max(granters.values())
-        # Later replies of the round add nothing to a quorum.
-        del self._round.above_ms[grant.shard]
         held = self._intervals.get(grant.shard)
         if held is not None and above_ms <= held.until_ms:
             held.until_ms = max(held.until_ms, self._round.until_ms)
+            if grant.shard in self._round.gained:
+                held.above_ms = min(held.above_ms, above_ms)
+            return False
+        if held is not None and self._round.started_ms <= held.until_ms:
+            # A restarted granter vouches for later key times only. The others may still answer,
+            # and the interval held would be lost with a later start.
+            return False
+        if above_ms >= self._round.until_ms:
             return False
-        if above_ms < self._round.until_ms:
-            self._intervals[grant.shard] = _Interval(above_ms, self._round.until_ms)
-            self._released.discard(grant.shard)
-            return True
-        return False
+        self._intervals[grant.shard] = _Interval(above_ms, self._round.until_ms)
+        self._round.gained.add(grant.shard)
+        self._released.discard(grant.shard)
+        return True
+
+    def _lowest_start(self, granters: dict[HostId, int]) -> int | None:
+        """Returns the lowest start that some quorum of the granters vouches for, if any."""
+        quorum: set[HostId] = set()
+        for above_ms, granter in sorted((above, name) for name, above in granters.items()):
+            quorum.add(granter)
+            if self.views.is_quorum(quorum):
+                return above_ms
+        return None
 
     def coverage(self, shard: ShardId, issued_ms: int, wall_ms: int) -> Coverage:
         """Tells whether this host may run a key of a shard now.
--- a/src/medlarvale/bookings/task.py
+++ b/src/medlarvale/bookings/task.py
@@ -277,7 +277,7 @@
         """Asks all members for the shards that this host holds or should hold."""
         wall_ms = self._clock.wall_ms()
         held = set(self.leases.held_shards(wall_ms))
-        preferred = self._preferred_shards()
+        preferred = self._preferred_shards(wall_ms)
         for shard in sorted(held - self._handing_over):
             target = preferred[shard]
             if target is not None and target != self._here:
@@ -291,12 +291,15 @@
             if member != self._here:
                 self._spawn(self._request_leases(member, request))
 
-    def _preferred_shards(self) -> dict[ShardId, HostId | None]:
+    def _preferred_shards(self, wall_ms: int) -> dict[ShardId, HostId | None]:
         """Returns the host that should hold each shard, by the hosts live in this host's view."""
         newest = self.leases.views.newest
         members = set(newest.members) if newest is not None else set()
-        views = self.leases.views
-        live = [host for host in self._live_hosts() if host in members and views.settled(host)]
+        live = [
+            host
+            for host in self._live_hosts()
+            if host in members and self.leases.can_hold(host, wall_ms)
+        ]
         shards = (ShardId(number) for number in range(SHARD_COUNT))
         return {shard: choose(f"shard-{shard}", live) for shard in shards}
 
--- a/src/medlarvale/bookings/views.py
+++ b/src/medlarvale/bookings/views.py
@@ -50,6 +50,10 @@
         report = self._current().get(host)
         return report is not None and report.active is not None
 
+    def incarnation_of(self, host: HostId) -> Incarnation | None:
+        """Returns the newest incarnation heard of for a host."""
+        return self._incarnations.get(host)
+
     @property
     def newest(self) -> View | None:
         """The newest view that this host has heard of."""
--- a/src/medlarvale/ids.py
+++ b/src/medlarvale/ids.py
@@ -48,6 +48,11 @@
     )
 
 
+def start_of_incarnation_ms(incarnation: Incarnation) -> int:
+    """Returns the wall time at which the process of an incarnation started."""
+    return incarnation >> INCARNATION_RANDOM_BITS
+
+
 def new_request_id() -> RequestId:
     """Draws the identifier of an accepted request."""
     return RequestId(secrets.token_hex(12))
--- a/tests/bookings/test_task.py
+++ b/tests/bookings/test_task.py
@@ -86,7 +86,8 @@
             await task.close()
 
     def start_host(self, name: HostId, incarnation: int) -> None:
-        identity = HostIdentity(name, Incarnation(incarnation))
+        started_ms = self.clock.wall_ms()
+        identity = HostIdentity(name, Incarnation((started_ms << 16) | incarnation))
         transport = MemoryTransport(identity, self.network)
         leases = LeaseState(identity, self.clock.wall_ms())
         task = BookingTask(
@@ -171,6 +172,18 @@
             await self.submit(NAMES[1], key, b"one")
         self.assertEqual(self.dispatcher.runs, {})
 
+    async def test_restarted_granter_costs_the_others_no_key(self) -> None:
+        """A restarted host vouches for later key times only; the others' intervals go on."""
+        await self.crash(NAMES[0])
+        await self.run_for(2_500)
+        self.start_host(NAMES[0], 2)
+        self.live = list(NAMES)
+        for serial in range(40):
+            await self.run_for(100)
+            entry = NAMES[1 + serial % 2]
+            answer = await self.submit(entry, self.key(serial), b"%d" % serial)
+            self.assertEqual(answer.status, 201)
+
     async def test_cut_off_host_serves_no_booking(self) -> None:
         for name in NAMES[1:]:
             self.network.cut(NAMES[0], name)
