--- a/src/medlarvale/scheduling/fairness.py
+++ b/src/medlarvale/scheduling/fairness.py
@@ -6,7 +6,6 @@
 
 from __future__ import annotations
 
-import heapq
 import math
 from collections import defaultdict, deque
 from collections.abc import Iterator, Mapping
@@ -183,4 +182,5 @@
                 break
             for workspace, prefill_ms in served.items():
                 total_ms[workspace] += prefill_ms
-        return heapq.nlargest(WAITED_FOR_LIMIT, total_ms.items(), key=itemgetter(1))
+        most_first = sorted(total_ms.items(), key=itemgetter(1), reverse=True)
+        return most_first[:WAITED_FOR_LIMIT]
--- /dev/null
+++ b/tests/scheduling/test_task.py
@@ -0,0 +1,157 @@
+"""Tests of the scheduling task over in-memory transports and probes."""
+
+import asyncio
+import random
+import unittest
+
+from medlarvale.clock import ManualClock
+from medlarvale.ids import FailureDomain, HostId, PoolName, ServerId
+from medlarvale.membership.servers import BackendServer, ServerDirectory
+from medlarvale.peers.transport import MemoryNetwork, MemoryTransport, MessageCodec
+from medlarvale.scheduling.errors import PlacementRefusedError
+from medlarvale.scheduling.limits import GroupLimits
+from medlarvale.scheduling.messages import SCHEDULING_MESSAGES
+from medlarvale.scheduling.probe import MemoryEngine, MemoryEngineProbe
+from medlarvale.scheduling.reports import LoadReport
+from medlarvale.scheduling.task import SchedulingTask
+from medlarvale.settings.schema import PoolRole
+from tests.scheduling.builders import SERVICE, engine_request, owner, release, reserve
+
+
+class SchedulingTaskTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self) -> None:
+        self.clock = ManualClock()
+        self.network = MemoryNetwork(MessageCodec(SCHEDULING_MESSAGES))
+        self.probe = MemoryEngineProbe()
+        self.directory = ServerDirectory()
+        self.hosts = {name: owner(name) for name in ("host-a", "host-b", "host-c")}
+        self.live = list(self.hosts.values())
+        roles = {"p0": PoolRole.PREFILL, "d0": PoolRole.DECODE}
+        self.directory.replace(
+            BackendServer(
+                ServerId(name), "", SERVICE, PoolName("pool"), role, FailureDomain("domain")
+            )
+            for name, role in roles.items()
+        )
+        for name, role in roles.items():
+            report = LoadReport(role.value, 1, 0, 256, 0)
+            self.probe.engines[ServerId(name)] = MemoryEngine(report)
+        self.tasks = {name: self.make_task(name) for name in self.hosts}
+        for task in self.tasks.values():
+            task.start()
+            self.addAsyncCleanup(task.close)
+        (self.booker,) = [name for name, task in self.tasks.items() if task.booked_services()]
+        self.other = next(name for name in self.hosts if name != self.booker)
+        await self.advance(0)
+
+    def make_task(self, name: str) -> SchedulingTask:
+        return SchedulingTask(
+            identity=self.hosts[name],
+            transport=MemoryTransport(self.hosts[name], self.network),
+            probe=self.probe,
+            directory=self.directory,
+            clock=self.clock,
+            live_hosts=lambda: [host.host for host in self.live],
+            live_owners=lambda: self.live,
+            limits_of=lambda service: GroupLimits(slots_per_engine=1),
+            generator=random.Random(1),
+        )
+
+    async def advance(self, duration_ms: int) -> None:
+        """Moves the clock in small steps and lets the tasks run after each."""
+        for step in range(duration_ms // 5 + 1):
+            if step:
+                self.clock.advance_ms(5)
+            for _ in range(20):
+                await asyncio.sleep(0)
+
+    async def test_queued_request_is_placed_when_the_slot_frees(self) -> None:
+        """Guards against waits that outlive the poll, for the booker itself and for others."""
+        for name in (self.booker, self.other):
+            with self.subTest("booker" if name == self.booker else "other host"):
+                first = reserve(f"first-{name}", host=self.hosts[name])
+                second = reserve(f"second-{name}", host=self.hosts[name])
+                self.assertEqual((await self.tasks[name].reserve(first)).decode, "d0")
+                waiting = asyncio.create_task(self.tasks[name].reserve(second))
+                await self.advance(700)
+                self.assertFalse(waiting.done())
+                self.tasks[name].release(release(first))
+                await self.advance(50)
+                self.assertEqual((await waiting).decode, "d0")
+                self.tasks[name].release(release(second))
+                await self.advance(50)
+
+    async def test_cancelled_wait_leaves_nothing_at_the_booker(self) -> None:
+        """Guards against slots held for callers that went away while they waited."""
+        first = reserve("first", host=self.hosts[self.other])
+        await self.tasks[self.other].reserve(first)
+        second = reserve("second", host=self.hosts[self.other])
+        waiting = asyncio.create_task(self.tasks[self.other].reserve(second))
+        await self.advance(20)
+        waiting.cancel()
+        await self.advance(20)
+        self.assertEqual(len(self.tasks[self.booker].group(SERVICE).booker.waiting), 0)
+
+    async def test_deadline_raises_not_run(self) -> None:
+        """Guards against a wait beyond the deadline."""
+        task = self.tasks[self.other]
+        await task.reserve(reserve("first", host=self.hosts[self.other]))
+        late = reserve("late", host=self.hosts[self.other], deadline_ms=600)
+        waiting = asyncio.create_task(task.reserve(late))
+        await self.advance(700)
+        with self.assertRaises(PlacementRefusedError):
+            await waiting
+
+    async def test_unreachable_booker_means_a_lone_decision(self) -> None:
+        """Guards against an outage of one host that stops the others' requests."""
+        self.network.cut(HostId(self.booker), HostId(self.other))
+        request = reserve("r1", host=self.hosts[self.other])
+        self.assertEqual((await self.tasks[self.other].reserve(request)).decode, "d0")
+        with self.assertRaises(PlacementRefusedError):
+            await self.tasks[self.other].reserve(reserve("r2", host=self.hosts[self.other]))
+
+    async def test_unrenewed_owner_loses_its_reservation(self) -> None:
+        """Guards against renewals that stop too early, and against none stopping at all."""
+        await self.tasks[self.other].reserve(reserve("r1", host=self.hosts[self.other]))
+        slots = self.tasks[self.booker].group(SERVICE).booker.engines.slots
+        await self.advance(5_000)
+        self.assertEqual(slots.held_slots, 1)
+        await self.tasks[self.other].close()
+        await self.advance(2_500)
+        self.assertEqual(slots.held_slots, 0)
+
+    async def test_next_booker_counts_what_engines_hold(self) -> None:
+        """Guards against a new booker that starts as if all engines were empty."""
+        dead = self.hosts[self.booker]
+        self.probe.engines[ServerId("d0")].requests = [engine_request("old", host=dead)]
+        await self.tasks[self.booker].close()
+        self.live.remove(dead)
+        await self.advance(600)
+        (successor,) = [
+            name
+            for name in self.hosts
+            if name != self.booker and self.tasks[name].booked_services()
+        ]
+        engines = self.tasks[successor].group(SERVICE).booker.engines
+        self.assertEqual(list(engines.decode[ServerId("d0")].foreign), ["old"])
+
+    async def test_leaving_engine_is_marked(self) -> None:
+        """Guards against work for an engine that says it is leaving, beyond one poll."""
+        report = LoadReport("decode", 1, 0, 256, 0, leaving=True)
+        self.probe.engines[ServerId("d0")].load = report
+        await self.advance(505)
+        self.assertFalse(self.directory.accepts_work(ServerId("d0")))
+
+    async def test_sweep_cancels_what_no_owner_serves(self) -> None:
+        """Guards against memory of gone requests, and against cancelling what is served."""
+        served = reserve("served", host=self.hosts[self.other])
+        await self.tasks[self.other].reserve(served)
+        self.probe.engines[ServerId("d0")].requests = [
+            engine_request("served", host=self.hosts[self.other], idle_ms=1_500.0),
+            engine_request("dropped", host=self.hosts[self.other], idle_ms=1_500.0),
+            engine_request("dead owner", host=owner("gone"), idle_ms=1_500.0),
+            engine_request("read by a silent owner", host=owner("gone"), idle_ms=200.0),
+        ]
+        await self.advance(505)
+        cancelled = {request for _, request, _ in self.probe.cancelled}
+        self.assertEqual(cancelled, {"dropped", "dead owner"})
