Take over new limits of an engine group

Cause: a booker kept the limits that were in force when it started. Change: a poll that finds other limits starts a new booker, which reads the engines' lists first; waiting requests ask it again within a poll.

--- a/src/medlarvale/scheduling/task.py
+++ b/src/medlarvale/scheduling/task.py
@@ -284,6 +284,12 @@
         for service, group in list(self._groups.items()):
             if service not in booked and now_ms - group.last_used_ms > IDLE_BOOKER_MS:
                 del self._groups[service]
+            elif group.booker.limits != self._limits_of(service):
+                # New settings start a new booker, as a change of host does: it reads the engines'
+                # lists first, and waiting requests ask it again within a poll.
+                self._groups[service] = BookerGroup(
+                    service, self._limits_of(service), self._directory, self._clock
+                )
             else:
                 group.refresh_engines()
         self._spawn(self._poller.poll_all(list(self._groups.values())))
--- a/tests/scheduling/test_task.py
+++ b/tests/scheduling/test_task.py
@@ -21,6 +21,7 @@
 class SchedulingTaskTest(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self) -> None:
         self.clock = ManualClock()
+        self.limits = GroupLimits(slots_per_engine=1)
         self.network = MemoryNetwork(MessageCodec(SCHEDULING_MESSAGES))
         self.probe = MemoryEngineProbe()
         self.directory = ServerDirectory()
@@ -53,7 +54,7 @@
             clock=self.clock,
             live_hosts=lambda: [host.host for host in self.live],
             live_owners=lambda: self.live,
-            limits_of=lambda service: GroupLimits(slots_per_engine=1),
+            limits_of=lambda service: self.limits,
             generator=random.Random(1),
         )
 
@@ -135,6 +136,22 @@
         engines = self.tasks[successor].group(SERVICE).booker.engines
         self.assertEqual(list(engines.decode[ServerId("d0")].foreign), ["old"])
 
+    async def test_new_settings_take_effect_and_keep_waiting_requests(self) -> None:
+        """Guards against limits that stay in force until a restart."""
+        task = self.tasks[self.other]
+        first = reserve("first", host=self.hosts[self.other])
+        await task.reserve(first)
+        self.probe.engines[ServerId("d0")].requests = [engine_request("first")]
+        waiting = asyncio.create_task(task.reserve(reserve("second", host=self.hosts[self.other])))
+        await self.advance(50)
+        self.limits = GroupLimits(slots_per_engine=1, batch_share=0.5)
+        await self.advance(600)
+        self.assertEqual(self.tasks[self.booker].group(SERVICE).booker.limits, self.limits)
+        self.assertFalse(waiting.done())
+        task.release(release(first))
+        await self.advance(400)
+        self.assertEqual((await waiting).decode, "d0")
+
     async def test_leaving_engine_is_marked(self) -> None:
         """Guards against work for an engine that says it is leaving, beyond one poll."""
         report = LoadReport("decode", 1, 0, 256, 0, leaving=True)
