--- /dev/null
+++ b/tests/processes/support.py
@@ -0,0 +1,291 @@
+"""A deployment of real processes that the tests of a class share, and callers for it."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import tempfile
+import threading
+import time
+import unittest
+from collections import Counter
+from collections.abc import Awaitable, Callable, Coroutine
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any, ClassVar, TypeVar
+
+import aiohttp
+import msgspec
+
+from medlarvale.demo import new_key
+from medlarvale.standins.engine_model import ChatMessage, chat_prompt, expected_answer, token_text
+from scripts.deployment import REPOSITORY, Deployment, DeploymentPlan, Node, post
+
+SEED = 20_261_204
+# A hang fails the test instead of the run; no verdict hangs on it.
+EVENT_LIMIT_S = 30.0
+POLL_S = 0.02
+API_KEY = "demo-key-ventilo-leon"
+AUTHORIZED = {"Authorization": f"Bearer {API_KEY}"}
+MODEL = "redacteur"
+FAST_ENGINES = ["--step-base-ms", "5", "--step-per-request-ms", "0.2"]
+
+ResultT = TypeVar("ResultT")
+
+
+@dataclass
+class ChatAnswer:
+    """What a caller read of one answer.
+
+    Attributes:
+        code: of the error that ended it, or "".
+        complete: whether it ended with ``[DONE]``.
+    """
+
+    text: str = ""
+    complete: bool = False
+    code: str = ""
+
+
+@dataclass(frozen=True)
+class BookingAnswer:
+    """Outcome header, error code (or "") and body of a booking's answer."""
+
+    outcome: str
+    code: str
+    body: bytes
+
+
+def expected_text(prompt: str, max_tokens: int) -> str:
+    """Returns the whole answer of the stand-in model to a chat with one message."""
+    tokens = expected_answer(chat_prompt([ChatMessage("user", prompt)]), max_tokens)
+    return "".join(token_text(token) for token in tokens).strip()
+
+
+class SharedDeployment:
+    """A deployment whose processes are watched by an event loop in a thread of its own.
+
+    Each test has an event loop of its own, and a process is bound to the loop that started it.
+    """
+
+    def __init__(self, plan: DeploymentPlan) -> None:
+        self._folder = tempfile.TemporaryDirectory()
+        self.log_file = Path(self._folder.name) / "deployment.log"
+        self._loop = asyncio.new_event_loop()
+        self._thread = threading.Thread(target=self._loop.run_forever, daemon=True)
+        self._thread.start()
+        self.deployment = Deployment(plan, self.log_file)
+
+    def start(self) -> None:
+        self._wait(self.deployment.start())
+
+    def stop(self) -> None:
+        self._wait(self.deployment.stop())
+        self._loop.call_soon_threadsafe(self._loop.stop)
+        self._thread.join()
+        self._loop.close()
+        self._folder.cleanup()
+
+    async def run(self, coroutine: Coroutine[Any, Any, ResultT]) -> ResultT:
+        """Runs a call of the deployment in its own loop."""
+        return await asyncio.wrap_future(asyncio.run_coroutine_threadsafe(coroutine, self._loop))
+
+    def _wait(self, coroutine: Coroutine[Any, Any, None]) -> None:
+        asyncio.run_coroutine_threadsafe(coroutine, self._loop).result(2 * EVENT_LIMIT_S)
+
+
+class ProcessTestCase(unittest.IsolatedAsyncioTestCase):
+    """Tests against one deployment, which is started once for the class."""
+
+    engine_flags: ClassVar[list[str]] = FAST_ENGINES
+    plain_flags: ClassVar[list[str]] = []
+    serve_flags: ClassVar[list[str]] = []
+    isolated_host: ClassVar[str] = ""
+    shared: ClassVar[SharedDeployment]
+
+    @classmethod
+    def setUpClass(cls) -> None:
+        cls.shared = SharedDeployment(
+            DeploymentPlan(
+                REPOSITORY / "examples" / "ventilo-breizh.yaml",
+                engine_flags=cls.engine_flags,
+                plain_flags=cls.plain_flags,
+                serve_flags=cls.serve_flags,
+            )
+        )
+        cls.addClassCleanup(cls.shared.stop)
+        cls.shared.start()
+
+    async def asyncSetUp(self) -> None:
+        self.random = random.Random(SEED + hash_of(self.id()))
+        self.session = await self.enterAsyncContext(
+            aiohttp.ClientSession(
+                timeout=aiohttp.ClientTimeout(total=2 * EVENT_LIMIT_S),
+                connector=aiohttp.TCPConnector(limit=0, force_close=True),
+            )
+        )
+
+    @property
+    def deployment(self) -> Deployment:
+        return self.shared.deployment
+
+    @property
+    def hosts(self) -> list[Node]:
+        """The entry hosts by name; a restarted one has its place."""
+        return [node for _, node in sorted(self.deployment.entry_hosts.items())]
+
+    def engines(self, role: str) -> list[Node]:
+        nodes = sorted(self.deployment.engines.items())
+        return [node for name, node in nodes if f"-{role}-" in name]
+
+    def prompt(self, words: int) -> str:
+        return " ".join(f"word{self.random.randrange(100_000)}" for _ in range(words))
+
+    async def chat(
+        self,
+        host: Node,
+        prompt: str,
+        max_tokens: int,
+        started: asyncio.Event | None = None,
+        after_tokens: int = 3,
+    ) -> ChatAnswer:
+        """Streams an answer to its end; ``started`` is set after some tokens."""
+        body = {
+            "model": MODEL,
+            "messages": [{"role": "user", "content": prompt}],
+            "max_tokens": max_tokens,
+            "stream": True,
+        }
+        answer = ChatAnswer()
+        url = f"{host.address}/v1/chat/completions"
+        try:
+            async with self.session.post(url, json=body, headers=AUTHORIZED) as response:
+                if response.status != 200:
+                    answer.code = (await response.json())["error"]["code"]
+                    return answer
+                async for line in response.content:
+                    self._read_line(line, answer)
+                    if started is not None and answer.text.count(" w") >= after_tokens:
+                        started.set()
+        except (aiohttp.ClientError, OSError):
+            answer.code = "connection lost"
+        return answer
+
+    def _read_line(self, line: bytes, answer: ChatAnswer) -> None:
+        if not line.startswith(b"data: "):
+            return
+        data = line[len(b"data: ") :]
+        if data.startswith(b"[DONE]"):
+            answer.complete = True
+            return
+        event = msgspec.json.decode(data)
+        if "error" in event:
+            answer.code = event["error"]["code"]
+        elif event.get("choices"):
+            answer.text += event["choices"][0].get("delta", {}).get("content") or ""
+
+    async def assert_chat(self, host: Node, prompt: str, max_tokens: int) -> None:
+        self.assert_whole(await self.chat(host, prompt, max_tokens), prompt, max_tokens)
+
+    def assert_whole(self, answer: ChatAnswer, prompt: str, max_tokens: int) -> None:
+        self.assertEqual(answer.code, "")
+        self.assertEqual(answer.text.strip(), expected_text(prompt, max_tokens))
+        self.assertTrue(answer.complete)
+
+    async def book(self, host: Node, key: str, deadline_ms: int = 0) -> BookingAnswer:
+        """Sends a booking, which runs at most once; a lost connection is an outcome too."""
+        headers = {"Idempotency-Key": key, **AUTHORIZED}
+        if deadline_ms:
+            headers["X-Deadline-Ms"] = str(deadline_ms)
+        url = f"{host.address}/services/comptoir/bookings"
+        try:
+            async with self.session.post(url, json={"key": key}, headers=headers) as response:
+                body = await response.read()
+                outcome = response.headers.get("X-Outcome", "missing")
+                code = "" if outcome == "answered" else msgspec.json.decode(body)["error"]["code"]
+                return BookingAnswer(outcome, code, body)
+        except (aiohttp.ClientError, OSError):
+            return BookingAnswer("connection lost", "", b"")
+
+    async def lookup(self, host: Node) -> int:
+        """Sends an idempotent call and returns its status."""
+        url = f"{host.address}/services/comptoir/stock"
+        async with self.session.get(url, headers=AUTHORIZED) as response:
+            await response.read()
+            return response.status
+
+    async def await_bookings(self, *hosts: Node) -> None:
+        """Waits until fresh bookings are answered through each host."""
+
+        async def answered(host: Node) -> bool:
+            return (await self.book(host, new_key())).outcome == "answered"
+
+        for host in hosts or self.hosts:
+            # Keys hash to shards, so that one answer says little of the other shards.
+            for _ in range(5):
+                await self.eventually(lambda host=host: answered(host))  # type: ignore[misc]
+
+    async def runs(self) -> Counter[str]:
+        """Returns how often each key ran, over all plain servers."""
+        runs: Counter[str] = Counter()
+        for node in self.deployment.plain.values():
+            runs.update((await self.get(f"{node.address}/test/runs"))["runs"])
+        return runs
+
+    async def assert_verdicts_true(self, told: dict[str, list[BookingAnswer]]) -> None:
+        """Checks that no booking ran twice and that no verdict contradicts what ran."""
+        runs = await self.runs()
+        for key, answers in told.items():
+            outcomes = [answer.outcome for answer in answers]
+            with self.subTest(key=key, outcomes=outcomes):
+                self.assertLessEqual(runs[key], 1)
+                if "not_run" in outcomes:
+                    self.assertEqual(runs[key], 0)
+                if "answered" in outcomes:
+                    self.assertEqual(runs[key], 1)
+                bodies = {answer.body for answer in answers if answer.outcome == "answered"}
+                self.assertLessEqual(len(bodies), 1)
+
+    async def get(self, url: str) -> Any:
+        async with self.session.get(url) as response:
+            response.raise_for_status()
+            return await response.json()
+
+    async def fault(self, node: Node, **fault: object) -> None:
+        await post(self.session, f"{node.address}/fault", fault)
+
+    async def held(self) -> dict[str, int]:
+        """Returns slots, pieces and KV handles held in all engines that run."""
+        held: Counter[str] = Counter()
+        nodes = [node for node in self.deployment.engines.values() if node.alive]
+        reports = await asyncio.gather(*(self.get(f"{n.address}/test/memory") for n in nodes))
+        for report in reports:
+            for name in ("slots_used", "pieces_used", "kv_handles", "reservations"):
+                held[name] += report[name]
+        return dict(held)
+
+    async def assert_freed(self, since_s: float, limit_s: float) -> None:
+        """Waits until no engine holds anything, which has to come in time.
+
+        Args:
+            since_s: monotonic time from which the limit counts.
+        """
+
+        async def nothing_held() -> bool:
+            return not any((await self.held()).values())
+
+        await self.eventually(nothing_held)
+        self.assertLessEqual(time.monotonic() - since_s, limit_s)
+
+    async def eventually(
+        self, holds: Callable[[], Awaitable[bool]], limit_s: float = EVENT_LIMIT_S
+    ) -> None:
+        """Waits for a condition."""
+        async with asyncio.timeout(limit_s):
+            while not await holds():
+                await asyncio.sleep(POLL_S)
+
+
+def hash_of(name: str) -> int:
+    """Returns a number for a test that is the same in every run."""
+    return sum(name.encode())
