Give the quarantine its own host and the servers' epochs

Cause: the quarantine needs a view that always contains its own host, and the epoch that tells two lives of a server apart.

--- a/src/medlarvale/composition.py
+++ b/src/medlarvale/composition.py
@@ -259,10 +259,18 @@
             self.identity,
             self.transport,
             self.clock,
-            lambda: self.membership.view.live_lives(self.clock.now_ms()),
+            self._live_lives,
             self._quarantine_limits,
+            self._epoch_of,
         )
 
+    def _live_lives(self) -> set[HostIdentity]:
+        return {self.identity, *self.membership.view.live_lives(self.clock.now_ms())}
+
+    def _epoch_of(self, server: ServerId) -> int:
+        report = self.scheduling.load_of(server)
+        return report.epoch if report is not None else 0
+
     def _quarantine_limits(self) -> QuarantineLimits:
         if not self.current.ready:
             return QuarantineLimits()
