--- a/scripts/demo.py
+++ b/scripts/demo.py
@@ -136,10 +136,13 @@
     parser.add_argument(
         "--tree", type=Path, default=REPOSITORY / "examples" / "ventilo-breizh.yaml"
     )
+    parser.add_argument("--zipapp", type=Path, help="run this zip application (see make dist)")
     arguments = parser.parse_args()
     out = REPOSITORY / "out"
     out.mkdir(exist_ok=True)
     plan = DeploymentPlan(arguments.tree)
+    if arguments.zipapp is not None:
+        plan.program = (sys.executable, "-I", "-S", str(arguments.zipapp.resolve()))
     command = keep_up if arguments.keep else run_demo
     return asyncio.run(command(plan, out / "demo.log"))
 
--- a/scripts/deployment.py
+++ b/scripts/deployment.py
@@ -69,6 +69,7 @@
         extra_entry_hosts: further entry hosts, in the first failure domains.
         engine_flags: further flags for all stand-in engines.
         serve_flags: further flags for all entry hosts.
+        program: command that starts medlarvale.
     """
 
     tree_file: Path
@@ -76,6 +77,7 @@
     engine_flags: list[str] = field(default_factory=list)
     plain_flags: list[str] = field(default_factory=list)
     serve_flags: list[str] = field(default_factory=list)
+    program: tuple[str, ...] = PROGRAM
 
 
 def free_port(ip: str) -> int:
@@ -250,7 +252,7 @@
     async def _spawn(self, arguments: list[str]) -> asyncio.subprocess.Process:
         environment = dict(os.environ, PYTHONPATH=str(REPOSITORY / "src"))
         return await asyncio.create_subprocess_exec(
-            *PROGRAM,
+            *self._plan.program,
             *arguments,
             stdout=asyncio.subprocess.PIPE,
             stderr=self._log,
--- a/src/medlarvale/bookings/task.py
+++ b/src/medlarvale/bookings/task.py
@@ -119,6 +119,7 @@
         self._live_hosts = live_hosts
         self._settled: dict[BookingKey, asyncio.Event] = {}
         self._dispatching: set[BookingKey] = set()
+        self._held_before: set[ShardId] = set()
         self._handing_over: set[ShardId] = set()
         self._handed_to: dict[ShardId, HostId] = {}
         self._stopping = False
@@ -277,6 +278,7 @@
         """Asks all members for the shards that this host holds or should hold."""
         wall_ms = self._clock.wall_ms()
         held = set(self.leases.held_shards(wall_ms))
+        self._note_lost(held)
         preferred = self._preferred_shards(wall_ms)
         for shard in sorted(held - self._handing_over):
             target = preferred[shard]
@@ -291,6 +293,12 @@
             if member != self._here:
                 self._spawn(self._request_leases(member, request))
 
+    def _note_lost(self, held: set[ShardId]) -> None:
+        lost = self._held_before - held - self._handing_over - self._handed_to.keys()
+        if lost:
+            log_warning(Event.LEASE_LOST, shards=len(lost))
+        self._held_before = held
+
     def _preferred_shards(self, wall_ms: int) -> dict[ShardId, HostId | None]:
         """Returns the host that should hold each shard, by the hosts live in this host's view."""
         newest = self.leases.views.newest
--- a/src/medlarvale/serve.py
+++ b/src/medlarvale/serve.py
@@ -11,7 +11,7 @@
 import uvloop
 
 from medlarvale.composition import EntryHost
-from medlarvale.logs import configure_logging
+from medlarvale.logs import Event, configure_logging, log_warning
 from medlarvale.process_settings import (
     ProcessSettings,
     ProcessSettingsError,
@@ -35,7 +35,8 @@
     try:
         process = read_process_settings(options)
     except ProcessSettingsError as error:
-        print(f"medlarvale serve: {error.message}", file=sys.stderr)
+        configure_logging("info")
+        log_warning(Event.SETTINGS_REFUSED, faults=error.message.splitlines())
         return EXIT_SETTINGS
     configure_logging(process.log_level)
     try:
