Renew leases without the vote of a granter that has just started

Cause: a restarted or new host grants only above its boot floor (start + 2 s). When its reply was among the first majority, the round was judged by it alone: the renewal was lost, or a live interval was replaced by one that began above a gap, whose keys then were unknown. Change: a round is judged by the quorum with the lowest start, later replies of the round still count, and a live interval is never replaced by one with a gap. The intervals stay disjoint, since the grants counted are still a quorum.

--- a/src/medlarvale/bookings/lease.py
+++ b/src/medlarvale/bookings/lease.py
@@ -158,19 +158,32 @@
         granters[granter] = grant.above_ms
         if not self.views.is_quorum(granters.keys()):
             return False
-        above_ms = max(granters.values())
-        # Later replies of the round add nothing to a quorum.
-        del self._round.above_ms[grant.shard]
+        above_ms = self._lowest_start(granters)
         held = self._intervals.get(grant.shard)
         if held is not None and above_ms <= held.until_ms:
             held.until_ms = max(held.until_ms, self._round.until_ms)
+            del self._round.above_ms[grant.shard]
+            return False
+        if held is not None and held.until_ms >= self._round.until_ms - self._lease_ms:
+            # A granter that has just started vouches for late key times only. Another quorum of
+            # this round or the next one may still continue the interval without a gap.
             return False
         if above_ms < self._round.until_ms:
             self._intervals[grant.shard] = _Interval(above_ms, self._round.until_ms)
             self._released.discard(grant.shard)
+            del self._round.above_ms[grant.shard]
             return True
         return False
 
+    def _lowest_start(self, granters: dict[HostId, int]) -> int:
+        """Returns the lowest ``above_ms`` for which some of the granters are a quorum."""
+        counted: set[HostId] = set()
+        for granter in sorted(granters, key=granters.__getitem__):
+            counted.add(granter)
+            if self.views.is_quorum(counted):
+                return granters[granter]
+        return max(granters.values())
+
     def coverage(self, shard: ShardId, issued_ms: int, wall_ms: int) -> Coverage:
         """Tells whether this host may run a key of a shard now.
 
