Check settings off the event loop, and move the watch to hosts that reach the service

Cause: the check of a tree of 0.9 MB ran on the event loop, and a cell whose two watchers were both cut off from the service waited for a random spot read by a host that still reached it.

Change: the spread emits a Check action, which the task runs in a thread with the cycle collector paused; one check at a time keeps the versions in order. Heartbeats carry reaches_config: the watch moves to hosts that reach the service, and each host reads it once when a peer loses it. Spot reads no longer fetch a tree that is not newer. A version rejected here and run by peers is event 2005.

--- a/src/medlarvale/composition.py
+++ b/src/medlarvale/composition.py
@@ -182,9 +182,12 @@
             lambda: self.settings.version,
         )
         membership.on_heartbeat(
-            lambda sender, beat: self.settings.peer_version(sender.host, beat.config_version)
+            lambda sender, beat: self.settings.peer_version(
+                sender.host, beat.config_version, beat.reaches_config
+            )
         )
         membership.on_tick(lambda: self.settings.set_live_hosts(membership.live_hosts()))
+        membership.report_config_reach(lambda: self.settings.reaches_service)
         membership.report_leaving_servers(self.directory.leaving_by_own_word)
         return membership
 
--- a/src/medlarvale/logs.py
+++ b/src/medlarvale/logs.py
@@ -20,6 +20,7 @@
     CONFIG_REJECTED = (2002, "configuration rejected")
     CONFIG_SOURCE_FAILED = (2003, "configuration source failed")
     CONFIG_SUBSCRIBER_FAILED = (2004, "subscriber of the configuration failed")
+    CONFIG_DIVERGED = (2005, "peers run a configuration that this host rejected")
     HOST_LIST_ACCEPTED = (2101, "host list accepted")
     HOST_LIST_FAILED = (2102, "host list could not be read")
     PEER_STATE_CHANGED = (3001, "peer state changed")
--- a/src/medlarvale/membership/messages.py
+++ b/src/medlarvale/membership/messages.py
@@ -24,6 +24,7 @@
     Attributes:
         incarnation: the life that speaks, since an answer carries no sender.
         leaving_servers: backend servers that said themselves that they leave.
+        reaches_config: the configuration service answered the host's last call.
     """
 
     incarnation: Incarnation
@@ -31,6 +32,7 @@
     config_version: ConfigVersion
     list_version: ListVersion
     leaving_servers: list[ServerId]
+    reaches_config: bool = True
 
 
 class EntryHost(msgspec.Struct, frozen=True):
--- a/src/medlarvale/membership/task.py
+++ b/src/medlarvale/membership/task.py
@@ -65,6 +65,7 @@
         self._clock = clock
         self._config_version = config_version
         self._own_leaving_servers: Callable[[], Iterable[ServerId]] = tuple
+        self._reaches_config: Callable[[], bool] = lambda: True
         self._list_callbacks: list[Callable[[HostList], None]] = []
         self._heartbeat_callbacks: list[Callable[[HostIdentity, Heartbeat], None]] = []
         self._tick_callbacks: list[Callable[[], None]] = []
@@ -91,6 +92,10 @@
         """Sets who tells the servers that said themselves that they leave."""
         self._own_leaving_servers = source
 
+    def report_config_reach(self, source: Callable[[], bool]) -> None:
+        """Sets who tells whether this host reaches the configuration service."""
+        self._reaches_config = source
+
     def start(self) -> None:
         """Starts the timers."""
         self._subscriptions = [
@@ -198,6 +203,7 @@
             self._config_version(),
             self.view.list_version,
             list(self._own_leaving_servers()),
+            self._reaches_config(),
         )
 
     def _note_states(self, now_ms: float) -> None:
--- a/src/medlarvale/settings/parsing.py
+++ b/src/medlarvale/settings/parsing.py
@@ -54,6 +54,12 @@
     """Members of a JSON object in order, repeated keys included."""
 
 
+def _to_pairs(members: list[tuple[str, Any]]) -> _Pairs:
+    # The scanner calls a class without releasing the interpreter lock: other threads would wait
+    # until the whole text is read.
+    return _Pairs(members)
+
+
 def join_path(path: str, part: object) -> str:
     """Returns the path of a member of the value at ``path``."""
     return f"{path}/{part}" if path else str(part)
@@ -76,7 +82,7 @@
 
 def _parse(text: str, problems: list[Problem]) -> Any:
     try:
-        value = json.loads(text, object_pairs_hook=_Pairs)
+        value = json.loads(text, object_pairs_hook=_to_pairs)
     except ValueError:
         loader = _Loader(text)
         try:
--- a/src/medlarvale/settings/store.py
+++ b/src/medlarvale/settings/store.py
@@ -2,7 +2,10 @@
 
 from __future__ import annotations
 
+import contextlib
+import gc
 from collections import OrderedDict
+from collections.abc import Iterator
 
 import msgspec
 import xxhash
@@ -52,6 +55,27 @@
 Verdict = Accepted | Rejected | Ignored
 
 
+def check_version(version: ConfigVersion, text: bytes) -> Accepted | Rejected:
+    """Checks the text of a version; touches no state, so that it may run in a thread."""
+    try:
+        with _collector_paused():
+            return Accepted(version, text, check_text(text))
+    except SettingsRejectedError as error:
+        return Rejected(version, xxhash.xxh3_64_intdigest(text), error.problems)
+
+
+@contextlib.contextmanager
+def _collector_paused() -> Iterator[None]:
+    """Keeps the cycle collector from scanning the half-read tree, which blocks all threads."""
+    enabled = gc.isenabled()
+    gc.disable()
+    try:
+        yield
+    finally:
+        if enabled:
+            gc.enable()
+
+
 class SettingsStore:
     """Keeps the newest valid version.
 
@@ -82,21 +106,28 @@
         """Tells whether a version was rejected and is remembered."""
         return version in self._rejected
 
-    def offer(self, version: ConfigVersion, text: bytes) -> Verdict:
-        """Puts a version in force if it is higher than the present one and passes the check."""
+    def needs_check(self, version: ConfigVersion, text: bytes) -> bool:
+        """Tells whether a version is higher than the present one and was not rejected before."""
         if version <= self.version:
-            return Ignored(version)
-        digest = xxhash.xxh3_64_intdigest(text)
+            return False
         known = self._rejected.get(version)
-        if known is not None and known.digest == digest:
+        return known is None or known.digest != xxhash.xxh3_64_intdigest(text)
+
+    def conclude(self, verdict: Accepted | Rejected) -> Verdict:
+        """Takes the result of a check; a version that is no longer higher is ignored."""
+        if verdict.version <= self.version:
+            return Ignored(verdict.version)
+        if isinstance(verdict, Rejected):
+            return self._remember(verdict)
+        self.in_force = verdict
+        self._rejected.pop(verdict.version, None)
+        return verdict
+
+    def offer(self, version: ConfigVersion, text: bytes) -> Verdict:
+        """Puts a version in force if it is higher than the present one and passes the check."""
+        if not self.needs_check(version, text):
             return Ignored(version)
-        try:
-            tree = check_text(text)
-        except SettingsRejectedError as error:
-            return self._remember(Rejected(version, digest, error.problems))
-        self.in_force = Accepted(version, text, tree)
-        self._rejected.pop(version, None)
-        return self.in_force
+        return self.conclude(check_version(version, text))
 
     def _remember(self, rejected: Rejected) -> Rejected:
         self._rejected[rejected.version] = rejected
--- a/src/medlarvale/settings/task.py
+++ b/src/medlarvale/settings/task.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable, Coroutine, Iterable
+from collections.abc import Awaitable, Callable, Coroutine, Iterable
 from functools import singledispatchmethod
 from typing import Any
 
@@ -14,24 +14,38 @@
 from medlarvale.logs import Event, log_info, log_warning
 from medlarvale.peers.errors import PeerError
 from medlarvale.peers.transport import Transport
-from medlarvale.settings.errors import SourceError
+from medlarvale.settings.errors import SourceBusyError, SourceError
 from medlarvale.settings.messages import TreeAnswer, TreeRequest
 from medlarvale.settings.source import SettingsSource, SourceAnswer
 from medlarvale.settings.spread import (
     Action,
     Announce,
     AskPeer,
+    Check,
     ReadService,
+    ReportDivergence,
     ReportRejection,
     Spread,
     StopWatch,
     Watch,
 )
-from medlarvale.settings.store import Accepted, Rejected, SettingsStore
+from medlarvale.settings.store import (
+    NO_VERSION,
+    Accepted,
+    Rejected,
+    SettingsStore,
+    check_version,
+)
 
 TICK_MS = 100
 
 Subscriber = Callable[[Accepted], None]
+RunCheck = Callable[[SourceAnswer], Awaitable[Accepted | Rejected]]
+
+
+async def check_in_thread(answer: SourceAnswer) -> Accepted | Rejected:
+    """Checks a version off the event loop, which 0.9 MB would block for longer than 73 ms."""
+    return await asyncio.to_thread(check_version, answer.version, answer.text)
 
 
 class SettingsTask:
@@ -43,6 +57,7 @@
         clock: time service.
         source: file or configuration service.
         default: tree text served when neither a peer nor the source answers, None for nothing.
+        run_check: checks the text of a version.
     """
 
     def __init__(
@@ -52,10 +67,12 @@
         clock: Clock,
         source: SettingsSource,
         default: bytes | None = None,
+        run_check: RunCheck = check_in_thread,
     ) -> None:
         self._transport = transport
         self._clock = clock
         self._source = source
+        self._run_check = run_check
         self._store = SettingsStore()
         self._spread = Spread(host, self._store, clock.now_ms(), default)
         self._subscribers: list[Subscriber] = []
@@ -75,6 +92,16 @@
         """The version for this host's heartbeats; ``NO_VERSION`` while none is in force."""
         return self._store.version
 
+    @property
+    def reaches_service(self) -> bool:
+        """Whether the source answered this host's last call, for its heartbeats."""
+        return self._spread.reaches_service
+
+    @property
+    def diverged(self) -> dict[HostId, ConfigVersion]:
+        """The live peers that run a version which this host rejected."""
+        return self._spread.diverged()
+
     @property
     def rejections(self) -> list[Rejected]:
         """The latest rejected versions with their errors, oldest first."""
@@ -104,9 +131,11 @@
         """Replaces the live hosts of this host's cell."""
         self._spread.set_live(hosts)
 
-    def peer_version(self, host: HostId, version: ConfigVersion) -> None:
-        """Records the version in a peer's heartbeat."""
-        self._spread.peer_version(host, version)
+    def peer_version(
+        self, host: HostId, version: ConfigVersion, reaches_service: bool = True
+    ) -> None:
+        """Records what a peer's heartbeat says of its version and of the service."""
+        self._spread.peer_version(host, version, reaches_service)
 
     async def _answer_request(self, sender: HostIdentity, request: TreeRequest) -> TreeAnswer:
         in_force = self._store.in_force
@@ -134,12 +163,20 @@
 
     @_run.register
     def _(self, action: ReadService) -> None:
-        self._spawn(self._read_source())
+        self._spawn(self._read_source(action))
 
     @_run.register
     def _(self, action: AskPeer) -> None:
         self._spawn(self._ask_peer(action))
 
+    @_run.register
+    def _(self, action: Check) -> None:
+        self._spawn(self._check(action))
+
+    @_run.register
+    def _(self, action: ReportDivergence) -> None:
+        log_warning(Event.CONFIG_DIVERGED, version=action.version, peers=action.peers)
+
     @_run.register
     def _(self, action: Announce) -> None:
         log_info(Event.CONFIG_ACCEPTED, version=action.accepted.version)
@@ -159,18 +196,29 @@
             answer = await self._source.watch(action.after, action.wait_ms)
         except SourceError as error:
             self._note_source(error)
-            self._spread.watch_failed(self._clock.now_ms())
+            reached = isinstance(error, SourceBusyError)
+            self._spread.watch_failed(self._clock.now_ms(), reached)
         else:
             self._note_source(None)
             self._spread.watch_answered(action.after, answer, self._clock.now_ms())
         self._act()
 
-    async def _read_source(self) -> None:
+    async def _check(self, action: Check) -> None:
+        self._spread.check_finished(await self._run_check(action.answer))
+        self._act()
+
+    async def _read_source(self, action: ReadService) -> None:
+        answer: SourceAnswer | None
         try:
-            answer = await self._source.get()
+            if action.after == NO_VERSION:
+                answer = await self._source.get()
+            else:
+                # A watch that doesn't wait answers without the tree when there is nothing newer.
+                answer = await self._source.watch(action.after, 0)
         except SourceError as error:
             self._note_source(error)
-            self._spread.read_failed(self._clock.now_ms())
+            reached = isinstance(error, SourceBusyError)
+            self._spread.read_failed(self._clock.now_ms(), reached)
         else:
             self._note_source(None)
             self._spread.read_answered(answer, self._clock.now_ms())
--- a/tests/settings/test_spread_properties.py
+++ b/tests/settings/test_spread_properties.py
@@ -83,6 +83,36 @@
         assert versions.pop() >= highest
         self._check_calls()
 
+    @rule(reaching=host_indexes, offset_ms=st.integers(0, 1_500), settled=st.booleans())
+    def cut_off_all_but_one(self, reaching: int, offset_ms: int, settled: bool) -> None:
+        """All hosts but one lose the service, not their peers; a new version still spreads."""
+        self.heal()
+        cell = self.cell
+        cell.run(offset_ms)
+        cell.cut_off = set(cell.hosts) - {HostId(f"h{reaching}")}
+        cell.run(IN_FORCE_WITHIN_MS if settled else 0)
+        cell.publish(True)
+        cell.run(IN_FORCE_WITHIN_MS)
+        versions = {host.store.version for host in cell.hosts.values()}
+        assert versions == {cell.newest}, f"{versions} in force, newest is {cell.newest}"
+        cell.most_waiting = 0
+        cell.run(STEADY_MS)
+        assert cell.most_waiting <= WATCHES_PER_CELL, f"{cell.most_waiting} watches"
+
+    @rule(index=host_indexes)
+    def one_host_rejects_what_others_accept(self, index: int) -> None:
+        """A host of other software stays on its version, says so, and takes the next one."""
+        self.heal()
+        cell, name = self.cell, HostId(f"h{index}")
+        cell.refusals.add((name, ConfigVersion(max(cell.newest, 0) + 1)))
+        cell.publish(True)
+        cell.run(IN_FORCE_WITHIN_MS)
+        behind = {host.name for host in cell.hosts.values() if host.store.version != cell.newest}
+        assert behind == {name} and (name, cell.newest) in cell.diverged
+        cell.publish(True)
+        cell.run(IN_FORCE_WITHIN_MS)
+        assert {host.store.version for host in cell.hosts.values()} == {cell.newest}
+
     def _check_calls(self) -> None:
         """In steady state two hosts watch, and one reads the service each second."""
         cell = self.cell
