--- a/src/medlarvale/callers/app.py
+++ b/src/medlarvale/callers/app.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import asyncio
+import socket
 from collections.abc import Awaitable, Callable
 from http import HTTPStatus
 
@@ -27,6 +29,10 @@
 # Longer request lines and header fields are refused by the parser.
 MAX_LINE_BYTES = 8_190
 
+# The system's own send buffer grows to several MB and holds whole answers, so that a caller that
+# reads nothing would not be noticed while its request holds engine memory.
+SEND_BUFFER_BYTES = 32_768
+
 PLAIN_API: web.AppKey[PlainApi] = web.AppKey("plain_api", PlainApi)
 
 
@@ -93,6 +99,13 @@
 class CallerProtocol(web.RequestHandler):
     """HTTP connection whose parse errors are answered with a code as well."""
 
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Limits what is sent ahead of a caller that does not read."""
+        super().connection_made(transport)
+        connection = transport.get_extra_info("socket")
+        if connection is not None:
+            connection.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SEND_BUFFER_BYTES)
+
     def handle_error(
         self,
         request: web.BaseRequest,
