--- a/src/medlarvale/peers/pynng_transport.py
+++ b/src/medlarvale/peers/pynng_transport.py
@@ -57,6 +57,7 @@
         self._clock = clock
         self._handlers: dict[type[msgspec.Struct], Handler] = {}
         self._peer_addresses: dict[HostId, str] = {}
+        self._heard_addresses: dict[HostId, str] = {}
         self._dialers: dict[str, pynng.Push0] = {}
         self._waiting: dict[int, asyncio.Future[Frame]] = {}
         self._nonces = itertools.count(1)
@@ -102,7 +103,7 @@
         self, peer: HostId, message: msgspec.Struct, timeout_ms: float
     ) -> msgspec.Struct:
         """Sends a message and returns the peer's reply; see ``Transport.request``."""
-        address = self._peer_addresses.get(peer)
+        address = self._address_of(peer)
         if address is None:
             raise PeerUnknownError(f"no address of host {peer} is known")
         future: asyncio.Future[Frame] = asyncio.get_running_loop().create_future()
@@ -121,6 +122,15 @@
             raise PeerError(f"host {peer}: {frame.body.decode(errors='replace')}")
         return self._codec.decode(frame.body)
 
+    def _address_of(self, peer: HostId) -> str | None:
+        """Returns the listed address, or before any list is known the one the peer gave itself.
+
+        A host that starts while the platform is down learns list and settings that way.
+        """
+        if self._peer_addresses:
+            return self._peer_addresses.get(peer)
+        return self._heard_addresses.get(peer)
+
     def _send(
         self,
         address: str,
@@ -173,6 +183,8 @@
                 log_warning(Event.PEER_FRAME_DROPPED, reason=error.message)
                 continue
             if frame.kind is FrameKind.REQUEST:
+                if not self._peer_addresses:
+                    self._heard_addresses[frame.sender] = frame.reply_address
                 self._spawn(self._answer(frame))
             else:
                 self._resolve(frame)
