Test a host that is cut off from its peers, and frames without the key

Links stand for the peer addresses of one entry host, in both directions: it has a platform of its own whose list has the links. While cut off, its bookings are unknown and never "not run"; lookups and answers go on.

--- /dev/null
+++ b/tests/processes/test_partition.py
@@ -0,0 +1,123 @@
+"""An entry host that links cut off from its peers, and strangers on the peer port."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import time
+
+import msgspec
+import pynng
+
+from medlarvale.demo import new_key
+from medlarvale.ids import HostId, HostIdentity, Incarnation
+from medlarvale.membership.messages import Heartbeat, HostState
+from medlarvale.peers.auth import Frame, FrameKind, SharedKeys
+from medlarvale.peers.transport import MessageCodec
+from scripts.deployment import Node
+from tests.processes.support import ProcessTestCase
+
+BOOKING_DEADLINE_MS = 1_500
+# Leases of a host that is cut off end within this time (lease and clock bound).
+LEASES_ENDED_S = 1.5
+BOOKINGS = 8
+
+
+class PartitionTest(ProcessTestCase):
+    linked_host = True
+
+    @property
+    def cut_host(self) -> Node:
+        return next(host for host in self.hosts if host.name.endswith("-1"))
+
+    async def test_a_host_that_is_cut_off_serves_all_but_bookings(self) -> None:
+        # Guards against a minority that runs bookings, or calls one "not run" that may run.
+        await self.await_bookings()
+        cut = self.cut_host
+        others = [host for host in self.hosts if host is not cut]
+        running = [new_key() for _ in range(BOOKINGS)]
+        calls = [asyncio.ensure_future(self.book(cut, key, BOOKING_DEADLINE_MS)) for key in running]
+        await self.shared.run(self.deployment.set_links("drop"))
+        self.addAsyncCleanup(self.shared.run, self.deployment.set_links("pass"))
+        cut_s = time.monotonic()
+        told = {key: [await call] for key, call in zip(running, calls, strict=True)}
+
+        async def refused() -> bool:
+            key = new_key()
+            told[key] = [await self.book(cut, key, BOOKING_DEADLINE_MS)]
+            return told[key][0].outcome == "unknown"
+
+        await self.eventually(refused)
+        self.assertLessEqual(
+            time.monotonic() - cut_s, LEASES_ENDED_S + 2 * BOOKING_DEADLINE_MS / 1_000
+        )
+        keys = [new_key() for _ in range(BOOKINGS)]
+        answers = await asyncio.gather(*(self.book(cut, key, BOOKING_DEADLINE_MS) for key in keys))
+        self.assertEqual({answer.outcome for answer in answers}, {"unknown"})
+        for key, answer in zip(keys, answers, strict=True):
+            told[key] = [answer]
+        self.assertEqual(await self.lookup(cut), 200)
+        await self.assert_chat(cut, self.prompt(200), 30)
+        await self.await_bookings(*others)
+        await self.assert_chat(others[0], self.prompt(200), 30)
+        await self.shared.run(self.deployment.set_links("pass"))
+        await self.await_bookings()
+        for key in list(told):
+            told[key].append(await self.book(others[0], key))
+            told[key].append(await self.book(cut, key))
+        await self.assert_verdicts_true(told)
+        outcomes = {answer.outcome for answers in told.values() for answer in answers}
+        self.assertNotIn("not_run", outcomes)
+        await self.assert_chat(cut, self.prompt(200), 30)
+        await self.assert_freed(time.monotonic(), 3.0)
+
+    async def test_b_frames_without_the_key_change_nothing(self) -> None:
+        # Guards against orders from a stranger who knows the format of a frame but not the key.
+        await self.await_bookings()
+        victim = next(host for host in self.hosts if host.name.endswith("-2"))
+        flags = dict(zip(victim.arguments[1::2], victim.arguments[2::2], strict=False))
+        impostor = HostIdentity(HostId(self.hosts[0].name), Incarnation(1 << 62))
+        codec = MessageCodec((Heartbeat,))
+        # If this were believed, the victim would drop all frames of the host it speaks for.
+        heartbeat = Heartbeat(impostor.incarnation, HostState.LEAVING, 1_000_000, 1_000_000, [])
+        frame = Frame(
+            sender=impostor.host,
+            incarnation=impostor.incarnation,
+            receiver=HostId(victim.name),
+            reply_address="tcp://127.0.0.1:1",
+            nonce=1,
+            in_reply_to=0,
+            kind=FrameKind.REQUEST,
+            sent_at_ms=time.time_ns() // 1_000_000,
+            body=codec.encode(heartbeat),
+        )
+        payload = msgspec.msgpack.encode(frame)
+        forged = [
+            SharedKeys({"first": os.urandom(32)}).sign(payload),
+            SharedKeys({"second": os.urandom(32)}).sign(payload),
+            payload,
+            b"",
+            b"\xff" * 300,
+        ]
+        dropped = self.dropped_frames()
+        with pynng.Push0() as dialer:
+            dialer.dial(f"tcp://{flags['--listen-peer']}", block=True)
+            for data in forged:
+                await dialer.asend(data)
+
+            async def all_dropped() -> bool:
+                return self.dropped_frames() >= dropped + len(forged)
+
+            await self.eventually(all_dropped)
+        self.assertNotIn(f"{impostor.host}/{impostor.incarnation}", self.log())
+        await self.await_bookings()
+        for host in self.hosts:
+            await self.assert_chat(host, self.prompt(100), 10)
+        states = [line for line in self.log().splitlines() if '"leaving"' in line]
+        self.assertEqual(states, [])
+
+    def log(self) -> str:
+        return self.shared.log_file.read_text()
+
+    def dropped_frames(self) -> int:
+        return self.log().count('"event_number": 3002')
