--- a/scripts/mutations.py
+++ b/scripts/mutations.py
@@ -59,6 +59,8 @@
         for part in ("src", "tests", "scripts", "docs", "examples", "bench"):
             if (REPOSITORY / part).exists():
                 shutil.copytree(REPOSITORY / part, copy / part)
+        if (REPOSITORY / "KNOWN-RED.txt").exists():
+            shutil.copy(REPOSITORY / "KNOWN-RED.txt", copy)
         target = copy / mutation.file
         text = target.read_text()
         if text.count(mutation.old) != 1:
--- a/src/medlarvale/composition.py
+++ b/src/medlarvale/composition.py
@@ -32,6 +32,7 @@
 from medlarvale.peers.pynng_transport import PynngTransport
 from medlarvale.peers.transport import MessageCodec
 from medlarvale.plain.client import PlainClient, new_plain_session
+from medlarvale.plain.polling import PlainPoller
 from medlarvale.process_settings import ProcessSettings
 from medlarvale.quarantine import messages as quarantine_messages
 from medlarvale.quarantine.suspects import QuarantineLimits
@@ -134,6 +135,7 @@
             clock=self.clock,
             tracer=self.tracing.tracer,
         )
+        self.plain_poller = PlainPoller(self._engine_session, self.directory, self.clock)
         self.bookings = self._build_bookings(started_wall_ms)
         self.runner = self._build_runner()
         self._caller_server = CallerServerRunner(
@@ -271,6 +273,7 @@
         self.settings.start()
         self.membership.start()
         self.scheduling.start()
+        self.plain_poller.start()
         self.guard.start()
         self.bookings.start()
         await self._caller_server.setup()
@@ -298,6 +301,7 @@
         """Ends all tasks and closes all sockets."""
         await self._caller_server.cleanup()
         await self.bookings.close()
+        await self.plain_poller.close()
         await self.scheduling.close()
         await self.guard.close()
         await self.membership.close()
--- a/src/medlarvale/membership/servers.py
+++ b/src/medlarvale/membership/servers.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-from medlarvale.ids import FailureDomain, PoolName, ServerId, ServiceName
+from medlarvale.ids import FailureDomain, HostId, PoolName, ServerId, ServiceName
 from medlarvale.settings.schema import PoolRole
 
 
@@ -38,13 +38,14 @@
 class ServerDirectory:
     """The backend servers in the newest host list, with what the servers said of themselves.
 
-    A server is leaving as soon as either source says so: the list may lag for longer than a
-    leaving server may still receive work.
+    A server is leaving as soon as the list, its own load report or a peer that has read the report
+    says so: the list may lag for longer than a leaving server may still receive work.
     """
 
     def __init__(self) -> None:
         self._servers: dict[ServerId, BackendServer] = {}
         self._leaving: set[ServerId] = set()
+        self._peers_leaving: dict[HostId, frozenset[ServerId]] = {}
 
     def replace(self, servers: Iterable[BackendServer]) -> None:
         """Takes over a newer host list."""
@@ -58,8 +59,16 @@
         else:
             self._leaving.discard(server)
 
+    def learn_peer_marks(self, peer: HostId, servers: Iterable[ServerId]) -> None:
+        """Replaces what a peer has read in load reports; empty once the peer is silent.
+
+        Peers' marks are kept apart from this host's own and never passed on. Otherwise hosts would
+        remind each other for ever of a server that has come back.
+        """
+        self._peers_leaving[peer] = frozenset(servers)
+
     def leaving_by_own_word(self) -> list[ServerId]:
-        """Returns the servers that said themselves that they leave, in order."""
+        """Returns the servers whose load report here says that they leave, in order."""
         return sorted(self._leaving)
 
     def get(self, server: ServerId) -> BackendServer | None:
@@ -73,7 +82,9 @@
     def accepts_work(self, server: ServerId) -> bool:
         """Tells whether new work may go to a server."""
         known = self._servers.get(server)
-        return known is not None and known.state is ServerState.LIVE and server not in self._leaving
+        if known is None or known.state is not ServerState.LIVE or server in self._leaving:
+            return False
+        return not any(server in marks for marks in self._peers_leaving.values())
 
     def of_service(self, service: ServiceName, role: PoolRole) -> list[BackendServer]:
         """Returns the servers of a service and role that accept new work."""
--- a/src/medlarvale/membership/task.py
+++ b/src/medlarvale/membership/task.py
@@ -175,8 +175,7 @@
 
     def _learn_heartbeat(self, sender: HostIdentity, heartbeat: Heartbeat) -> None:
         self.view.learn_heartbeat(sender, heartbeat, self._clock.now_ms())
-        for server in heartbeat.leaving_servers:
-            self.directory.mark_leaving(server, True)
+        self.directory.learn_peer_marks(sender.host, heartbeat.leaving_servers)
         for callback in self._heartbeat_callbacks:
             callback(sender, heartbeat)
 
@@ -205,6 +204,8 @@
             state = self.view.peer_state(host, now_ms)
             if self._states.get(host) is not state:
                 self._states[host] = state
+                if state is PeerState.SUSPECT:
+                    self.directory.learn_peer_marks(host, ())
                 log_info(Event.PEER_STATE_CHANGED, peer=host, state=state.value)
 
     def _spawn(self, coroutine) -> None:  # type: ignore[no-untyped-def]
