--- a/src/medlarvale/composition.py
+++ b/src/medlarvale/composition.py
@@ -47,6 +47,7 @@
 from medlarvale.peers.pynng_transport import PynngTransport
 from medlarvale.peers.transport import MessageCodec
 from medlarvale.plain.client import PlainClient, new_plain_session
+from medlarvale.plain.polling import PlainPoller
 from medlarvale.process_settings import ProcessSettings
 from medlarvale.quarantine.messages import QUARANTINE_MESSAGES
 from medlarvale.quarantine.suspects import QuarantineLimits
@@ -118,6 +119,7 @@
             clock=self.clock,
             tracer=self.tracing.tracer,
         )
+        self.plain_poller = PlainPoller(self._engine_session, self.directory, self.clock)
         self.bookings = self._build_bookings(started_wall_ms)
         self.runner = self._build_runner()
         self.fleet = FleetTask(
@@ -325,6 +327,7 @@
         self.settings.start()
         self.membership.start()
         self.scheduling.start()
+        self.plain_poller.start()
         self.guard.start()
         self.bookings.start()
         listen = self._process.listen_caller
@@ -368,6 +371,7 @@
         await self._caller_server.cleanup()
         await self._operators_runner.cleanup()
         await self.bookings.close()
+        await self.plain_poller.close()
         await self.scheduling.close()
         await self.guard.close()
         await self.membership.close()
--- a/src/medlarvale/scheduling/polling.py
+++ b/src/medlarvale/scheduling/polling.py
@@ -5,6 +5,8 @@
 import asyncio
 from collections.abc import Awaitable, Callable, Collection, Iterable
 
+import msgspec
+
 from medlarvale.clock import Clock
 from medlarvale.ids import HostIdentity, RequestId, ServerId
 from medlarvale.logs import Event, log_info, log_warning
@@ -51,16 +53,13 @@
         self._polling: set[ServerId] = set()
 
     async def poll_all(self, groups: Iterable[BookerGroup]) -> None:
-        """Polls every server once; servers still being polled are skipped.
-
-        Plain servers are asked for their load only, which says whether they leave.
-        """
+        """Polls every model engine once; engines still being polled are skipped."""
         by_service = {group.service: group for group in groups}
         await asyncio.gather(
             *(
                 self._poll(server, by_service.get(server.service))
                 for server in self._directory.all_servers()
-                if server.server not in self._polling
+                if server.role is not PoolRole.PLAIN and server.server not in self._polling
             )
         )
 
@@ -83,6 +82,9 @@
         self._directory.mark_leaving(engine.server, report.leaving)
         self._lag_table.observe(engine.server, report, self._clock.now_ms())
         if group is not None:
+            # The engine's own word does not undo what the host list or a peer says of it.
+            leaving = not self._directory.accepts_work(engine.server)
+            report = msgspec.structs.replace(report, leaving=leaving)
             group.booker.observe_load(engine.server, report, self._clock.now_ms())
 
     async def _poll_requests(self, engine: BackendServer, group: BookerGroup) -> None:
