--- a/bench/relay.py
+++ b/bench/relay.py
@@ -120,6 +120,9 @@
     def finished(self, fingerprint: int, server: ServerId, *, server_lost: bool) -> None:
         pass
 
+    def ended(self, fingerprint: int, *, answered: bool) -> None:
+        pass
+
     def request_finished(self, report: RequestReport) -> None:
         self.answered += not report.code
 
--- /dev/null
+++ b/bench/slopes.py
@@ -0,0 +1,102 @@
+"""Measures what each part costs by the quantity that makes it grow, and fits a line to each.
+
+``docs/CAPACITY.md`` works out the planned size from these slopes.
+"""
+
+from __future__ import annotations
+
+import contextlib
+import io
+import logging
+import re
+import sys
+import time
+from pathlib import Path
+
+import structlog
+import uvloop
+
+from bench import relay
+from bench.report import write_csv
+from bench.slope_fit import Slope, fit
+from bench.slopes_control import (
+    decision_slopes,
+    heartbeat_slopes,
+    lease_slopes,
+    ledger_slopes,
+    peer_slopes,
+    settings_slopes,
+    status_slopes,
+)
+from bench.slopes_memory import process_slopes, state_slopes
+
+OUTPUT = Path("out")
+CHUNK_TOKENS = (1, 2, 4, 8)
+RELAY_ANSWER_TOKENS = 1_000
+RELAY_STREAMS = 16
+_FULL_COST = re.compile(r"full: ([0-9.]+) us/token")
+
+
+def relay_cost_us(chunk_tokens: int) -> float:
+    """Returns the relay's processor time per token for a size of chunk."""
+    plan = relay.Plan(RELAY_STREAMS, RELAY_STREAMS, RELAY_ANSWER_TOKENS, chunk_tokens, 4.0)
+    printed = io.StringIO()
+    with contextlib.redirect_stdout(printed):
+        uvloop.run(relay.measure(plan, 1))
+    found = _FULL_COST.search(printed.getvalue())
+    if found is None:
+        raise ValueError(f"bench.relay printed no cost: {printed.getvalue()!r}")
+    return float(found.group(1))
+
+
+def relay_slopes() -> list[Slope]:
+    """Measures the relay by chunks per token: the slope is the time per chunk.
+
+    The intercept is the time per token, and it includes the calls before a stream, spread over
+    its tokens.
+    """
+    points = [(1.0 / tokens, relay_cost_us(tokens)) for tokens in CHUNK_TOKENS]
+    return [fit("relay, per token by chunks per token", "chunk", "µs", points)]
+
+
+def print_slopes(slopes: list[Slope]) -> None:
+    """Prints one line a slope."""
+    print(f"{'measured':<44} {'slope':>10} {'intercept':>11}  {'unit':<24} {'residual':>8}  points")
+    for slope in slopes:
+        unit = f"{slope.unit} per {slope.per}"
+        print(
+            f"{slope.name:<44} {slope.slope:>10.4g} {slope.intercept:>11.5g}  {unit:<24}"
+            f" {slope.residual_percent:>7.1f}%  {slope.points}",
+            flush=True,
+        )
+
+
+def main() -> int:
+    """Measures everything, one part after the other."""
+    # Log lines of peers that come and go would be measured as well.
+    structlog.configure(wrapper_class=structlog.make_filtering_bound_logger(logging.ERROR))
+    OUTPUT.mkdir(exist_ok=True)
+    start_s = time.monotonic()
+    slopes: list[Slope] = []
+    parts = (
+        heartbeat_slopes,
+        peer_slopes,
+        lease_slopes,
+        ledger_slopes,
+        decision_slopes,
+        settings_slopes,
+        status_slopes,
+        relay_slopes,
+        state_slopes,
+        lambda: process_slopes(OUTPUT / "slopes.log"),
+    )
+    for part in parts:
+        slopes += part()
+    print_slopes(slopes)
+    write_csv(OUTPUT / "slopes.csv", slopes)
+    print(f"measured in {time.monotonic() - start_s:.0f} s")
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/bench/slopes_control.py
@@ -0,0 +1,406 @@
+"""Slopes of control: heartbeats, leases, bookings, settings, status, and peer messages."""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+import json
+import socket
+import time
+import uuid
+from collections.abc import Iterator
+from pathlib import Path
+
+import msgspec
+
+from bench.decision_cost import measure_cost
+from bench.slope_fit import REPEATS, Slope, fit, processor_us
+from medlarvale.bookings.lease import LeaseState
+from medlarvale.bookings.ledger import Ledger
+from medlarvale.bookings.messages import LeaseReply, LeaseRequest, Verdict, VerdictKind, View
+from medlarvale.clock import SystemClock
+from medlarvale.errors import Outcome
+from medlarvale.ids import (
+    BookingKey,
+    ConfigVersion,
+    FailureDomain,
+    HostId,
+    HostIdentity,
+    Incarnation,
+    ListVersion,
+    RegionName,
+    RequestId,
+    ServiceName,
+    ShardId,
+    WorkspaceId,
+    new_incarnation,
+)
+from medlarvale.membership.messages import EntryHost, Heartbeat, HostList, HostState
+from medlarvale.membership.servers import ServerDirectory
+from medlarvale.membership.task import MembershipTask
+from medlarvale.membership.view import MembershipView
+from medlarvale.operators.accounting import CACHE_MS, Accounting
+from medlarvale.operators.fleet import StatusReply
+from medlarvale.operators.reports import RequestReport
+from medlarvale.operators.status import FiguresPart, collect_status
+from medlarvale.peers.auth import FrameGuard, SharedKeys
+from medlarvale.peers.pynng_transport import PynngTransport
+from medlarvale.peers.transport import MessageCodec
+from medlarvale.settings.messages import TreeAnswer
+from medlarvale.settings.parsing import parse_text
+from medlarvale.settings.store import SettingsStore
+
+KEYS = SharedKeys({"bench": b"0123456789abcdef0123456789abcdef"})
+TREE_FILE = Path(__file__).resolve().parent.parent / "examples" / "ventilo-breizh.yaml"
+PEER_COUNTS = (4, 8, 16, 32, 48)
+HEARTBEAT_ROUNDS = 20
+REPLY_SIZES_BYTES = (100, 4_000, 16_000, 64_000)
+REPLY_COUNT = 200
+SHARD_COUNTS = (8, 16, 32, 64)
+MEMBER_COUNTS = (3, 5, 7, 9)
+ENGINE_COUNTS = (20, 50, 100, 200)
+WORKSPACE_COUNTS = (10, 50, 150, 350)
+RECORD_COUNTS = (1_000, 10_000, 50_000)
+START_MS = 1_750_000_000_000
+
+
+class Blob(msgspec.Struct, tag="blob", frozen=True):
+    """A message of a chosen size."""
+
+    data: bytes
+
+
+class SilentSource:
+    """A platform whose list never changes."""
+
+    async def read(self) -> HostList:
+        await asyncio.Event().wait()
+        raise AssertionError
+
+
+def free_address() -> str:
+    """Returns a loopback address that is free now."""
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return f"tcp://127.0.0.1:{probe.getsockname()[1]}"
+
+
+def new_transport(name: str, codec: MessageCodec) -> PynngTransport:
+    """Returns a transport at a free address."""
+    clock = SystemClock()
+    identity = HostIdentity(HostId(name), new_incarnation(clock.wall_ms()))
+    guard = FrameGuard(KEYS, identity, clock.wall_ms())
+    return PynngTransport(identity, free_address(), guard, codec, clock)
+
+
+async def _heartbeat_round(peers: int) -> tuple[float, float]:
+    """Returns processor µs (both ends) and bytes (sent and received) of one round."""
+    codec = MessageCodec((Heartbeat,))
+    transports = [new_transport(f"entry{number}", codec) for number in range(peers + 1)]
+    sender = transports[0]
+
+    async def answer(who: HostIdentity, beat: Heartbeat) -> Heartbeat:
+        return beat
+
+    entries = []
+    for transport in transports:
+        entries.append(EntryHost(transport._identity.host, transport._address, FailureDomain("d")))
+        transport.register(Heartbeat, answer)
+        transport.start()
+    view = MembershipView(sender._identity)
+    task = MembershipTask(
+        view,
+        ServerDirectory(),
+        sender,
+        sender,
+        SilentSource(),
+        SystemClock(),
+        lambda: ConfigVersion(1),
+    )
+    view.state = HostState.LIVE
+    view.learn_list(HostList(ListVersion(1), entries, []))
+    sender.set_peers(view.peer_addresses())
+
+    async def exchange() -> None:
+        task.send_heartbeats()
+        while task._tasks:
+            await asyncio.gather(*task._tasks, return_exceptions=True)
+
+    try:
+        for _ in range(5):
+            await exchange()
+            await asyncio.sleep(0.02)
+        bytes_before = sender.sent_bytes + sender.received_bytes
+        used_us = float("inf")
+        for _ in range(REPEATS):
+            start_s = time.process_time()
+            for _ in range(HEARTBEAT_ROUNDS):
+                await exchange()
+            used_s = (time.process_time() - start_s) / HEARTBEAT_ROUNDS
+            used_us = min(used_us, used_s * 1e6)
+        size = sender.sent_bytes + sender.received_bytes - bytes_before
+        size /= REPEATS * HEARTBEAT_ROUNDS
+        return used_us, size
+    finally:
+        await task.close()
+        for transport in transports:
+            await transport.close()
+
+
+def heartbeat_slopes() -> list[Slope]:
+    """Measures heartbeat rounds over pynng by the number of peers.
+
+    One node sends one heartbeat to each peer and answers one of each, so the time of both ends of
+    a round is what a node spends in one period.
+    """
+    figures = [(peers, asyncio.run(_heartbeat_round(peers))) for peers in PEER_COUNTS]
+    return [
+        fit("heartbeat period, both ends", "peer", "µs", [(n, us) for n, (us, _) in figures]),
+        fit("heartbeat and answer", "peer", "bytes", [(n, size) for n, (_, size) in figures]),
+    ]
+
+
+async def _peer_replies(size_bytes: int) -> tuple[float, float]:
+    """Returns processor µs and elapsed µs of one request and its reply, one after another."""
+    codec = MessageCodec((Blob,))
+    asker, answerer = new_transport("a", codec), new_transport("b", codec)
+    reply = Blob(b"x" * size_bytes)
+
+    async def answer(who: HostIdentity, message: Blob) -> Blob:
+        return reply
+
+    answerer.register(Blob, answer)
+    asker.start()
+    answerer.start()
+    asker.set_peers({HostId("b"): answerer._address})
+    question = Blob(b"")
+    try:
+        for _ in range(20):
+            await asker.request(HostId("b"), question, 2_000)
+        start_s, used_s = time.perf_counter(), time.process_time()
+        for _ in range(REPLY_COUNT):
+            await asker.request(HostId("b"), question, 2_000)
+        used_us = (time.process_time() - used_s) * 1e6 / REPLY_COUNT
+        return used_us, (time.perf_counter() - start_s) * 1e6 / REPLY_COUNT
+    finally:
+        await asker.close()
+        await answerer.close()
+
+
+def peer_slopes() -> list[Slope]:
+    """Measures request and reply over pynng on loopback by the size of the reply."""
+    figures = [(size / 1_000, asyncio.run(_peer_replies(size))) for size in REPLY_SIZES_BYTES]
+    return [
+        fit("peer request, processor, both ends", "KB", "µs", [(x, us) for x, (us, _) in figures]),
+        fit("peer request, elapsed", "KB", "µs", [(x, us) for x, (_, us) in figures]),
+    ]
+
+
+def new_cell(members: int) -> list[LeaseState]:
+    """Returns hosts that have activated the same view, long after their start."""
+    identities = [
+        HostIdentity(HostId(f"entry{n}"), Incarnation((START_MS << 16) + n)) for n in range(members)
+    ]
+    hosts = [LeaseState(identity, START_MS - 60_000) for identity in identities]
+    view = View(ListVersion(1), tuple(identity.host for identity in identities))
+    for host in hosts:
+        host.learn_list(view)
+    for _ in range(2):
+        for host in hosts:
+            for other in hosts:
+                other.views.learn_report(host.identity, host.views.report())
+    return hosts
+
+
+def lease_round(hosts: list[LeaseState], codec: MessageCodec, shards: int, wall_ms: int) -> int:
+    """Carries out one round of the first host with all others; returns the bytes of messages."""
+    holder = hosts[0]
+    request = holder.start_round([ShardId(number) for number in range(shards)], wall_ms)
+    size = 0
+    for granter in hosts[1:]:
+        sent = codec.encode(request)
+        received = codec.decode(sent)
+        assert isinstance(received, LeaseRequest)
+        answered = codec.encode(granter.handle_request(holder.identity, received, wall_ms))
+        reply = codec.decode(answered)
+        assert isinstance(reply, LeaseReply)
+        holder.handle_reply(granter.identity, reply)
+        size += len(sent) + len(answered)
+    assert len(holder.held_shards(wall_ms)) == shards, "every shard has to be granted"
+    return size
+
+
+def lease_slopes() -> list[Slope]:
+    """Measures lease rounds by shards and by members, decisions and codec of both ends."""
+    codec = MessageCodec((LeaseRequest, LeaseReply))
+
+    def measure(members: int, shards: int) -> tuple[float, int]:
+        hosts = new_cell(members)
+        size = lease_round(hosts, codec, shards, START_MS)
+        used = processor_us(lambda: lease_round(hosts, codec, shards, START_MS), 40)
+        return used, size
+
+    by_shards = [(shards, measure(5, shards)) for shards in SHARD_COUNTS]
+    by_members = [(members - 1, measure(members, 64 // members)) for members in MEMBER_COUNTS]
+    return [
+        fit("lease round, 5 members", "shard", "µs", [(x, us) for x, (us, _) in by_shards]),
+        fit("lease round, 5 members", "shard", "bytes", [(x, size) for x, (_, size) in by_shards]),
+        fit(
+            "lease round, 64/members shards held",
+            "peer",
+            "µs",
+            [(x, u) for x, (u, _) in by_members],
+        ),
+        fit(
+            "lease round, 64/members shards held",
+            "peer",
+            "bytes",
+            [(x, size) for x, (_, size) in by_members],
+        ),
+    ]
+
+
+def booking_key(number: int) -> BookingKey:
+    """Returns a UUIDv7 key that was issued at the start."""
+    value = (START_MS << 80) | (7 << 76) | (2 << 62) | number
+    return BookingKey(f"firm/comptoir/{uuid.UUID(int=value)}")
+
+
+def ledger_slopes() -> list[Slope]:
+    """Measures acceptance and settling of a fresh key by the records that the ledger holds."""
+    points = []
+    for count in RECORD_COUNTS:
+        leases = new_cell(3)
+        lease_round(leases, MessageCodec((LeaseRequest, LeaseReply)), 64, START_MS)
+        ledger = Ledger(leases[0], 600_000)
+        serial = itertools.count()
+
+        def book(ledger: Ledger = ledger, serial: Iterator[int] = serial) -> None:
+            key = booking_key(next(serial))
+            assert ledger.accept(key, 1, START_MS).dispatch
+            ledger.settle(key, Verdict(VerdictKind.ANSWERED))
+
+        for _ in range(count):
+            book()
+        points.append((count / 1_000.0, processor_us(book, 500)))
+    return [fit("booking accepted and settled", "1,000 records", "µs", points)]
+
+
+def decision_slopes() -> list[Slope]:
+    """Measures reserve decisions by the engines in view."""
+    costs = [measure_cost(engines, 0.9) for engines in ENGINE_COUNTS]
+    return [
+        fit(
+            "reserve decision, median",
+            "engine",
+            "µs",
+            [(c.engines, c.reserve_p50_us) for c in costs],
+        ),
+        fit(
+            "reserve decision, p99", "engine", "µs", [(c.engines, c.reserve_p99_us) for c in costs]
+        ),
+        fit(
+            "progress or release, median",
+            "engine",
+            "µs",
+            [(c.engines, c.other_p50_us) for c in costs],
+        ),
+    ]
+
+
+def make_tree(workspaces: int) -> bytes:
+    """Returns the text of a tree: an example's with so many workspaces."""
+    value = json.loads(json.dumps(parse_text(TREE_FILE.read_bytes()).value))
+    services = next(iter(value["workspaces"].values()))["services"]
+    value["workspaces"] = {
+        f"firm-{number:04d}": {
+            "weight": 1 + number % 5,
+            "api_key_sha256": [f"{number:064x}"],
+            "services": services,
+        }
+        for number in range(workspaces)
+    }
+    return json.dumps(value, indent=1).encode()
+
+
+def settings_slopes() -> list[Slope]:
+    """Measures check and transfer of a version by the size of its text."""
+    codec = MessageCodec((TreeAnswer,))
+    checks, transfers = [], []
+    for workspaces in WORKSPACE_COUNTS:
+        text = make_tree(workspaces)
+        size_kb = len(text) / 1_000.0
+
+        def check(text: bytes = text) -> None:
+            SettingsStore().offer(ConfigVersion(1), text)
+
+        def transfer(text: bytes = text) -> None:
+            sent = KEYS.sign(codec.encode(TreeAnswer(ConfigVersion(1), text)))
+            codec.decode(KEYS.verify(sent))
+
+        checks.append((size_kb, processor_us(check, 1, 3)))
+        transfers.append((size_kb, processor_us(transfer, 20)))
+    return [
+        fit("settings check", "KB of tree", "µs", checks),
+        fit("spread of a version to one peer, both ends", "KB of tree", "µs", transfers),
+    ]
+
+
+def status_slopes() -> list[Slope]:
+    """Measures a node's status answer by the workspaces with traffic."""
+    codec = MessageCodec((StatusReply,))
+    identity = HostIdentity(HostId("entry0"), Incarnation(1))
+    times, sizes = [], []
+    for workspaces in WORKSPACE_COUNTS:
+        accounting = new_accounting(workspaces)
+
+        def answer(accounting: Accounting = accounting) -> bytes:
+            return codec.encode(StatusReply(collect_status(identity, [FiguresPart(accounting)])))
+
+        times.append((workspaces, processor_us(answer, 1, 3)))
+        sizes.append((workspaces, float(len(answer()))))
+    return [
+        fit("status answer, not cached", "workspace", "µs", times),
+        fit("status answer", "workspace", "bytes", sizes),
+    ]
+
+
+class LeapingClock(SystemClock):
+    """Leaps past the cache time at each look, so that every answer is computed anew."""
+
+    def __init__(self) -> None:
+        self._now_ms = 0.0
+
+    def now_ms(self) -> float:
+        """Returns a time 600 ms after the last one."""
+        self._now_ms += CACHE_MS + 100.0
+        return self._now_ms
+
+
+class StillClock(SystemClock):
+    """Stands still while reports are counted."""
+
+    def now_ms(self) -> float:
+        """Returns 0."""
+        return 0.0
+
+
+def new_accounting(workspaces: int) -> Accounting:
+    """Returns accounting with reports of so many workspaces."""
+    accounting = Accounting(StillClock(), lambda domain: RegionName("r"), lambda server: None)
+    for number in range(workspaces * 4):
+        accounting.request_finished(
+            RequestReport(
+                RequestId(str(number)),
+                ServiceName("llm"),
+                WorkspaceId(f"firm-{number % workspaces:04d}"),
+                FailureDomain("d"),
+                Outcome.ANSWERED,
+                within_targets=True,
+                ttft_ms=100.0 + number,
+                tbt_p95_ms=40.0,
+                output_tokens=350,
+            )
+        )
+    accounting._clock = LeapingClock()
+    return accounting
--- /dev/null
+++ b/tests/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the experiments in bench/."""
