--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -5,12 +5,14 @@
 
 from __future__ import annotations
 
+import argparse
 import contextlib
 import io
 import logging
 import re
 import sys
 import time
+from collections.abc import Callable
 from pathlib import Path
 
 import structlog
@@ -25,10 +27,10 @@
     lease_slopes,
     ledger_slopes,
     peer_slopes,
-    settings_slopes,
     status_slopes,
 )
 from bench.slopes_memory import process_slopes, state_slopes
+from bench.slopes_versions import list_slopes, settings_slopes
 
 OUTPUT = Path("out")
 CHUNK_TOKENS = (1, 2, 4, 8)
@@ -71,29 +73,36 @@
         )
 
 
+PARTS: dict[str, Callable[[], list[Slope]]] = {
+    "heartbeats": heartbeat_slopes,
+    "peers": peer_slopes,
+    "leases": lease_slopes,
+    "ledger": ledger_slopes,
+    "decisions": decision_slopes,
+    "settings": settings_slopes,
+    "lists": list_slopes,
+    "status": status_slopes,
+    "relay": relay_slopes,
+    "state": state_slopes,
+    "process": lambda: process_slopes(OUTPUT / "slopes.log"),
+}
+
+
 def main() -> int:
-    """Measures everything, one part after the other."""
+    """Measures one part after the other."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--only", choices=PARTS, help="measure one part only")
+    arguments = parser.parse_args()
     # Log lines of peers that come and go would be measured as well.
     structlog.configure(wrapper_class=structlog.make_filtering_bound_logger(logging.ERROR))
     OUTPUT.mkdir(exist_ok=True)
     start_s = time.monotonic()
     slopes: list[Slope] = []
-    parts = (
-        heartbeat_slopes,
-        peer_slopes,
-        lease_slopes,
-        ledger_slopes,
-        decision_slopes,
-        settings_slopes,
-        status_slopes,
-        relay_slopes,
-        state_slopes,
-        lambda: process_slopes(OUTPUT / "slopes.log"),
-    )
-    for part in parts:
-        slopes += part()
+    for name in [arguments.only] if arguments.only else PARTS:
+        slopes += PARTS[name]()
     print_slopes(slopes)
-    write_csv(OUTPUT / "slopes.csv", slopes)
+    name = f"slopes-{arguments.only}.csv" if arguments.only else "slopes.csv"
+    write_csv(OUTPUT / name, slopes)
     print(f"measured in {time.monotonic() - start_s:.0f} s")
     return 0
 
--- a/bench/slopes_control.py
+++ b/bench/slopes_control.py
@@ -4,12 +4,10 @@
 
 import asyncio
 import itertools
-import json
 import socket
 import time
 import uuid
 from collections.abc import Iterator
-from pathlib import Path
 
 import msgspec
 
@@ -46,12 +44,8 @@
 from medlarvale.peers.auth import FrameGuard, SharedKeys
 from medlarvale.peers.pynng_transport import PynngTransport
 from medlarvale.peers.transport import MessageCodec
-from medlarvale.settings.messages import TreeAnswer
-from medlarvale.settings.parsing import parse_text
-from medlarvale.settings.store import SettingsStore
 
 KEYS = SharedKeys({"bench": b"0123456789abcdef0123456789abcdef"})
-TREE_FILE = Path(__file__).resolve().parent.parent / "examples" / "ventilo-breizh.yaml"
 PEER_COUNTS = (4, 8, 16, 32, 48)
 HEARTBEAT_ROUNDS = 20
 REPLY_SIZES_BYTES = (100, 4_000, 16_000, 64_000)
@@ -78,11 +72,19 @@
         raise AssertionError
 
 
+_LISTENERS = itertools.count(1)
+
+
 def free_address() -> str:
-    """Returns a loopback address that is free now."""
+    """Returns a free address on a loopback IP of its own.
+
+    Outgoing connections start at 127.0.0.1, so they can't take the port in the meantime.
+    """
+    number = next(_LISTENERS)
+    ip = f"127.0.{100 + number // 250}.{1 + number % 250}"
     with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return f"tcp://127.0.0.1:{probe.getsockname()[1]}"
+        probe.bind((ip, 0))
+        return f"tcp://{ip}:{probe.getsockname()[1]}"
 
 
 def new_transport(name: str, codec: MessageCodec) -> PynngTransport:
@@ -308,44 +310,6 @@
     ]
 
 
-def make_tree(workspaces: int) -> bytes:
-    """Returns the text of a tree: an example's with so many workspaces."""
-    value = json.loads(json.dumps(parse_text(TREE_FILE.read_bytes()).value))
-    services = next(iter(value["workspaces"].values()))["services"]
-    value["workspaces"] = {
-        f"firm-{number:04d}": {
-            "weight": 1 + number % 5,
-            "api_key_sha256": [f"{number:064x}"],
-            "services": services,
-        }
-        for number in range(workspaces)
-    }
-    return json.dumps(value, indent=1).encode()
-
-
-def settings_slopes() -> list[Slope]:
-    """Measures check and transfer of a version by the size of its text."""
-    codec = MessageCodec((TreeAnswer,))
-    checks, transfers = [], []
-    for workspaces in WORKSPACE_COUNTS:
-        text = make_tree(workspaces)
-        size_kb = len(text) / 1_000.0
-
-        def check(text: bytes = text) -> None:
-            SettingsStore().offer(ConfigVersion(1), text)
-
-        def transfer(text: bytes = text) -> None:
-            sent = KEYS.sign(codec.encode(TreeAnswer(ConfigVersion(1), text)))
-            codec.decode(KEYS.verify(sent))
-
-        checks.append((size_kb, processor_us(check, 1, 3)))
-        transfers.append((size_kb, processor_us(transfer, 20)))
-    return [
-        fit("settings check", "KB of tree", "µs", checks),
-        fit("spread of a version to one peer, both ends", "KB of tree", "µs", transfers),
-    ]
-
-
 def status_slopes() -> list[Slope]:
     """Measures a node's status answer by the workspaces with traffic."""
     codec = MessageCodec((StatusReply,))
--- a/bench/slopes_memory.py
+++ b/bench/slopes_memory.py
@@ -5,13 +5,15 @@
 import asyncio
 import gc
 import multiprocessing
+import os
 from collections.abc import Callable
 from pathlib import Path
 
 import aiohttp
 
 from bench.slope_fit import Slope, fit
-from bench.slopes_control import TREE_FILE, booking_key, lease_round, make_tree, new_cell
+from bench.slopes_control import booking_key, lease_round, new_cell
+from bench.slopes_versions import TREE_FILE, make_tree
 from medlarvale.bookings.ledger import Ledger
 from medlarvale.bookings.messages import LeaseReply, LeaseRequest, Verdict, VerdictKind
 from medlarvale.ids import ConfigVersion, ServerId
@@ -32,6 +34,7 @@
 ANSWER_BODY = b'{"id": 1234567, "state": "booked", "slot": "2026-12-04T10:00"}'
 STREAM_TOKENS = 3_000
 SETTLE_S = 1.0
+IDLE_S = 10.0
 
 
 def resident_kb(process: str | int = "self") -> float:
@@ -42,6 +45,20 @@
     raise ValueError(f"process {process} has no resident memory")
 
 
+def used_s(process: int) -> float:
+    """Returns the processor time that a process has used."""
+    fields = Path(f"/proc/{process}/stat").read_text().rsplit(")", 1)[1].split()
+    return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
+
+
+async def idle_percent(nodes: list[Node]) -> list[float]:
+    """Returns the share of a core that each process uses without callers."""
+    before = [used_s(node.process.pid) for node in nodes]
+    await asyncio.sleep(IDLE_S)
+    after = [used_s(node.process.pid) for node in nodes]
+    return [100.0 * (late - early) / IDLE_S for early, late in zip(before, after, strict=True)]
+
+
 Grow = Callable[[int, int], None]
 
 
@@ -159,6 +176,7 @@
         # Each series has a host of its own, so that memory that is kept does not disturb others.
         connected, busy = nodes[0], nodes[1]
         start_kb = resident_kb(nodes[2].process.pid)
+        idle = await idle_percent(nodes)
         connections = [(0.0, resident_kb(connected.process.pid))]
         writers: list[asyncio.StreamWriter] = []
         for count in CONNECTION_COUNTS:
@@ -177,8 +195,10 @@
     start = Slope(
         "memory: serving process at start", "process", "KB", start_kb, 0.0, 0.0, "1 point"
     )
+    shown = " ".join(f"{percent:.2f}" for percent in idle)
     return [
         start,
+        Slope("control, idle deployment", "process", "% of a core", max(idle), 0.0, 0.0, shown),
         fit("memory: connection kept alive", "connection", "KB", connections),
         fit("memory: running request", "request", "KB", requests),
     ]
