--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -1,4 +1,4 @@
-"""Runs the placement and bookings experiments with fixed seeds and judges them against the targets."""
+"""Runs the placement and bookings experiments and judges them against the targets."""
 
 from __future__ import annotations
 
