Bound how long dead lives and marks of leaving servers last

Cause: a heartbeat delivered late counted as just sent, a pause of the observer was credited twice when waiting heartbeats were handled first, and a server marked as leaving was marked by the heartbeats of peers again and again after it came back.

Change: heartbeats carry a number and the sender's wall-clock time; the credit for an own pause ends at the present.

The runner of mutations no longer shrinks examples.

--- a/scripts/mutations.py
+++ b/scripts/mutations.py
@@ -85,7 +85,7 @@
     """Runs the mutations and returns 1 if a test stayed green or a mutation is stale."""
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--only", default="", help="run only mutations whose name has this text")
-    parser.add_argument("--profile", default="ci", help="hypothesis profile: ci or fuzz")
+    parser.add_argument("--profile", default="mutations", help="hypothesis profile")
     arguments = parser.parse_args()
     chosen = [mutation for mutation in read_mutations() if arguments.only in mutation.name]
     with ThreadPoolExecutor(max_workers=4) as executor:
--- a/scripts/run_tests.py
+++ b/scripts/run_tests.py
@@ -10,7 +10,7 @@
 from pathlib import Path
 
 import structlog
-from hypothesis import HealthCheck, settings
+from hypothesis import HealthCheck, Phase, settings
 
 REPOSITORY = Path(__file__).resolve().parent.parent
 
@@ -33,6 +33,10 @@
     database=None,
     suppress_health_check=list(HealthCheck),
 )
+# The examples of "ci"; a mutation is judged by whether a test fails, not by the smallest case.
+settings.register_profile(
+    "mutations", settings.get_profile("ci"), phases=(Phase.explicit, Phase.generate)
+)
 
 
 def read_known_red(path: Path) -> set[str]:
--- a/src/medlarvale/composition.py
+++ b/src/medlarvale/composition.py
@@ -107,7 +107,7 @@
         self.identity = HostIdentity(process.host, new_incarnation(started_wall_ms))
         self.tracing = Tracing(process.host, path=process.trace_file)
         self.current = CurrentSettings()
-        self.directory = ServerDirectory()
+        self.directory = ServerDirectory(self.clock)
         guard = FrameGuard(SharedKeys(process.peer_keys), self.identity, started_wall_ms)
         self.transport = PynngTransport(
             self.identity,
--- a/src/medlarvale/membership/messages.py
+++ b/src/medlarvale/membership/messages.py
@@ -25,6 +25,8 @@
         incarnation: the life that speaks, since an answer carries no sender.
         leaving_servers: backend servers that said themselves that they leave.
         reaches_config: the configuration service answered the host's last call.
+        number: counts the heartbeats of a life, so that a late one changes nothing back.
+        sent_wall_ms: wall-clock time of the sender; 0 if it is not known.
     """
 
     incarnation: Incarnation
@@ -33,6 +35,8 @@
     list_version: ListVersion
     leaving_servers: list[ServerId]
     reaches_config: bool = True
+    number: int = 0
+    sent_wall_ms: int = 0
 
 
 class EntryHost(msgspec.Struct, frozen=True):
--- a/src/medlarvale/membership/task.py
+++ b/src/medlarvale/membership/task.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import itertools
 from collections.abc import Callable, Iterable, Mapping
 from typing import Protocol
 
@@ -14,6 +15,7 @@
 from medlarvale.membership.servers import ServerDirectory
 from medlarvale.membership.source import HostListSource
 from medlarvale.membership.view import (
+    CLOCK_BOUND_MS,
     HEARTBEAT_PERIOD_MS,
     SUSPECT_AFTER_MS,
     MembershipView,
@@ -65,6 +67,7 @@
         self._clock = clock
         self._config_version = config_version
         self._own_leaving_servers: Callable[[], Iterable[ServerId]] = tuple
+        self._numbers = itertools.count(1)
         self._reaches_config: Callable[[], bool] = lambda: True
         self._list_callbacks: list[Callable[[HostList], None]] = []
         self._heartbeat_callbacks: list[Callable[[HostIdentity, Heartbeat], None]] = []
@@ -179,9 +182,11 @@
             self._learn_heartbeat(HostIdentity(host, reply.incarnation), reply)
 
     def _learn_heartbeat(self, sender: HostIdentity, heartbeat: Heartbeat) -> None:
-        self.view.learn_heartbeat(sender, heartbeat, self._clock.now_ms())
-        for server in heartbeat.leaving_servers:
-            self.directory.mark_leaving(server, True)
+        wall_ms = self._clock.wall_ms()
+        self.view.learn_heartbeat(sender, heartbeat, self._clock.now_ms(), wall_ms)
+        # A late heartbeat may name a server that came back since.
+        if wall_ms - heartbeat.sent_wall_ms <= SUSPECT_AFTER_MS + CLOCK_BOUND_MS:
+            self.directory.mark_told_leaving(heartbeat.leaving_servers)
         for callback in self._heartbeat_callbacks:
             callback(sender, heartbeat)
 
@@ -204,6 +209,8 @@
             self.view.list_version,
             list(self._own_leaving_servers()),
             self._reaches_config(),
+            next(self._numbers),
+            self._clock.wall_ms(),
         )
 
     def _note_states(self, now_ms: float) -> None:
--- a/src/medlarvale/membership/view.py
+++ b/src/medlarvale/membership/view.py
@@ -12,6 +12,11 @@
 
 HEARTBEAT_PERIOD_MS = 250
 SUSPECT_AFTER_MS = 1_000
+# Largest difference between the clocks of two hosts.
+CLOCK_BOUND_MS = 500
+# Time after which a dead life is not among the answering ones: the age of a heartbeat that arrives
+# late is known only up to twice the clock bound. The observer's own pauses don't count.
+DEAD_LIFE_MS = SUSPECT_AFTER_MS + 2 * CLOCK_BOUND_MS
 # A host that is neither listed nor heard of for this long is forgotten.
 FORGET_AFTER_MS = 30_000
 # Two readers, so that the loss of one does not stop the reading of the platform.
@@ -75,17 +80,30 @@
                 del self._listed[host]
         return True
 
-    def learn_heartbeat(self, sender: HostIdentity, heartbeat: Heartbeat, now_ms: float) -> bool:
+    def learn_heartbeat(
+        self, sender: HostIdentity, heartbeat: Heartbeat, now_ms: float, wall_ms: int = 0
+    ) -> bool:
         """Takes over a heartbeat.
 
+        Args:
+            wall_ms: own wall-clock time of the arrival; 0 takes the heartbeat as just sent.
+
         Returns:
             Whether it shows a life of the peer that was not known before.
         """
         known = self._peers.get(sender.host)
         if known is not None and sender.incarnation < known.identity.incarnation:
             return False
-        self._peers[sender.host] = Peer(sender, heartbeat, now_ms)
-        return known is None or known.identity != sender
+        heard_ms = now_ms
+        if wall_ms and heartbeat.sent_wall_ms:
+            heard_ms -= max(0, wall_ms - heartbeat.sent_wall_ms - CLOCK_BOUND_MS)
+        if known is None or known.identity != sender:
+            self._peers[sender.host] = Peer(sender, heartbeat, heard_ms)
+            return True
+        if heartbeat.number >= known.heartbeat.number:
+            heard_ms = max(heard_ms, known.heard_ms)
+            self._peers[sender.host] = Peer(sender, heartbeat, heard_ms)
+        return False
 
     def tick(self, now_ms: float) -> None:
         """Forgets hosts that are gone, and makes up for time in which this process was paused.
@@ -96,7 +114,8 @@
             gap_ms = now_ms - self._last_tick_ms - HEARTBEAT_PERIOD_MS
             if gap_ms > SUSPECT_AFTER_MS / 2:
                 for peer in self._peers.values():
-                    peer.heard_ms += gap_ms
+                    # Heartbeats that waited during the pause may have been handled before.
+                    peer.heard_ms = min(now_ms, peer.heard_ms + gap_ms)
         self._last_tick_ms = now_ms
         listed = {entry.host for entry in self.host_list.entry_hosts} if self.host_list else set()
         for host, peer in list(self._peers.items()):
