Test the peers' frames and transport, and keep unreadable replies inside the peer layer

Cause: authentication and transport had no tests of their own. A reply that this software can't decode left request() as a msgspec error, which callers of the peer layer don't expect.

An unreadable reply is a PeerError.

--- a/src/medlarvale/peers/pynng_transport.py
+++ b/src/medlarvale/peers/pynng_transport.py
@@ -119,7 +119,11 @@
             self._waiting.pop(nonce, None)
         if frame.kind is FrameKind.FAILURE:
             raise PeerError(f"host {peer}: {frame.body.decode(errors='replace')}")
-        return self._codec.decode(frame.body)
+        try:
+            return self._codec.decode(frame.body)
+        except msgspec.MsgspecError as error:
+            # A peer of other software may answer with a message that is not known here.
+            raise PeerError(f"host {peer}: unreadable reply: {error}") from error
 
     def _send(
         self,
--- /dev/null
+++ b/tests/peers/test_pynng_transport.py
@@ -0,0 +1,136 @@
+"""Guards against requests that never end, mixed replies, and frames that stop the receiver."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+import unittest
+
+import msgspec
+import pynng
+
+from medlarvale.clock import SystemClock
+from medlarvale.ids import HostId, HostIdentity, Incarnation, new_incarnation
+from medlarvale.peers.auth import FrameGuard, SharedKeys
+from medlarvale.peers.errors import PeerError, PeerTimeoutError, PeerUnknownError
+from medlarvale.peers.pynng_transport import (
+    MAX_FRAME_BYTES,
+    SEND_BUFFER_FRAMES,
+    PynngTransport,
+)
+from medlarvale.peers.transport import MessageCodec
+
+A, B = HostId("a"), HostId("b")
+# A hang fails the test instead of the run.
+EVENT_TIMEOUT_MS = 20_000
+KEYS = {"k": b"k" * 16}
+
+
+class Ping(msgspec.Struct, tag="ping", frozen=True):
+    number: int
+    padding: bytes = b""
+
+
+class Unhandled(msgspec.Struct, tag="unhandled", frozen=True):
+    pass
+
+
+class NotInCodec(msgspec.Struct, tag="not_in_codec", frozen=True):
+    pass
+
+
+def free_address() -> str:
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return f"tcp://127.0.0.1:{probe.getsockname()[1]}"
+
+
+class PynngTransportTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self) -> None:
+        self.clock = SystemClock()
+        self.addresses = {A: free_address(), B: free_address()}
+        self.a, self.b = await self.start(A), await self.start(B)
+
+    async def start(self, host: HostId, keys: dict[str, bytes] = KEYS) -> PynngTransport:
+        wall_ms = self.clock.wall_ms()
+        identity = HostIdentity(host, new_incarnation(wall_ms))
+        guard = FrameGuard(SharedKeys(keys), identity, wall_ms)
+        codec = MessageCodec([Ping, Unhandled])
+        transport = PynngTransport(identity, self.addresses[host], guard, codec, self.clock)
+        transport.register(Ping, self.answer)
+        transport.set_peers(self.addresses)
+        transport.start()
+        self.addAsyncCleanup(transport.close)
+        return transport
+
+    async def answer(self, sender: HostIdentity, ping: Ping) -> msgspec.Struct:
+        if ping.number < 0:
+            raise RuntimeError("handler")
+        if ping.padding:
+            return NotInCodec()
+        # Later requests are answered first.
+        await asyncio.sleep(0.05 / (1 + ping.number))
+        return Ping(ping.number + 1)
+
+    async def ask(self, number: int, timeout_ms: float = EVENT_TIMEOUT_MS) -> msgspec.Struct:
+        return await self.a.request(B, Ping(number), timeout_ms)
+
+    async def test_many_requests_get_their_own_replies(self) -> None:
+        replies = await asyncio.gather(*(self.ask(number) for number in range(200)))
+        self.assertEqual(replies, [Ping(number + 1) for number in range(200)])
+
+    async def test_requests_beyond_the_queue_fail_at_once(self) -> None:
+        """Requests to a peer that doesn't read must not pile up without bound."""
+        silent = HostId("silent")
+        self.a.set_peers({silent: free_address()})
+        asked = (self.a.request(silent, Ping(0), 300) for _ in range(1_000))
+        errors = await asyncio.gather(*asked, return_exceptions=True)
+        timeouts = [error for error in errors if isinstance(error, PeerTimeoutError)]
+        self.assertTrue(all(isinstance(error, PeerError) for error in errors))
+        self.assertLessEqual(len(timeouts), SEND_BUFFER_FRAMES + 1)
+
+    async def test_failures_of_a_request(self) -> None:
+        cases = [
+            ("unknown peer", HostId("x"), Ping(0), PeerUnknownError, "no address"),
+            ("handler error", B, Ping(-1), PeerError, "RuntimeError"),
+            ("no handler", B, Unhandled(), PeerError, "no handler"),
+            ("unknown reply", B, Ping(0, b"x"), PeerError, "reply"),
+            ("unknown message", B, NotInCodec(), PeerError, "ValidationError"),
+        ]
+        for name, peer, message, expected, text in cases:
+            with self.subTest(name), self.assertRaisesRegex(expected, text):
+                await self.a.request(peer, message, EVENT_TIMEOUT_MS)
+        with self.assertRaises(PeerTimeoutError):
+            await self.ask(0, timeout_ms=1)
+        self.assertEqual(await self.ask(1), Ping(2))
+
+    async def test_strangers_and_huge_frames_do_not_stop_the_receiver(self) -> None:
+        self.addresses[HostId("s")] = free_address()
+        stranger = await self.start(HostId("s"), {"k": b"x" * 16})
+        with self.assertRaises(PeerTimeoutError):
+            await stranger.request(B, Ping(0), 300)
+        with pynng.Push0(dial=self.addresses[B], send_timeout=EVENT_TIMEOUT_MS) as raw:
+            await raw.asend(b"\x00garbage")
+            await raw.asend(bytes(MAX_FRAME_BYTES + 1))
+        self.assertEqual(await self.ask(1), Ping(2))
+        self.assertGreaterEqual(self.b.dropped_frames, 2)
+
+    async def test_restarted_peer_answers_and_its_earlier_life_is_dropped(self) -> None:
+        self.assertEqual(await self.ask(1), Ping(2))
+        await self.b.close()
+        with self.assertRaises(PeerError):
+            await self.ask(1, timeout_ms=200)
+        earlier = self.b._identity
+        self.b = await self.start(B)
+        for _ in range(50):
+            try:
+                self.assertEqual(await self.ask(1, timeout_ms=500), Ping(2))
+                break
+            except PeerTimeoutError:
+                continue
+        else:
+            self.fail("the restarted peer was not reached")
+        self.b._identity = HostIdentity(B, Incarnation(earlier.incarnation))
+        with self.assertRaises(PeerTimeoutError):
+            await self.ask(1, timeout_ms=300)
+        self.assertGreaterEqual(self.a.dropped_frames, 1)
