Keep what the simulated platform list says of servers when a host is replaced

Cause: the fuzz profile (1,000 examples of 100 steps) failed with 'h3/4 sends work to s0 again'. The shrunk trace: a server leaves by the list, then a host is replaced, and the simulation published a list that showed the server live again although it was still leaving.

Change: the simulated list keeps the servers that it shows as leaving until it is told otherwise.

Conclusion: the fault was in the simulation; the checks and bounds are as before.

--- a/tests/membership/cell.py
+++ b/tests/membership/cell.py
@@ -73,6 +73,7 @@
         self.lists: list[HostList] = []
         self.lag: dict[HostId, int | None] = {}
         self._listed: list[HostId] = []
+        self._list_leaving: set[ServerId] = set()
         self._names = itertools.count()
         self._lives = itertools.count(1)
         self._order = itertools.count()
@@ -122,7 +123,12 @@
                 event()
 
     def publish_list(self, leaving: set[ServerId] | None = None) -> None:
-        """Publishes the next version of the platform's list."""
+        """Publishes the next version of the platform's list.
+
+        Args:
+            leaving: servers that the list shows as leaving from now on; None for no change.
+        """
+        self._list_leaving = self._list_leaving if leaving is None else set(leaving)
         hosts = [EntryHost(name, f"tcp://{name}", FailureDomain("d")) for name in self._listed]
         servers = [
             BackendServer(
@@ -132,7 +138,7 @@
                 PoolName("p"),
                 PoolRole.DECODE,
                 FailureDomain("d"),
-                ServerState.LEAVING if server in (leaving or ()) else ServerState.LIVE,
+                ServerState.LEAVING if server in self._list_leaving else ServerState.LIVE,
             )
             for server in SERVERS
         ]
