--- a/src/medlarvale/membership/servers.py
+++ b/src/medlarvale/membership/servers.py
@@ -7,9 +7,14 @@
 
 import msgspec
 
-from medlarvale.ids import FailureDomain, HostId, PoolName, ServerId, ServiceName
+from medlarvale.clock import Clock, SystemClock
+from medlarvale.ids import FailureDomain, PoolName, ServerId, ServiceName
 from medlarvale.settings.schema import PoolRole
 
+# A host tells its peers of a leaving server only for this long after the server's last report:
+# one that it no longer reaches may have come back.
+TELL_LEAVING_MS = 1_500
+
 
 class ServerState(enum.Enum):
     """State of a backend server as the platform or the server itself gives it."""
@@ -38,38 +43,46 @@
 class ServerDirectory:
     """The backend servers in the newest host list, with what the servers said of themselves.
 
-    A server is leaving as soon as the list, its own load report or a peer that has read the report
-    says so: the list may lag for longer than a leaving server may still receive work.
+    A server is leaving as soon as either source says so: the list may lag for longer than a
+    leaving server may still receive work. A mark stays until this host itself reads a report that
+    says otherwise, since a server that can't be reached may still be leaving.
+
+    Args:
+        clock: time service.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, clock: Clock | None = None) -> None:
+        self._clock = clock or SystemClock()
         self._servers: dict[ServerId, BackendServer] = {}
-        self._leaving: set[ServerId] = set()
-        self._peers_leaving: dict[HostId, frozenset[ServerId]] = {}
+        self._reported_ms: dict[ServerId, float] = {}
+        self._told: set[ServerId] = set()
 
     def replace(self, servers: Iterable[BackendServer]) -> None:
         """Takes over a newer host list."""
         self._servers = {server.server: server for server in servers}
-        self._leaving &= set(self._servers)
+        self._told &= set(self._servers)
+        for server in set(self._reported_ms).difference(self._servers):
+            del self._reported_ms[server]
 
     def mark_leaving(self, server: ServerId, leaving: bool) -> None:
-        """Records what a server's own load report says."""
+        """Records what a server's own load report says, as read by this host."""
         if leaving:
-            self._leaving.add(server)
+            self._reported_ms[server] = self._clock.now_ms()
         else:
-            self._leaving.discard(server)
+            self._reported_ms.pop(server, None)
+            self._told.discard(server)
 
-    def learn_peer_marks(self, peer: HostId, servers: Iterable[ServerId]) -> None:
-        """Replaces what a peer has read in load reports; empty once the peer is silent.
+    def mark_told_leaving(self, servers: Iterable[ServerId]) -> None:
+        """Records servers that a peer lately heard say that they leave.
 
-        Peers' marks are kept apart from this host's own and never passed on. Otherwise hosts would
-        remind each other for ever of a server that has come back.
+        They are not told on, since marks passed around between hosts would never end.
         """
-        self._peers_leaving[peer] = frozenset(servers)
+        self._told.update(servers)
 
     def leaving_by_own_word(self) -> list[ServerId]:
-        """Returns the servers whose load report here says that they leave, in order."""
-        return sorted(self._leaving)
+        """Returns the servers that lately told this host that they leave, in order."""
+        since_ms = self._clock.now_ms() - TELL_LEAVING_MS
+        return sorted(server for server, at_ms in self._reported_ms.items() if at_ms >= since_ms)
 
     def get(self, server: ServerId) -> BackendServer | None:
         """Returns a server, or None if no list names it."""
@@ -82,9 +95,8 @@
     def accepts_work(self, server: ServerId) -> bool:
         """Tells whether new work may go to a server."""
         known = self._servers.get(server)
-        if known is None or known.state is not ServerState.LIVE or server in self._leaving:
-            return False
-        return not any(server in marks for marks in self._peers_leaving.values())
+        leaving = server in self._reported_ms or server in self._told
+        return known is not None and known.state is ServerState.LIVE and not leaving
 
     def of_service(self, service: ServiceName, role: PoolRole) -> list[BackendServer]:
         """Returns the servers of a service and role that accept new work."""
