Ask owners which reservations ended, in place of renewals

Cause: owners renewed each reservation by its id with every heartbeat. The message grew with the requests of a host, at four a second.

Change: reservations end when the owner's life is missing in four checks of the heartbeats in a row (2,000 ms after the last heartbeat), counted in checks so that a booker that wakes reads waiting heartbeats first. Every 2 s the booker sends each owner 32-bit digests of its attempts, and the owner names those that it doesn't serve from this booker's place. An owner that leaves four queries unanswered loses what the first of them named. Waiting requests are kept by the repeated Reserve alone, as hosts send it every 300 ms anyway. Placed.lease_ms was read by nobody and is gone.

--- a/src/medlarvale/scheduling/booker.py
+++ b/src/medlarvale/scheduling/booker.py
@@ -6,7 +6,9 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable
+
+import msgspec
 
 from medlarvale.ids import AttemptNumber, HostIdentity, RequestId, ServerId
 from medlarvale.scheduling.admission import Admission, Decision, RefusalCode
@@ -29,9 +31,9 @@
     Placed,
     Progress,
     Release,
-    RenewReservations,
     Reserve,
 )
+from medlarvale.scheduling.owners import OwnerQuery
 from medlarvale.scheduling.prefixes import PrefixIndex
 from medlarvale.scheduling.reports import CacheEvents, EngineRequest, LoadReport
 from medlarvale.scheduling.reservations import Reservation, ReservationTable
@@ -49,6 +51,18 @@
     return known is None or PHASE_ORDER.index(phase) > PHASE_ORDER.index(known)
 
 
+class OwnerCheck(msgspec.Struct, frozen=True):
+    """Outcome of a check of the owners.
+
+    Attributes:
+        decisions: on requests that got a slot which this freed.
+        queries: questions to owners that are due.
+    """
+
+    decisions: list[Decision]
+    queries: list[OwnerQuery]
+
+
 class Booker:
     """Places attempts of one engine group on prefill and decode engines.
 
@@ -59,7 +73,7 @@
     def __init__(self, limits: GroupLimits) -> None:
         self.limits = limits
         self.engines = EngineTable(limits)
-        self.reservations = ReservationTable(limits.lease_ms)
+        self.reservations = ReservationTable()
         self.waiting = WaitingRoom(limits)
         self.prefixes = PrefixIndex()
         self.health = HealthTable()
@@ -96,7 +110,6 @@
         reservation = self.reservations.get(message.request_id)
         if reservation is None or not _is_for(message, reservation):
             return []
-        self.reservations.renew(reservation, now_ms)
         if reservation.phase is None:
             # Any phase means that the prefill has ended, also when messages come out of order.
             self._prefilled(reservation, now_ms)
@@ -115,19 +128,24 @@
             self._record_failure(message.failed, now_ms)
         return self._dispatch(now_ms)
 
-    def renew(self, message: RenewReservations, now_ms: float) -> None:
-        """Handles a heartbeat of an owner: renews what it lists."""
-        for request_id in message.requests:
-            reservation = self.reservations.get(request_id)
-            if reservation is None:
-                self._keep_waiting(request_id, message.owner, now_ms)
-            elif reservation.request.owner == message.owner:
-                self.reservations.renew(reservation, now_ms)
+    def check_owners(self, answering: Collection[HostIdentity], now_ms: float) -> OwnerCheck:
+        """Ends reservations whose owners are gone; called every ``OWNER_CHECK_MS``.
+
+        Args:
+            answering: lives of hosts whose heartbeats count now.
+        """
+        findings = self.reservations.owners.check(answering, now_ms)
+        return OwnerCheck(self._end_all(findings.gone, now_ms), findings.queries)
+
+    def owner_answered(
+        self, owner: HostIdentity, ended: Iterable[int], now_ms: float
+    ) -> list[Decision]:
+        """Ends the reservations that their owner says it does not use."""
+        return self._end_all(self.reservations.owners.answered(owner, ended), now_ms)
 
     def tick(self, now_ms: float) -> list[Decision]:
-        """Ends what has expired and places what fits now; called every few ms."""
-        for reservation in self.reservations.expire(now_ms):
-            self._free(reservation, now_ms)
+        """Drops what waits in vain and places what fits now; called every few ms."""
+        self.reservations.forget_ended(now_ms)
         decisions = [
             self._drop(entry, now_ms)
             for entry in self.waiting.entries()
@@ -216,13 +234,19 @@
     def _repeat(self, request: Reserve, now_ms: float) -> list[Decision]:
         reservation = self.reservations.get(request.request_id)
         if reservation is not None:
-            self.reservations.renew(reservation, now_ms)
             return [Decision(request.owner, reservation.placed)]
         entry = self.waiting.get(request.request_id)
         if entry is not None:
             entry.asked_ms = now_ms
         return []
 
+    def _end_all(self, requests: list[RequestId], now_ms: float) -> list[Decision]:
+        for request_id in requests:
+            reservation = self.reservations.get(request_id)
+            if reservation is not None:
+                self._end(request_id, reservation.request.attempt, now_ms)
+        return self._dispatch(now_ms) if requests else []
+
     def _end(self, request_id: RequestId, attempt: AttemptNumber, now_ms: float) -> bool:
         entry = self.waiting.get(request_id)
         if entry is not None and entry.request.attempt <= attempt:
@@ -255,11 +279,6 @@
             prefill.finish(reservation.request.request_id, now_ms)
             prefill.suspects.discard(reservation.request.request_id)
 
-    def _keep_waiting(self, request_id: RequestId, owner: HostIdentity, now_ms: float) -> None:
-        entry = self.waiting.get(request_id)
-        if entry is not None and entry.request.owner == owner:
-            entry.asked_ms = now_ms
-
     # Placement
 
     def _place_at_once(self, entry: Waiting, now_ms: float) -> list[Decision]:
@@ -320,7 +339,6 @@
             prefill=choice.prefill.server,
             decode=choice.decode.server,
             pieces=choice.pieces,
-            lease_ms=self.limits.lease_ms,
         )
         self.reservations.add(
             Reservation(
@@ -328,7 +346,6 @@
                 placed=placed,
                 prefill_ms=choice.prefill_ms,
                 placed_at_ms=now_ms,
-                expires_ms=now_ms + self.limits.lease_ms,
             )
         )
         return Decision(request.owner, placed)
--- a/src/medlarvale/scheduling/fallback.py
+++ b/src/medlarvale/scheduling/fallback.py
@@ -126,7 +126,6 @@
         prefill=source,
         decode=target,
         pieces=limits.pieces_for(request.prompt_tokens + request.expected_output_tokens),
-        lease_ms=limits.lease_ms,
     )
 
 
--- a/src/medlarvale/scheduling/group.py
+++ b/src/medlarvale/scheduling/group.py
@@ -3,22 +3,24 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Collection
 
 from medlarvale.clock import Clock
-from medlarvale.ids import AttemptNumber, RequestId, ServiceName
+from medlarvale.ids import AttemptNumber, HostIdentity, RequestId, ServiceName
 from medlarvale.membership.servers import ServerDirectory
 from medlarvale.scheduling.admission import Decision
 from medlarvale.scheduling.booker import Booker
 from medlarvale.scheduling.limits import GroupLimits
 from medlarvale.scheduling.messages import (
+    EndedReservations,
     Placed,
     Progress,
     Queued,
     Refused,
     Release,
-    RenewReservations,
     Reserve,
 )
+from medlarvale.scheduling.owners import OwnerQuery
 from medlarvale.settings.schema import PoolRole
 
 # An entry host asks again after this time. It learns that a booker died at the latest then, with
@@ -79,10 +81,18 @@
         """Handles the end of an attempt."""
         self._deliver(self.booker.release(message, self._clock.now_ms()))
 
-    def renew(self, message: RenewReservations) -> None:
-        """Handles the heartbeat of an owner."""
-        self.last_used_ms = self._clock.now_ms()
-        self.booker.renew(message, self._clock.now_ms())
+    def check_owners(self, answering: Collection[HostIdentity]) -> list[OwnerQuery]:
+        """Ends reservations of owners that are gone and returns questions to the others."""
+        check = self.booker.check_owners(answering, self._clock.now_ms())
+        self._deliver(check.decisions)
+        return check.queries
+
+    def owner_answered(self, owner: HostIdentity, answer: EndedReservations) -> None:
+        """Handles the answer of an owner to a query."""
+        now_ms = self._clock.now_ms()
+        self._deliver(self.booker.owner_answered(owner, answer.digests, now_ms))
+        if self.booker.reservations:
+            self.last_used_ms = now_ms
 
     def tick(self) -> None:
         """Ends what has expired and places what fits now."""
--- a/src/medlarvale/scheduling/limits.py
+++ b/src/medlarvale/scheduling/limits.py
@@ -17,7 +17,6 @@
         place_ahead_ms: an engine takes the next prefill when its queue is at most this long.
             Longer queues take the choice of the next request away from the booker; an empty queue
             leaves the engine idle for the message delay.
-        lease_ms: a reservation ends after this time unless renewed.
         weights: shares of the workspaces; 1 for those not named.
     """
 
@@ -32,7 +31,6 @@
     retry_budget_share: float = 0.1
     message_delay_ms: float = 3.0
     place_ahead_ms: float = 20.0
-    lease_ms: int = 2_000
     weights: dict[WorkspaceId, int] = {}
 
     def pieces_for(self, tokens: int) -> int:
--- a/src/medlarvale/scheduling/messages.py
+++ b/src/medlarvale/scheduling/messages.py
@@ -5,6 +5,7 @@
 import enum
 
 import msgspec
+import xxhash
 
 from medlarvale.ids import (
     AttemptNumber,
@@ -16,6 +17,14 @@
 )
 
 
+def attempt_digest(request: RequestId, attempt: AttemptNumber) -> int:
+    """Returns a 32-bit digest that stands for an attempt in queries, at 5 bytes in place of 26.
+
+    Two attempts with one digest only delay the end of a reservation until both have ended.
+    """
+    return xxhash.xxh32_intdigest(f"{request}/{attempt}".encode())
+
+
 class WorkClass(enum.Enum):
     """Whether somebody waits for the answer."""
 
@@ -53,18 +62,13 @@
 
 
 class Placed(msgspec.Struct, tag="placed", frozen=True):
-    """A place: prefill may start at once on ``prefill``; ``decode`` holds a slot and pieces.
-
-    Attributes:
-        lease_ms: the reservation ends after this time unless renewed.
-    """
+    """A place: prefill may start at once on ``prefill``; ``decode`` holds a slot and pieces."""
 
     request_id: RequestId
     attempt: AttemptNumber
     prefill: ServerId
     decode: ServerId
     pieces: int
-    lease_ms: int
 
 
 class Queued(msgspec.Struct, tag="queued", frozen=True):
@@ -99,7 +103,7 @@
 
 
 class Progress(msgspec.Struct, tag="progress", frozen=True):
-    """Tells the booker that an attempt entered a phase; also renews its reservation."""
+    """Tells the booker that an attempt entered a phase."""
 
     request_id: RequestId
     attempt: AttemptNumber
@@ -122,12 +126,20 @@
     failed: ServerId | None = None
 
 
-class RenewReservations(msgspec.Struct, tag="renew_reservations", frozen=True):
-    """Renews all reservations of an owner at a booker, once a heartbeat."""
+class QueryReservations(msgspec.Struct, tag="query_reservations", frozen=True):
+    """Asks an owner which of its reservations at a booker it does not use.
 
-    owner: HostIdentity
-    service: ServiceName
-    requests: list[RequestId]
+    Attributes:
+        digests: ``attempt_digest`` of each reservation.
+    """
+
+    digests: list[int]
+
+
+class EndedReservations(msgspec.Struct, tag="ended_reservations", frozen=True):
+    """The digests of a query that the owner does not serve from the asking booker's place."""
+
+    digests: list[int]
 
 
 class Acknowledged(msgspec.Struct, tag="acknowledged", frozen=True):
@@ -160,7 +172,8 @@
     Refused,
     Progress,
     Release,
-    RenewReservations,
+    QueryReservations,
+    EndedReservations,
     Acknowledged,
     QueryRequests,
     KnownRequests,
--- a/src/medlarvale/scheduling/reservations.py
+++ b/src/medlarvale/scheduling/reservations.py
@@ -2,12 +2,11 @@
 
 from __future__ import annotations
 
-import heapq
-
 import msgspec
 
 from medlarvale.ids import AttemptNumber, HostIdentity, RequestId
-from medlarvale.scheduling.messages import Phase, Placed, Reserve
+from medlarvale.scheduling.messages import Phase, Placed, Reserve, attempt_digest
+from medlarvale.scheduling.owners import OwnerTable
 
 # Longer than any message of an ended attempt can be on its way (STALE_FRAME_MS of the peers).
 ENDED_MEMORY_MS = 12_000.0
@@ -24,7 +23,6 @@
     placed: Placed
     prefill_ms: float
     placed_at_ms: float
-    expires_ms: float
     phase: Phase | None = None
 
     @property
@@ -36,10 +34,9 @@
 class ReservationTable:
     """All reservations, by request; each request has at most one, of its newest attempt."""
 
-    def __init__(self, lease_ms: float) -> None:
-        self._lease_ms = lease_ms
+    def __init__(self) -> None:
+        self.owners = OwnerTable()
         self._by_request: dict[RequestId, Reservation] = {}
-        self._expiry: list[tuple[float, RequestId]] = []
         self._ended: dict[RequestId, tuple[AttemptNumber, float]] = {}
 
     def __len__(self) -> int:
@@ -57,11 +54,8 @@
         """Stores a reservation."""
         request = reservation.request.request_id
         self._by_request[request] = reservation
-        heapq.heappush(self._expiry, (reservation.expires_ms, request))
-
-    def renew(self, reservation: Reservation, now_ms: float) -> None:
-        """Moves the end of a reservation to a full lease from now."""
-        reservation.expires_ms = now_ms + self._lease_ms
+        digest = attempt_digest(request, reservation.request.attempt)
+        self.owners.add(reservation.owner, request, digest, reservation.placed_at_ms)
 
     def end(self, request: RequestId, attempt: AttemptNumber, now_ms: float) -> Reservation | None:
         """Ends an attempt and all older ones for good.
@@ -74,6 +68,7 @@
         reservation = self._by_request.get(request)
         if reservation is None or reservation.request.attempt > attempt:
             return None
+        self.owners.remove(reservation.owner, request)
         return self._by_request.pop(request)
 
     def has_ended(self, request: RequestId, attempt: AttemptNumber) -> bool:
@@ -86,23 +81,8 @@
         ended = self._ended.get(request)
         return ended is not None and attempt <= ended[0] and ended[1] - ENDED_MEMORY_MS >= since_ms
 
-    def expire(self, now_ms: float) -> list[Reservation]:
-        """Ends the reservations that were not renewed in time and returns them."""
-        expired = []
-        while self._expiry and self._expiry[0][0] <= now_ms:
-            _, request = heapq.heappop(self._expiry)
-            reservation = self._by_request.get(request)
-            if reservation is None:
-                continue
-            if reservation.expires_ms > now_ms:
-                heapq.heappush(self._expiry, (reservation.expires_ms, request))
-                continue
-            self.end(request, reservation.request.attempt, now_ms)
-            expired.append(reservation)
-        self._forget_ended(now_ms)
-        return expired
-
-    def _forget_ended(self, now_ms: float) -> None:
+    def forget_ended(self, now_ms: float) -> None:
+        """Forgets attempts that ended so long ago that no message of theirs can arrive."""
         while self._ended:
             request = next(iter(self._ended))
             if self._ended[request][1] > now_ms:
--- a/src/medlarvale/scheduling/task.py
+++ b/src/medlarvale/scheduling/task.py
@@ -15,7 +15,7 @@
 
 from medlarvale import hashing
 from medlarvale.clock import Clock, Subscription
-from medlarvale.ids import AttemptNumber, HostId, HostIdentity, RequestId, ServerId, ServiceName
+from medlarvale.ids import HostId, HostIdentity, RequestId, ServerId, ServiceName
 from medlarvale.membership.servers import ServerDirectory
 from medlarvale.peers.errors import PeerError
 from medlarvale.peers.transport import Transport
@@ -25,24 +25,26 @@
 from medlarvale.scheduling.limits import GroupLimits
 from medlarvale.scheduling.messages import (
     Acknowledged,
+    EndedReservations,
     KnownRequest,
     KnownRequests,
     Placed,
     Progress,
     QueryRequests,
+    QueryReservations,
     Queued,
     Refused,
     Release,
-    RenewReservations,
     Reserve,
 )
+from medlarvale.scheduling.owned import OwnedRequests
+from medlarvale.scheduling.owners import OWNER_CHECK_MS, OwnerQuery
 from medlarvale.scheduling.polling import EnginePoller
 from medlarvale.scheduling.probe import EngineProbe
 from medlarvale.scheduling.reports import LoadReport
 from medlarvale.settings.schema import PoolRole
 
 TICK_MS = 5.0
-RENEW_PERIOD_MS = 250.0
 POLL_PERIOD_MS = 500.0
 PEER_TIMEOUT_MS = 250.0
 # Heartbeats show a dead host after 1 s; until then its requests fall back without asking it.
@@ -51,18 +53,6 @@
 IDLE_BOOKER_MS = 10_000.0
 
 
-class _Owned(msgspec.Struct):
-    """A request of this host.
-
-    Attributes:
-        booker: host that was asked last; None for a placement in fallback.
-    """
-
-    attempt: AttemptNumber
-    service: ServiceName
-    booker: HostId | None = None
-
-
 class SchedulingTask:
     """Placement for the local request path, and bookers for all hosts.
 
@@ -94,6 +84,7 @@
         self._directory = directory
         self._clock = clock
         self._live_hosts = live_hosts
+        self._live_owners = live_owners
         self._limits_of = limits_of
         self._generator = generator
         self._lag_table = LagTable()
@@ -101,21 +92,21 @@
             probe, directory, self._lag_table, clock, live_owners, self._ask_owner
         )
         self._groups: dict[ServiceName, BookerGroup] = {}
-        self._owned: dict[RequestId, _Owned] = {}
+        self._owned = OwnedRequests()
         self._unreachable_until_ms: dict[HostId, float] = {}
         self._tasks: set[asyncio.Task[None]] = set()
         self._subscriptions: list[Subscription] = []
         transport.register(Reserve, self._on_reserve)
         transport.register(Progress, self._on_progress)
         transport.register(Release, self._on_release)
-        transport.register(RenewReservations, self._on_renew)
+        transport.register(QueryReservations, self._on_query_reservations)
         transport.register(QueryRequests, self._on_query)
 
     def start(self) -> None:
         """Starts the periodic duties."""
         self._subscriptions = [
             self._clock.every_ms(TICK_MS, self._tick),
-            self._clock.every_ms(RENEW_PERIOD_MS, self._renew_all),
+            self._clock.every_ms(OWNER_CHECK_MS, self._check_owners),
             self._clock.every_ms(POLL_PERIOD_MS, self._start_poll),
         ]
         self._start_poll()
@@ -154,7 +145,7 @@
     async def reserve(self, request: Reserve) -> Placed:
         """Returns a place; see ``Placement.reserve``."""
         due_ms = self._clock.now_ms() + request.deadline_ms
-        self._owned[request.request_id] = _Owned(request.attempt, request.service)
+        self._owned.add(request.request_id, request.attempt, request.service)
         try:
             answer = await self._ask_until(request, due_ms)
         except BaseException:
@@ -164,7 +155,7 @@
             )
             raise
         if isinstance(answer, Refused):
-            self._owned.pop(request.request_id, None)
+            self._owned.remove(request.request_id)
             raise PlacementRefusedError(answer.code, answer.retry_after_ms, answer.waited_for)
         return answer
 
@@ -181,7 +172,7 @@
         hosts = self._bookers_of(release.request_id, release.service)
         owned = self._owned.get(release.request_id)
         if owned is not None and owned.attempt <= release.attempt:
-            del self._owned[release.request_id]
+            self._owned.remove(release.request_id)
         for host in hosts:
             if host == self._identity.host:
                 self.group(release.service).release(release)
@@ -199,9 +190,7 @@
 
     async def _ask(self, request: Reserve) -> Placed | Refused | Queued:
         host = self._booker_of(request.service)
-        owned = self._owned.get(request.request_id)
-        if owned is not None:
-            owned.booker = host
+        self._owned.set_booker(request.request_id, host)
         if host == self._identity.host:
             return await self.group(request.service).reserve(request)
         if host is not None and self._reachable(host):
@@ -209,7 +198,7 @@
                 return await self._ask_peer(host, request)
             except PeerError:
                 self._unreachable_until_ms[host] = self._clock.now_ms() + UNREACHABLE_MS
-        return self._place_alone(request, owned)
+        return self._place_alone(request)
 
     async def _ask_peer(self, host: HostId, request: Reserve) -> Placed | Refused | Queued:
         answer = await self._transport.request(host, request, QUEUE_POLL_MS + PEER_TIMEOUT_MS)
@@ -217,10 +206,9 @@
             raise PeerError(f"host {host} answered with {type(answer).__name__}")
         return answer
 
-    def _place_alone(self, request: Reserve, owned: _Owned | None) -> Placed | Refused:
-        # A reservation that the booker may have made meanwhile is not renewed and expires.
-        if owned is not None:
-            owned.booker = None
+    def _place_alone(self, request: Reserve) -> Placed | Refused:
+        # A reservation that the booker may have made meanwhile ends with its next query.
+        self._owned.set_booker(request.request_id, None)
         service = request.service
         return place_alone(
             request,
@@ -250,17 +238,17 @@
         self.group(message.service).release(message)
         return Acknowledged()
 
-    async def _on_renew(self, sender: HostIdentity, message: RenewReservations) -> Acknowledged:
-        _check_owner(sender, message.owner)
-        self.group(message.service).renew(message)
-        return Acknowledged()
+    async def _on_query_reservations(
+        self, sender: HostIdentity, message: QueryReservations
+    ) -> EndedReservations:
+        return EndedReservations(self._owned.ended(sender.host, message.digests))
 
     async def _on_query(self, sender: HostIdentity, message: QueryRequests) -> KnownRequests:
         return KnownRequests(
             [
-                KnownRequest(request, self._owned[request].attempt)
+                KnownRequest(request, owned.attempt)
                 for request in message.requests
-                if request in self._owned
+                if (owned := self._owned.get(request)) is not None
             ]
         )
 
@@ -299,17 +287,24 @@
                 group.refresh_engines()
         self._spawn(self._poller.poll_all(list(self._groups.values())))
 
-    def _renew_all(self) -> None:
-        by_booker: dict[tuple[HostId, ServiceName], list[RequestId]] = {}
-        for request, owned in self._owned.items():
-            if owned.booker is not None:
-                by_booker.setdefault((owned.booker, owned.service), []).append(request)
-        for (host, service), requests in by_booker.items():
-            message = RenewReservations(self._identity, service, requests)
-            if host == self._identity.host:
-                self.group(service).renew(message)
-            else:
-                self._spawn(self._send(host, message))
+    def _check_owners(self) -> None:
+        answering = self._live_owners()
+        for group in list(self._groups.values()):
+            for query in group.check_owners(answering):
+                self._spawn(self._query_owner(group, query))
+
+    async def _query_owner(self, group: BookerGroup, query: OwnerQuery) -> None:
+        message = QueryReservations(query.digests)
+        if query.owner == self._identity:
+            answer: msgspec.Struct = await self._on_query_reservations(self._identity, message)
+        else:
+            try:
+                answer = await self._transport.request(query.owner.host, message, PEER_TIMEOUT_MS)
+            except PeerError:
+                # The next query repeats this one.
+                return
+        if isinstance(answer, EndedReservations):
+            group.owner_answered(query.owner, answer)
 
     # Helpers
 
@@ -334,7 +329,7 @@
         try:
             await self._transport.request(host, message, PEER_TIMEOUT_MS)
         except PeerError:
-            # A lost release or renewal ends with the reservation's lease.
+            # The next query of the booker finds what a lost release should have ended.
             return
 
     def _spawn(self, coroutine: Coroutine[Any, Any, None]) -> None:
