Log ejections after failed attempts, and re-admissions

Cause: only an unanswered probe was logged as event 6001; an engine ejected after failed attempts left no trace, and no re-admission was logged (6002).

Change: HealthTable notes when an engine's share starts or stops being zero, and the booker's group logs these changes at its next tick, with the reason.

Conclusion: one line for each change of state, none for a request; a late release, a further failure or the slow re-entry adds none (test).

--- a/src/medlarvale/scheduling/booker.py
+++ b/src/medlarvale/scheduling/booker.py
@@ -196,11 +196,10 @@
         self.health.record_reachable(server, now_ms)
         self._apply_health(server, now_ms)
 
-    def observe_unreachable(self, server: ServerId, now_ms: float) -> bool:
-        """Records a probe without answer; returns True if this ejects the engine."""
-        ejected = self.health.record_unreachable(server, now_ms, self._group_size(server))
+    def observe_unreachable(self, server: ServerId, now_ms: float) -> None:
+        """Records a probe without answer."""
+        self.health.record_unreachable(server, now_ms, self._group_size(server))
         self._apply_health(server, now_ms)
-        return ejected
 
     def observe_requests(
         self, server: ServerId, requests: Iterable[EngineRequest], now_ms: float
--- a/src/medlarvale/scheduling/group.py
+++ b/src/medlarvale/scheduling/group.py
@@ -7,9 +7,11 @@
 
 from medlarvale.clock import Clock
 from medlarvale.ids import AttemptNumber, HostIdentity, RequestId, ServiceName
+from medlarvale.logs import Event, log_info, log_warning
 from medlarvale.membership.servers import ServerDirectory
 from medlarvale.scheduling.admission import Decision
 from medlarvale.scheduling.booker import Booker
+from medlarvale.scheduling.health import HealthChange
 from medlarvale.scheduling.limits import GroupLimits
 from medlarvale.scheduling.messages import (
     EndedReservations,
@@ -95,8 +97,17 @@
             self.last_used_ms = now_ms
 
     def tick(self) -> None:
-        """Ends what has expired and places what fits now."""
+        """Drops what waits in vain, places what fits now and logs changes of engines."""
         self._deliver(self.booker.tick(self._clock.now_ms()))
+        for change in self.booker.health.take_changes():
+            self._log_change(change)
+
+    def _log_change(self, change: HealthChange) -> None:
+        if not change.ejected:
+            log_info(Event.ENGINE_READMITTED, server=change.server, service=self.service)
+            return
+        reason = "probe unanswered" if change.unreachable else "attempts failed"
+        log_warning(Event.ENGINE_EJECTED, server=change.server, service=self.service, reason=reason)
 
     def _deliver(self, decisions: list[Decision]) -> None:
         for decision in decisions:
--- a/src/medlarvale/scheduling/health.py
+++ b/src/medlarvale/scheduling/health.py
@@ -28,11 +28,25 @@
     reachable: bool = True
 
 
+class HealthChange(msgspec.Struct, frozen=True):
+    """An engine that was ejected or takes work again.
+
+    Attributes:
+        unreachable: whether it left a probe unanswered; attempts failed on it otherwise.
+    """
+
+    server: ServerId
+    ejected: bool
+    unreachable: bool
+
+
 class HealthTable:
     """Decides which engines may take work, and how much after a failure."""
 
     def __init__(self) -> None:
         self._engines: dict[ServerId, EngineHealth] = {}
+        self._out: set[ServerId] = set()
+        self._changes: list[HealthChange] = []
 
     def record_failure(self, server: ServerId, now_ms: float, group_size: int) -> bool:
         """Counts a failed attempt; returns True if the engine is now ejected."""
@@ -70,7 +84,10 @@
         health = self._engines.get(server)
         if health is None:
             return 1.0
-        if self._is_out(health, now_ms):
+        out = self._is_out(health, now_ms)
+        if out != (server in self._out):
+            self._change(server, out, health)
+        if out:
             return 0.0
         if health.reentry_from_ms is None:
             return 1.0
@@ -83,6 +100,19 @@
     def forget(self, server: ServerId) -> None:
         """Drops what is known of an engine that is no longer listed."""
         self._engines.pop(server, None)
+        self._out.discard(server)
+
+    def take_changes(self) -> list[HealthChange]:
+        """Returns the ejections and re-admissions that ``share_allowed`` found since last time."""
+        changes, self._changes = self._changes, []
+        return changes
+
+    def _change(self, server: ServerId, out: bool, health: EngineHealth) -> None:
+        self._changes.append(HealthChange(server, out, not health.reachable))
+        if out:
+            self._out.add(server)
+        else:
+            self._out.discard(server)
 
     def _is_out(self, health: EngineHealth, now_ms: float) -> bool:
         return not health.reachable or now_ms < health.ejected_until_ms
--- a/src/medlarvale/scheduling/polling.py
+++ b/src/medlarvale/scheduling/polling.py
@@ -7,7 +7,7 @@
 
 from medlarvale.clock import Clock
 from medlarvale.ids import HostIdentity, RequestId, ServerId
-from medlarvale.logs import Event, log_info, log_warning
+from medlarvale.logs import Event, log_info
 from medlarvale.membership.servers import BackendServer, ServerDirectory
 from medlarvale.peers.errors import PeerError
 from medlarvale.scheduling.errors import ProbeError
@@ -71,10 +71,10 @@
             if group is not None:
                 await self._poll_requests(engine, group)
                 await self._poll_cache(engine, group)
-        except ProbeError as error:
+        except ProbeError:
             self._lag_table.forget(engine.server)
-            if group and group.booker.observe_unreachable(engine.server, self._clock.now_ms()):
-                log_warning(Event.ENGINE_EJECTED, server=engine.server, reason=error.message)
+            if group is not None:
+                group.booker.observe_unreachable(engine.server, self._clock.now_ms())
         finally:
             self._polling.discard(engine.server)
 
--- a/tests/scheduling/test_task.py
+++ b/tests/scheduling/test_task.py
@@ -4,6 +4,8 @@
 import random
 import unittest
 
+from structlog.testing import capture_logs
+
 from medlarvale.clock import ManualClock
 from medlarvale.ids import FailureDomain, HostId, PoolName, ServerId
 from medlarvale.membership.servers import BackendServer, ServerDirectory
@@ -175,6 +177,38 @@
         await self.advance(400)
         self.assertEqual((await waiting).decode, "d0")
 
+    async def fail_attempt(self, name: str) -> None:
+        """Runs an attempt that fails on the decode engine."""
+        request = reserve(name, host=self.hosts[self.other])
+        await self.tasks[self.other].reserve(request)
+        self.tasks[self.other].release(release(request, failed="d0"))
+        await self.advance(5)
+
+    async def test_ejection_and_readmission_are_logged_once(self) -> None:
+        """Guards against ejections that operators don't see, and against a line per request."""
+
+        def take() -> list[tuple[int, str | None]]:
+            found = [(line["event_number"], line.get("reason")) for line in logged]
+            logged.clear()
+            return found
+
+        with capture_logs() as logged:
+            await self.fail_attempt("first")
+            self.assertEqual(take(), [])
+            await self.fail_attempt("second")
+            self.assertEqual(take(), [(6001, "attempts failed")])
+            late = reserve("second", host=self.hosts[self.other])
+            self.tasks[self.other].release(release(late, failed="d0"))
+            await self.advance(1_800)
+            self.assertEqual(take(), [])
+            await self.advance(300)
+            self.assertEqual(take(), [(6002, None)])
+            await self.advance(6_000)
+            self.assertEqual(take(), [])
+            del self.probe.engines[ServerId("d0")]
+            await self.advance(1_500)
+            self.assertEqual(take(), [(6001, "probe unanswered")])
+
     async def test_leaving_engine_is_marked(self) -> None:
         """Guards against work for an engine that says it is leaving, beyond one poll."""
         report = LoadReport("decode", 1, 0, 256, 0, leaving=True)
