Hold each place's own checks against its owner in the booker's machine

The trace shows an allowed case: a place lives for four checks after it is given.

Change: the model counts the checks each place was held through, and now also fails when a place of a live, answering owner ends. First queries to owners are spread over the period.

--- a/src/medlarvale/scheduling/owners.py
+++ b/src/medlarvale/scheduling/owners.py
@@ -19,6 +19,7 @@
 MISSED_CHECKS = 4
 # A slot whose release was lost is held this long, and longer by each query that is lost.
 QUERY_PERIOD_MS = 2_000.0
+CHECKS_PER_PERIOD = int(QUERY_PERIOD_MS / OWNER_CHECK_MS)
 # A host that sends heartbeats but answers no query can't say that a request is gone.
 UNANSWERED_QUERIES = 4
 
@@ -73,7 +74,9 @@
         """Counts a new reservation."""
         owner = self._owners.get(identity)
         if owner is None:
-            owner = self._owners[identity] = _Owner(now_ms + QUERY_PERIOD_MS)
+            # First queries are spread over the period, so that few fall into one check.
+            wait_ms = OWNER_CHECK_MS * (1 + len(self._owners) % CHECKS_PER_PERIOD)
+            owner = self._owners[identity] = _Owner(now_ms + wait_ms)
         owner.held[request] = digest
 
     def remove(self, identity: HostIdentity, request: RequestId) -> None:
--- a/tests/scheduling/test_booker_properties.py
+++ b/tests/scheduling/test_booker_properties.py
@@ -22,7 +22,12 @@
     WorkClass,
     attempt_digest,
 )
-from medlarvale.scheduling.owners import MISSED_CHECKS, OWNER_CHECK_MS, OwnerQuery
+from medlarvale.scheduling.owners import (
+    MISSED_CHECKS,
+    OWNER_CHECK_MS,
+    UNANSWERED_QUERIES,
+    OwnerQuery,
+)
 from medlarvale.scheduling.waiting import MAX_BATCH_CREDIT_MS, QUEUE_SILENCE_MS
 from tests.scheduling.builders import (
     booker,
@@ -74,6 +79,9 @@
         self.under_way: list[Reserve | Progress | Release | OwnerQuery | Answer] = []
         self.served: dict[str, Reserve] = {}
         self.missed_checks = dict.fromkeys(OWNERS, 0)
+        self.unanswered = dict.fromkeys(OWNERS, 0)
+        # Checks in a row that a place was held through without a heartbeat of its owner.
+        self.held_checks: dict[tuple[str, int], int] = {}
         self.places: dict[tuple[str, int], Placed] = {}
 
     @rule(seed=st.integers(0, 2**32 - 1), kind=st.sampled_from(sorted(WEIGHTS)))
@@ -142,12 +150,23 @@
         check = self.booker.check_owners({*OWNERS} - {silent}, self.now_ms)
         for host in OWNERS:
             self.missed_checks[host] = self.missed_checks[host] + 1 if host == silent else 0
+        held_checks = {}
         for reservation in held:
-            gone = self.booker.reservations.get(reservation.request.request_id) is not reservation
-            missed = self.missed_checks[reservation.owner] >= MISSED_CHECKS
-            assert gone >= missed, "a slot is held for an owner that is gone"
+            host, request = reservation.owner, reservation.request
+            gone = self.booker.reservations.get(request.request_id) is not reservation
+            place = (request.request_id, request.attempt)
+            held_checks[place] = self.held_checks.get(place, 0) + 1 if host == silent else 0
+            assert gone or held_checks[place] < MISSED_CHECKS, "held for an owner that is gone"
+            may_end = (
+                self.missed_checks[host] >= MISSED_CHECKS
+                or self.unanswered[host] >= UNANSWERED_QUERIES
+            )
+            assert may_end or not gone, "a place of a live owner was ended"
+        self.held_checks = held_checks
         self.check(check.decisions)
-        self.under_way += check.queries
+        for query in check.queries:
+            self.unanswered[query.owner] += 1
+            self.under_way.append(query)
 
     def answer_query(self, query) -> None:
         served = {
@@ -160,6 +179,7 @@
 
     def take_answer(self, answer) -> None:
         held = self.booker.reservations.all_reservations()
+        self.unanswered[answer.owner] = 0
         self.check(self.booker.owner_answered(answer.owner, answer.ended, self.now_ms))
         for reservation in held:
             request = reservation.request
