--- a/src/medlarvale/scheduling/group.py
+++ b/src/medlarvale/scheduling/group.py
@@ -3,22 +3,26 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Collection
 
 from medlarvale.clock import Clock
-from medlarvale.ids import AttemptNumber, RequestId, ServiceName
+from medlarvale.ids import AttemptNumber, HostIdentity, RequestId, ServiceName
+from medlarvale.logs import Event, log_info, log_warning
 from medlarvale.membership.servers import ServerDirectory
 from medlarvale.scheduling.admission import Decision
 from medlarvale.scheduling.booker import Booker
+from medlarvale.scheduling.health import HealthChange
 from medlarvale.scheduling.limits import GroupLimits
 from medlarvale.scheduling.messages import (
+    EndedReservations,
     Placed,
     Progress,
     Queued,
     Refused,
     Release,
-    RenewReservations,
     Reserve,
 )
+from medlarvale.scheduling.owners import OwnerQuery
 from medlarvale.settings.schema import PoolRole
 
 # An entry host asks again after this time. It learns that a booker died at the latest then, with
@@ -39,6 +43,7 @@
         self._waiters: dict[
             tuple[RequestId, AttemptNumber], asyncio.Future[Placed | Refused | None]
         ] = {}
+        self._continuing = False
         self.last_used_ms = clock.now_ms()
         self.refresh_engines()
 
@@ -79,16 +84,40 @@
         """Handles the end of an attempt."""
         self._deliver(self.booker.release(message, self._clock.now_ms()))
 
-    def renew(self, message: RenewReservations) -> None:
-        """Handles the heartbeat of an owner."""
-        self.last_used_ms = self._clock.now_ms()
-        self.booker.renew(message, self._clock.now_ms())
+    def check_owners(self, answering: Collection[HostIdentity]) -> list[OwnerQuery]:
+        """Ends reservations of owners that are gone and returns questions to the others."""
+        check = self.booker.check_owners(answering, self._clock.now_ms())
+        self._deliver(check.decisions)
+        return check.queries
+
+    def owner_answered(self, owner: HostIdentity, answer: EndedReservations) -> None:
+        """Handles the answer of an owner to a query."""
+        now_ms = self._clock.now_ms()
+        self._deliver(self.booker.owner_answered(owner, answer.digests, now_ms))
+        if self.booker.reservations:
+            self.last_used_ms = now_ms
 
     def tick(self) -> None:
-        """Ends what has expired and places what fits now."""
+        """Drops what waits in vain, places what fits now and logs changes of engines."""
         self._deliver(self.booker.tick(self._clock.now_ms()))
+        for change in self.booker.health.take_changes():
+            self._log_change(change)
+
+    def _log_change(self, change: HealthChange) -> None:
+        if not change.ejected:
+            log_info(Event.ENGINE_READMITTED, server=change.server, service=self.service)
+            return
+        reason = "probe unanswered" if change.unreachable else "attempts failed"
+        log_warning(Event.ENGINE_EJECTED, server=change.server, service=self.service, reason=reason)
+
+    def _place_waiting(self) -> None:
+        self._continuing = False
+        self._deliver(self.booker.place_waiting(self._clock.now_ms()))
 
     def _deliver(self, decisions: list[Decision]) -> None:
+        if self.booker.more_to_place and not self._continuing:
+            self._continuing = True
+            asyncio.get_running_loop().call_soon(self._place_waiting)
         for decision in decisions:
             key = (decision.answer.request_id, decision.answer.attempt)
             waiter = self._waiters.get(key)
