Serve TLS by file paths, and reload certificates and peer keys

Cause: callers, operators and backend servers were reached over plain HTTP only, and a shared key between entry hosts could be replaced only by a restart of each host.

Change: flags name certificate, key and CA files. Contexts allow TLS 1.2 and later. A file watch on the timer service polls all of these files once a second. A changed file that can't be used keeps what was loaded before and is logged as event 1103. Each new connection takes the newest context as a whole, so open connections go on and a certificate never meets a key of another one. A peer key that is no longer in its file is accepted for 10 s more, the longest life of a frame. `medlarvale status` takes `--ca-file`.

Conclusion: without the flags nothing changes; a rotation of keys in three steps drops no frame in the test over pynng.

--- a/src/medlarvale/completions/engine_client.py
+++ b/src/medlarvale/completions/engine_client.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import ssl
 from collections.abc import AsyncIterator, Mapping
 from contextlib import AbstractAsyncContextManager, asynccontextmanager
 from typing import Protocol, TypeVar
@@ -321,14 +322,18 @@
     return headers
 
 
-def new_engine_session() -> aiohttp.ClientSession:
+def new_engine_session(tls: ssl.SSLContext | None = None) -> aiohttp.ClientSession:
     """Returns a session for ``HttpEngineClient``.
 
     It has no total time limit and no limit of connections: watchdogs end calls that make no
     progress, and the scheduler bounds the requests in flight.
+
+    Args:
+        tls: checks engines whose address starts with ``https://``; None trusts what the system
+            trusts.
     """
     return aiohttp.ClientSession(
-        connector=aiohttp.TCPConnector(limit=0),
+        connector=aiohttp.TCPConnector(limit=0, ssl=tls or True),
         timeout=aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_TIMEOUT_S),
         read_bufsize=READ_BUFFER_BYTES,
         auto_decompress=False,
--- a/src/medlarvale/composition.py
+++ b/src/medlarvale/composition.py
@@ -21,6 +21,7 @@
 from medlarvale.completions.engine_client import HttpEngineClient, new_engine_session
 from medlarvale.completions.parts import RequestPathParts
 from medlarvale.completions.runner import CompletionRunner
+from medlarvale.file_watch import FileWatch
 from medlarvale.ids import (
     FailureDomain,
     HostId,
@@ -46,6 +47,7 @@
 from medlarvale.operators.parts import BookingPart, CountsPart, PlacePart, ServersPart, SettingsPart
 from medlarvale.operators.status import FiguresPart, NodeStatus, StatusPart, collect_status
 from medlarvale.peers.auth import FrameGuard, SharedKeys
+from medlarvale.peers.key_file import watched_keys
 from medlarvale.peers.pynng_transport import PynngTransport
 from medlarvale.peers.transport import MessageCodec
 from medlarvale.plain.client import PlainClient, new_plain_session
@@ -63,6 +65,7 @@
 from medlarvale.settings.store import Accepted
 from medlarvale.settings.task import SettingsTask
 from medlarvale.settings.tree import BranchPath
+from medlarvale.tls import TlsContexts
 from medlarvale.tracing import Tracing, span_as_json
 
 PEER_MESSAGES: tuple[type[msgspec.Struct], ...] = (
@@ -122,7 +125,11 @@
         self.tracing = Tracing(process.host, path=process.trace_file)
         self.current = CurrentSettings()
         self.directory = ServerDirectory()
-        guard = FrameGuard(SharedKeys(process.peer_keys), self.identity, started_wall_ms)
+        self._tls = TlsContexts(process.tls)
+        keys = SharedKeys(process.peer_keys)
+        watched = [watched_keys(keys, process.peer_key_file, self.clock), *self._tls.watched()]
+        self._file_watch = FileWatch(self.clock, watched)
+        guard = FrameGuard(keys, self.identity, started_wall_ms)
         self.transport = PynngTransport(
             self.identity,
             f"tcp://{process.listen_peer}",
@@ -131,8 +138,8 @@
             self.clock,
         )
         self._platform_session = aiohttp.ClientSession()
-        self._engine_session = new_engine_session()
-        self._plain_session = new_plain_session()
+        self._engine_session = new_engine_session(self._tls.backend)
+        self._plain_session = new_plain_session(self._tls.backend)
         self.settings = self._build_settings()
         self.membership = self._build_membership()
         self.accounting = Accounting(self.clock, self._region_of, self._pool_of)
@@ -229,8 +236,7 @@
         return collect_status(self.identity, self._status_parts)
 
     def _build_operators(self) -> OperatorsApp:
-        process = self._process
-        view = self.membership.view
+        process, view = self._process, self.membership.view
         self._status_parts: list[StatusPart] = [
             PlacePart(process.region, process.failure_domain, view, self.clock),
             SettingsPart(self.settings),
@@ -277,9 +283,8 @@
     def _quarantine_limits(self) -> QuarantineLimits:
         if not self.current.ready:
             return QuarantineLimits()
-        process = self._process
         crash_limit, quarantine_ms = (
-            self.current.value(name, process.region, process.failure_domain)
+            self.current.value(name, self._process.region, self._process.failure_domain)
             for name in ("crash_limit", "quarantine_ms")
         )
         return QuarantineLimits(crash_limit, quarantine_ms)
@@ -351,13 +356,14 @@
         self.scheduling.start()
         self.guard.start()
         self.bookings.start()
+        self._file_watch.start()
         listen = self._process.listen_caller
-        for runner, address in [
-            (self._operators_runner, self._process.listen_operators),
-            (self._caller_server, listen),
+        for runner, address, context in [
+            (self._operators_runner, self._process.listen_operators, self._tls.operators),
+            (self._caller_server, listen, self._tls.caller),
         ]:
             await runner.setup()
-            await web.TCPSite(runner, address.ip, address.port).start()
+            await web.TCPSite(runner, address.ip, address.port, ssl_context=context).start()
         log_info(
             Event.HOST_STARTED,
             host=str(self.identity),
@@ -378,6 +384,7 @@
 
     async def close(self) -> None:
         """Ends all tasks and closes all sockets."""
+        self._file_watch.close()
         await self._caller_server.cleanup()
         await self._operators_runner.cleanup()
         await self.bookings.close()
--- a/src/medlarvale/logs.py
+++ b/src/medlarvale/logs.py
@@ -16,6 +16,8 @@
     HOST_DRAINING = (1002, "entry host draining")
     HOST_STOPPED = (1003, "entry host stopped")
     SETTINGS_REFUSED = (1101, "process settings refused")
+    FILE_RELOADED = (1102, "file loaded again")
+    FILE_RELOAD_FAILED = (1103, "changed file could not be loaded")
     CONFIG_ACCEPTED = (2001, "configuration accepted")
     CONFIG_REJECTED = (2002, "configuration rejected")
     CONFIG_SOURCE_FAILED = (2003, "configuration source failed")
--- a/src/medlarvale/operators/commands.py
+++ b/src/medlarvale/operators/commands.py
@@ -15,6 +15,7 @@
 from medlarvale.operators.accounting import Dimension, Figures, Window
 from medlarvale.operators.fleet import FleetStatus
 from medlarvale.operators.status import NodeStatus, PoolStatus
+from medlarvale.tls import TlsFilesError, client_context
 
 REQUEST_TIMEOUT_S = 5.0
 
@@ -24,6 +25,7 @@
     parser = subparsers.add_parser("status", help="print the status of a node or of all nodes")
     add_flag(parser, "--address", help_text="URL of a node's operators' port")
     add_flag(parser, "--token-file", help_text="file with the operators' token")
+    add_flag(parser, "--ca-file", help_text="certificates trusted for https:// (PEM)", default="")
     parser.add_argument("--json", action="store_true", help="print the answer as JSON")
     parser.add_argument("--fleet", action="store_true", help="ask all nodes")
     parser.set_defaults(run=run_status)
@@ -33,7 +35,7 @@
     """Prints the status; returns 1 if it can't be read or a node can't be reached."""
     try:
         token = Path(options.token_file).read_text().strip()
-        body = asyncio.run(fetch_status(options.address, token, options.fleet))
+        body = asyncio.run(fetch_status(options.address, token, options.fleet, options.ca_file))
         if options.json:
             print(body.decode())
             return 0
@@ -41,24 +43,32 @@
             print("\n".join(describe_node(msgspec.json.decode(body, type=NodeStatus))))
             return 0
         fleet = msgspec.json.decode(body, type=FleetStatus)
-    except (OSError, TimeoutError, aiohttp.ClientError, msgspec.MsgspecError) as error:
+    except (
+        OSError,
+        TimeoutError,
+        aiohttp.ClientError,
+        msgspec.MsgspecError,
+        TlsFilesError,
+    ) as error:
         print(f"medlarvale status: {error}", file=sys.stderr)
         return 1
     print("\n".join(describe_fleet(fleet)))
     return 1 if fleet.unreachable else 0
 
 
-async def fetch_status(address: str, token: str, fleet: bool) -> bytes:
+async def fetch_status(address: str, token: str, fleet: bool, ca_file: str = "") -> bytes:
     """Returns the body of ``/status``.
 
     Raises:
         aiohttp.ClientError: the node can't be reached or refuses the token.
+        TlsFilesError: ``ca_file`` can't be used.
     """
+    connector = aiohttp.TCPConnector(ssl=client_context(Path(ca_file)) if ca_file else True)
     timeout = aiohttp.ClientTimeout(total=REQUEST_TIMEOUT_S)
     headers = {"Authorization": f"Bearer {token}"}
     url = address.rstrip("/") + ("/status?fleet=1" if fleet else "/status")
     async with (
-        aiohttp.ClientSession(timeout=timeout, headers=headers) as session,
+        aiohttp.ClientSession(timeout=timeout, headers=headers, connector=connector) as session,
         session.get(url, raise_for_status=True) as response,
     ):
         return await response.read()
--- a/src/medlarvale/peers/auth.py
+++ b/src/medlarvale/peers/auth.py
@@ -59,15 +59,37 @@
     """
 
     def __init__(self, keys: Mapping[str, bytes]) -> None:
-        if not keys:
-            raise ValueError("at least one shared key is needed")
-        for key_id, secret in keys.items():
-            if not 1 <= len(key_id.encode()) <= 255:
-                raise ValueError(f"key id {key_id!r}: expected 1 to 255 bytes")
-            if len(secret) < 16:
-                raise ValueError(f"key {key_id!r}: expected a secret of at least 16 bytes")
-        self._secrets = {key_id.encode(): secret for key_id, secret in keys.items()}
+        self._secrets = _checked_secrets(keys)
         self._signing_id = next(iter(self._secrets))
+        self._removed_at_ms: dict[bytes, int] = {}
+
+    def replace(self, keys: Mapping[str, bytes], wall_ms: int) -> None:
+        """Takes over other keys; the first one signs from now on.
+
+        Keys that are no longer given are accepted for ``STALE_FRAME_MS`` more, since frames that
+        they signed may still be under way; call ``forget_removed`` to end that time.
+
+        Raises:
+            ValueError: for unusable keys, or another secret under a known key id: its frames would
+                be dropped at hosts that have the former one. The keys stay as they were.
+        """
+        secrets = _checked_secrets(keys)
+        for key_id, secret in secrets.items():
+            if self._secrets.get(key_id, secret) != secret:
+                raise ValueError(f"key {key_id.decode()!r}: a new secret needs a new key id")
+        for key_id in self._secrets:
+            if key_id not in secrets:
+                self._removed_at_ms.setdefault(key_id, wall_ms)
+        for key_id in secrets:
+            self._removed_at_ms.pop(key_id, None)
+        self._signing_id = next(iter(secrets))
+        self._secrets.update(secrets)
+
+    def forget_removed(self, wall_ms: int) -> None:
+        """Drops the keys that were removed longer ago than any frame may take."""
+        for key_id, removed_at_ms in list(self._removed_at_ms.items()):
+            if wall_ms - removed_at_ms > STALE_FRAME_MS:
+                del self._removed_at_ms[key_id], self._secrets[key_id]
 
     def sign(self, payload: bytes) -> bytes:
         """Returns the payload behind its key id and MAC."""
@@ -92,6 +114,17 @@
         return payload
 
 
+def _checked_secrets(keys: Mapping[str, bytes]) -> dict[bytes, bytes]:
+    if not keys:
+        raise ValueError("at least one shared key is needed")
+    for key_id, secret in keys.items():
+        if not 1 <= len(key_id.encode()) <= 255:
+            raise ValueError(f"key id {key_id!r}: expected 1 to 255 bytes")
+        if len(secret) < 16:
+            raise ValueError(f"key {key_id!r}: expected a secret of at least 16 bytes")
+    return {key_id.encode(): secret for key_id, secret in keys.items()}
+
+
 class ReplayWindow:
     """Nonces already seen from one incarnation of a sender."""
 
@@ -142,6 +175,7 @@
         Raises:
             FrameRejectedError: if the frame must not be handled; the message says why.
         """
+        self.keys.forget_removed(wall_ms)
         payload = self.keys.verify(data)
         try:
             frame = self._decoder.decode(payload)
--- a/src/medlarvale/plain/client.py
+++ b/src/medlarvale/plain/client.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import ssl
 from collections import Counter
 from collections.abc import AsyncIterator, Awaitable, Callable, Iterable
 from contextlib import asynccontextmanager
@@ -341,15 +342,19 @@
     delivery.connected = True
 
 
-def new_plain_session() -> aiohttp.ClientSession:
+def new_plain_session(tls: ssl.SSLContext | None = None) -> aiohttp.ClientSession:
     """Returns a session for ``PlainClient``.
 
     Its connector reuses no connection, and tells the try when its connection has been made.
+
+    Args:
+        tls: checks servers whose address starts with ``https://``; None trusts what the system
+            trusts.
     """
     trace = aiohttp.TraceConfig()
     trace.on_connection_create_end.append(_mark_connected)
     return aiohttp.ClientSession(
-        connector=aiohttp.TCPConnector(limit=0, force_close=True),
+        connector=aiohttp.TCPConnector(limit=0, force_close=True, ssl=tls or True),
         timeout=aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_TIMEOUT_S),
         auto_decompress=False,
         trace_configs=[trace],
--- a/src/medlarvale/process_settings.py
+++ b/src/medlarvale/process_settings.py
@@ -4,15 +4,28 @@
 
 import argparse
 import ipaddress
+from collections.abc import Callable
 from dataclasses import dataclass
+from functools import partial
 from pathlib import Path
 from typing import Any
 
 from medlarvale.errors import MedlarvaleError
 from medlarvale.flags import add_flag
 from medlarvale.ids import FailureDomain, HostId, RegionName
+from medlarvale.peers.key_file import read_key_file
+from medlarvale.tls import CertificateFiles, TlsFiles, TlsFilesError, client_context, server_context
 
 MIN_TOKEN_CHARACTERS = 16
+TLS_FLAGS = {
+    "--caller-cert-file": "certificate chain of the callers' port (PEM); HTTP without it",
+    "--caller-key-file": "key of that certificate (PEM)",
+    "--operators-cert-file": "certificate chain of the operators' port (PEM); HTTP without it",
+    "--operators-key-file": "key of that certificate (PEM)",
+    "--backend-ca-file": "certificates trusted for https:// backend servers (PEM)",
+    "--backend-cert-file": "certificate shown to https:// backend servers (PEM)",
+    "--backend-key-file": "key of that certificate (PEM)",
+}
 
 
 class ProcessSettingsError(MedlarvaleError):
@@ -39,7 +52,8 @@
     Attributes:
         platform_url: base URL of the configuration service and host list; empty without one.
         settings_file: settings tree to serve when no other source gives one, or without platform.
-        peer_keys: shared keys between entry hosts, the signing one first.
+        peer_keys: shared keys between entry hosts, the signing one first, as read at the start.
+        peer_key_file: where they come from; read again when it changes.
         leave_grace_ms: how long a leaving host goes on accepting requests, until the balancer
             has seen that it leaves.
     """
@@ -53,10 +67,12 @@
     platform_url: str
     settings_file: Path | None
     peer_keys: dict[str, bytes]
+    peer_key_file: Path
     operator_token: str
     trace_file: Path | None
     log_level: str
     leave_grace_ms: int
+    tls: TlsFiles = TlsFiles()
 
 
 def parse_listen(text: str) -> Listen:
@@ -92,6 +108,8 @@
         help_text="lines of 'key-id hex-secret', the signing key first; more are accepted too",
     )
     add_flag(parser, "--operator-token-file", help_text="bearer token of the operators' port")
+    for flag, purpose in TLS_FLAGS.items():
+        add_flag(parser, flag, help_text=purpose, default="")
     add_flag(parser, "--trace-file", help_text="file for spans as JSON lines", default="")
     add_flag(parser, "--log-level", help_text="debug, info, warning or error", default="info")
     add_flag(
@@ -110,8 +128,9 @@
         ProcessSettingsError: with every fault found, one a line.
     """
     faults: list[str] = []
-    keys = _collect(faults, "--peer-key-file", _read_keys, options.peer_key_file) or {}
+    keys = _collect(faults, "--peer-key-file", read_key_file, options.peer_key_file) or {}
     token = _collect(faults, "--operator-token-file", _read_token, options.operator_token_file)
+    tls = _read_tls(faults, options)
     if not options.platform_url and not options.settings_file:
         faults.append("--platform-url or --settings-file: one of them is needed")
     if options.settings_file and not Path(options.settings_file).is_file():
@@ -132,10 +151,12 @@
         options.platform_url,
         Path(options.settings_file) if options.settings_file else None,
         keys,
+        Path(options.peer_key_file),
         token or "",
         Path(options.trace_file) if options.trace_file else None,
         options.log_level,
         options.leave_grace_ms,
+        tls,
     )
 
 
@@ -147,18 +168,26 @@
         return None
 
 
-def _read_keys(path: Path) -> dict[str, bytes]:
-    keys = {}
-    for number, line in enumerate(path.read_text().splitlines(), start=1):
-        parts = line.split()
-        if not parts:
-            continue
-        if len(parts) != 2:
-            raise ValueError(f"line {number}: expected 'key-id hex-secret'")
-        keys[parts[0]] = bytes.fromhex(parts[1])
-    if not keys:
-        raise ValueError("the file holds no key")
-    return keys
+def _read_tls(faults: list[str], options: argparse.Namespace) -> TlsFiles:
+    pairs: dict[str, CertificateFiles | None] = {}
+    for side in ("caller", "operators", "backend"):
+        cert, key = getattr(options, f"{side}_cert_file"), getattr(options, f"{side}_key_file")
+        if bool(cert) != bool(key):
+            faults.append(f"--{side}-cert-file and --{side}-key-file: only one of them is given")
+        pairs[side] = CertificateFiles(Path(cert), Path(key)) if cert and key else None
+        if files := pairs[side]:
+            _check_tls(faults, f"--{side}-cert-file", partial(server_context, files))
+    ca = Path(options.backend_ca_file) if options.backend_ca_file else None
+    if ca is not None:
+        _check_tls(faults, "--backend-ca-file", partial(client_context, ca))
+    return TlsFiles(pairs["caller"], pairs["operators"], ca, pairs["backend"])
+
+
+def _check_tls(faults: list[str], flag: str, load: Callable[[], object]) -> None:
+    try:
+        load()
+    except TlsFilesError as error:
+        faults.append(f"{flag}: {error.message}")
 
 
 def _read_token(path: Path) -> str:
--- a/src/medlarvale/serve.py
+++ b/src/medlarvale/serve.py
@@ -60,7 +60,8 @@
         loop.add_signal_handler(number, stop)
     try:
         await host.start()
-        print(f"serving callers at http://{process.listen_caller}", flush=True)
+        scheme = "https" if process.tls.caller else "http"
+        print(f"serving callers at {scheme}://{process.listen_caller}", flush=True)
         await first.wait()
         drained = asyncio.ensure_future(host.drain())
         stopped = asyncio.ensure_future(second.wait())
--- a/src/medlarvale/standins/serving.py
+++ b/src/medlarvale/standins/serving.py
@@ -5,6 +5,7 @@
 import asyncio
 import signal
 import socket
+import ssl
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 
@@ -56,10 +57,15 @@
 
 
 @asynccontextmanager
-async def serve(application: web.Application, address: Address) -> AsyncIterator[Address]:
+async def serve(
+    application: web.Application, address: Address, tls: ssl.SSLContext | None = None
+) -> AsyncIterator[Address]:
     """Serves an application and yields the address it listens on.
 
     A handler is cancelled when its caller closes the connection.
+
+    Args:
+        tls: context for HTTPS; None for plain HTTP.
     """
     listener = socket.socket()
     listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
@@ -70,7 +76,7 @@
     )
     await runner.setup()
     try:
-        await web.SockSite(runner, listener).start()
+        await web.SockSite(runner, listener, ssl_context=tls).start()
         yield Address(*listener.getsockname())
     finally:
         await runner.cleanup()
