Show in the replacement drill what a host that does not end waits for

Cause: in two of four runs of the rolling replacement on a busy machine one host had not ended 20 s after SIGTERM; the drill printed nothing of that host.

Change: the drill prints the host's own status before it fails.

--- a/scripts/drills.py
+++ b/scripts/drills.py
@@ -110,6 +110,12 @@
         self._print_events()
         await shot
 
+    async def show_node(self, node: Node) -> None:
+        """Prints the status of one host as it gives it itself."""
+        token_file = str(self.folder / "token")
+        flags = ["status", "--address", node.operators, "--token-file", token_file]
+        print((await _run([*PROGRAM, *flags]))[1])
+
     def _print_events(self) -> None:
         text = self.log_file.read_bytes()[self._log_read :]
         self._log_read += len(text)
@@ -256,7 +262,12 @@
         node.signal(signal.SIGTERM)
         if not index:
             await drill.show(1.0, "leaving: 1 s later")
-        status = await node.wait()
+        try:
+            status = await node.wait()
+        except TimeoutError:
+            # Its own status says what the stop waits for.
+            await drill.show_node(node)
+            raise
         drill.note(f"{name} ended with status {status}; start it again")
         await drill.deployment.await_ready(await drill.deployment.start_entry_host(name))
         drill.targets.entry_hosts.append(node.address)
