End the whole browser when a screenshot takes too long

Cause: a browser that exceeded 30 s left processes behind after a drill.

Change: it runs in a process group of its own, which the drill ends.

--- a/scripts/drills.py
+++ b/scripts/drills.py
@@ -8,6 +8,7 @@
 import argparse
 import asyncio
 import json
+import os
 import secrets
 import shutil
 import signal
@@ -158,13 +159,15 @@
         *command,
         stdout=asyncio.subprocess.PIPE,
         stderr=asyncio.subprocess.PIPE,
+        start_new_session=True,
         env={"PYTHONPATH": str(REPOSITORY / "src"), "PATH": "/usr/bin:/bin", "HOME": "/tmp"},
     )
     try:
         async with asyncio.timeout(30.0):
             out, _ = await process.communicate()
     except TimeoutError:
-        process.kill()
+        # The browser leaves processes behind when only its first one ends.
+        os.killpg(process.pid, signal.SIGKILL)
         return await process.wait(), ""
     return process.returncode or 0, out.decode(errors="replace")
 
