--- a/src/medlarvale/composition.py
+++ b/src/medlarvale/composition.py
@@ -20,6 +20,7 @@
 from medlarvale.completions.engine_client import HttpEngineClient, new_engine_session
 from medlarvale.completions.parts import RequestPathParts
 from medlarvale.completions.runner import CompletionRunner
+from medlarvale.file_watch import FileWatch
 from medlarvale.ids import (
     FailureDomain,
     HostId,
@@ -44,6 +45,7 @@
 from medlarvale.operators.parts import BookingPart, CountsPart, PlacePart, ServersPart, SettingsPart
 from medlarvale.operators.status import FiguresPart, NodeStatus, StatusPart, collect_status
 from medlarvale.peers.auth import FrameGuard, SharedKeys
+from medlarvale.peers.key_file import watched_keys
 from medlarvale.peers.pynng_transport import PynngTransport
 from medlarvale.peers.transport import MessageCodec
 from medlarvale.plain.client import PlainClient, new_plain_session
@@ -63,6 +65,7 @@
 from medlarvale.settings.store import Accepted
 from medlarvale.settings.task import SettingsTask
 from medlarvale.settings.tree import BranchPath
+from medlarvale.tls import TlsContexts
 from medlarvale.tracing import Tracing, span_as_json
 
 PEER_MESSAGES = (
@@ -93,7 +96,11 @@
         self.tracing = Tracing(process.host, path=process.trace_file)
         self.current = CurrentSettings()
         self.directory = ServerDirectory(self.clock)
-        guard = FrameGuard(SharedKeys(process.peer_keys), self.identity, started_wall_ms)
+        self._tls = TlsContexts(process.tls)
+        keys = SharedKeys(process.peer_keys)
+        watched = [watched_keys(keys, process.peer_key_file, self.clock), *self._tls.watched()]
+        self._file_watch = FileWatch(self.clock, watched)
+        guard = FrameGuard(keys, self.identity, started_wall_ms)
         self.transport = PynngTransport(
             self.identity,
             f"tcp://{process.listen_peer}",
@@ -102,8 +109,8 @@
             self.clock,
         )
         self._platform_session = aiohttp.ClientSession()
-        self._engine_session = new_engine_session()
-        self._plain_session = new_plain_session()
+        self._engine_session = new_engine_session(self._tls.backend)
+        self._plain_session = new_plain_session(self._tls.backend)
         self.settings = self._build_settings()
         self.membership = self._build_membership()
         self.accounting = Accounting(self.clock, self._region_of, self._pool_of)
@@ -201,17 +208,18 @@
         return collect_status(self.identity, self._status_parts)
 
     def _build_operators(self) -> OperatorsApp:
-        process = self._process
-        view = self.membership.view
+        process, view = self._process, self.membership.view
+        here = process.region, process.failure_domain
         self._status_parts: list[StatusPart] = [
-            PlacePart(process.region, process.failure_domain, view, self.clock),
-            SettingsPart(self.settings),
+            PlacePart(*here, view, self.clock),
+            SettingsPart(self.settings, self.current, *here),
             BookingPart(self.bookings.leases, self.bookings.ledger, self.clock),
             ServersPart(self.directory, self.scheduling.load_of),
             self.guard,
             CountsPart(
                 {
                     "requests_under_way": self.runner.count,
+                    "files_refused": lambda: self._file_watch.refused,
                     "peer_frames_dropped": lambda: self.transport.dropped_frames,
                     "peer_bytes_sent": lambda: self.transport.sent_bytes,
                     "peer_bytes_received": lambda: self.transport.received_bytes,
@@ -249,9 +257,8 @@
     def _quarantine_limits(self) -> QuarantineLimits:
         if not self.current.ready:
             return QuarantineLimits()
-        process = self._process
         crash_limit, quarantine_ms = (
-            self.current.value(name, process.region, process.failure_domain)
+            self.current.value(name, self._process.region, self._process.failure_domain)
             for name in ("crash_limit", "quarantine_ms")
         )
         return QuarantineLimits(crash_limit, quarantine_ms)
@@ -330,13 +337,14 @@
         self.plain_poller.start()
         self.guard.start()
         self.bookings.start()
+        self._file_watch.start()
         listen = self._process.listen_caller
-        for runner, address in [
-            (self._operators_runner, self._process.listen_operators),
-            (self._caller_server, listen),
+        for runner, address, context in [
+            (self._operators_runner, self._process.listen_operators, self._tls.operators),
+            (self._caller_server, listen, self._tls.caller),
         ]:
             await runner.setup()
-            await web.TCPSite(runner, address.ip, address.port).start()
+            await web.TCPSite(runner, address.ip, address.port, ssl_context=context).start()
         log_info(
             Event.HOST_STARTED,
             host=str(self.identity),
@@ -368,6 +376,7 @@
 
     async def close(self) -> None:
         """Ends all tasks and closes all sockets."""
+        self._file_watch.close()
         await self._caller_server.cleanup()
         await self._operators_runner.cleanup()
         await self.bookings.close()
