End a planned stop when a peer's frame arrives together with the cancellation

Cause: pynng returns a frame that arrives while its receive is being cancelled, and the cancellation is lost, so the receiving task waited for the next frame and close() for the task (stack dump of a host that did not end: only _receive_frames was left). Ruled out: the drain, the hand-over and the callers' interface, which had all ended. Change: the listener is closed before the tasks are awaited, and the receiving task ends with it.

--- a/src/medlarvale/peers/pynng_transport.py
+++ b/src/medlarvale/peers/pynng_transport.py
@@ -63,6 +63,7 @@
         self._nonces = itertools.count(1)
         self._tasks: set[asyncio.Task[None]] = set()
         self._listener: pynng.Pull0 | None = None
+        self._closed = False
         self.dropped_frames = 0
         self.sent_bytes = 0
         self.received_bytes = 0
@@ -90,11 +91,14 @@
 
     async def close(self) -> None:
         """Stops listening and closes all dialers; waiting requests fail."""
+        self._closed = True
         for task in list(self._tasks):
             task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
+        # pynng returns a frame that arrives together with the cancellation, and the cancellation is
+        # lost. Closing the listener ends the receiving task in that case too.
         if self._listener is not None:
             self._listener.close()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
         for dialer in self._dialers.values():
             dialer.close()
         self._dialers.clear()
@@ -177,8 +181,11 @@
         return dialer
 
     async def _receive_frames(self, listener: pynng.Pull0) -> None:
-        while True:
-            data = await listener.arecv()
+        while not self._closed:
+            try:
+                data = await listener.arecv()
+            except pynng.exceptions.Closed:
+                return
             self.received_bytes += len(data)
             try:
                 frame = self._guard.open(data, self._clock.wall_ms())
--- a/tests/peers/test_pynng_transport.py
+++ b/tests/peers/test_pynng_transport.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import socket
+import time
 import unittest
 
 import msgspec
@@ -79,6 +80,21 @@
         replies = await asyncio.gather(*(self.ask(number) for number in range(200)))
         self.assertEqual(replies, [Ping(number + 1) for number in range(200)])
 
+    async def test_close_ends_while_frames_arrive(self) -> None:
+        """A frame that arrives with the cancellation swallows it: a planned stop never ended."""
+        for number in range(10):
+            asked = [asyncio.ensure_future(self.ask(0, 1_000)) for _ in range(100)]
+            # The frames reach the socket, but not the receiving task, before it is cancelled.
+            await asyncio.sleep(0)
+            time.sleep(0.005)  # noqa: ASYNC251
+            with self.subTest(number=number):
+                async with asyncio.timeout(EVENT_TIMEOUT_MS / 1000.0):
+                    await self.b.close()
+            for request in asked:
+                request.cancel()
+            await asyncio.gather(*asked, return_exceptions=True)
+            self.b = await self.start(B)
+
     async def test_requests_beyond_the_queue_fail_at_once(self) -> None:
         """Requests to a peer that doesn't read must not pile up without bound."""
         silent = HostId("silent")
