--- a/src/medlarvale/membership/task.py
+++ b/src/medlarvale/membership/task.py
@@ -26,6 +26,8 @@
 
 LIST_READ_PERIOD_MS = 500
 HEARTBEAT_TIMEOUT_MS = 500
+# A peer that has not asked for one and a half periods is asked by this host again.
+ASKED_LATELY_MS = 1.5 * HEARTBEAT_PERIOD_MS
 HOST_LIST_TOPIC = "hosts"
 
 
@@ -76,6 +78,7 @@
         self._subscriptions: list[Subscription] = []
         self._tasks: set[asyncio.Task[None]] = set()
         self._reading = False
+        self._asked_ms: dict[HostId, float] = {}
         transport.register(Heartbeat, self._answer_heartbeat)
         transport.register(HostListRequest, self._answer_list_request)
 
@@ -122,15 +125,23 @@
     def set_state(self, state: HostState) -> None:
         """Changes this host's own state and tells the peers at once."""
         self.view.state = state
-        self.send_heartbeats()
+        self.send_heartbeats(to_all=True)
 
-    def send_heartbeats(self) -> None:
-        """Sends a heartbeat to each peer; does not wait for the answers."""
+    def send_heartbeats(self, *, to_all: bool = False) -> None:
+        """Sends a heartbeat to each peer; does not wait for the answers.
+
+        The answer tells as much as a heartbeat, so of two hosts that hear each other only the
+        first by name asks.
+
+        Args:
+            to_all: ask also those peers that ask this host.
+        """
         now_ms = self._clock.now_ms()
         self.view.tick(now_ms)
         heartbeat = self._heartbeat()
         for host in self.view.peer_addresses():
-            self._spawn(self._exchange(host, heartbeat))
+            if to_all or not self._is_asked_by(host, now_ms):
+                self._spawn(self._exchange(host, heartbeat))
         self._note_states(now_ms)
         for callback in self._tick_callbacks:
             callback()
@@ -138,6 +149,12 @@
         if newer_at is not None:
             self._spawn(self._fetch_list(newer_at))
 
+    def _is_asked_by(self, host: HostId, now_ms: float) -> bool:
+        asked_ms = self._asked_ms.get(host)
+        if host > self.view.identity.host or asked_ms is None:
+            return False
+        return now_ms - asked_ms < ASKED_LATELY_MS
+
     def read_list(self) -> None:
         """Reads the platform's list if it is this host's turn."""
         if self._reading or not self.view.reads_platform(HOST_LIST_TOPIC, self._clock.now_ms()):
@@ -191,6 +208,7 @@
             callback(sender, heartbeat)
 
     async def _answer_heartbeat(self, sender: HostIdentity, heartbeat: Heartbeat) -> Heartbeat:
+        self._asked_ms[sender.host] = self._clock.now_ms()
         self._learn_heartbeat(sender, heartbeat)
         return self._heartbeat()
 
--- a/src/medlarvale/scheduling/group.py
+++ b/src/medlarvale/scheduling/group.py
@@ -97,6 +97,11 @@
         if self.booker.reservations:
             self.last_used_ms = now_ms
 
+    @property
+    def has_waiting(self) -> bool:
+        """Whether requests wait here for a decision."""
+        return bool(self._waiters)
+
     def tick(self) -> None:
         """Drops what waits in vain, places what fits now and logs changes of engines."""
         self._deliver(self.booker.tick(self._clock.now_ms()))
--- a/src/medlarvale/scheduling/task.py
+++ b/src/medlarvale/scheduling/task.py
@@ -45,6 +45,8 @@
 from medlarvale.settings.schema import PoolRole
 
 TICK_MS = 5.0
+# Without waiting requests a tick only notes changes of engines.
+IDLE_TICK_MS = 100.0
 POLL_PERIOD_MS = 500.0
 PEER_TIMEOUT_MS = 250.0
 # Heartbeats show a dead host after 1 s; until then its requests fall back without asking it.
@@ -96,6 +98,7 @@
         self._unreachable_until_ms: dict[HostId, float] = {}
         self._tasks: set[asyncio.Task[None]] = set()
         self._subscriptions: list[Subscription] = []
+        self._waiting_ticks: Subscription | None = None
         transport.register(Reserve, self._on_reserve)
         transport.register(Progress, self._on_progress)
         transport.register(Release, self._on_release)
@@ -105,7 +108,7 @@
     def start(self) -> None:
         """Starts the periodic duties."""
         self._subscriptions = [
-            self._clock.every_ms(TICK_MS, self._tick),
+            self._clock.every_ms(IDLE_TICK_MS, self._tick),
             self._clock.every_ms(OWNER_CHECK_MS, self._check_owners),
             self._clock.every_ms(POLL_PERIOD_MS, self._start_poll),
         ]
@@ -115,6 +118,8 @@
         """Ends the periodic duties and the messages under way."""
         for subscription in self._subscriptions:
             subscription.cancel()
+        if self._waiting_ticks is not None:
+            self._waiting_ticks.cancel()
         for task in list(self._tasks):
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
@@ -190,7 +195,7 @@
         host = self._booker_of(request.service)
         self._owned.set_booker(request.request_id, host)
         if host == self._identity.host:
-            return await self.group(request.service).reserve(request)
+            return await self._reserve_here(request)
         if host is not None and self._reachable(host):
             try:
                 return await self._ask_peer(host, request)
@@ -218,13 +223,18 @@
             self._clock.now_ms(),
         )
 
+    async def _reserve_here(self, request: Reserve) -> Placed | Refused | Queued:
+        if self._waiting_ticks is None:
+            self._waiting_ticks = self._clock.every_ms(TICK_MS, self._tick_waiting)
+        return await self.group(request.service).reserve(request)
+
     # Messages from other entry hosts
 
     async def _on_reserve(
         self, sender: HostIdentity, request: Reserve
     ) -> Placed | Refused | Queued:
         _check_owner(sender, request.owner)
-        return await self.group(request.service).reserve(request)
+        return await self._reserve_here(request)
 
     async def _on_progress(self, sender: HostIdentity, message: Progress) -> Acknowledged:
         _check_owner(sender, message.owner)
@@ -261,6 +271,13 @@
 
     # Periodic duties
 
+    def _tick_waiting(self) -> None:
+        self._tick()
+        waiting = any(group.has_waiting for group in self._groups.values())
+        if not waiting and self._waiting_ticks is not None:
+            self._waiting_ticks.cancel()
+            self._waiting_ticks = None
+
     def _tick(self) -> None:
         for group in list(self._groups.values()):
             group.tick()
