End a planned stop of all hosts without waiting for the deadline

Cause: when every host of a deployment was told to stop, each waited up to drain_ms (90 s) for a host to hand its booking shards to. Change: a leaving host gives up after 5 s without any host that could take over; calls under way are still waited for.

--- a/src/medlarvale/bookings/task.py
+++ b/src/medlarvale/bookings/task.py
@@ -47,6 +47,8 @@
 LOOKUP_TIMEOUT_MS = 500
 HAND_OVER_TIMEOUT_MS = 2_000
 OWNER_RETRY_MS = 50
+# A restarted host can hold shards 2 s after its start.
+SUCCESSOR_WAIT_MS = 5_000
 EXPIRE_PERIOD_MS = 5_000
 # A holder that dies or pauses is noticed after this time, not at the caller's deadline.
 SUBMIT_WAIT_MS = 1_000
@@ -389,12 +391,19 @@
             Whether nothing of this host's is left.
         """
         self._stopping = True
-        end_ms = self._clock.now_ms() + deadline_ms
-        while self._clock.now_ms() < end_ms:
-            held = self.leases.held_shards(self._clock.wall_ms())
-            if not held and not self._dispatching and not self._handing_over:
+        now_ms = successor_ms = self._clock.now_ms()
+        end_ms = now_ms + deadline_ms
+        while now_ms < end_ms:
+            busy = bool(self._dispatching) or bool(self._handing_over)
+            if not busy and not self.leases.held_shards(self._clock.wall_ms()):
                 return True
+            if any(self._preferred_shards(self._clock.wall_ms()).values()):
+                successor_ms = now_ms
+            elif not busy and now_ms - successor_ms > SUCCESSOR_WAIT_MS:
+                # The whole deployment stops: no host is left to hand over to.
+                return False
             await self._clock.sleep_ms(OWNER_RETRY_MS)
+            now_ms = self._clock.now_ms()
         return False
 
     def _expire(self) -> None:
--- a/tests/bookings/test_task.py
+++ b/tests/bookings/test_task.py
@@ -208,6 +208,15 @@
                 self.assertEqual(answer.body, b"answer to " + body)
         self.assertEqual(self.dispatcher.runs, {b"done": 1, b"slow": 1, b"fresh": 1})
 
+    async def test_stop_of_all_hosts_ends(self) -> None:
+        """Hosts that have nobody to hand over to must not wait for their whole deadline."""
+        self.live = []
+        drained = [asyncio.ensure_future(task.drain(60_000)) for task in self.tasks.values()]
+        await self.run_for(4_000)
+        self.assertFalse(any(future.done() for future in drained), "a successor may still start")
+        await self.run_for(2_000)
+        self.assertTrue(all(future.done() for future in drained))
+
     async def test_key_issued_before_a_hand_over_runs_after_it(self) -> None:
         leaving = NAMES[0]
         key = self.key(1, leaving)
