Never claim again an interval of key times that was handed over

Cause: after a hand-over the giver could claim the shard again. Ruled out: the receiver, which takes only what was offered, once. Figures: the directed test is red without the change.

--- a/src/medlarvale/bookings/lease.py
+++ b/src/medlarvale/bookings/lease.py
@@ -93,6 +93,9 @@
         self._intervals: dict[ShardId, _Interval] = {}
         self._round = _Round(0, 0, 0, {}, set())
         self._released: set[ShardId] = set()
+        # Key times up to these were given to other hosts. Granters that missed the release still
+        # take this host for the holder, so it has to remember them itself.
+        self._given_until_ms: dict[ShardId, int] = {}
         self._taken_until_ms: dict[tuple[HostIdentity, ShardId], int] = {}
 
     def can_hold(self, host: HostId, wall_ms: int) -> bool:
@@ -179,6 +182,7 @@
         above_ms = self._lowest_start(granters)
         if above_ms is None:
             return False
+        above_ms = max(above_ms, self._given_until_ms.get(grant.shard, 0))
         held = self._intervals.get(grant.shard)
         if held is not None and above_ms <= held.until_ms:
             held.until_ms = max(held.until_ms, self._round.until_ms)
@@ -249,10 +253,15 @@
         self._round.above_ms.pop(shard, None)
         self._released.add(shard)
         self.release_promise(self.identity, shard)
-        return (held.above_ms, held.until_ms) if held is not None else None
+        if held is None:
+            return None
+        given_ms = self._given_until_ms.get(shard, 0)
+        self._given_until_ms[shard] = max(given_ms, held.until_ms)
+        return held.above_ms, held.until_ms
 
     def reclaim(self, shard: ShardId, above_ms: int, until_ms: int) -> None:
         """Takes back an interval that was given up and that nobody took."""
+        self._given_until_ms[shard] = above_ms
         self._intervals[shard] = _Interval(above_ms, until_ms)
         self._released.discard(shard)
 
--- a/src/medlarvale/bookings/task.py
+++ b/src/medlarvale/bookings/task.py
@@ -7,15 +7,6 @@
 
 import msgspec
 
-from medlarvale.bookings.errors import (
-    BookingNotRunError,
-    BookingUnknownError,
-    KeyExpiredError,
-    KeyFromFutureError,
-    KeyReusedError,
-    LedgerFullError,
-    OwnerUnavailableError,
-)
 from medlarvale.bookings.keys import SHARD_COUNT, shard_of
 from medlarvale.bookings.lease import RENEW_PERIOD_MS, LeaseState
 from medlarvale.bookings.ledger import Acceptance, Ledger, fingerprint_of
@@ -32,6 +23,7 @@
     VerdictKind,
     View,
 )
+from medlarvale.bookings.verdicts import answer_of
 from medlarvale.clock import Clock, Subscription
 from medlarvale.errors import MedlarvaleError, Outcome
 from medlarvale.hashing import choose
@@ -58,39 +50,6 @@
 RUNNING = Verdict(VerdictKind.RUNNING)
 UNKNOWN = Verdict(VerdictKind.UNKNOWN)
 
-_ERRORS: dict[VerdictKind, type[MedlarvaleError]] = {
-    VerdictKind.RUNNING: BookingUnknownError,
-    VerdictKind.UNKNOWN: BookingUnknownError,
-    VerdictKind.NOT_RUN: BookingNotRunError,
-    VerdictKind.KEY_REUSED: KeyReusedError,
-    VerdictKind.KEY_EXPIRED: KeyExpiredError,
-    VerdictKind.KEY_FROM_FUTURE: KeyFromFutureError,
-    VerdictKind.LEDGER_FULL: LedgerFullError,
-    VerdictKind.NOT_OWNER: OwnerUnavailableError,
-}
-
-_DETAILS = {
-    VerdictKind.RUNNING: "the call still runs; repeat it with the same key for its answer",
-    VerdictKind.UNKNOWN: "the call may have run; it is not run again under this key",
-    VerdictKind.NOT_RUN: "the call did not run and will not run under this key",
-    VerdictKind.KEY_REUSED: "the idempotency key already names another call",
-    VerdictKind.KEY_EXPIRED: "the idempotency key is older than verdicts are kept",
-    VerdictKind.KEY_FROM_FUTURE: "the idempotency key's time of issue lies in the future",
-    VerdictKind.LEDGER_FULL: "the owner of the idempotency key keeps too many verdicts",
-    VerdictKind.NOT_OWNER: "no host that may run the idempotency key answered in time",
-}
-
-
-def answer_of(verdict: Verdict) -> PlainAnswer:
-    """Returns the answer of a verdict.
-
-    Raises:
-        MedlarvaleError: for any verdict but ``ANSWERED``.
-    """
-    if verdict.kind is VerdictKind.ANSWERED and verdict.answer is not None:
-        return verdict.answer
-    raise _ERRORS[verdict.kind](verdict.detail or _DETAILS[verdict.kind])
-
 
 class BookingTask:
     """Runs calls at most once; implements ``BookingService``.
--- a/tests/bookings/test_lease.py
+++ b/tests/bookings/test_lease.py
@@ -80,6 +80,21 @@
         assert after is not None
         self.assertEqual(after[0], before[0])
 
+    def test_interval_given_up_is_not_claimed_again(self) -> None:
+        """A granter that missed the release takes the giver for the holder still."""
+        hosts = [host(name) for name in "abcde"]
+        for state in hosts:
+            state.views.active = View(ListVersion(1), tuple(HostId(name) for name in "abcde"))
+        holder, granters = hosts[0], hosts[1:4]
+        wall_ms = FLOOR_MS + 100
+        ask(holder, granters, wall_ms)
+        given = holder.give_up(SHARD)
+        assert given is not None
+        ask(holder, granters, wall_ms + 250)
+        again = holder.interval(SHARD)
+        assert again is not None
+        self.assertGreaterEqual(again[0], given[1])
+
     def test_coverage(self) -> None:
         holder, granter = host("a"), host("b")
         wall_ms = FLOOR_MS + 100
