--- a/src/medlarvale/cli.py
+++ b/src/medlarvale/cli.py
@@ -3,29 +3,48 @@
 from __future__ import annotations
 
 import argparse
+import importlib
+import sys
 from collections.abc import Sequence
 
-from medlarvale import demo, serve
-from medlarvale.operators import commands as operator_commands
-from medlarvale.settings import commands as settings_commands
-from medlarvale.standins import commands as standin_commands
+# Imported only when its command is run: each slice brings libraries that the others don't need, and
+# a host has to be ready soon after its start.
+SLICES = {
+    "serve": "medlarvale.serve",
+    "check": "medlarvale.settings.commands",
+    "explain": "medlarvale.settings.commands",
+    "status": "medlarvale.operators.commands",
+    "demo": "medlarvale.demo",
+    "standin": "medlarvale.standins.commands",
+    "forward": "medlarvale.forward_command",
+}
 
-SLICES = (serve, settings_commands, operator_commands, demo, standin_commands)
 
+def _modules(command: str | None) -> list[str]:
+    if command in SLICES:
+        return [SLICES[command]]
+    return list(dict.fromkeys(SLICES.values()))
 
-def build_parser() -> argparse.ArgumentParser:
-    """Returns the parser; each subcommand sets ``run``, which returns the exit status."""
+
+def build_parser(command: str | None = None) -> argparse.ArgumentParser:
+    """Returns the parser; each subcommand sets ``run``, which returns the exit status.
+
+    Args:
+        command: the only subcommand needed; None adds all of them.
+    """
     parser = argparse.ArgumentParser(
         prog="medlarvale", description="Router for separate prefill and decode pools."
     )
     subparsers = parser.add_subparsers(dest="command", required=True)
-    for part in SLICES:
-        part.add_commands(subparsers)
+    for name in _modules(command):
+        importlib.import_module(name).add_commands(subparsers)
     return parser
 
 
 def main(arguments: Sequence[str] | None = None) -> int:
     """Runs the program and returns its exit status."""
-    options = build_parser().parse_args(arguments)
+    arguments = sys.argv[1:] if arguments is None else arguments
+    command = arguments[0] if arguments else None
+    options = build_parser(command).parse_args(arguments)
     status: int = options.run(options)
     return status
--- /dev/null
+++ b/src/medlarvale/forward_command.py
@@ -0,0 +1,77 @@
+"""Subcommand ``medlarvale forward``: runs a forwarding host on the users' platform."""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import signal
+import sys
+from pathlib import Path
+from typing import Any
+
+import uvloop
+
+from medlarvale.flags import add_flag
+from medlarvale.forwarding.host import ForwardingHost, wait_for_stop
+from medlarvale.forwarding.messages import HostPlace
+from medlarvale.logs import Event, configure_logging, log_info, log_warning
+from medlarvale.platform.backends import HttpBackends, new_session
+from medlarvale.platform.boot import BootSettingsError, read_boot
+from medlarvale.platform.incoming import decode_incoming
+from medlarvale.platform.store import PlatformStore
+
+EXIT_SETTINGS = 2
+EXIT_NOT_STARTED = 1
+
+
+def add_commands(subparsers: Any) -> None:
+    """Adds the subcommand."""
+    parser = subparsers.add_parser("forward", help="run a host on the users' platform")
+    add_flag(parser, "--boot", help_text="settings file of the platform")
+    add_flag(parser, "--log-level", help_text="debug, info, warning or error", default="info")
+    parser.set_defaults(run=run)
+
+
+def run(options: argparse.Namespace) -> int:
+    """Runs a host until it is told to stop; returns the exit status."""
+    configure_logging(options.log_level, sys.stdout)
+    try:
+        place = read_boot(Path(options.boot))
+    except BootSettingsError as error:
+        log_warning(Event.SETTINGS_REFUSED, faults=error.message.split("; "))
+        return EXIT_SETTINGS
+    try:
+        uvloop.run(_serve(place, Path(options.boot)))
+    except OSError as error:
+        print(f"medlarvale forward: {error}", file=sys.stderr)
+        return EXIT_NOT_STARTED
+    return 0
+
+
+async def _serve(place: HostPlace, boot: Path) -> None:
+    session = new_session()
+    host = ForwardingHost(
+        place,
+        PlatformStore(session, place.platform_address),
+        HttpBackends(session),
+        decode_incoming,
+    )
+    stop = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stop.set)
+    loop.add_signal_handler(signal.SIGHUP, _reload, boot)
+    try:
+        await wait_for_stop(stop, host)
+    finally:
+        await session.close()
+
+
+def _reload(boot: Path) -> None:
+    """Checks a changed settings file; addresses and bounds stay those of the start."""
+    try:
+        read_boot(boot)
+    except BootSettingsError as error:
+        log_warning(Event.FILE_RELOAD_FAILED, path=str(boot), error=error.message)
+        return
+    log_info(Event.FILE_RELOADED, path=str(boot))
--- /dev/null
+++ b/src/medlarvale/forwarding/context.py
@@ -0,0 +1,70 @@
+"""What the forwarders of plain calls and of streams share, and the time that a request has."""
+
+from __future__ import annotations
+
+import random
+
+import msgspec
+
+from medlarvale.clock import Clock
+from medlarvale.forwarding.interface import Backends
+from medlarvale.forwarding.messages import ClientRequest, Route
+from medlarvale.forwarding.servers import ServerTable
+from medlarvale.ids import ServiceName
+from medlarvale.scheduling.retry_budget import RetryBudget
+
+# Answers are sent this long before the time of the route or the caller is over.
+ANSWER_MARGIN_MS = 20.0
+
+
+class RetryLimits(msgspec.Struct, frozen=True):
+    """This host's part of the retries of a service.
+
+    Attributes:
+        share: retries allowed per request.
+        reserve: retries that can be saved up.
+    """
+
+    share: float
+    reserve: float
+
+
+class ForwardingContext:
+    """Parts that both forwarders use.
+
+    Args:
+        backends: calls to backend servers.
+        servers: backend servers and their load.
+        clock: time service.
+        rng: draws among equal choices.
+        retry_limits: limits of each service's retries.
+    """
+
+    def __init__(
+        self,
+        backends: Backends,
+        servers: ServerTable,
+        clock: Clock,
+        rng: random.Random,
+        retry_limits: RetryLimits,
+    ) -> None:
+        self.backends = backends
+        self.servers = servers
+        self.clock = clock
+        self.rng = rng
+        self._retry_limits = retry_limits
+        self._budgets: dict[ServiceName, RetryBudget] = {}
+
+    def budget(self, service: ServiceName) -> RetryBudget:
+        """Returns the retry budget of a service."""
+        budget = self._budgets.get(service)
+        if budget is None:
+            limits = self._retry_limits
+            budget = RetryBudget(limits.share, limits.reserve, limits.reserve)
+            self._budgets[service] = budget
+        return budget
+
+
+def end_ms(request: ClientRequest, route: Route) -> float:
+    """Returns the monotonic time by which the caller needs a final answer."""
+    return request.received_ms + min(request.deadline_ms, route.timeout_ms) - ANSWER_MARGIN_MS
--- /dev/null
+++ b/src/medlarvale/forwarding/events.py
@@ -0,0 +1,32 @@
+"""Cuts the body of an event stream into whole events (WHATWG HTML, section 9.2)."""
+
+from __future__ import annotations
+
+import re
+
+_EVENT_END = re.compile(rb"\r\n\r\n|\n\n|\r\r")
+_EVENT_ID = re.compile(rb"^id: ?(\d+)\r?$", re.MULTILINE)
+
+
+class EventSplitter:
+    """Keeps back the part of an event that has not arrived whole.
+
+    Attributes:
+        last_id: number of the last whole event; None before one with a number.
+        rest: bytes after the last whole event.
+    """
+
+    def __init__(self, last_id: int | None = None) -> None:
+        self.last_id = last_id
+        self.rest = b""
+
+    def feed(self, chunk: bytes) -> bytes:
+        """Returns the events that are whole with a chunk; empty if none is."""
+        data = self.rest + chunk
+        end = 0
+        for match in _EVENT_END.finditer(data):
+            end = match.end()
+        whole, self.rest = data[:end], data[end:]
+        for match in _EVENT_ID.finditer(whole):
+            self.last_id = int(match.group(1))
+        return whole
--- /dev/null
+++ b/src/medlarvale/forwarding/follower.py
@@ -0,0 +1,123 @@
+"""Follows the published configuration and backend servers, through outages of the platform."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+
+from medlarvale.clock import Clock
+from medlarvale.forwarding.errors import HistoryGoneError, PublishedStateError
+from medlarvale.forwarding.interface import StateSource
+from medlarvale.forwarding.messages import RouteTable, Server, StoreRevision
+from medlarvale.forwarding.routes import RouteIndex
+from medlarvale.forwarding.servers import ServerTable
+from medlarvale.ids import ServerId
+from medlarvale.logs import Event, log_info, log_warning
+
+# A watch over a connection that fell silent has to end well within the 2 s in which a change must be
+# in force.
+WATCH_WAIT_MS = 2_000
+RETRY_FIRST_MS = 50.0
+RETRY_MAX_MS = 500.0
+EXPIRY_PERIOD_MS = 100.0
+
+
+class StateFollower:
+    """Keeps the newest configuration and the list of backend servers.
+
+    A configuration with a version that is not higher than the known one is passed over, so that a
+    stale read never takes a change back.
+
+    Args:
+        source: where both are published.
+        servers: filled from the source.
+        clock: time service.
+        on_ready: called once, with the first configuration.
+    """
+
+    def __init__(
+        self,
+        source: StateSource,
+        servers: ServerTable,
+        clock: Clock,
+        on_ready: Callable[[], None],
+    ) -> None:
+        self._source = source
+        self._servers = servers
+        self._clock = clock
+        self._on_ready = on_ready
+        self._task: asyncio.Task[None] | None = None
+        self._reachable = True
+        self.index: RouteIndex | None = None
+
+    def start(self) -> None:
+        """Starts following."""
+        self._task = asyncio.get_running_loop().create_task(self._follow())
+        self._clock.every_ms(
+            EXPIRY_PERIOD_MS, lambda: self._servers.expire_missing(self._clock.now_ms())
+        )
+
+    async def close(self) -> None:
+        """Stops following."""
+        if self._task is not None:
+            self._task.cancel()
+            await asyncio.gather(self._task, return_exceptions=True)
+
+    def accept(self, table: RouteTable) -> None:
+        """Puts a configuration in force unless the known one is as new."""
+        known = self.index.table.version if self.index is not None else None
+        if known is not None and table.version <= known:
+            return
+        self.index = RouteIndex(table)
+        log_info(Event.CONFIG_ACCEPTED, version=table.version, previous=known)
+        if known is None:
+            self._on_ready()
+
+    async def _follow(self) -> None:
+        revision: StoreRevision | None = None
+        retry_ms = RETRY_FIRST_MS
+        while True:
+            try:
+                if revision is None:
+                    revision = await self._read_all()
+                else:
+                    revision = await self._watch(revision)
+                retry_ms = RETRY_FIRST_MS
+                self._note_reachable(True, "")
+                continue
+            except HistoryGoneError:
+                revision = None
+            except PublishedStateError as error:
+                self._note_reachable(False, error.message)
+                # Entries that lapse during an outage come back; changes alone would not tell.
+                revision = None
+            await self._clock.sleep_ms(retry_ms)
+            retry_ms = min(RETRY_MAX_MS, retry_ms * 2)
+
+    async def _read_all(self) -> StoreRevision:
+        published = await self._source.read()
+        if published.table is not None:
+            self.accept(published.table)
+        known = len(self._servers) > 0
+        self._servers.replace_all(published.servers, self._clock.now_ms(), after_outage=known)
+        return published.revision
+
+    async def _watch(self, revision: StoreRevision) -> StoreRevision:
+        changes = await self._source.watch(revision, WATCH_WAIT_MS)
+        for item in changes.items:
+            if isinstance(item, RouteTable):
+                self.accept(item)
+            elif isinstance(item, Server):
+                self._servers.learn(item)
+            else:
+                self._servers.remove(ServerId(item))
+        return changes.revision
+
+    def _note_reachable(self, reachable: bool, reason: str) -> None:
+        if reachable == self._reachable:
+            return
+        self._reachable = reachable
+        if reachable:
+            log_info(Event.STORE_REGAINED)
+        else:
+            log_warning(Event.STORE_LOST, reason=reason)
--- /dev/null
+++ b/src/medlarvale/forwarding/front.py
@@ -0,0 +1,216 @@
+"""Callers' port and readiness port of a forwarding host."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections.abc import Callable
+
+from aiohttp import web
+from multidict import CIMultiDict
+
+from medlarvale.clock import Clock
+from medlarvale.errors import MedlarvaleError
+from medlarvale.forwarding.errors import (
+    BodyTooLargeError,
+    ForwardingError,
+    NoRouteError,
+    NotReadyError,
+    StreamBrokenError,
+)
+from medlarvale.forwarding.follower import StateFollower
+from medlarvale.forwarding.messages import ClientRequest, RouteKind
+from medlarvale.forwarding.plain import PlainForwarder, Reply
+from medlarvale.forwarding.routes import choose_service
+from medlarvale.forwarding.streams import StreamForwarder
+from medlarvale.logs import Event, log_info, log_warning
+
+# Largest body that is taken in before a configuration limits it.
+MAX_BODY_BYTES = 8 * 1024 * 1024
+NOT_READY_RETRY_MS = 500
+# Callers may use a connection after four fifths of the configured idle time; it stays open longer.
+KEPT_CONNECTION_S = 75.0
+
+RequestDecoder = Callable[[web.BaseRequest, bytes, float], ClientRequest]
+
+
+class _Sink:
+    """A stream to the caller's connection; see ``StreamSink``."""
+
+    def __init__(self, request: web.BaseRequest, closing: Callable[[], bool]) -> None:
+        self._request = request
+        self._closing = closing
+        self.response: web.StreamResponse | None = None
+
+    async def start(self, status: int, headers: CIMultiDict[str]) -> None:
+        """Sends the head of a stream."""
+        self.response = web.StreamResponse(status=status, headers=headers)
+        self.response.enable_chunked_encoding()
+        if self._closing():
+            self.response.force_close()
+        await self.response.prepare(self._request)
+
+    async def write(self, data: bytes) -> None:
+        """Sends a part of the body."""
+        assert self.response is not None
+        await self.response.write(data)
+
+    async def finish(self) -> None:
+        """Ends the body as complete."""
+        assert self.response is not None
+        await self.response.write_eof()
+
+
+class CallerPort:
+    """Takes requests from callers and gives each its answer.
+
+    Args:
+        follower: the configuration in force.
+        plain: forwards plain calls.
+        streams: forwards model requests.
+        decode: reads a request off the wire.
+        clock: time service.
+        rng: draws among the services of a route.
+    """
+
+    def __init__(
+        self,
+        follower: StateFollower,
+        plain: PlainForwarder,
+        streams: StreamForwarder,
+        decode: RequestDecoder,
+        clock: Clock,
+        rng: random.Random,
+    ) -> None:
+        self._follower = follower
+        self._plain = plain
+        self._streams = streams
+        self._decode = decode
+        self._clock = clock
+        self._rng = rng
+        self.closing = False
+        self.in_flight = 0
+
+    def build(self) -> web.Server:
+        """Returns the server of the callers' port."""
+
+        def new_request(message, payload, protocol, writer, task):  # type: ignore[no-untyped-def]
+            return web.BaseRequest(
+                message,
+                payload,
+                protocol,
+                writer,
+                task,
+                asyncio.get_running_loop(),
+                client_max_size=MAX_BODY_BYTES,
+            )
+
+        return web.Server(
+            self._handle,
+            request_factory=new_request,
+            handler_cancellation=True,
+            access_log=None,
+            keepalive_timeout=KEPT_CONNECTION_S,
+        )
+
+    async def _handle(self, incoming: web.BaseRequest) -> web.StreamResponse:
+        received_ms = self._clock.now_ms()
+        self.in_flight += 1
+        try:
+            return await self._answer(incoming, received_ms)
+        finally:
+            self.in_flight -= 1
+
+    async def _answer(self, incoming: web.BaseRequest, received_ms: float) -> web.StreamResponse:
+        if incoming.headers.get("Expect", "").lower() == "100-continue":
+            await incoming.writer.write(b"HTTP/1.1 100 Continue\r\n\r\n")  # type: ignore[attr-defined]
+        try:
+            body = await incoming.read()
+        except web.HTTPRequestEntityTooLarge:
+            return self._error_response(BodyTooLargeError("the body is too large"))
+        request = self._decode(incoming, body, received_ms)
+        sink = _Sink(incoming, lambda: self.closing)
+        try:
+            reply = await self._forward(request, sink)
+        except StreamBrokenError as error:
+            self._log_failure(request, error)
+            # Closing without the last chunk tells the caller that the stream is not complete.
+            if incoming.transport is not None:
+                incoming.transport.abort()
+            assert sink.response is not None
+            return sink.response
+        except ForwardingError as error:
+            self._log_failure(request, error)
+            return self._error_response(error)
+        except asyncio.CancelledError:
+            log_info(Event.CALLER_GONE, request=request.request_id, after_ms=self._age_ms(request))
+            raise
+        if reply is None:
+            assert sink.response is not None
+            return sink.response
+        return self._response(reply.status, reply.headers, reply.body)
+
+    async def _forward(self, request: ClientRequest, sink: _Sink) -> Reply | None:
+        index = self._follower.index
+        if index is None:
+            raise NotReadyError("no configuration yet", retry_after_ms=NOT_READY_RETRY_MS)
+        route = index.find(request.host, request.path)
+        if route is None:
+            raise NoRouteError(f"no route for {request.host}{request.path}")
+        if len(request.body) > index.table.limits.max_body_bytes:
+            raise BodyTooLargeError("the body is larger than the configuration allows")
+        service = choose_service(route, self._rng)
+        known = index.table.services.get(service)
+        if route.kind is RouteKind.STREAM and known is not None and known.engine is not None:
+            reply = await self._streams.forward(request, route, service, sink)
+        else:
+            reply = await self._plain.forward(request, route, service)
+        log_info(
+            Event.REQUEST_FORWARDED,
+            request=request.request_id,
+            route=route.name,
+            config=index.table.version,
+            server=reply.server if reply is not None else "",
+            status=reply.status if reply is not None else 200,
+            took_ms=self._age_ms(request),
+        )
+        return reply
+
+    def _age_ms(self, request: ClientRequest) -> int:
+        return int(self._clock.now_ms() - request.received_ms)
+
+    def _log_failure(self, request: ClientRequest, error: MedlarvaleError) -> None:
+        log_warning(
+            Event.REQUEST_FAILED,
+            request=request.request_id,
+            code=error.code,
+            outcome=error.outcome.value,
+            reason=error.message,
+            after_ms=self._age_ms(request),
+        )
+
+    def _error_response(self, error: MedlarvaleError) -> web.Response:
+        headers: CIMultiDict[str] = CIMultiDict()
+        if error.retry_after_ms is not None:
+            headers["Retry-After"] = f"{error.retry_after_ms / 1000:g}"
+        return self._response(error.http_status, headers, error.code.encode())
+
+    def _response(self, status: int, headers: CIMultiDict[str], body: bytes) -> web.Response:
+        response = web.Response(status=status, headers=headers, body=body)
+        if "Content-Type" not in headers:
+            # aiohttp would add a type that the backend server did not send.
+            response.headers.popall("Content-Type", None)
+        if self.closing:
+            response.force_close()
+        return response
+
+
+def build_readiness(ready: Callable[[], bool]) -> web.Server:
+    """Returns the server that tells the platform whether this host takes new connections."""
+
+    async def handle(request: web.BaseRequest) -> web.StreamResponse:
+        return web.Response(status=200 if ready() else 503)
+
+    return web.Server(handle, access_log=None)
+
+
--- /dev/null
+++ b/src/medlarvale/forwarding/host.py
@@ -0,0 +1,128 @@
+"""Composition root of a forwarding host: builds every part and wires them."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import secrets
+
+from aiohttp import web
+
+from medlarvale.clock import SystemClock
+from medlarvale.forwarding.context import ForwardingContext, RetryLimits
+from medlarvale.forwarding.follower import StateFollower
+from medlarvale.forwarding.front import CallerPort, RequestDecoder, build_readiness
+from medlarvale.forwarding.interface import Backends, StateSource
+from medlarvale.forwarding.messages import EngineTraits, HostPlace
+from medlarvale.forwarding.plain import PlainForwarder
+from medlarvale.forwarding.servers import ServerTable
+from medlarvale.forwarding.streams import StreamForwarder
+from medlarvale.ids import ServiceName
+from medlarvale.logs import Event, log_info
+
+# Hosts that share the retry budget, before the peers are known.
+ASSUMED_HOSTS = 8
+# A stopping host still takes connections until the balancer has missed two readiness checks.
+LEAVE_MS = 2_600.0
+# Left over of the grace period for closing connections before the kill.
+STOP_MARGIN_MS = 500.0
+STOP_POLL_MS = 50.0
+LISTEN_BACKLOG = 1_024
+
+
+class ForwardingHost:
+    """All parts of one forwarding host.
+
+    Args:
+        place: what the platform tells the process.
+        source: published configuration and backend servers.
+        backends: calls to backend servers.
+        decode: reads a caller's request off the wire.
+    """
+
+    def __init__(
+        self,
+        place: HostPlace,
+        source: StateSource,
+        backends: Backends,
+        decode: RequestDecoder,
+    ) -> None:
+        self._place = place
+        self.clock = SystemClock()
+        rng = random.Random(secrets.randbits(64))
+        self.servers = ServerTable(place.failure_domain, rng)
+        self.follower = StateFollower(source, self.servers, self.clock, self._log_ready)
+        limits = RetryLimits(place.retry_share, place.retry_reserve / ASSUMED_HOSTS)
+        context = ForwardingContext(backends, self.servers, self.clock, rng, limits)
+        self.streams = StreamForwarder(context, self._traits)
+        self.port = CallerPort(
+            self.follower, PlainForwarder(context), self.streams, decode, self.clock, rng
+        )
+        self._runners: list[web.ServerRunner] = []
+
+    def _traits(self, service: ServiceName) -> EngineTraits:
+        index = self.follower.index
+        assert index is not None
+        traits = index.table.services[service].engine
+        assert traits is not None
+        return traits
+
+    def _log_ready(self) -> None:
+        log_info(Event.HOST_READY, host=self._place.host)
+
+    def ready(self) -> bool:
+        """Tells whether new connections are welcome."""
+        return self.follower.index is not None and len(self.servers) > 0 and not self.port.closing
+
+    async def start(self) -> None:
+        """Listens at all ports and starts all tasks.
+
+        Raises:
+            OSError: if a port can't be bound.
+        """
+        self.follower.start()
+        for server, address in (
+            (build_readiness(self.ready), self._place.listen_ready),
+            (self.port.build(), self._place.listen_caller),
+        ):
+            runner = web.ServerRunner(server)
+            await runner.setup()
+            self._runners.append(runner)
+            ip, _, port = address.rpartition(":")
+            await web.TCPSite(runner, ip, int(port), backlog=LISTEN_BACKLOG).start()
+        log_info(
+            Event.HOST_STARTED,
+            host=self._place.host,
+            failure_domain=self._place.failure_domain,
+            listen_caller=self._place.listen_caller,
+        )
+
+    async def drain(self) -> None:
+        """Stops taking work and waits for requests in flight, within the grace period."""
+        started_ms = self.clock.now_ms()
+        self.port.closing = True
+        log_info(Event.HOST_DRAINING, host=self._place.host, in_flight=self.port.in_flight)
+        end_ms = started_ms + self._place.grace_ms - STOP_MARGIN_MS
+        while True:
+            now_ms = self.clock.now_ms()
+            if now_ms >= end_ms:
+                break
+            if now_ms - started_ms >= LEAVE_MS and not self.port.in_flight:
+                break
+            await self.clock.sleep_ms(STOP_POLL_MS)
+
+    async def close(self) -> None:
+        """Ends all tasks and closes all ports."""
+        await self.follower.close()
+        for runner in self._runners:
+            for site in list(runner.sites):
+                await site.stop()
+        log_info(Event.HOST_STOPPED, host=self._place.host, in_flight=self.port.in_flight)
+
+
+async def wait_for_stop(stop: asyncio.Event, host: ForwardingHost) -> None:
+    """Serves until ``stop`` is set, then drains and closes."""
+    await host.start()
+    await stop.wait()
+    await host.drain()
+    await host.close()
--- /dev/null
+++ b/src/medlarvale/forwarding/memory.py
@@ -0,0 +1,228 @@
+"""Reserves decode memory before a prompt is read, and orders the requests that wait for it."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+
+import msgspec
+
+from medlarvale.forwarding.context import ForwardingContext
+from medlarvale.forwarding.errors import BackendError, OverloadedError
+from medlarvale.forwarding.messages import EngineStage, EngineTraits, HoldId, TokenCounts
+from medlarvale.forwarding.servers import ServerLoad
+from medlarvale.ids import ServerId, ServiceName
+from medlarvale.logs import Event, log_warning
+
+# Memory is handed out in blocks of this many tokens.
+BLOCK_TOKENS = 16
+# The hint is right at the median only, so some room is added to it.
+HINT_MARGIN = 1.25
+MIN_OUTPUT_TOKENS = 64
+# An engine that refused is asked again after this time, unless this host freed memory there.
+REFUSED_PAUSE_MS = 60.0
+# Time from a reservation to the first event at an idle deployment: prefill, transfer, first step.
+START_MS = 250.0
+# Requests that wait longer than this would be late in any case and hold up the ones behind them.
+MAX_WAIT_MS = 3_500.0
+# Waiting requests that may be tried after one that does not fit.
+BACKFILL = 2
+
+
+class Reservation(msgspec.Struct):
+    """Memory reserved at a decode engine.
+
+    Attributes:
+        tokens: size in tokens.
+        hold: None if the engine admits without reservations.
+    """
+
+    load: ServerLoad
+    tokens: int
+    hold: HoldId | None
+
+
+class _Waiter:
+    """A request that waits for memory."""
+
+    def __init__(self, tokens: int, since_ms: float, aim_end_ms: float, end_ms: float) -> None:
+        self.tokens = tokens
+        self.since_ms = since_ms
+        self.aim_end_ms = aim_end_ms
+        self.end_ms = end_ms
+        self.excluded: frozenset[ServerId] = frozenset()
+        self.future: asyncio.Future[Reservation] = asyncio.get_running_loop().create_future()
+
+
+def reserved_tokens(tokens: TokenCounts) -> int:
+    """Returns the memory that a request is expected to take, in whole blocks."""
+    output = tokens.max_output
+    if tokens.output_hint is not None:
+        output = min(output, max(MIN_OUTPUT_TOKENS, int(tokens.output_hint * HINT_MARGIN)))
+    blocks = -(-(tokens.prompt + output) // BLOCK_TOKENS)
+    return blocks * BLOCK_TOKENS
+
+
+class MemoryQueue:
+    """Gives decode memory of one service to requests in an order that serves most in time.
+
+    Requests that can still meet their latency target go first, the oldest of them first; those that
+    can't any more take what is left.
+
+    Args:
+        context: calls, servers and time.
+        service: the service.
+        traits: returns what its engines have in common, as configured now.
+    """
+
+    def __init__(
+        self,
+        context: ForwardingContext,
+        service: ServiceName,
+        traits: Callable[[], EngineTraits],
+    ) -> None:
+        self._context = context
+        self._service = service
+        self._traits = traits
+        self._waiting: list[_Waiter] = []
+        self._refused: dict[ServerId, tuple[float, int]] = {}
+        self._freed = asyncio.Event()
+        self._pump: asyncio.Task[None] | None = None
+
+    def __len__(self) -> int:
+        return len(self._waiting)
+
+    async def acquire(
+        self,
+        tokens: int,
+        aim_end_ms: float,
+        end_ms: float,
+        excluded: frozenset[ServerId] = frozenset(),
+    ) -> Reservation:
+        """Waits for memory.
+
+        Args:
+            tokens: size in tokens.
+            aim_end_ms: time by which the first event is expected.
+            end_ms: time at which the request is given up.
+            excluded: engines on which the request must not run.
+
+        Raises:
+            OverloadedError: there is no room in time.
+        """
+        if tokens > self._traits().memory_tokens:
+            raise OverloadedError("the request is larger than the memory of an engine")
+        now_ms = self._context.clock.now_ms()
+        waiter = _Waiter(tokens, now_ms, aim_end_ms, min(end_ms, now_ms + MAX_WAIT_MS))
+        waiter.excluded = excluded
+        self._waiting.append(waiter)
+        if self._pump is None or self._pump.done():
+            self._pump = asyncio.get_running_loop().create_task(self._run_pump())
+        try:
+            return await waiter.future
+        except asyncio.CancelledError:
+            if waiter.future.done() and not waiter.future.cancelled():
+                if waiter.future.exception() is None:
+                    self.release(waiter.future.result(), drop_hold=True)
+            raise
+        finally:
+            if waiter in self._waiting:
+                self._waiting.remove(waiter)
+
+    def release(self, reservation: Reservation, *, drop_hold: bool) -> None:
+        """Counts memory as free again.
+
+        Args:
+            drop_hold: the engine still holds the memory for a request that will not come.
+        """
+        load = reservation.load
+        load.tokens -= reservation.tokens
+        load.in_flight -= 1
+        self._refused.pop(load.server.server, None)
+        self._freed.set()
+        if drop_hold and reservation.hold is not None:
+            asyncio.get_running_loop().create_task(self._drop(load, reservation.hold))
+
+    async def _drop(self, load: ServerLoad, hold: HoldId) -> None:
+        try:
+            await self._context.backends.drop_hold(load.server, hold)
+        except BackendError as error:
+            # It ends by itself after its time.
+            log_warning(Event.CLEANUP_FAILED, server=load.server.server, error=error.message)
+
+    async def _run_pump(self) -> None:
+        while self._waiting:
+            self._expire()
+            served = False
+            for waiter in self._order()[: 1 + BACKFILL]:
+                if await self._serve(waiter):
+                    served = True
+                    break
+            if not served and self._waiting:
+                self._freed.clear()
+                try:
+                    async with asyncio.timeout(REFUSED_PAUSE_MS / 1000.0):
+                        await self._freed.wait()
+                except TimeoutError:
+                    continue
+
+    def _order(self) -> list[_Waiter]:
+        latest_ms = self._context.clock.now_ms() + START_MS
+
+        def rank(waiter: _Waiter) -> tuple[bool, float]:
+            return waiter.aim_end_ms < latest_ms, waiter.since_ms
+
+        return sorted(self._waiting, key=rank)
+
+    def _expire(self) -> None:
+        now_ms = self._context.clock.now_ms()
+        for waiter in [waiting for waiting in self._waiting if waiting.end_ms <= now_ms]:
+            self._waiting.remove(waiter)
+            if not waiter.future.done():
+                waiter.future.set_exception(
+                    OverloadedError("no engine had room in time", retry_after_ms=1_000)
+                )
+
+    async def _serve(self, waiter: _Waiter) -> bool:
+        reservation = await self._reserve(waiter)
+        if reservation is None:
+            return False
+        if waiter in self._waiting:
+            self._waiting.remove(waiter)
+        if waiter.future.done():
+            self.release(reservation, drop_hold=True)
+        else:
+            waiter.future.set_result(reservation)
+        return True
+
+    async def _reserve(self, waiter: _Waiter) -> Reservation | None:
+        context, now_ms = self._context, self._context.clock.now_ms()
+        candidates = context.servers.candidates(
+            self._service, now_ms, stage=EngineStage.DECODE, excluded=waiter.excluded
+        )
+        for load in self._order_engines(candidates):
+            refused_ms, refused_tokens = self._refused.get(load.server.server, (-1e9, 0))
+            if now_ms - refused_ms < REFUSED_PAUSE_MS and waiter.tokens >= refused_tokens:
+                continue
+            try:
+                hold = await context.backends.take_hold(
+                    load.server, waiter.tokens, self._traits().hold_ttl_ms
+                )
+            except BackendError as error:
+                context.servers.note_failure(load, context.clock.now_ms(), error.message)
+                continue
+            if hold is None:
+                self._refused[load.server.server] = (context.clock.now_ms(), waiter.tokens)
+                continue
+            load.tokens += waiter.tokens
+            load.in_flight += 1
+            return Reservation(load, waiter.tokens, hold)
+        return None
+
+    def _order_engines(self, candidates: list[ServerLoad]) -> list[ServerLoad]:
+        memory = self._traits().memory_tokens
+
+        def cost(load: ServerLoad) -> tuple[float, float]:
+            return load.tokens / memory, self._context.rng.random()
+
+        return sorted(candidates, key=cost)
--- /dev/null
+++ b/src/medlarvale/forwarding/plain.py
@@ -0,0 +1,210 @@
+"""Forwards calls to plain services: a safe call may be repeated, any other runs at most once."""
+
+from __future__ import annotations
+
+import asyncio
+
+import msgspec
+from multidict import CIMultiDict
+
+from medlarvale.forwarding.context import ForwardingContext, end_ms
+from medlarvale.forwarding.errors import (
+    BackendError,
+    NotSentError,
+    OutcomeUnknownError,
+    OverloadedError,
+    RejectedError,
+    RequestTimeoutError,
+)
+from medlarvale.forwarding.messages import ClientRequest, Dispatch, Route, RouteKind
+from medlarvale.forwarding.servers import ServerLoad
+from medlarvale.ids import ServerId, ServiceName
+from medlarvale.logs import Event, log_warning
+
+# A server that rejects for lack of room works off a few calls in this time.
+RETRY_AFTER_MS = 250
+# Connections that may fail one after the other before a call is refused as not run.
+MAX_UNREACHABLE = 3
+# The first answer is waited for this share of the expected latency before a safe call is also sent
+# to another server.
+HEDGE_SHARE = 0.8
+
+
+class Reply(msgspec.Struct):
+    """A whole answer of a backend server."""
+
+    status: int
+    headers: CIMultiDict[str]
+    body: bytes
+    server: ServerId
+
+
+class PlainForwarder:
+    """Forwards calls whose answers are read whole before they are passed on."""
+
+    def __init__(self, context: ForwardingContext) -> None:
+        self._context = context
+
+    async def forward(self, request: ClientRequest, route: Route, service: ServiceName) -> Reply:
+        """Returns the answer of a backend server.
+
+        Raises:
+            OverloadedError: the call has not run and will not.
+            OutcomeUnknownError: it may have run; its answer is lost.
+            RequestTimeoutError: its time is over and it may have run.
+        """
+        run = _PlainRun(self._context, request, route, service)
+        try:
+            return await run.run()
+        finally:
+            run.cancel()
+
+
+class _PlainRun:
+    """One call through its attempts."""
+
+    def __init__(
+        self, context: ForwardingContext, request: ClientRequest, route: Route, service: ServiceName
+    ) -> None:
+        self._context = context
+        self._request = request
+        self._route = route
+        self._service = service
+        self._end_ms = end_ms(request, route)
+        self._budget = context.budget(service)
+        self._budget.record_request()
+        self._tried: set[ServerId] = set()
+        self._sends = 0
+        self._unreachable = 0
+        self._may_have_run = False
+        self._under_way: dict[asyncio.Task[Reply], ServerLoad] = {}
+        self._failed_reply: Reply | None = None
+
+    def cancel(self) -> None:
+        """Drops the attempts that are still under way."""
+        for task in self._under_way:
+            task.cancel()
+
+    async def run(self) -> Reply:
+        self._start_attempt()
+        while self._under_way:
+            done = await self._wait()
+            if not done and self._left_ms() <= 0:
+                raise self._error(RequestTimeoutError("no answer in the time of the route"))
+            if not done:
+                self._start_another()
+            for task in done:
+                reply = self._finish(task)
+                if reply is not None:
+                    return reply
+        if self._failed_reply is not None:
+            return self._failed_reply
+        raise self._error(OutcomeUnknownError("the answer of the backend server is lost"))
+
+    def _error(self, unknown: Exception) -> Exception:
+        if self._may_have_run or self._under_way:
+            return unknown
+        return OverloadedError("no backend server has room", retry_after_ms=RETRY_AFTER_MS)
+
+    def _left_ms(self) -> float:
+        return self._end_ms - self._context.clock.now_ms()
+
+    def _repeatable(self) -> bool:
+        return self._route.kind is RouteKind.SAFE
+
+    async def _wait(self) -> set[asyncio.Task[Reply]]:
+        wait_ms = self._left_ms()
+        if self._repeatable() and self._sends < self._route.max_attempts:
+            elapsed_ms = self._context.clock.now_ms() - self._request.received_ms
+            hedge_ms = HEDGE_SHARE * self._route.target_latency_ms - elapsed_ms
+            if hedge_ms > 0:
+                wait_ms = min(wait_ms, hedge_ms)
+        done, _ = await asyncio.wait(
+            self._under_way,
+            timeout=max(0.0, wait_ms) / 1000.0,
+            return_when=asyncio.FIRST_COMPLETED,
+        )
+        return done
+
+    def _start_attempt(self) -> bool:
+        """Sends the call to the least loaded server not tried yet; returns False if none is left."""
+        context = self._context
+        candidates = context.servers.candidates(
+            self._service, context.clock.now_ms(), excluded=self._tried
+        )
+        if not candidates:
+            return False
+        load = context.servers.order_by_load(candidates)[0]
+        self._tried.add(load.server.server)
+        self._sends += 1
+        load.in_flight += 1
+        task = asyncio.get_running_loop().create_task(self._attempt(load))
+        self._under_way[task] = load
+        return True
+
+    def _start_another(self) -> bool:
+        """Repeats the call if attempts, time and budget allow."""
+        return (
+            self._sends < self._route.max_attempts
+            and self._left_ms() > 0
+            and self._budget.take_retry()
+            and self._start_attempt()
+        )
+
+    async def _attempt(self, load: ServerLoad) -> Reply:
+        try:
+            answer = await self._context.backends.send(
+                load.server, self._request, Dispatch(self._left_ms())
+            )
+            try:
+                reply = Reply(
+                    answer.status, answer.headers, await answer.read(), load.server.server
+                )
+            finally:
+                answer.close()
+            if not answer.signed and answer.status < 300:
+                raise BackendError("a success without a signature")
+            return reply
+        finally:
+            load.in_flight -= 1
+
+    def _finish(self, task: asyncio.Task[Reply]) -> Reply | None:
+        """Returns the answer of an attempt that ended, or None after trying to repeat it."""
+        load = self._under_way.pop(task)
+        error = task.exception()
+        if error is None:
+            return self._judge(task.result(), load)
+        if not isinstance(error, BackendError):
+            raise error
+        log_warning(
+            Event.ATTEMPT_FAILED,
+            request=self._request.request_id,
+            server=load.server.server,
+            attempt=self._sends,
+            error=str(error),
+        )
+        now_ms = self._context.clock.now_ms()
+        if isinstance(error, NotSentError):
+            self._context.servers.note_failure(load, now_ms, error.message)
+            self._sends -= 1
+            self._unreachable += 1
+            if self._unreachable < MAX_UNREACHABLE and self._left_ms() > 0:
+                self._start_attempt()
+        elif isinstance(error, RejectedError):
+            self._start_another()
+        else:
+            self._may_have_run = True
+            load.note_answer(failed=True)
+            self._context.servers.note_failure(load, now_ms, error.message)
+            if self._repeatable():
+                self._start_another()
+        return None
+
+    def _judge(self, reply: Reply, load: ServerLoad) -> Reply | None:
+        failed = reply.status >= 500
+        load.note_answer(failed)
+        if not failed or not self._repeatable():
+            return reply
+        self._failed_reply = reply
+        self._start_another()
+        return None
--- /dev/null
+++ b/src/medlarvale/forwarding/servers.py
@@ -0,0 +1,164 @@
+"""Backend servers as published, with the load that this host puts on them and their failures."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Iterable
+
+from medlarvale.forwarding.messages import EngineStage, Server, ServerState
+from medlarvale.ids import FailureDomain, ServerId, ServiceName
+from medlarvale.logs import Event, log_info, log_warning
+from medlarvale.scheduling.health import HealthTable
+
+# A backend server that is alive is listed again within about 2 s of the store's return.
+MISSING_GRACE_MS = 2_200.0
+# Load that a server of another failure domain must have less to be preferred: its bytes cost more.
+REMOTE_PENALTY = 0.2
+# Weight of the newest answer in the share of failed answers.
+ERROR_SMOOTHING = 0.1
+# Load that a share of failed answers of 1 above the best server's counts as.
+ERROR_PENALTY = 3.0
+
+
+class ServerLoad:
+    """One backend server and what this host knows of it.
+
+    Attributes:
+        in_flight: requests of this host that run there.
+        tokens: KV cache that this host's requests take there, in tokens.
+        error_share: smoothed share of answers that are failures.
+        missing_since_ms: when its entry was first found missing; None while it is listed.
+    """
+
+    def __init__(self, server: Server) -> None:
+        self.server = server
+        self.in_flight = 0
+        self.tokens = 0
+        self.error_share = 0.0
+        self.missing_since_ms: float | None = None
+
+    def note_answer(self, failed: bool) -> None:
+        """Takes an answer into the share of failures."""
+        self.error_share += ERROR_SMOOTHING * (float(failed) - self.error_share)
+
+
+class ServerTable:
+    """All backend servers by id.
+
+    Args:
+        failure_domain: where this host is.
+        rng: breaks ties.
+    """
+
+    def __init__(self, failure_domain: FailureDomain, rng: random.Random) -> None:
+        self._failure_domain = failure_domain
+        self._rng = rng
+        self._loads: dict[ServerId, ServerLoad] = {}
+        self.health = HealthTable()
+
+    def __len__(self) -> int:
+        return len(self._loads)
+
+    def get(self, server: ServerId) -> ServerLoad | None:
+        """Returns a listed server."""
+        return self._loads.get(server)
+
+    def learn(self, server: Server) -> None:
+        """Takes over a server's entry."""
+        known = self._loads.get(server.server)
+        if known is None or (server.born_ms and known.server.born_ms != server.born_ms):
+            self._loads[server.server] = ServerLoad(server)
+            self.health.forget(server.server)
+            log_info(
+                Event.SERVER_LEARNED,
+                server=server.server,
+                service=server.service,
+                state=server.state.value,
+            )
+            return
+        if known.server.state is not server.state or known.server.stage is not server.stage:
+            log_info(
+                Event.SERVER_CHANGED,
+                server=server.server,
+                state=server.state.value,
+                stage=server.stage.value if server.stage else "",
+            )
+        known.server = server
+        known.missing_since_ms = None
+
+    def remove(self, server: ServerId) -> None:
+        """Drops a server whose entry was removed."""
+        if self._loads.pop(server, None) is not None:
+            self.health.forget(server)
+            log_info(Event.SERVER_REMOVED, server=server)
+
+    def replace_all(self, servers: Iterable[Server], now_ms: float, *, after_outage: bool) -> None:
+        """Takes over a full list.
+
+        Args:
+            after_outage: entries may have lapsed while the store was away; a server that is not
+                listed stays until ``expire_missing`` finds it missing for too long.
+        """
+        listed = set()
+        for server in servers:
+            listed.add(server.server)
+            self.learn(server)
+        for missing in [known for known in self._loads if known not in listed]:
+            if not after_outage:
+                self.remove(missing)
+            elif self._loads[missing].missing_since_ms is None:
+                self._loads[missing].missing_since_ms = now_ms
+
+    def expire_missing(self, now_ms: float) -> None:
+        """Drops servers whose entries did not come back after an outage of the store."""
+        for server, load in list(self._loads.items()):
+            missing_ms = load.missing_since_ms
+            if missing_ms is not None and now_ms - missing_ms > MISSING_GRACE_MS:
+                self.remove(server)
+
+    def candidates(
+        self,
+        service: ServiceName,
+        now_ms: float,
+        *,
+        stage: EngineStage | None = None,
+        excluded: Iterable[ServerId] = (),
+    ) -> list[ServerLoad]:
+        """Returns the servers that may take new work; ejected ones only if no other is left."""
+        excluded = set(excluded)
+        listed = [
+            load
+            for load in self._loads.values()
+            if load.server.service == service
+            and load.server.state is ServerState.READY
+            and load.server.stage is stage
+            and load.server.server not in excluded
+        ]
+        sound = [
+            load for load in listed if self.health.share_allowed(load.server.server, now_ms) > 0
+        ]
+        return sound or listed
+
+    def service_size(self, service: ServiceName) -> int:
+        """Returns the number of listed servers of a service."""
+        return sum(load.server.service == service for load in self._loads.values())
+
+    def order_by_load(self, candidates: list[ServerLoad]) -> list[ServerLoad]:
+        """Returns candidates, the least loaded first."""
+        best_error = min((load.error_share for load in candidates), default=0.0)
+
+        def cost(load: ServerLoad) -> tuple[float, float]:
+            share = load.in_flight / max(1, load.server.slots)
+            if load.server.failure_domain != self._failure_domain:
+                share += REMOTE_PENALTY
+            share += ERROR_PENALTY * (load.error_share - best_error)
+            return share, self._rng.random()
+
+        return sorted(candidates, key=cost)
+
+    def note_failure(self, load: ServerLoad, now_ms: float, reason: str) -> None:
+        """Counts a failed connection or lost answer against a server."""
+        server = load.server
+        size = self.service_size(server.service)
+        if self.health.record_failure(server.server, now_ms, size):
+            log_warning(Event.ENGINE_EJECTED, server=server.server, reason=reason)
--- /dev/null
+++ b/src/medlarvale/forwarding/streams.py
@@ -0,0 +1,294 @@
+"""Forwards streamed model requests: reserve decode memory, read the prompt, decode, pass on."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from typing import Protocol
+
+from multidict import CIMultiDict
+
+from medlarvale.forwarding.context import ForwardingContext, end_ms
+from medlarvale.forwarding.errors import (
+    BackendError,
+    NotSentError,
+    OutcomeUnknownError,
+    OverloadedError,
+    RejectedError,
+    RequestTimeoutError,
+    StreamBrokenError,
+)
+from medlarvale.forwarding.events import EventSplitter
+from medlarvale.forwarding.interface import BackendAnswer
+from medlarvale.forwarding.memory import MemoryQueue, Reservation, reserved_tokens
+from medlarvale.forwarding.messages import (
+    ClientRequest,
+    Dispatch,
+    EngineStage,
+    EngineTraits,
+    PrefillResult,
+    Route,
+    TokenCounts,
+)
+from medlarvale.forwarding.plain import Reply
+from medlarvale.forwarding.servers import ServerLoad
+from medlarvale.ids import ServerId, ServiceName
+from medlarvale.logs import Event, log_warning
+
+# Size of a request that does not tell it.
+DEFAULT_TOKENS = TokenCounts(prompt=5_000, max_output=1_000)
+# Prefill engines that are asked for one prompt, the first included.
+MAX_PREFILLS = 2
+# Rejected sends of one run, after which the request is refused as not run.
+MAX_REJECTIONS = 3
+REJECTED_RETRY_AFTER_MS = 1_000
+
+
+class StreamSink(Protocol):
+    """Where the answer goes: the caller's connection."""
+
+    async def start(self, status: int, headers: CIMultiDict[str]) -> None:
+        """Sends the head of a stream."""
+
+    async def write(self, data: bytes) -> None:
+        """Sends a part of the body."""
+
+    async def finish(self) -> None:
+        """Ends the body as complete."""
+
+
+class StreamForwarder:
+    """Forwards streams of all model services.
+
+    Args:
+        context: calls, servers and time.
+        traits: returns what the engines of a service have in common.
+    """
+
+    def __init__(
+        self,
+        context: ForwardingContext,
+        traits: Callable[[ServiceName], EngineTraits],
+    ) -> None:
+        self.context = context
+        self._traits = traits
+        self._queues: dict[ServiceName, MemoryQueue] = {}
+
+    def queue(self, service: ServiceName) -> MemoryQueue:
+        """Returns the queue for the decode memory of a service."""
+        queue = self._queues.get(service)
+        if queue is None:
+            queue = MemoryQueue(self.context, service, lambda: self._traits(service))
+            self._queues[service] = queue
+        return queue
+
+    async def forward(
+        self, request: ClientRequest, route: Route, service: ServiceName, sink: StreamSink
+    ) -> Reply | None:
+        """Passes a stream on; returns an answer that is no stream, for the caller.
+
+        Raises:
+            OverloadedError: the request has not run and will not.
+            OutcomeUnknownError: it may have run, and nothing was passed on.
+            RequestTimeoutError: its time is over and nothing was passed on.
+            StreamBrokenError: a part was passed on and the rest can't be.
+        """
+        return await _StreamRun(self, request, route, service, sink).run()
+
+
+class _StreamRun:
+    """One stream through its runs on decode engines."""
+
+    def __init__(
+        self,
+        forwarder: StreamForwarder,
+        request: ClientRequest,
+        route: Route,
+        service: ServiceName,
+        sink: StreamSink,
+    ) -> None:
+        self._context = forwarder.context
+        self._queue = forwarder.queue(service)
+        self._request = request
+        self._route = route
+        self._service = service
+        self._sink = sink
+        self._end_ms = end_ms(request, route)
+        self._budget = self._context.budget(service)
+        self._budget.record_request()
+        self._events = EventSplitter(request.resume_after)
+        self._excluded: set[ServerId] = set()
+        self._started = False
+        self._may_have_run = False
+        self._runs = 0
+        self._rejections = 0
+        self._prefills = 0
+
+    async def run(self) -> Reply | None:
+        try:
+            async with asyncio.timeout(max(0.0, self._left_ms()) / 1000.0):
+                return await self._run_until_complete()
+        except TimeoutError as error:
+            raise self._final_error("the time of the route is over", timeout=True) from error
+
+    def _left_ms(self) -> float:
+        return self._end_ms - self._context.clock.now_ms()
+
+    async def _run_until_complete(self) -> Reply | None:
+        while True:
+            try:
+                return await self._run_once()
+            except BackendError as error:
+                if not self._may_repeat(error):
+                    raise self._final_error(error.message) from error
+
+    def _final_error(self, message: str, *, timeout: bool = False) -> Exception:
+        if self._started:
+            return StreamBrokenError(message)
+        if not self._may_have_run:
+            return OverloadedError(message, retry_after_ms=REJECTED_RETRY_AFTER_MS)
+        return RequestTimeoutError(message) if timeout else OutcomeUnknownError(message)
+
+    def _may_repeat(self, error: BackendError) -> bool:
+        log_warning(
+            Event.ATTEMPT_FAILED,
+            request=self._request.request_id,
+            run=self._runs,
+            passed_on=self._events.last_id,
+            error=str(error),
+        )
+        if isinstance(error, NotSentError | RejectedError):
+            self._rejections += 1
+            return self._rejections < MAX_REJECTIONS and self._budget.take_retry()
+        resumable = self._route.resumable and self._runs < self._route.max_attempts
+        return resumable and self._budget.take_retry()
+
+    async def _run_once(self) -> Reply | None:
+        reservation = await self._reserve()
+        unused = True
+        try:
+            source = await self._prefill(reservation)
+            try:
+                answer = await self._send(reservation, source)
+                unused = False
+            except BaseException as error:
+                if source is not None and isinstance(
+                    error, NotSentError | RejectedError | asyncio.CancelledError
+                ):
+                    self._drop_handle(source)
+                raise
+            try:
+                return await self._relay(answer, reservation.load)
+            finally:
+                answer.close()
+        finally:
+            self._queue.release(reservation, drop_hold=unused)
+
+    async def _reserve(self) -> Reservation:
+        tokens = self._request.tokens or DEFAULT_TOKENS
+        aim_end_ms = self._request.received_ms + self._route.target_latency_ms
+        return await self._queue.acquire(
+            reserved_tokens(tokens), aim_end_ms, self._end_ms, frozenset(self._excluded)
+        )
+
+    async def _prefill(self, reservation: Reservation) -> PrefillResult | None:
+        """Returns where the prompt was read; None lets the decode engine read it itself."""
+        context = self._context
+        tokens = (self._request.tokens or DEFAULT_TOKENS).prompt
+        tried: set[ServerId] = set()
+        while self._prefills < MAX_PREFILLS:
+            candidates = context.servers.candidates(
+                self._service,
+                context.clock.now_ms(),
+                stage=EngineStage.PREFILL,
+                excluded=tried,
+            )
+            if not candidates or (self._prefills and not self._budget.take_retry()):
+                break
+            load = min(candidates, key=lambda load: (load.tokens, context.rng.random()))
+            tried.add(load.server.server)
+            self._prefills += 1
+            load.tokens += tokens
+            try:
+                return await context.backends.prefill(load.server, self._request, self._left_ms())
+            except BackendError as error:
+                log_warning(
+                    Event.ATTEMPT_FAILED,
+                    request=self._request.request_id,
+                    server=load.server.server,
+                    stage=EngineStage.PREFILL.value,
+                    error=str(error),
+                )
+                if not isinstance(error, RejectedError):
+                    context.servers.note_failure(load, context.clock.now_ms(), error.message)
+            finally:
+                load.tokens -= tokens
+        return None
+
+    async def _send(
+        self, reservation: Reservation, source: PrefillResult | None
+    ) -> BackendAnswer:
+        load = reservation.load
+        dispatch = Dispatch(self._left_ms(), source, reservation.hold, self._events.last_id)
+        self._runs += 1
+        try:
+            answer = await self._context.backends.send(load.server, self._request, dispatch)
+        except (NotSentError, RejectedError) as error:
+            self._runs -= 1
+            if isinstance(error, NotSentError):
+                self._note_failure(load, error)
+            raise
+        except BackendError as error:
+            self._may_have_run = True
+            self._note_failure(load, error)
+            raise
+        except asyncio.CancelledError:
+            self._may_have_run = True
+            raise
+        self._may_have_run = True
+        if not answer.signed and answer.status < 300:
+            answer.close()
+            raise BackendError("a success without a signature")
+        return answer
+
+    def _note_failure(self, load: ServerLoad, error: BackendError) -> None:
+        self._excluded.add(load.server.server)
+        self._context.servers.note_failure(load, self._context.clock.now_ms(), error.message)
+
+    def _drop_handle(self, source: PrefillResult) -> None:
+        asyncio.get_running_loop().create_task(self._free(source))
+
+    async def _free(self, source: PrefillResult) -> None:
+        try:
+            await self._context.backends.drop_handle(source.server, source.handle)
+        except BackendError as error:
+            # It ends by itself after its time.
+            log_warning(Event.CLEANUP_FAILED, server=source.server.server, error=error.message)
+
+    async def _relay(self, answer: BackendAnswer, load: ServerLoad) -> Reply | None:
+        """Passes an answer on; events go out whole, and nothing after a gap."""
+        if answer.status != 200 or not answer.event_stream:
+            body = await answer.read()
+            if self._started:
+                raise BackendError(f"status {answer.status} in the middle of a stream")
+            return Reply(answer.status, answer.headers, body, load.server.server)
+        self._events.rest = b""
+        try:
+            async for chunk in answer.chunks():
+                await self._pass_on(answer, self._events.feed(chunk))
+        except BackendError as error:
+            self._note_failure(load, error)
+            raise
+        await self._pass_on(answer, self._events.rest)
+        if not self._started:
+            await self._sink.start(answer.status, answer.headers)
+        await self._sink.finish()
+        return None
+
+    async def _pass_on(self, answer: BackendAnswer, data: bytes) -> None:
+        if not data:
+            return
+        if not self._started:
+            self._started = True
+            await self._sink.start(answer.status, answer.headers)
+        await self._sink.write(data)
--- a/src/medlarvale/logs.py
+++ b/src/medlarvale/logs.py
@@ -5,6 +5,7 @@
 import enum
 import logging
 import sys
+from typing import TextIO
 
 import structlog
 
@@ -16,6 +17,8 @@
     HOST_DRAINING = (1002, "entry host draining")
     HOST_STOPPED = (1003, "entry host stopped")
     SETTINGS_REFUSED = (1101, "process settings refused")
+    HOST_READY = (1004, "entry host ready")
+    LOG_LINES_DROPPED = (1005, "log lines dropped")
     FILE_RELOADED = (1102, "file loaded again")
     FILE_RELOAD_FAILED = (1103, "changed file could not be loaded")
     CONFIG_ACCEPTED = (2001, "configuration accepted")
@@ -25,6 +28,12 @@
     CONFIG_DIVERGED = (2005, "peers run a configuration that this host rejected")
     HOST_LIST_ACCEPTED = (2101, "host list accepted")
     HOST_LIST_FAILED = (2102, "host list could not be read")
+    STORE_LOST = (2201, "published state can't be read")
+    STORE_REGAINED = (2202, "published state is read again")
+    STORE_ENTRY_UNUSABLE = (2203, "store entry unusable")
+    SERVER_LEARNED = (2204, "backend server listed")
+    SERVER_CHANGED = (2205, "backend server changed")
+    SERVER_REMOVED = (2206, "backend server no longer listed")
     PEER_STATE_CHANGED = (3001, "peer state changed")
     PEER_FRAME_DROPPED = (3002, "peer frame dropped")
     PEER_HANDLER_FAILED = (3003, "peer message handler failed")
@@ -35,9 +44,14 @@
     REQUEST_REFUSED = (5001, "request refused")
     REQUEST_FAILED = (5002, "request failed")
     REQUEST_RESTARTED = (5003, "request restarted on another engine")
+    REQUEST_FORWARDED = (5004, "request forwarded")
+    ATTEMPT_FAILED = (5005, "attempt failed")
+    CALLER_GONE = (5006, "caller gone")
+    CLEANUP_FAILED = (5007, "unused engine memory could not be given back")
     ENGINE_EJECTED = (6001, "engine ejected")
     ENGINE_READMITTED = (6002, "engine readmitted")
     ORPHAN_CANCELLED = (6003, "orphaned engine request cancelled")
+    STAGE_ORDERED = (6004, "engine ordered to another stage")
     REQUEST_QUARANTINED = (7001, "request quarantined")
     SERVER_LOST = (7002, "backend server lost")
 
@@ -52,11 +66,12 @@
         return self.value[1]
 
 
-def configure_logging(level: str) -> None:
-    """Sends JSON lines to standard error.
+def configure_logging(level: str, file: TextIO = sys.stderr) -> None:
+    """Sends JSON lines to a file.
 
     Args:
         level: name of the lowest level to write, such as ``info``.
+        file: standard error, or the file that the platform collects.
     """
     structlog.configure(
         processors=[
@@ -69,7 +84,7 @@
             logging.getLevelNamesMapping()[level.upper()]
         ),
         # One write a line, so that lines of several processes in one file stay whole.
-        logger_factory=structlog.WriteLoggerFactory(file=sys.stderr),
+        logger_factory=structlog.WriteLoggerFactory(file=file),
         cache_logger_on_first_use=False,
     )
 
--- /dev/null
+++ b/src/medlarvale/platform/entries.py
@@ -0,0 +1,180 @@
+"""Entries of the platform's store: the configuration and the backend servers."""
+
+from __future__ import annotations
+
+import msgspec
+
+from medlarvale.errors import MedlarvaleError
+from medlarvale.forwarding.messages import (
+    EngineStage,
+    EngineTraits,
+    RequestLimits,
+    Route,
+    RouteKind,
+    RouteTable,
+    Server,
+    ServerState,
+    Service,
+    Target,
+)
+from medlarvale.ids import ConfigVersion, FailureDomain, ServerId, ServiceName
+
+CONFIG_KEY = "op/config"
+SERVER_PREFIX = "servers/"
+
+KINDS = {
+    "safe": RouteKind.SAFE,
+    "unsafe": RouteKind.UNSAFE,
+    "streaming": RouteKind.STREAM,
+}
+
+
+class EntryError(MedlarvaleError):
+    """An entry of the store can't be used."""
+
+    code = "store_entry_invalid"
+
+
+class _TargetFields(msgspec.Struct, rename="pascal"):
+    service: str
+    weight: float
+
+
+class _RouteFields(msgspec.Struct, rename="pascal"):
+    name: str
+    host: str
+    path_prefix: str
+    kind: str
+    timeout_ms: float
+    target_latency_ms: float
+    priority: int = 5
+    # One service, or several with weights under Split.
+    service: str = ""
+    split: list[_TargetFields] = []
+    max_attempts: int = 1
+    resumable: bool = False
+    gap_target_ms: float = 0.0
+
+
+class _EngineFields(msgspec.Struct, rename="pascal", kw_only=True):
+    slots: int
+    memory_tokens: int = msgspec.field(name="KvTokenCapacity")
+    # KvHoldS is the life of a prefill's result, HoldMs the longest life of a reservation.
+    handle_ttl_s: float = msgspec.field(name="KvHoldS", default=0.5)
+    hold_ttl_ms: float = msgspec.field(name="HoldMs", default=0.0)
+    switch_s: float = 0.0
+
+
+class _ServiceFields(msgspec.Struct, rename="pascal"):
+    name: str
+    max_connections: int = msgspec.field(name="MaxConns")
+    engine: _EngineFields | None = None
+
+
+class _LimitFields(msgspec.Struct, rename="pascal"):
+    max_header_bytes: int
+    max_body_bytes: int
+    header_timeout_ms: float
+    idle_timeout_ms: float
+
+
+class _ConfigFields(msgspec.Struct, rename="pascal"):
+    version: int
+    routes: list[_RouteFields]
+    services: list[_ServiceFields]
+    limits: _LimitFields
+
+
+class _ServerFields(msgspec.Struct, rename="pascal", kw_only=True):
+    service: str
+    address: str
+    failure_domain: str = msgspec.field(name="Zone")
+    slots: int
+    state: ServerState
+    stage: EngineStage | None = None
+    cold_left_ms: float = 0.0
+    # Time of the start; the entry's Sequence only counts heartbeats.
+    born_ms: int = msgspec.field(name="born", default=0)
+
+
+_config_decoder = msgspec.json.Decoder(_ConfigFields)
+_server_decoder = msgspec.json.Decoder(_ServerFields)
+
+
+def decode_config(value: bytes) -> RouteTable:
+    """Returns the configuration in an entry.
+
+    Raises:
+        EntryError: if it can't be used.
+    """
+    try:
+        fields = _config_decoder.decode(value)
+        return RouteTable(
+            ConfigVersion(fields.version),
+            tuple(_route(route) for route in fields.routes),
+            {ServiceName(service.name): _service(service) for service in fields.services},
+            RequestLimits(
+                fields.limits.max_header_bytes,
+                fields.limits.max_body_bytes,
+                fields.limits.header_timeout_ms,
+                fields.limits.idle_timeout_ms,
+            ),
+        )
+    except (msgspec.MsgspecError, KeyError, UnicodeDecodeError) as error:
+        raise EntryError(f"{CONFIG_KEY}: {error}") from error
+
+
+def _route(fields: _RouteFields) -> Route:
+    targets = tuple(Target(ServiceName(part.service), part.weight) for part in fields.split)
+    return Route(
+        fields.name,
+        fields.host.lower(),
+        fields.path_prefix,
+        KINDS[fields.kind],
+        fields.timeout_ms,
+        fields.target_latency_ms,
+        fields.priority,
+        targets or (Target(ServiceName(fields.service), 1.0),),
+        max(1, fields.max_attempts),
+        fields.resumable,
+        fields.gap_target_ms,
+    )
+
+
+def _service(fields: _ServiceFields) -> Service:
+    engine = None
+    if fields.engine is not None:
+        engine = EngineTraits(
+            fields.engine.slots,
+            fields.engine.memory_tokens,
+            fields.engine.handle_ttl_s * 1000.0,
+            fields.engine.hold_ttl_ms,
+            fields.engine.switch_s * 1000.0,
+        )
+    return Service(ServiceName(fields.name), fields.max_connections, engine)
+
+
+def decode_server(key: str, value: bytes) -> Server:
+    """Returns the backend server that an entry describes.
+
+    Raises:
+        EntryError: if the entry names no usable server.
+    """
+    try:
+        fields = _server_decoder.decode(value)
+    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+        raise EntryError(f"{key}: {error}") from error
+    if ":" not in fields.address:
+        raise EntryError(f"{key}: unusable address {fields.address!r}")
+    return Server(
+        ServerId(key.removeprefix(SERVER_PREFIX)),
+        ServiceName(fields.service),
+        fields.address,
+        FailureDomain(fields.failure_domain),
+        fields.slots,
+        fields.state,
+        fields.stage,
+        fields.cold_left_ms,
+        fields.born_ms,
+    )
+
--- /dev/null
+++ b/src/medlarvale/platform/store.py
@@ -0,0 +1,141 @@
+"""Client of the platform's metadata store, which can only be read and watched."""
+
+from __future__ import annotations
+
+import asyncio
+import binascii
+
+import aiohttp
+import msgspec
+from yarl import URL
+
+from medlarvale.forwarding.errors import HistoryGoneError, PublishedStateError
+from medlarvale.forwarding.messages import Changes, Published, RouteTable, Server, StoreRevision
+from medlarvale.ids import ServerId
+from medlarvale.logs import Event, log_warning
+from medlarvale.platform.entries import (
+    CONFIG_KEY,
+    SERVER_PREFIX,
+    EntryError,
+    decode_config,
+    decode_server,
+)
+
+# The store answers in 4 ms; a slow one takes some hundred ms.
+READ_TIMEOUT_MS = 2_000
+# Added to the time that a watch may wait. A connection that fell silent is given up after that.
+WATCH_SLACK_MS = 700
+CONNECT_TIMEOUT_MS = 500
+MAX_PAGES = 100
+
+
+class _Item(msgspec.Struct, rename="pascal"):
+    """One item, or, with ``deleted``, the removal of its key."""
+
+    key: str
+    revision: int = 0
+    value: str = ""
+    deleted: bool = False
+
+
+class _Range(msgspec.Struct):
+    items: list[_Item]
+    has_more: bool = msgspec.field(name="HasMore")
+    current: int = msgspec.field(name="CurrentRev")
+
+
+class _Watch(msgspec.Struct):
+    events: list[_Item]
+    current: int = msgspec.field(name="CurrentRev")
+
+
+class PlatformStore:
+    """Reads and watches the configuration and the backend servers.
+
+    Args:
+        session: connections to the store.
+        address: ``ip:port`` of the store.
+    """
+
+    def __init__(self, session: aiohttp.ClientSession, address: str) -> None:
+        self._session = session
+        self._base = URL(f"http://{address}")
+        self._range_decoder = msgspec.json.Decoder(_Range)
+        self._watch_decoder = msgspec.json.Decoder(_Watch)
+        self.calls = 0
+
+    async def read(self) -> Published:
+        """Returns everything; see ``StateSource.read``."""
+        table: RouteTable | None = None
+        servers: list[Server] = []
+        revision: int | None = None
+        after = ""
+        for _ in range(MAX_PAGES):
+            query = {"PathPrefix": "", "after": after} if after else {"PathPrefix": ""}
+            page = self._decode_range(await self._get("/kv-range", query, READ_TIMEOUT_MS))
+            # Pages are no snapshot: changes after the first page are watched for again.
+            revision = page.current if revision is None else min(revision, page.current)
+            for item in page.items:
+                record = _decode_item(item)
+                if isinstance(record, RouteTable):
+                    table = record
+                elif isinstance(record, Server):
+                    servers.append(record)
+            if not page.has_more or not page.items:
+                break
+            after = page.items[-1].key
+        return Published(table, tuple(servers), StoreRevision(revision or 0))
+
+    async def watch(self, after: StoreRevision, wait_ms: int) -> Changes:
+        """Waits for changes; see ``StateSource.watch``."""
+        query = {"PathPrefix": "", "after": str(after), "WaitMs": str(wait_ms)}
+        body = await self._get("/kv-watch", query, wait_ms + WATCH_SLACK_MS)
+        try:
+            answer = self._watch_decoder.decode(body)
+        except msgspec.MsgspecError as error:
+            raise PublishedStateError(f"unreadable answer to a watch: {error}") from error
+        items: list[RouteTable | Server | ServerId] = []
+        for event in answer.events:
+            record = _decode_item(event)
+            if record is not None:
+                items.append(record)
+        return Changes(tuple(items), StoreRevision(answer.current))
+
+    def _decode_range(self, body: bytes) -> _Range:
+        try:
+            return self._range_decoder.decode(body)
+        except msgspec.MsgspecError as error:
+            raise PublishedStateError(f"unreadable answer to a read: {error}") from error
+
+    async def _get(self, path: str, query: dict[str, str], timeout_ms: float) -> bytes:
+        self.calls += 1
+        timeout = aiohttp.ClientTimeout(
+            total=timeout_ms / 1000.0, sock_connect=CONNECT_TIMEOUT_MS / 1000.0
+        )
+        url = self._base.with_path(path).with_query(query)
+        try:
+            async with self._session.get(url, timeout=timeout) as response:
+                if response.status == 410:
+                    raise HistoryGoneError("the store no longer knows these changes")
+                if response.status != 200:
+                    raise PublishedStateError(f"the store answered {response.status}")
+                return await response.read()
+        except (aiohttp.ClientError, asyncio.TimeoutError, OSError) as error:
+            raise PublishedStateError(f"the store did not answer: {error!r}") from error
+
+
+def _decode_item(item: _Item) -> RouteTable | Server | ServerId | None:
+    """Returns what an item holds; None for other keys and for values that can't be used."""
+    if item.key.startswith(SERVER_PREFIX):
+        if item.deleted:
+            return ServerId(item.key.removeprefix(SERVER_PREFIX))
+    elif item.key != CONFIG_KEY or item.deleted:
+        return None
+    try:
+        value = binascii.a2b_base64(item.value)
+        return decode_config(value) if item.key == CONFIG_KEY else decode_server(item.key, value)
+    except (binascii.Error, EntryError) as error:
+        log_warning(
+            Event.STORE_ENTRY_UNUSABLE, key=item.key, revision=item.revision, error=str(error)
+        )
+        return None
--- a/src/medlarvale/scheduling/retry_budget.py
+++ b/src/medlarvale/scheduling/retry_budget.py
@@ -15,15 +15,23 @@
 
     Args:
         share: retries allowed per request.
+        initial: retries allowed before the first request.
+        ceiling: retries that can be saved up.
     """
 
-    def __init__(self, share: float) -> None:
+    def __init__(
+        self,
+        share: float,
+        initial: float = INITIAL_RETRIES,
+        ceiling: float = MAX_SAVED_RETRIES,
+    ) -> None:
         self._share = share
-        self._saved = INITIAL_RETRIES if share > 0 else 0.0
+        self._ceiling = ceiling
+        self._saved = initial if share > 0 else 0.0
 
     def record_request(self) -> None:
         """Counts a first attempt."""
-        self._saved = min(MAX_SAVED_RETRIES, self._saved + self._share)
+        self._saved = min(self._ceiling, self._saved + self._share)
 
     def take_retry(self) -> bool:
         """Takes one retry from the budget; returns False if it is spent."""
