--- a/src/medlarvale/forwarding/front.py
+++ b/src/medlarvale/forwarding/front.py
@@ -16,7 +16,7 @@
     ForwardingError,
     NoRouteError,
     NotReadyError,
-    StreamBrokenError,
+    OverloadedError,
 )
 from medlarvale.forwarding.follower import StateFollower
 from medlarvale.forwarding.messages import ClientRequest, RouteKind
@@ -28,6 +28,9 @@
 # Largest body that is taken in before a configuration limits it.
 MAX_BODY_BYTES = 8 * 1024 * 1024
 NOT_READY_RETRY_MS = 500
+STOPPING_RETRY_MS = 100
+# A long stream takes about 5 s, the rest of the grace period.
+LAST_STREAM_MS = 2_800.0
 # Callers may use a connection after four fifths of the configured idle time; it stays open longer.
 KEPT_CONNECTION_S = 75.0
 
@@ -88,8 +91,9 @@
         self._decode = decode
         self._clock = clock
         self._rng = rng
-        self.closing = False
-        self.in_flight = 0
+        self._busy: set[web.RequestHandler[web.BaseRequest]] = set()
+        self._server: web.Server | None = None
+        self._closing_since_ms: float | None = None
 
     def build(self) -> web.Server:
         """Returns the server of the callers' port."""
@@ -105,21 +109,48 @@
                 client_max_size=MAX_BODY_BYTES,
             )
 
-        return web.Server(
+        self._server = web.Server(
             self._handle,
             request_factory=new_request,
             handler_cancellation=True,
             access_log=None,
             keepalive_timeout=KEPT_CONNECTION_S,
         )
+        return self._server
+
+    @property
+    def in_flight(self) -> int:
+        """Number of requests that wait for the end of their answer."""
+        return len(self._busy)
+
+    @property
+    def closing(self) -> bool:
+        """Whether connections are closed after their next answer."""
+        return self._closing_since_ms is not None
+
+    def begin_closing(self) -> None:
+        """Closes idle connections, and each other one after its next answer."""
+        self._closing_since_ms = self._clock.now_ms()
+        connections = self._server.connections if self._server is not None else []
+        for connection in connections:
+            if connection in self._busy:
+                connection.close()
+            elif connection.transport is not None:
+                # close() of an idle connection would leave it open, with nobody reading it.
+                connection.transport.close()
+
+    def _refuses_streams(self) -> bool:
+        """Tells whether a stream that begins now would be cut off by the stop."""
+        since_ms = self._closing_since_ms
+        return since_ms is not None and self._clock.now_ms() - since_ms > LAST_STREAM_MS
 
     async def _handle(self, incoming: web.BaseRequest) -> web.StreamResponse:
         received_ms = self._clock.now_ms()
-        self.in_flight += 1
+        self._busy.add(incoming.protocol)
         try:
             return await self._answer(incoming, received_ms)
         finally:
-            self.in_flight -= 1
+            self._busy.discard(incoming.protocol)
 
     async def _answer(self, incoming: web.BaseRequest, received_ms: float) -> web.StreamResponse:
         if incoming.headers.get("Expect", "").lower() == "100-continue":
@@ -132,16 +163,14 @@
         sink = _Sink(incoming, lambda: self.closing)
         try:
             reply = await self._forward(request, sink)
-        except StreamBrokenError as error:
+        except ForwardingError as error:
             self._log_failure(request, error)
+            if sink.response is None:
+                return self._error_response(error)
             # Closing without the last chunk tells the caller that the stream is not complete.
             if incoming.transport is not None:
                 incoming.transport.abort()
-            assert sink.response is not None
             return sink.response
-        except ForwardingError as error:
-            self._log_failure(request, error)
-            return self._error_response(error)
         except asyncio.CancelledError:
             log_info(Event.CALLER_GONE, request=request.request_id, after_ms=self._age_ms(request))
             raise
@@ -162,6 +191,8 @@
         service = choose_service(route, self._rng)
         known = index.table.services.get(service)
         if route.kind is RouteKind.STREAM and known is not None and known.engine is not None:
+            if self._refuses_streams():
+                raise OverloadedError("this host is stopping", retry_after_ms=STOPPING_RETRY_MS)
             reply = await self._streams.forward(request, route, service, sink)
         else:
             reply = await self._plain.forward(request, route, service)
--- a/src/medlarvale/forwarding/host.py
+++ b/src/medlarvale/forwarding/host.py
@@ -100,7 +100,7 @@
     async def drain(self) -> None:
         """Stops taking work and waits for requests in flight, within the grace period."""
         started_ms = self.clock.now_ms()
-        self.port.closing = True
+        self.port.begin_closing()
         log_info(Event.HOST_DRAINING, host=self._place.host, in_flight=self.port.in_flight)
         end_ms = started_ms + self._place.grace_ms - STOP_MARGIN_MS
         while True:
--- a/src/medlarvale/forwarding/memory.py
+++ b/src/medlarvale/forwarding/memory.py
@@ -23,12 +23,19 @@
 REFUSED_PAUSE_MS = 60.0
 # Time from a reservation to the first event at an idle deployment: prefill, transfer, first step.
 START_MS = 250.0
-# Requests that wait longer than this would be late in any case and hold up the ones behind them.
-MAX_WAIT_MS = 3_500.0
+# Callers leave a stream without a first event after four times the latency target, but not before
+# 2 s.
+PATIENCE_TARGETS = 4.0
+MIN_PATIENCE_MS = 2_000.0
 # Waiting requests that may be tried after one that does not fit.
 BACKFILL = 2
 
 
+def patience_ms(target_latency_ms: float) -> float:
+    """Returns how long a caller waits for the first event of a stream."""
+    return max(MIN_PATIENCE_MS, PATIENCE_TARGETS * target_latency_ms)
+
+
 class Reservation(msgspec.Struct):
     """Memory reserved at a decode engine.
 
@@ -113,7 +120,7 @@
         if tokens > self._traits().memory_tokens:
             raise OverloadedError("the request is larger than the memory of an engine")
         now_ms = self._context.clock.now_ms()
-        waiter = _Waiter(tokens, now_ms, aim_end_ms, min(end_ms, now_ms + MAX_WAIT_MS))
+        waiter = _Waiter(tokens, now_ms, aim_end_ms, end_ms)
         waiter.excluded = excluded
         self._waiting.append(waiter)
         if self._pump is None or self._pump.done():
--- a/src/medlarvale/forwarding/streams.py
+++ b/src/medlarvale/forwarding/streams.py
@@ -20,7 +20,13 @@
 )
 from medlarvale.forwarding.events import EventSplitter
 from medlarvale.forwarding.interface import BackendAnswer
-from medlarvale.forwarding.memory import MemoryQueue, Reservation, reserved_tokens
+from medlarvale.forwarding.memory import (
+    START_MS,
+    MemoryQueue,
+    Reservation,
+    patience_ms,
+    reserved_tokens,
+)
 from medlarvale.forwarding.messages import (
     ClientRequest,
     Dispatch,
@@ -141,6 +147,10 @@
             except BackendError as error:
                 if not self._may_repeat(error):
                     raise self._final_error(error.message) from error
+            except OverloadedError as error:
+                if self._may_have_run:
+                    raise self._final_error(error.message) from error
+                raise
 
     def _final_error(self, message: str, *, timeout: bool = False) -> Exception:
         if self._started:
@@ -186,9 +196,14 @@
 
     async def _reserve(self) -> Reservation:
         tokens = self._request.tokens or DEFAULT_TOKENS
-        aim_end_ms = self._request.received_ms + self._route.target_latency_ms
+        target_ms = self._route.target_latency_ms
+        received_ms = self._request.received_ms
+        last_start_ms = received_ms + patience_ms(target_ms) - START_MS
         return await self._queue.acquire(
-            reserved_tokens(tokens), aim_end_ms, self._end_ms, frozenset(self._excluded)
+            reserved_tokens(tokens),
+            received_ms + target_ms,
+            min(self._end_ms, last_start_ms),
+            frozenset(self._excluded),
         )
 
     async def _prefill(self, reservation: Reservation) -> PrefillResult | None:
--- a/src/medlarvale/platform/backends.py
+++ b/src/medlarvale/platform/backends.py
@@ -3,12 +3,14 @@
 from __future__ import annotations
 
 import asyncio
+import functools
 import socket
 from collections.abc import AsyncIterator, Mapping
 from typing import Any
 
 import aiohttp
 import msgspec
+from aiohttp.client_proto import ResponseHandler
 from multidict import CIMultiDict
 from yarl import URL
 
@@ -60,16 +62,32 @@
     total_tokens: int = msgspec.field(name="KvTotal")
 
 
+class BackendConnection(ResponseHandler):
+    """Connection that remembers whether it was reset.
+
+    aiohttp takes a reset for the end of a body that has no length.
+    """
+
+    was_reset = False
+
+    def connection_lost(self, exc: BaseException | None) -> None:
+        """Records the reason before the body learns of the end."""
+        self.was_reset = exc is not None
+        super().connection_lost(exc)
+
+
 class RelayedResponse(aiohttp.ClientResponse):
     """Refuses the answer to an earlier request that arrives late on a kept connection."""
 
+    connection_used: BackendConnection
+
     async def start(self, connection: Any) -> aiohttp.ClientResponse:
         """Reads the head of the answer.
 
         Raises:
             aiohttp.ClientPayloadError: if it bears the id of another request.
         """
-        protocol = connection.protocol
+        protocol = self.connection_used = connection.protocol
         await super().start(connection)
         expected = self.request_info.headers.get(names.REQUEST_ID)
         received = self.headers.get(names.REQUEST_ID)
@@ -95,13 +113,15 @@
 
 def new_session() -> aiohttp.ClientSession:
     """Returns a session that sends only the headers given to it and never repeats a request."""
+    connector = aiohttp.TCPConnector(
+        limit=0,
+        keepalive_timeout=IDLE_CONNECTION_S,
+        socket_factory=_socket_factory,
+        use_dns_cache=False,
+    )
+    connector._factory = functools.partial(BackendConnection, loop=asyncio.get_running_loop())
     session = aiohttp.ClientSession(
-        connector=aiohttp.TCPConnector(
-            limit=0,
-            keepalive_timeout=IDLE_CONNECTION_S,
-            socket_factory=_socket_factory,
-            use_dns_cache=False,
-        ),
+        connector=connector,
         auto_decompress=False,
         cookie_jar=aiohttp.DummyCookieJar(),
         skip_auto_headers=("User-Agent", "Accept", "Accept-Encoding", "Content-Type"),
@@ -116,7 +136,7 @@
 class HttpAnswer:
     """Answer of a backend server; see ``BackendAnswer``."""
 
-    def __init__(self, response: aiohttp.ClientResponse) -> None:
+    def __init__(self, response: RelayedResponse) -> None:
         self._response = response
         self.status = response.status
         self.headers: CIMultiDict[str] = names.forwardable(response.headers, frozenset())
@@ -126,9 +146,11 @@
     async def read(self) -> bytes:
         """Returns the whole body."""
         try:
-            return await self._response.read()
+            body = await self._response.read()
         except FAILURES as error:
             raise BackendError(f"the answer ended early: {error!r}") from error
+        self._check_end()
+        return body
 
     async def chunks(self) -> AsyncIterator[bytes]:
         """Yields the body as it arrives."""
@@ -137,6 +159,14 @@
                 yield chunk
         except FAILURES as error:
             raise BackendError(f"the answer ended early: {error!r}") from error
+        self._check_end()
+
+    def _check_end(self) -> None:
+        """Raises BackendError if a body without a length ended with a reset."""
+        headers = self._response.headers
+        framed = "Content-Length" in headers or "Transfer-Encoding" in headers
+        if not framed and self._response.connection_used.was_reset:
+            raise BackendError("the answer ended early: the connection was reset")
 
     def close(self) -> None:
         """Drops the connection unless the body was read to its end."""
@@ -184,11 +214,11 @@
         request: ClientRequest,
         headers: CIMultiDict[str],
         left_ms: float,
-    ) -> aiohttp.ClientResponse:
+    ) -> RelayedResponse:
         url = URL(f"http://{server.address}{request.path}", encoded=True)
         try:
             async with asyncio.timeout(left_ms / 1000.0):
-                return await self._session.request(
+                response = await self._session.request(
                     request.method,
                     url,
                     headers=headers,
@@ -199,6 +229,8 @@
             raise NotSentError(f"server {server.server}: {error!r}") from error
         except FAILURES as error:
             raise BackendError(f"server {server.server}: {error!r}") from error
+        assert isinstance(response, RelayedResponse)
+        return response
 
     async def take_hold(self, server: Server, tokens: int, ttl_ms: float) -> HoldId | None:
         """Reserves a slot and memory; returns None if there is no room."""
