Move engines between prefill and decode by the load on each

Change: hosts find each other over the seeds and tell each other their load; the first host by name of a majority gives orders, after two leases without a pause, with a fencing number above all known ones; the planner moves one engine when the larger relative load falls by 15%.

--- a/src/medlarvale/forwarding/context.py
+++ b/src/medlarvale/forwarding/context.py
@@ -2,7 +2,10 @@
 
 from __future__ import annotations
 
+import asyncio
 import random
+from collections.abc import Coroutine
+from typing import Any
 
 import msgspec
 
@@ -17,6 +20,27 @@
 ANSWER_MARGIN_MS = 20.0
 
 
+class BackgroundTasks:
+    """Holds tasks that nobody waits for, which asyncio alone would not keep alive."""
+
+    def __init__(self) -> None:
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    def start(self, coroutine: Coroutine[Any, Any, None]) -> None:
+        """Starts a task."""
+        task = asyncio.get_running_loop().create_task(coroutine)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def finish(self, timeout_ms: float) -> None:
+        """Waits for the tasks under way, and cancels those that take longer."""
+        if not self._tasks:
+            return
+        _, late = await asyncio.wait(self._tasks, timeout=timeout_ms / 1000.0)
+        for task in late:
+            task.cancel()
+
+
 class RetryLimits(msgspec.Struct, frozen=True):
     """This host's part of the retries of a service.
 
@@ -52,6 +76,7 @@
         self.servers = servers
         self.clock = clock
         self.rng = rng
+        self.background = BackgroundTasks()
         self._retry_limits = retry_limits
         self._budgets: dict[ServiceName, RetryBudget] = {}
 
--- /dev/null
+++ b/src/medlarvale/forwarding/demand.py
@@ -0,0 +1,68 @@
+"""Measures the load that callers put on the engines of a service."""
+
+from __future__ import annotations
+
+import math
+
+from medlarvale.forwarding.fleet_messages import Demand
+
+# Time constant of the arrival rates: longer than a gap between requests, shorter than a burst.
+RATE_TIME_MS = 4_000.0
+# Weight of the newest stream in the mean time that a stream takes.
+TIME_SMOOTHING = 0.05
+# Time that a stream holds its memory, before one has ended: 60 events at about 50 ms.
+FIRST_HOLD_MS = 3_000.0
+# Prefill speed before a prompt was read, and the slowest that is believed.
+FIRST_TOKENS_PER_MS = 40.0
+MIN_TOKENS_PER_MS = 5.0
+# The fastest prefill counts; it fades by this share with each prompt, as engines may change.
+SPEED_FADING = 0.002
+
+
+class _Rate:
+    """Exponentially smoothed sum a second."""
+
+    def __init__(self) -> None:
+        self._value = 0.0
+        self._at_ms = 0.0
+
+    def add(self, amount: float, now_ms: float) -> None:
+        self._value = self.per_s(now_ms) + amount * 1000.0 / RATE_TIME_MS
+        self._at_ms = now_ms
+
+    def per_s(self, now_ms: float) -> float:
+        return self._value * math.exp(-(now_ms - self._at_ms) / RATE_TIME_MS)
+
+
+class DemandMeter:
+    """Load of one service at one host.
+
+    Attributes:
+        tokens_per_ms: prompt tokens that an otherwise idle prefill engine reads in a ms.
+    """
+
+    def __init__(self) -> None:
+        self._prompt = _Rate()
+        self._memory = _Rate()
+        self._hold_ms = FIRST_HOLD_MS
+        self.tokens_per_ms = FIRST_TOKENS_PER_MS
+
+    def note_arrival(self, prompt_tokens: int, memory_tokens: int, now_ms: float) -> None:
+        """Counts a request, whether it is served or not."""
+        self._prompt.add(prompt_tokens, now_ms)
+        self._memory.add(memory_tokens, now_ms)
+
+    def note_prefill(self, prompt_tokens: int, took_ms: float) -> None:
+        """Learns the speed of prefill from a prompt."""
+        speed = max(MIN_TOKENS_PER_MS, prompt_tokens / max(1.0, took_ms))
+        self.tokens_per_ms = max(speed, self.tokens_per_ms * (1.0 - SPEED_FADING))
+
+    def note_hold(self, held_ms: float) -> None:
+        """Learns how long a stream holds its memory."""
+        self._hold_ms += TIME_SMOOTHING * (held_ms - self._hold_ms)
+
+    def demand(self, now_ms: float) -> Demand:
+        """Returns the present load."""
+        return Demand(
+            self._prompt.per_s(now_ms), self._memory.per_s(now_ms) * self._hold_ms / 1000.0
+        )
--- a/src/medlarvale/forwarding/errors.py
+++ b/src/medlarvale/forwarding/errors.py
@@ -79,7 +79,7 @@
     """The backend server says that it has not run the request.
 
     Attributes:
-        full: whether the server has no room; otherwise it is another server or serves another stage.
+        full: whether the server has no room; otherwise it is another one or of another stage.
     """
 
     code = "backend_rejected"
--- a/src/medlarvale/forwarding/follower.py
+++ b/src/medlarvale/forwarding/follower.py
@@ -14,8 +14,8 @@
 from medlarvale.ids import ServerId
 from medlarvale.logs import Event, log_info, log_warning
 
-# A watch over a connection that fell silent has to end well within the 2 s in which a change must be
-# in force.
+# A watch over a connection that fell silent has to end well within the 2 s in which a change must
+# be in force.
 WATCH_WAIT_MS = 2_000
 RETRY_FIRST_MS = 50.0
 RETRY_MAX_MS = 500.0
@@ -28,6 +28,10 @@
     A configuration with a version that is not higher than the known one is passed over, so that a
     stale read never takes a change back.
 
+    Attributes:
+        index: routes of the newest configuration; None before the first.
+        reachable: whether the last call to the source succeeded.
+
     Args:
         source: where both are published.
         servers: filled from the source.
@@ -47,7 +51,7 @@
         self._clock = clock
         self._on_ready = on_ready
         self._task: asyncio.Task[None] | None = None
-        self._reachable = True
+        self.reachable = True
         self.index: RouteIndex | None = None
 
     def start(self) -> None:
@@ -114,9 +118,9 @@
         return changes.revision
 
     def _note_reachable(self, reachable: bool, reason: str) -> None:
-        if reachable == self._reachable:
+        if reachable == self.reachable:
             return
-        self._reachable = reachable
+        self.reachable = reachable
         if reachable:
             log_info(Event.STORE_REGAINED)
         else:
--- a/src/medlarvale/forwarding/front.py
+++ b/src/medlarvale/forwarding/front.py
@@ -91,7 +91,7 @@
         self._decode = decode
         self._clock = clock
         self._rng = rng
-        self._busy: set[web.RequestHandler[web.BaseRequest]] = set()
+        self._busy: set[web.RequestHandler] = set()
         self._server: web.Server | None = None
         self._closing_since_ms: float | None = None
 
@@ -154,7 +154,7 @@
 
     async def _answer(self, incoming: web.BaseRequest, received_ms: float) -> web.StreamResponse:
         if incoming.headers.get("Expect", "").lower() == "100-continue":
-            await incoming.writer.write(b"HTTP/1.1 100 Continue\r\n\r\n")  # type: ignore[attr-defined]
+            await incoming.writer.write(b"HTTP/1.1 100 Continue\r\n\r\n")
         try:
             body = await incoming.read()
         except web.HTTPRequestEntityTooLarge:
@@ -243,5 +243,3 @@
         return web.Response(status=200 if ready() else 503)
 
     return web.Server(handle, access_log=None)
-
-
--- a/src/medlarvale/forwarding/host.py
+++ b/src/medlarvale/forwarding/host.py
@@ -10,16 +10,25 @@
 
 from medlarvale.clock import SystemClock
 from medlarvale.forwarding.context import ForwardingContext, RetryLimits
+from medlarvale.forwarding.fleet import FleetTask, FleetView, fleet_key
+from medlarvale.forwarding.fleet_messages import FLEET_MESSAGES, Hello
 from medlarvale.forwarding.follower import StateFollower
 from medlarvale.forwarding.front import CallerPort, RequestDecoder, build_readiness
 from medlarvale.forwarding.interface import Backends, StateSource
 from medlarvale.forwarding.messages import EngineTraits, HostPlace
+from medlarvale.forwarding.orders import OrderTask
 from medlarvale.forwarding.plain import PlainForwarder
 from medlarvale.forwarding.servers import ServerTable
 from medlarvale.forwarding.streams import StreamForwarder
-from medlarvale.ids import ServiceName
+from medlarvale.ids import ConfigVersion, HostId, HostIdentity, ServiceName, new_incarnation
 from medlarvale.logs import Event, log_info
+from medlarvale.peers.auth import FrameGuard, SharedKeys
+from medlarvale.peers.pynng_transport import PynngTransport
+from medlarvale.peers.transport import MessageCodec
 
+FLEET_KEY_ID = "fleet"
+# Clocks of hosts may step by some seconds.
+CLOCK_BOUND_MS = 5_000
 # Hosts that share the retry budget, before the peers are known.
 ASSUMED_HOSTS = 8
 # A stopping host still takes connections until the balancer has missed two readiness checks.
@@ -59,6 +68,7 @@
             self.follower, PlainForwarder(context), self.streams, decode, self.clock, rng
         )
         self._runners: list[web.ServerRunner] = []
+        self._build_fleet(place, backends)
 
     def _traits(self, service: ServiceName) -> EngineTraits:
         index = self.follower.index
@@ -67,6 +77,53 @@
         assert traits is not None
         return traits
 
+    def _build_fleet(self, place: HostPlace, backends: Backends) -> None:
+        wall_ms = self.clock.wall_ms()
+        identity = HostIdentity(place.host, new_incarnation(wall_ms))
+        keys = SharedKeys({FLEET_KEY_ID: fleet_key([place.platform_address])})
+        own = HostId(place.listen_control)
+        guard = FrameGuard(keys, identity, wall_ms, CLOCK_BOUND_MS, frozenset({own}))
+        self._transport = PynngTransport(
+            identity,
+            f"tcp://{place.listen_control}",
+            guard,
+            MessageCodec(FLEET_MESSAGES),
+            self.clock,
+        )
+        view = FleetView(identity, place.listen_control, place.seed_addresses)
+        self.fleet = FleetTask(view, self._transport, self.clock, self._hello)
+        self.orders = OrderTask(
+            view,
+            backends,
+            self.servers,
+            self._model_services,
+            self.streams.meter,
+            self.clock,
+            place.lease_ms,
+        )
+
+    def _hello(self) -> Hello:
+        index = self.follower.index
+        view = self.fleet.view
+        return Hello(
+            view.identity,
+            view.hosts(),
+            index.table.version if index is not None else ConfigVersion(0),
+            self.follower.reachable,
+            self.streams.demands(),
+            self.orders.highest_fencing,
+        )
+
+    def _model_services(self) -> list[tuple[ServiceName, EngineTraits]]:
+        index = self.follower.index
+        if index is None:
+            return []
+        return [
+            (service.name, service.engine)
+            for service in index.table.services.values()
+            if service.engine is not None
+        ]
+
     def _log_ready(self) -> None:
         log_info(Event.HOST_READY, host=self._place.host)
 
@@ -80,7 +137,10 @@
         Raises:
             OSError: if a port can't be bound.
         """
+        self._transport.start()
         self.follower.start()
+        self.fleet.start()
+        self.orders.start()
         for server, address in (
             (build_readiness(self.ready), self._place.listen_ready),
             (self.port.build(), self._place.listen_caller),
@@ -113,7 +173,9 @@
 
     async def close(self) -> None:
         """Ends all tasks and closes all ports."""
+        await self.orders.close()
         await self.follower.close()
+        await self._transport.close()
         for runner in self._runners:
             for site in list(runner.sites):
                 await site.stop()
--- a/src/medlarvale/forwarding/memory.py
+++ b/src/medlarvale/forwarding/memory.py
@@ -128,9 +128,9 @@
         try:
             return await waiter.future
         except asyncio.CancelledError:
-            if waiter.future.done() and not waiter.future.cancelled():
-                if waiter.future.exception() is None:
-                    self.release(waiter.future.result(), drop_hold=True)
+            future = waiter.future
+            if future.done() and not future.cancelled() and future.exception() is None:
+                self.release(future.result(), drop_hold=True)
             raise
         finally:
             if waiter in self._waiting:
@@ -148,7 +148,7 @@
         self._refused.pop(load.server.server, None)
         self._freed.set()
         if drop_hold and reservation.hold is not None:
-            asyncio.get_running_loop().create_task(self._drop(load, reservation.hold))
+            self._context.background.start(self._drop(load, reservation.hold))
 
     async def _drop(self, load: ServerLoad, hold: HoldId) -> None:
         try:
--- /dev/null
+++ b/src/medlarvale/forwarding/orders.py
@@ -0,0 +1,147 @@
+"""Gives the orders that move engines between prefill and decode; one host of the fleet does."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable
+
+from medlarvale.clock import Clock
+from medlarvale.forwarding.context import BackgroundTasks
+from medlarvale.forwarding.demand import DemandMeter
+from medlarvale.forwarding.errors import BackendError
+from medlarvale.forwarding.fleet import FleetView
+from medlarvale.forwarding.interface import Backends
+from medlarvale.forwarding.messages import EngineStage, EngineTraits, Server
+from medlarvale.forwarding.roles import RolePlanner, choose_donor
+from medlarvale.forwarding.servers import ServerTable
+from medlarvale.hashing import weight
+from medlarvale.ids import ServiceName
+from medlarvale.logs import Event, log_info, log_warning
+
+DECISION_PERIOD_MS = 500.0
+# Giver for this many leases without a pause before the first order: an order of a former giver is
+# older than a lease then, and steps of the clocks have passed.
+WAIT_LEASES = 2.0
+# Fencing numbers are wall-clock times in units of 1/16 s with the host's own bits below them.
+FENCING_UNIT_MS = 62.5
+HOST_BITS = 8
+
+
+def fencing_number(wall_ms: int, host: str, highest: int) -> int:
+    """Returns a number above all known ones that no other host uses.
+
+    Args:
+        highest: largest number that this host gave or heard of.
+    """
+    own = weight("fencing", host) % (1 << HOST_BITS)
+    by_clock = (int(wall_ms / FENCING_UNIT_MS) << HOST_BITS) | own
+    if by_clock > highest:
+        return by_clock
+    return ((highest >> HOST_BITS) + 1) << HOST_BITS | own
+
+
+class OrderTask:
+    """Watches the load of each model service and orders engines to change stage.
+
+    Args:
+        view: the fleet; its first host by name gives the orders.
+        backends: calls to engines.
+        servers: engines and their load.
+        services: returns the model services as configured now.
+        meter: returns the load meter of a service.
+        clock: time service.
+        lease_ms: time within which two hosts must not give orders in turns.
+    """
+
+    def __init__(
+        self,
+        view: FleetView,
+        backends: Backends,
+        servers: ServerTable,
+        services: Callable[[], Iterable[tuple[ServiceName, EngineTraits]]],
+        meter: Callable[[ServiceName], DemandMeter],
+        clock: Clock,
+        lease_ms: float,
+    ) -> None:
+        self._view = view
+        self._backends = backends
+        self._servers = servers
+        self._services = services
+        self._meter = meter
+        self._clock = clock
+        self._wait_ms = WAIT_LEASES * lease_ms
+        self._planners: dict[ServiceName, RolePlanner] = {}
+        self._leading_since_ms: float | None = None
+        self._background = BackgroundTasks()
+        self._ordering = False
+        self.highest_fencing = 0
+
+    def start(self) -> None:
+        """Starts deciding."""
+        self._clock.every_ms(DECISION_PERIOD_MS, self._tick)
+
+    def _tick(self) -> None:
+        now_ms = self._clock.now_ms()
+        for hello in self._view.live(now_ms).values():
+            self.highest_fencing = max(self.highest_fencing, hello.highest_fencing)
+        if not self._view.leads(now_ms):
+            self._leading_since_ms = None
+            return
+        if self._leading_since_ms is None:
+            self._leading_since_ms = now_ms
+        leading_ms = min(now_ms - self._leading_since_ms, self._view.steady_ms(now_ms))
+        if leading_ms < self._wait_ms or self._ordering:
+            return
+        for service, traits in self._services():
+            self._decide(service, traits, now_ms)
+
+    def _decide(self, service: ServiceName, traits: EngineTraits, now_ms: float) -> None:
+        planner = self._planners.setdefault(service, RolePlanner())
+        meter = self._meter(service)
+        engines = [load.server for load in self._servers.of_service(service)]
+        demand = self._view.demand(service, meter.demand(now_ms), now_ms)
+        prefill_per_s = meter.tokens_per_ms * 1000.0
+        stage = planner.decide(engines, demand, prefill_per_s, traits.memory_tokens, now_ms)
+        if stage is None:
+            return
+        in_flight = {load.server.server: load.tokens for load in self._servers.of_service(service)}
+        donor = choose_donor(engines, stage, in_flight)
+        if donor is None:
+            return
+        planner.note_change(now_ms, traits.switch_ms)
+        log_info(
+            Event.STAGE_ORDERED,
+            server=donor.server,
+            stage=stage.value,
+            prompt_tokens_per_s=int(demand.prompt_tokens_per_s),
+            decode_tokens=int(demand.decode_tokens),
+            engines=len(engines),
+        )
+        self._ordering = True
+        self._background.start(self._order(donor, stage))
+
+    async def _order(self, engine: Server, stage: EngineStage) -> None:
+        try:
+            report = await self._backends.report(engine)
+            now_ms = self._clock.now_ms()
+            if report.busy or report.stage is stage or not self._view.leads(now_ms):
+                return
+            self.highest_fencing = fencing_number(
+                self._clock.wall_ms(), self._view.identity.host, self.highest_fencing
+            )
+            accepted = await self._backends.order_stage(
+                engine,
+                stage,
+                self._view.identity.host,
+                self.highest_fencing,
+                report.orders_accepted,
+            )
+            if not accepted:
+                log_warning(Event.ORDER_REFUSED, server=engine.server, stage=stage.value)
+        except BackendError as error:
+            log_warning(Event.ORDER_REFUSED, server=engine.server, error=error.message)
+        finally:
+            self._ordering = False
+
+    async def close(self) -> None:
+        """Gives no more orders."""
+        await self._background.finish(0.0)
--- a/src/medlarvale/forwarding/plain.py
+++ b/src/medlarvale/forwarding/plain.py
@@ -127,7 +127,7 @@
         return done
 
     def _start_attempt(self) -> bool:
-        """Sends the call to the least loaded server not tried yet; returns False if none is left."""
+        """Sends the call to the least loaded server not tried yet; returns whether there is one."""
         context = self._context
         candidates = context.servers.candidates(
             self._service, context.clock.now_ms(), excluded=self._tried
--- a/src/medlarvale/forwarding/servers.py
+++ b/src/medlarvale/forwarding/servers.py
@@ -139,9 +139,13 @@
         ]
         return sound or listed
 
+    def of_service(self, service: ServiceName) -> list[ServerLoad]:
+        """Returns all listed servers of a service."""
+        return [load for load in self._loads.values() if load.server.service == service]
+
     def service_size(self, service: ServiceName) -> int:
         """Returns the number of listed servers of a service."""
-        return sum(load.server.service == service for load in self._loads.values())
+        return len(self.of_service(service))
 
     def order_by_load(self, candidates: list[ServerLoad]) -> list[ServerLoad]:
         """Returns candidates, the least loaded first."""
--- a/src/medlarvale/forwarding/streams.py
+++ b/src/medlarvale/forwarding/streams.py
@@ -9,6 +9,7 @@
 from multidict import CIMultiDict
 
 from medlarvale.forwarding.context import ForwardingContext, end_ms
+from medlarvale.forwarding.demand import DemandMeter
 from medlarvale.forwarding.errors import (
     BackendError,
     NotSentError,
@@ -19,6 +20,7 @@
     StreamBrokenError,
 )
 from medlarvale.forwarding.events import EventSplitter
+from medlarvale.forwarding.fleet_messages import Demand
 from medlarvale.forwarding.interface import BackendAnswer
 from medlarvale.forwarding.memory import (
     START_MS,
@@ -79,6 +81,7 @@
         self.context = context
         self._traits = traits
         self._queues: dict[ServiceName, MemoryQueue] = {}
+        self._meters: dict[ServiceName, DemandMeter] = {}
 
     def queue(self, service: ServiceName) -> MemoryQueue:
         """Returns the queue for the decode memory of a service."""
@@ -88,6 +91,15 @@
             self._queues[service] = queue
         return queue
 
+    def meter(self, service: ServiceName) -> DemandMeter:
+        """Returns the meter of the load on a service."""
+        return self._meters.setdefault(service, DemandMeter())
+
+    def demands(self) -> dict[ServiceName, Demand]:
+        """Returns the load on each service."""
+        now_ms = self.context.clock.now_ms()
+        return {service: meter.demand(now_ms) for service, meter in self._meters.items()}
+
     async def forward(
         self, request: ClientRequest, route: Route, service: ServiceName, sink: StreamSink
     ) -> Reply | None:
@@ -122,6 +134,12 @@
         self._end_ms = end_ms(request, route)
         self._budget = self._context.budget(service)
         self._budget.record_request()
+        self._tokens = request.tokens or DEFAULT_TOKENS
+        self._memory_tokens = reserved_tokens(self._tokens)
+        self._meter = forwarder.meter(service)
+        self._meter.note_arrival(
+            self._tokens.prompt, self._memory_tokens, self._context.clock.now_ms()
+        )
         self._events = EventSplitter(request.resume_after)
         self._excluded: set[ServerId] = set()
         self._started = False
@@ -175,6 +193,7 @@
 
     async def _run_once(self) -> Reply | None:
         reservation = await self._reserve()
+        reserved_ms = self._context.clock.now_ms()
         unused = True
         try:
             source = await self._prefill(reservation)
@@ -193,14 +212,15 @@
                 answer.close()
         finally:
             self._queue.release(reservation, drop_hold=unused)
+            if not unused:
+                self._meter.note_hold(self._context.clock.now_ms() - reserved_ms)
 
     async def _reserve(self) -> Reservation:
-        tokens = self._request.tokens or DEFAULT_TOKENS
         target_ms = self._route.target_latency_ms
         received_ms = self._request.received_ms
         last_start_ms = received_ms + patience_ms(target_ms) - START_MS
         return await self._queue.acquire(
-            reserved_tokens(tokens),
+            self._memory_tokens,
             received_ms + target_ms,
             min(self._end_ms, last_start_ms),
             frozenset(self._excluded),
@@ -209,7 +229,7 @@
     async def _prefill(self, reservation: Reservation) -> PrefillResult | None:
         """Returns where the prompt was read; None lets the decode engine read it itself."""
         context = self._context
-        tokens = (self._request.tokens or DEFAULT_TOKENS).prompt
+        tokens = self._tokens.prompt
         tried: set[ServerId] = set()
         while self._prefills < MAX_PREFILLS:
             candidates = context.servers.candidates(
@@ -224,8 +244,13 @@
             tried.add(load.server.server)
             self._prefills += 1
             load.tokens += tokens
+            alone = load.tokens == tokens
+            sent_ms = context.clock.now_ms()
             try:
-                return await context.backends.prefill(load.server, self._request, self._left_ms())
+                result = await context.backends.prefill(load.server, self._request, self._left_ms())
+                if alone:
+                    self._meter.note_prefill(tokens, context.clock.now_ms() - sent_ms)
+                return result
             except BackendError as error:
                 log_warning(
                     Event.ATTEMPT_FAILED,
@@ -240,9 +265,7 @@
                 load.tokens -= tokens
         return None
 
-    async def _send(
-        self, reservation: Reservation, source: PrefillResult | None
-    ) -> BackendAnswer:
+    async def _send(self, reservation: Reservation, source: PrefillResult | None) -> BackendAnswer:
         load = reservation.load
         dispatch = Dispatch(self._left_ms(), source, reservation.hold, self._events.last_id)
         self._runs += 1
@@ -271,7 +294,7 @@
         self._context.servers.note_failure(load, self._context.clock.now_ms(), error.message)
 
     def _drop_handle(self, source: PrefillResult) -> None:
-        asyncio.get_running_loop().create_task(self._free(source))
+        self._context.background.start(self._free(source))
 
     async def _free(self, source: PrefillResult) -> None:
         try:
--- a/src/medlarvale/logs.py
+++ b/src/medlarvale/logs.py
@@ -52,6 +52,7 @@
     ENGINE_READMITTED = (6002, "engine readmitted")
     ORPHAN_CANCELLED = (6003, "orphaned engine request cancelled")
     STAGE_ORDERED = (6004, "engine ordered to another stage")
+    ORDER_REFUSED = (6005, "order to an engine refused or lost")
     REQUEST_QUARANTINED = (7001, "request quarantined")
     SERVER_LOST = (7002, "backend server lost")
 
--- a/src/medlarvale/peers/auth.py
+++ b/src/medlarvale/peers/auth.py
@@ -153,6 +153,7 @@
         started_wall_ms: start of this incarnation; frames sent before it were meant for an
             earlier one.
         clock_bound_ms: largest difference between two hosts' clocks.
+        aliases: other names of the receiving host, such as its address before its name is known.
     """
 
     def __init__(
@@ -161,9 +162,10 @@
         identity: HostIdentity,
         started_wall_ms: int,
         clock_bound_ms: int = 500,
+        aliases: frozenset[HostId] = frozenset(),
     ) -> None:
         self.keys = keys
-        self._identity = identity
+        self._names = aliases | {identity.host}
         self._oldest_ms = started_wall_ms - clock_bound_ms
         self._decoder = msgspec.msgpack.Decoder(Frame)
         self._incarnations: dict[HostId, Incarnation] = {}
@@ -186,7 +188,7 @@
         return frame
 
     def _check_fresh(self, frame: Frame, wall_ms: int) -> None:
-        if frame.receiver != self._identity.host:
+        if frame.receiver not in self._names:
             raise FrameRejectedError(f"meant for {frame.receiver}")
         if abs(wall_ms - frame.sent_at_ms) > STALE_FRAME_MS or frame.sent_at_ms < self._oldest_ms:
             raise FrameRejectedError("stale frame")
--- a/src/medlarvale/platform/backends.py
+++ b/src/medlarvale/platform/backends.py
@@ -40,7 +40,7 @@
 # at that moment is lost.
 IDLE_CONNECTION_S = 4.0
 
-FAILURES = (aiohttp.ClientError, asyncio.TimeoutError, OSError)
+FAILURES = (TimeoutError, aiohttp.ClientError, OSError)
 
 
 class _HoldFields(msgspec.Struct, rename="pascal"):
@@ -119,7 +119,8 @@
         socket_factory=_socket_factory,
         use_dns_cache=False,
     )
-    connector._factory = functools.partial(BackendConnection, loop=asyncio.get_running_loop())
+    loop = asyncio.get_running_loop()
+    connector._factory = functools.partial(BackendConnection, loop=loop)  # type: ignore[assignment]
     session = aiohttp.ClientSession(
         connector=connector,
         auto_decompress=False,
@@ -179,9 +180,7 @@
     def __init__(self, session: aiohttp.ClientSession) -> None:
         self._session = session
 
-    async def send(
-        self, server: Server, request: ClientRequest, dispatch: Dispatch
-    ) -> HttpAnswer:
+    async def send(self, server: Server, request: ClientRequest, dispatch: Dispatch) -> HttpAnswer:
         """Sends a request and waits for the head of the answer."""
         headers = names.encode_request(request, server.server, dispatch)
         response = await self._request(server, request, headers, dispatch.left_ms)
@@ -290,7 +289,7 @@
         self, server: Server, method: str, path: str, body: Mapping[str, Any] | None
     ) -> tuple[int, bytes]:
         url = URL(f"http://{server.address}{path}", encoded=True)
-        headers = {names.EXPECTED_SERVER: server.server}
+        headers: dict[str, str] = {names.EXPECTED_SERVER: server.server}
         data = None
         if body is not None:
             data = msgspec.json.encode(body)
--- a/src/medlarvale/platform/entries.py
+++ b/src/medlarvale/platform/entries.py
@@ -177,4 +177,3 @@
         fields.cold_left_ms,
         fields.born_ms,
     )
-
--- a/src/medlarvale/platform/incoming.py
+++ b/src/medlarvale/platform/incoming.py
@@ -14,6 +14,4 @@
     Args:
         received_ms: monotonic time at which its head had arrived.
     """
-    return decode_request(
-        incoming.method, incoming.raw_path, incoming.headers, body, received_ms
-    )
+    return decode_request(incoming.method, incoming.raw_path, incoming.headers, body, received_ms)
--- a/src/medlarvale/platform/store.py
+++ b/src/medlarvale/platform/store.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import asyncio
 import binascii
 
 import aiohttp
@@ -120,7 +119,7 @@
                 if response.status != 200:
                     raise PublishedStateError(f"the store answered {response.status}")
                 return await response.read()
-        except (aiohttp.ClientError, asyncio.TimeoutError, OSError) as error:
+        except (TimeoutError, aiohttp.ClientError, OSError) as error:
             raise PublishedStateError(f"the store did not answer: {error!r}") from error
 
 
