Give up silent streams, resume where the memory is, fetch after a lapsed handle

Cause: a dark engine held up all waiting requests for 600 ms a reservation; a stream behind a partition was waited for until its caller left; a prompt was read again after each broken stream and each lapsed handle. Change: reservations take 200 ms at most; a resumable stream is given up after 1.2 s of silence; it goes on first at the engine that ran it, without a prefill; Kv-Fetch after a rejected handle.

--- a/src/medlarvale/forwarding/memory.py
+++ b/src/medlarvale/forwarding/memory.py
@@ -58,6 +58,7 @@
         self.aim_end_ms = aim_end_ms
         self.end_ms = end_ms
         self.excluded: frozenset[ServerId] = frozenset()
+        self.preferred: ServerId | None = None
         self.future: asyncio.Future[Reservation] = asyncio.get_running_loop().create_future()
 
 
@@ -105,6 +106,7 @@
         aim_end_ms: float,
         end_ms: float,
         excluded: frozenset[ServerId] = frozenset(),
+        preferred: ServerId | None = None,
     ) -> Reservation:
         """Waits for memory.
 
@@ -113,6 +115,7 @@
             aim_end_ms: time by which the first event is expected.
             end_ms: time at which the request is given up.
             excluded: engines on which the request must not run.
+            preferred: engine that is asked first, since it keeps the request's KV cache.
 
         Raises:
             OverloadedError: there is no room in time.
@@ -122,6 +125,7 @@
         now_ms = self._context.clock.now_ms()
         waiter = _Waiter(tokens, now_ms, aim_end_ms, end_ms)
         waiter.excluded = excluded
+        waiter.preferred = preferred
         self._waiting.append(waiter)
         if self._pump is None or self._pump.done():
             self._pump = asyncio.get_running_loop().create_task(self._run_pump())
@@ -207,7 +211,7 @@
         candidates = context.servers.candidates(
             self._service, now_ms, stage=EngineStage.DECODE, excluded=waiter.excluded
         )
-        for load in self._order_engines(candidates):
+        for load in self._order_engines(candidates, waiter.preferred):
             refused_ms, refused_tokens = self._refused.get(load.server.server, (-1e9, 0))
             if now_ms - refused_ms < REFUSED_PAUSE_MS and waiter.tokens >= refused_tokens:
                 continue
@@ -216,7 +220,9 @@
                     load.server, waiter.tokens, self._traits().hold_ttl_ms
                 )
             except BackendError as error:
-                context.servers.note_failure(load, context.clock.now_ms(), error.message)
+                context.servers.note_failure(
+                    load, context.clock.now_ms(), error.message, certain=True
+                )
                 continue
             if hold is None:
                 self._refused[load.server.server] = (context.clock.now_ms(), waiter.tokens)
@@ -226,10 +232,13 @@
             return Reservation(load, waiter.tokens, hold)
         return None
 
-    def _order_engines(self, candidates: list[ServerLoad]) -> list[ServerLoad]:
+    def _order_engines(
+        self, candidates: list[ServerLoad], preferred: ServerId | None
+    ) -> list[ServerLoad]:
         memory = self._traits().memory_tokens
 
-        def cost(load: ServerLoad) -> tuple[float, float]:
-            return load.tokens / memory, self._context.rng.random()
+        def cost(load: ServerLoad) -> tuple[bool, float, float]:
+            other = load.server.server != preferred
+            return other, load.tokens / memory, self._context.rng.random()
 
         return sorted(candidates, key=cost)
--- a/src/medlarvale/forwarding/messages.py
+++ b/src/medlarvale/forwarding/messages.py
@@ -204,12 +204,14 @@
     Attributes:
         left_ms: time until the server is to give up.
         source: where the KV cache of the prompt lies.
+        fetch_from: engine that may still keep the KV cache, without a handle.
         hold: reserved memory at the server.
         resume_after: number of the last event that the caller has.
     """
 
     left_ms: float
     source: PrefillResult | None = None
+    fetch_from: Server | None = None
     hold: HoldId | None = None
     resume_after: int | None = None
 
--- a/src/medlarvale/forwarding/servers.py
+++ b/src/medlarvale/forwarding/servers.py
@@ -27,6 +27,7 @@
         in_flight: requests of this host that run there.
         tokens: KV cache that this host's requests take there, in tokens.
         error_share: smoothed share of answers that are failures.
+        paused_until_ms: time before which it gets no new work, after it rejected some.
         missing_since_ms: when its entry was first found missing; None while it is listed.
     """
 
@@ -36,6 +37,7 @@
         self.tokens = 0
         self.error_share = 0.0
         self.missing_since_ms: float | None = None
+        self.paused_until_ms = 0.0
 
     def note_answer(self, failed: bool) -> None:
         """Takes an answer into the share of failures."""
@@ -132,6 +134,7 @@
             if load.server.service == service
             and load.server.state is ServerState.READY
             and load.server.stage is stage
+            and load.paused_until_ms <= now_ms
             and load.server.server not in excluded
         ]
         sound = [
@@ -160,9 +163,15 @@
 
         return sorted(candidates, key=cost)
 
-    def note_failure(self, load: ServerLoad, now_ms: float, reason: str) -> None:
-        """Counts a failed connection or lost answer against a server."""
+    def note_failure(
+        self, load: ServerLoad, now_ms: float, reason: str, *, certain: bool = False
+    ) -> None:
+        """Counts a failed connection or lost answer against a server.
+
+        Args:
+            certain: the failure alone shows that the server can't be used.
+        """
         server = load.server
         size = self.service_size(server.service)
-        if self.health.record_failure(server.server, now_ms, size):
+        if self.health.record_failure(server.server, now_ms, size, certain=certain):
             log_warning(Event.ENGINE_EJECTED, server=server.server, reason=reason)
--- a/src/medlarvale/forwarding/streams.py
+++ b/src/medlarvale/forwarding/streams.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import AsyncIterator, Callable
 from typing import Protocol
 
 from multidict import CIMultiDict
@@ -36,6 +36,7 @@
     EngineTraits,
     PrefillResult,
     Route,
+    Server,
     TokenCounts,
 )
 from medlarvale.forwarding.plain import Reply
@@ -50,6 +51,10 @@
 # Rejected sends of one run, after which the request is refused as not run.
 MAX_REJECTIONS = 3
 REJECTED_RETRY_AFTER_MS = 1_000
+# An engine that rejects a prompt is switching its stage or gone; the list tells soon.
+REJECTED_PAUSE_MS = 1_000.0
+# A stream that is silent for this long is lost: events come every 50 to 100 ms.
+SILENCE_MS = 1_200.0
 
 
 class StreamSink(Protocol):
@@ -145,6 +150,9 @@
         self._started = False
         self._may_have_run = False
         self._runs = 0
+        # Engine that broke off, but may still keep the KV cache of this request.
+        self._keeper: ServerId | None = None
+        self._fetch_from: Server | None = None
         self._rejections = 0
         self._prefills = 0
 
@@ -188,8 +196,7 @@
         if isinstance(error, NotSentError | RejectedError):
             self._rejections += 1
             return self._rejections < MAX_REJECTIONS and self._budget.take_retry()
-        resumable = self._route.resumable and self._runs < self._route.max_attempts
-        return resumable and self._budget.take_retry()
+        return self._can_resume() and self._budget.take_retry()
 
     async def _run_once(self) -> Reply | None:
         reservation = await self._reserve()
@@ -224,10 +231,13 @@
             received_ms + target_ms,
             min(self._end_ms, last_start_ms),
             frozenset(self._excluded),
+            self._keeper,
         )
 
     async def _prefill(self, reservation: Reservation) -> PrefillResult | None:
         """Returns where the prompt was read; None lets the decode engine read it itself."""
+        if self._fetch_from is not None or reservation.load.server.server == self._keeper:
+            return None
         context = self._context
         tokens = self._tokens.prompt
         tried: set[ServerId] = set()
@@ -259,15 +269,22 @@
                     stage=EngineStage.PREFILL.value,
                     error=str(error),
                 )
-                if not isinstance(error, RejectedError):
-                    context.servers.note_failure(load, context.clock.now_ms(), error.message)
+                if isinstance(error, RejectedError):
+                    load.paused_until_ms = context.clock.now_ms() + REJECTED_PAUSE_MS
+                else:
+                    context.servers.note_failure(
+                        load, context.clock.now_ms(), error.message, certain=True
+                    )
             finally:
                 load.tokens -= tokens
         return None
 
     async def _send(self, reservation: Reservation, source: PrefillResult | None) -> BackendAnswer:
         load = reservation.load
-        dispatch = Dispatch(self._left_ms(), source, reservation.hold, self._events.last_id)
+        dispatch = Dispatch(
+            self._left_ms(), source, self._fetch_from, reservation.hold, self._events.last_id
+        )
+        self._fetch_from = None
         self._runs += 1
         try:
             answer = await self._context.backends.send(load.server, self._request, dispatch)
@@ -275,6 +292,11 @@
             self._runs -= 1
             if isinstance(error, NotSentError):
                 self._note_failure(load, error)
+            elif not error.full:
+                load.paused_until_ms = self._context.clock.now_ms() + REJECTED_PAUSE_MS
+            elif source is not None:
+                # With reserved memory, only the transfer can have failed.
+                self._fetch_from = source.server
             raise
         except BackendError as error:
             self._may_have_run = True
@@ -312,10 +334,11 @@
             return Reply(answer.status, answer.headers, body, load.server.server)
         self._events.rest = b""
         try:
-            async for chunk in answer.chunks():
+            async for chunk in self._watched(answer):
                 await self._pass_on(answer, self._events.feed(chunk))
         except BackendError as error:
-            self._note_failure(load, error)
+            self._keeper = load.server.server
+            self._context.servers.note_failure(load, self._context.clock.now_ms(), error.message)
             raise
         await self._pass_on(answer, self._events.rest)
         if not self._started:
@@ -323,6 +346,23 @@
         await self._sink.finish()
         return None
 
+    async def _watched(self, answer: BackendAnswer) -> AsyncIterator[bytes]:
+        """Yields the body; a stream that can go on elsewhere is given up when it falls silent."""
+        chunks = aiter(answer.chunks())
+        limit_s = SILENCE_MS / 1000.0 if self._can_resume() else None
+        while True:
+            try:
+                async with asyncio.timeout(limit_s):
+                    chunk = await anext(chunks)
+            except StopAsyncIteration:
+                return
+            except TimeoutError as error:
+                raise BackendError("the stream fell silent") from error
+            yield chunk
+
+    def _can_resume(self) -> bool:
+        return self._route.resumable and self._runs < self._route.max_attempts
+
     async def _pass_on(self, answer: BackendAnswer, data: bytes) -> None:
         if not data:
             return
--- a/src/medlarvale/platform/backends.py
+++ b/src/medlarvale/platform/backends.py
@@ -30,12 +30,14 @@
 # Ten round trips between failure domains; a machine without power answers nothing.
 CONNECT_TIMEOUT_MS = 400
 # Unacknowledged data for this long means that the machine or the path is gone.
-UNACKNOWLEDGED_LIMIT_MS = 1_500
+UNACKNOWLEDGED_LIMIT_MS = 800
 KEEPALIVE_IDLE_S = 2
 KEEPALIVE_INTERVAL_S = 1
 KEEPALIVE_PROBES = 2
-# Short calls: holds, handles, orders, reports.
+# Short calls: handles, orders, reports.
 CALL_TIMEOUT_MS = 600
+# Engines answer a reservation without work; requests wait behind one that takes longer.
+HOLD_TIMEOUT_MS = 200
 # Idle connections are closed by this side first: a request on a connection that its server closes
 # at that moment is lost.
 IDLE_CONNECTION_S = 4.0
@@ -234,7 +236,11 @@
     async def take_hold(self, server: Server, tokens: int, ttl_ms: float) -> HoldId | None:
         """Reserves a slot and memory; returns None if there is no room."""
         status, body = await self._call(
-            server, "POST", "/hold-take", {"Tokens": tokens, "TtlMs": int(ttl_ms)}
+            server,
+            "POST",
+            "/hold-take",
+            {"Tokens": tokens, "TtlMs": int(ttl_ms)},
+            timeout_ms=HOLD_TIMEOUT_MS,
         )
         if status != 200:
             return None
@@ -286,7 +292,12 @@
         return status in (200, 202)
 
     async def _call(
-        self, server: Server, method: str, path: str, body: Mapping[str, Any] | None
+        self,
+        server: Server,
+        method: str,
+        path: str,
+        body: Mapping[str, Any] | None,
+        timeout_ms: int = CALL_TIMEOUT_MS,
     ) -> tuple[int, bytes]:
         url = URL(f"http://{server.address}{path}", encoded=True)
         headers: dict[str, str] = {names.EXPECTED_SERVER: server.server}
@@ -295,7 +306,7 @@
             data = msgspec.json.encode(body)
             headers["Content-Type"] = "application/json"
         timeout = aiohttp.ClientTimeout(
-            total=CALL_TIMEOUT_MS / 1000.0, sock_connect=CONNECT_TIMEOUT_MS / 1000.0
+            total=timeout_ms / 1000.0, sock_connect=CONNECT_TIMEOUT_MS / 1000.0
         )
         try:
             async with self._session.request(
--- a/src/medlarvale/platform/headers.py
+++ b/src/medlarvale/platform/headers.py
@@ -17,6 +17,8 @@
 # "IP:PORT/HANDLE" of the engine that read the prompt.
 KV_SOURCE = "X-Kv-Source"
 KV_HOLD = "X-Kv-Hold"
+# "IP:PORT" of an engine that may keep parts of the prompt.
+KV_FETCH = "Kv-Fetch"
 # Prompt tokens and the largest number of output tokens, in one value.
 TOKEN_COUNTS = "X-Token-Counts"
 LENGTH_HINT = "X-Length-Hint"
@@ -35,7 +37,7 @@
         "X-Expected-Version",
         "X-Pin-Ms",
         "X-Kv-Backup",
-        "Kv-Fetch",
+        KV_FETCH,
     )
 )
 # RFC 9110, section 7.6.1, and the framing headers that each hop writes itself.
@@ -124,6 +126,8 @@
     if dispatch.source is not None:
         source = dispatch.source
         headers[KV_SOURCE] = f"{source.server.address}/{source.handle}"
+    if dispatch.fetch_from is not None:
+        headers[KV_FETCH] = dispatch.fetch_from.address
     if dispatch.hold is not None:
         headers[KV_HOLD] = dispatch.hold
     if dispatch.resume_after is not None:
