Check that a reserved engine still takes work; see the backlog of prefill engines

Change: the engine's state is checked again before the send; the wait seen by each prompt counts, and a decode engine reads the prompt itself when the wait is long; demand is smoothed over 12 s.

--- a/src/medlarvale/forwarding/demand.py
+++ b/src/medlarvale/forwarding/demand.py
@@ -6,8 +6,10 @@
 
 from medlarvale.forwarding.fleet_messages import Demand
 
-# Time constant of the arrival rates: longer than a gap between requests, shorter than a burst.
-RATE_TIME_MS = 4_000.0
+# Time constant of the arrival rates: longer than a burst, which is over before a switch is.
+RATE_TIME_MS = 12_000.0
+# Shorter measurements say nothing yet.
+MIN_MEASURED_MS = 2_000.0
 # Weight of the newest stream in the mean time that a stream takes.
 TIME_SMOOTHING = 0.05
 # Time that a stream holds its memory, before one has ended: 60 events at about 50 ms.
@@ -20,18 +22,28 @@
 
 
 class _Rate:
-    """Exponentially smoothed sum a second."""
+    """Exponentially weighted sum a second, over the time since the first arrival."""
 
     def __init__(self) -> None:
-        self._value = 0.0
+        self._sum = 0.0
         self._at_ms = 0.0
+        self._since_ms: float | None = None
 
     def add(self, amount: float, now_ms: float) -> None:
-        self._value = self.per_s(now_ms) + amount * 1000.0 / RATE_TIME_MS
+        if self._since_ms is None:
+            self._since_ms = now_ms
+        self._sum = self._faded(now_ms) + amount
         self._at_ms = now_ms
 
+    def _faded(self, now_ms: float) -> float:
+        return self._sum * math.exp(-(now_ms - self._at_ms) / RATE_TIME_MS)
+
     def per_s(self, now_ms: float) -> float:
-        return self._value * math.exp(-(now_ms - self._at_ms) / RATE_TIME_MS)
+        if self._since_ms is None:
+            return 0.0
+        measured_ms = max(MIN_MEASURED_MS, now_ms - self._since_ms)
+        weight_ms = RATE_TIME_MS * (1.0 - math.exp(-measured_ms / RATE_TIME_MS))
+        return self._faded(now_ms) * 1000.0 / weight_ms
 
 
 class DemandMeter:
--- a/src/medlarvale/forwarding/servers.py
+++ b/src/medlarvale/forwarding/servers.py
@@ -14,6 +14,8 @@
 MISSING_GRACE_MS = 2_200.0
 # Load that a server of another failure domain must have less to be preferred: its bytes cost more.
 REMOTE_PENALTY = 0.2
+# An engine that was overloaded by a burst has worked its queue off in about a second.
+BACKLOG_HALF_LIFE_MS = 500.0
 # Weight of the newest answer in the share of failed answers.
 ERROR_SMOOTHING = 0.1
 # Load that a share of failed answers of 1 above the best server's counts as.
@@ -38,6 +40,18 @@
         self.error_share = 0.0
         self.missing_since_ms: float | None = None
         self.paused_until_ms = 0.0
+        self._backlog_ms = 0.0
+        self._backlog_at_ms = 0.0
+
+    def note_backlog(self, backlog_ms: float, now_ms: float) -> None:
+        """Takes over how long a prompt had to wait for those of all hosts before it."""
+        self._backlog_ms = (self.backlog_ms(now_ms) + backlog_ms) / 2.0
+        self._backlog_at_ms = now_ms
+
+    def backlog_ms(self, now_ms: float) -> float:
+        """Returns how long a new prompt is expected to wait for others."""
+        age = (now_ms - self._backlog_at_ms) / BACKLOG_HALF_LIFE_MS
+        return self._backlog_ms * 0.5**age
 
     def note_answer(self, failed: bool) -> None:
         """Takes an answer into the share of failures."""
@@ -142,6 +156,11 @@
         ]
         return sound or listed
 
+    def takes_work(self, load: ServerLoad) -> bool:
+        """Tells whether a server is still listed and not leaving."""
+        known = self._loads.get(load.server.server)
+        return known is load and load.server.state is ServerState.READY
+
     def of_service(self, service: ServiceName) -> list[ServerLoad]:
         """Returns all listed servers of a service."""
         return [load for load in self._loads.values() if load.server.service == service]
--- a/src/medlarvale/forwarding/streams.py
+++ b/src/medlarvale/forwarding/streams.py
@@ -53,6 +53,10 @@
 REJECTED_RETRY_AFTER_MS = 1_000
 # An engine that rejects a prompt is switching its stage or gone; the list tells soon.
 REJECTED_PAUSE_MS = 1_000.0
+# Share of a prefill engine's speed at which a decode engine reads a prompt itself.
+DECODE_PREFILL_SPEED = 0.5
+# Extra wait for a prefill engine that is better than slowing the streams of a decode engine down.
+OVERFLOW_WAIT_MS = 300.0
 # A stream that is silent for this long is lost: events come every 50 to 100 ms.
 SILENCE_MS = 1_200.0
 
@@ -205,6 +209,8 @@
         try:
             source = await self._prefill(reservation)
             try:
+                if not self._context.servers.takes_work(reservation.load):
+                    raise RejectedError("the engine began to leave", full=False)
                 answer = await self._send(reservation, source)
                 unused = False
             except BaseException as error:
@@ -242,43 +248,63 @@
         tokens = self._tokens.prompt
         tried: set[ServerId] = set()
         while self._prefills < MAX_PREFILLS:
-            candidates = context.servers.candidates(
-                self._service,
-                context.clock.now_ms(),
-                stage=EngineStage.PREFILL,
-                excluded=tried,
-            )
-            if not candidates or (self._prefills and not self._budget.take_retry()):
+            load = self._choose_prefill(tried)
+            if load is None or (self._prefills and not self._budget.take_retry()):
                 break
-            load = min(candidates, key=lambda load: (load.tokens, context.rng.random()))
             tried.add(load.server.server)
             self._prefills += 1
             load.tokens += tokens
-            alone = load.tokens == tokens
             sent_ms = context.clock.now_ms()
             try:
                 result = await context.backends.prefill(load.server, self._request, self._left_ms())
-                if alone:
-                    self._meter.note_prefill(tokens, context.clock.now_ms() - sent_ms)
+                self._note_prefill(load, context.clock.now_ms() - sent_ms)
                 return result
             except BackendError as error:
-                log_warning(
-                    Event.ATTEMPT_FAILED,
-                    request=self._request.request_id,
-                    server=load.server.server,
-                    stage=EngineStage.PREFILL.value,
-                    error=str(error),
-                )
-                if isinstance(error, RejectedError):
-                    load.paused_until_ms = context.clock.now_ms() + REJECTED_PAUSE_MS
-                else:
-                    context.servers.note_failure(
-                        load, context.clock.now_ms(), error.message, certain=True
-                    )
+                self._note_prefill_failure(load, error)
             finally:
                 load.tokens -= tokens
         return None
 
+    def _choose_prefill(self, tried: set[ServerId]) -> ServerLoad | None:
+        """Returns the engine that reads the prompt first; None if the decode engine itself does."""
+        context, now_ms = self._context, self._context.clock.now_ms()
+        candidates = context.servers.candidates(
+            self._service, now_ms, stage=EngineStage.PREFILL, excluded=tried
+        )
+        speed = self._meter.tokens_per_ms
+
+        def wait_ms(load: ServerLoad) -> float:
+            return max(load.tokens / speed, load.backlog_ms(now_ms))
+
+        best = min(candidates, key=lambda load: (wait_ms(load), context.rng.random()), default=None)
+        if best is None:
+            return None
+        prefill_ms = self._tokens.prompt / speed
+        if wait_ms(best) > OVERFLOW_WAIT_MS + prefill_ms * (1.0 / DECODE_PREFILL_SPEED - 1.0):
+            return None
+        return best
+
+    def _note_prefill(self, load: ServerLoad, took_ms: float) -> None:
+        tokens = self._tokens.prompt
+        if load.tokens == tokens:
+            self._meter.note_prefill(tokens, took_ms)
+        backlog_ms = max(0.0, took_ms - tokens / self._meter.tokens_per_ms)
+        load.note_backlog(backlog_ms, self._context.clock.now_ms())
+
+    def _note_prefill_failure(self, load: ServerLoad, error: BackendError) -> None:
+        now_ms = self._context.clock.now_ms()
+        log_warning(
+            Event.ATTEMPT_FAILED,
+            request=self._request.request_id,
+            server=load.server.server,
+            stage=EngineStage.PREFILL.value,
+            error=str(error),
+        )
+        if isinstance(error, RejectedError):
+            load.paused_until_ms = now_ms + REJECTED_PAUSE_MS
+        else:
+            self._context.servers.note_failure(load, now_ms, error.message, certain=True)
+
     async def _send(self, reservation: Reservation, source: PrefillResult | None) -> BackendAnswer:
         load = reservation.load
         dispatch = Dispatch(
