Serve the shortest answer first; pause failing servers for growing times

Change: among requests that can be in time the shortest expected answer goes first; pauses of 0.2 to 3 s replace ejections; broken streams go first, until their callers would leave.

--- a/src/medlarvale/forwarding/memory.py
+++ b/src/medlarvale/forwarding/memory.py
@@ -10,7 +10,7 @@
 from medlarvale.forwarding.context import ForwardingContext
 from medlarvale.forwarding.errors import BackendError, OverloadedError
 from medlarvale.forwarding.messages import EngineStage, EngineTraits, HoldId, TokenCounts
-from medlarvale.forwarding.servers import ServerLoad
+from medlarvale.forwarding.servers import ERROR_PENALTY, ServerLoad
 from medlarvale.ids import ServerId, ServiceName
 from medlarvale.logs import Event, log_warning
 
@@ -49,33 +49,56 @@
     hold: HoldId | None
 
 
+class MemoryRequest(msgspec.Struct, frozen=True):
+    """What a request needs of a decode engine.
+
+    Attributes:
+        tokens: size in tokens.
+        output_tokens: expected part of them that is still to be produced.
+        aim_end_ms: time by which the first event is expected.
+        end_ms: time at which the request is given up.
+        excluded: engines on which the request must not run.
+        preferred: engine that is asked first, since it keeps the request's KV cache.
+        urgent: whether its caller has a part of the stream and waits for the next event.
+    """
+
+    tokens: int
+    output_tokens: int
+    aim_end_ms: float
+    end_ms: float
+    excluded: frozenset[ServerId] = frozenset()
+    preferred: ServerId | None = None
+    urgent: bool = False
+
+
 class _Waiter:
     """A request that waits for memory."""
 
-    def __init__(self, tokens: int, since_ms: float, aim_end_ms: float, end_ms: float) -> None:
-        self.tokens = tokens
+    def __init__(self, request: MemoryRequest, since_ms: float) -> None:
+        self.request = request
         self.since_ms = since_ms
-        self.aim_end_ms = aim_end_ms
-        self.end_ms = end_ms
-        self.excluded: frozenset[ServerId] = frozenset()
-        self.preferred: ServerId | None = None
         self.future: asyncio.Future[Reservation] = asyncio.get_running_loop().create_future()
 
 
+def expected_output(tokens: TokenCounts) -> int:
+    """Returns the output tokens for which memory is reserved."""
+    if tokens.output_hint is None:
+        return tokens.max_output
+    return min(tokens.max_output, max(MIN_OUTPUT_TOKENS, int(tokens.output_hint * HINT_MARGIN)))
+
+
 def reserved_tokens(tokens: TokenCounts) -> int:
     """Returns the memory that a request is expected to take, in whole blocks."""
-    output = tokens.max_output
-    if tokens.output_hint is not None:
-        output = min(output, max(MIN_OUTPUT_TOKENS, int(tokens.output_hint * HINT_MARGIN)))
-    blocks = -(-(tokens.prompt + output) // BLOCK_TOKENS)
+    blocks = -(-(tokens.prompt + expected_output(tokens)) // BLOCK_TOKENS)
     return blocks * BLOCK_TOKENS
 
 
 class MemoryQueue:
     """Gives decode memory of one service to requests in an order that serves most in time.
 
-    Requests that can still meet their latency target go first, the oldest of them first; those that
-    can't any more take what is left.
+    Requests that can still meet their latency target go first, and those that can't any more take
+    what is left. Among each, short answers go first: they hold memory for the shortest time, so
+    most callers are served (shortest job first).
 
     Args:
         context: calls, servers and time.
@@ -100,32 +123,15 @@
     def __len__(self) -> int:
         return len(self._waiting)
 
-    async def acquire(
-        self,
-        tokens: int,
-        aim_end_ms: float,
-        end_ms: float,
-        excluded: frozenset[ServerId] = frozenset(),
-        preferred: ServerId | None = None,
-    ) -> Reservation:
+    async def acquire(self, request: MemoryRequest) -> Reservation:
         """Waits for memory.
 
-        Args:
-            tokens: size in tokens.
-            aim_end_ms: time by which the first event is expected.
-            end_ms: time at which the request is given up.
-            excluded: engines on which the request must not run.
-            preferred: engine that is asked first, since it keeps the request's KV cache.
-
         Raises:
             OverloadedError: there is no room in time.
         """
-        if tokens > self._traits().memory_tokens:
+        if request.tokens > self._traits().memory_tokens:
             raise OverloadedError("the request is larger than the memory of an engine")
-        now_ms = self._context.clock.now_ms()
-        waiter = _Waiter(tokens, now_ms, aim_end_ms, end_ms)
-        waiter.excluded = excluded
-        waiter.preferred = preferred
+        waiter = _Waiter(request, self._context.clock.now_ms())
         self._waiting.append(waiter)
         if self._pump is None or self._pump.done():
             self._pump = asyncio.get_running_loop().create_task(self._run_pump())
@@ -180,14 +186,15 @@
     def _order(self) -> list[_Waiter]:
         latest_ms = self._context.clock.now_ms() + START_MS
 
-        def rank(waiter: _Waiter) -> tuple[bool, float]:
-            return waiter.aim_end_ms < latest_ms, waiter.since_ms
+        def rank(waiter: _Waiter) -> tuple[bool, bool, float]:
+            request = waiter.request
+            return not request.urgent, request.aim_end_ms < latest_ms, request.output_tokens
 
         return sorted(self._waiting, key=rank)
 
     def _expire(self) -> None:
         now_ms = self._context.clock.now_ms()
-        for waiter in [waiting for waiting in self._waiting if waiting.end_ms <= now_ms]:
+        for waiter in [waiting for waiting in self._waiting if waiting.request.end_ms <= now_ms]:
             self._waiting.remove(waiter)
             if not waiter.future.done():
                 waiter.future.set_exception(
@@ -208,28 +215,28 @@
 
     async def _reserve(self, waiter: _Waiter) -> Reservation | None:
         context, now_ms = self._context, self._context.clock.now_ms()
+        request = waiter.request
         candidates = context.servers.candidates(
-            self._service, now_ms, stage=EngineStage.DECODE, excluded=waiter.excluded
+            self._service, now_ms, stage=EngineStage.DECODE, excluded=request.excluded
         )
-        for load in self._order_engines(candidates, waiter.preferred):
+        for load in self._order_engines(candidates, request.preferred):
             refused_ms, refused_tokens = self._refused.get(load.server.server, (-1e9, 0))
-            if now_ms - refused_ms < REFUSED_PAUSE_MS and waiter.tokens >= refused_tokens:
+            if now_ms - refused_ms < REFUSED_PAUSE_MS and request.tokens >= refused_tokens:
                 continue
             try:
                 hold = await context.backends.take_hold(
-                    load.server, waiter.tokens, self._traits().hold_ttl_ms
+                    load.server, request.tokens, self._traits().hold_ttl_ms
                 )
             except BackendError as error:
-                context.servers.note_failure(
-                    load, context.clock.now_ms(), error.message, certain=True
-                )
+                context.servers.note_failure(load, context.clock.now_ms(), error.message)
                 continue
+            load.note_success()
             if hold is None:
-                self._refused[load.server.server] = (context.clock.now_ms(), waiter.tokens)
+                self._refused[load.server.server] = (context.clock.now_ms(), request.tokens)
                 continue
-            load.tokens += waiter.tokens
+            load.tokens += request.tokens
             load.in_flight += 1
-            return Reservation(load, waiter.tokens, hold)
+            return Reservation(load, request.tokens, hold)
         return None
 
     def _order_engines(
@@ -237,8 +244,11 @@
     ) -> list[ServerLoad]:
         memory = self._traits().memory_tokens
 
+        best_error = min((load.error_share for load in candidates), default=0.0)
+
         def cost(load: ServerLoad) -> tuple[bool, float, float]:
             other = load.server.server != preferred
-            return other, load.tokens / memory, self._context.rng.random()
+            share = load.tokens / memory + ERROR_PENALTY * (load.error_share - best_error)
+            return other, share, self._context.rng.random()
 
         return sorted(candidates, key=cost)
--- a/src/medlarvale/forwarding/plain.py
+++ b/src/medlarvale/forwarding/plain.py
@@ -202,6 +202,7 @@
 
     def _judge(self, reply: Reply, load: ServerLoad) -> Reply | None:
         failed = reply.status >= 500
+        load.note_success()
         load.note_answer(failed)
         if not failed or not self._repeatable():
             return reply
--- /dev/null
+++ b/src/medlarvale/forwarding/prefill.py
@@ -0,0 +1,113 @@
+"""Has the prompt of a request read at the prefill engine that will be done first."""
+
+from __future__ import annotations
+
+from medlarvale.forwarding.context import ForwardingContext
+from medlarvale.forwarding.demand import DemandMeter
+from medlarvale.forwarding.errors import BackendError, RejectedError
+from medlarvale.forwarding.messages import ClientRequest, EngineStage, PrefillResult
+from medlarvale.forwarding.servers import ServerLoad
+from medlarvale.ids import ServerId, ServiceName
+from medlarvale.logs import Event, log_warning
+
+# Prefill engines that are asked for one prompt, the first included.
+MAX_PREFILLS = 2
+# An engine that rejects a prompt is switching its stage or gone; the list tells soon.
+REJECTED_PAUSE_MS = 1_000.0
+# Share of a prefill engine's speed at which a decode engine reads a prompt itself.
+DECODE_PREFILL_SPEED = 0.5
+# Extra wait for a prefill engine that is better than slowing the streams of a decode engine down.
+OVERFLOW_WAIT_MS = 300.0
+
+
+class PromptReader:
+    """Reads the prompt of one request, again if an engine is lost.
+
+    Args:
+        context: calls, servers and time.
+        request: the request.
+        service: its service.
+        tokens: prompt tokens.
+        meter: load and prefill speed of the service.
+    """
+
+    def __init__(
+        self,
+        context: ForwardingContext,
+        request: ClientRequest,
+        service: ServiceName,
+        tokens: int,
+        meter: DemandMeter,
+    ) -> None:
+        self._context = context
+        self._request = request
+        self._service = service
+        self._tokens = tokens
+        self._meter = meter
+        self._budget = context.budget(service)
+        self._calls = 0
+
+    async def read(self, end_ms: float) -> PrefillResult | None:
+        """Returns where the prompt was read; None lets the decode engine read it itself.
+
+        Args:
+            end_ms: monotonic time at which the request ends.
+        """
+        clock = self._context.clock
+        tried: set[ServerId] = set()
+        while self._calls < MAX_PREFILLS:
+            load = self._choose(tried)
+            if load is None or (self._calls and not self._budget.take_retry()):
+                break
+            tried.add(load.server.server)
+            self._calls += 1
+            load.tokens += self._tokens
+            sent_ms = clock.now_ms()
+            try:
+                result = await self._context.backends.prefill(
+                    load.server, self._request, end_ms - sent_ms
+                )
+                self._note_success(load, clock.now_ms() - sent_ms)
+                return result
+            except BackendError as error:
+                self._note_failure(load, error)
+            finally:
+                load.tokens -= self._tokens
+        return None
+
+    def _choose(self, tried: set[ServerId]) -> ServerLoad | None:
+        context, now_ms = self._context, self._context.clock.now_ms()
+        candidates = context.servers.candidates(
+            self._service, now_ms, stage=EngineStage.PREFILL, excluded=tried
+        )
+        speed = self._meter.tokens_per_ms
+
+        def wait_ms(load: ServerLoad) -> float:
+            return max(load.tokens / speed, load.backlog_ms(now_ms))
+
+        best = min(candidates, key=lambda load: (wait_ms(load), context.rng.random()), default=None)
+        if best is None:
+            return None
+        slower_ms = self._tokens / speed * (1.0 / DECODE_PREFILL_SPEED - 1.0)
+        return best if wait_ms(best) <= OVERFLOW_WAIT_MS + slower_ms else None
+
+    def _note_success(self, load: ServerLoad, took_ms: float) -> None:
+        load.note_success()
+        if load.tokens == self._tokens:
+            self._meter.note_prefill(self._tokens, took_ms)
+        backlog_ms = max(0.0, took_ms - self._tokens / self._meter.tokens_per_ms)
+        load.note_backlog(backlog_ms, self._context.clock.now_ms())
+
+    def _note_failure(self, load: ServerLoad, error: BackendError) -> None:
+        now_ms = self._context.clock.now_ms()
+        log_warning(
+            Event.ATTEMPT_FAILED,
+            request=self._request.request_id,
+            server=load.server.server,
+            stage=EngineStage.PREFILL.value,
+            error=str(error),
+        )
+        if isinstance(error, RejectedError):
+            load.paused_until_ms = now_ms + REJECTED_PAUSE_MS
+        else:
+            self._context.servers.note_failure(load, now_ms, error.message)
--- a/src/medlarvale/forwarding/servers.py
+++ b/src/medlarvale/forwarding/servers.py
@@ -8,7 +8,6 @@
 from medlarvale.forwarding.messages import EngineStage, Server, ServerState
 from medlarvale.ids import FailureDomain, ServerId, ServiceName
 from medlarvale.logs import Event, log_info, log_warning
-from medlarvale.scheduling.health import HealthTable
 
 # A backend server that is alive is listed again within about 2 s of the store's return.
 MISSING_GRACE_MS = 2_200.0
@@ -16,6 +15,10 @@
 REMOTE_PENALTY = 0.2
 # An engine that was overloaded by a burst has worked its queue off in about a second.
 BACKLOG_HALF_LIFE_MS = 500.0
+# One lost packet delays a call by a retransmission time, about 200 ms, and means little; a server
+# that is gone is tried again every few seconds.
+FIRST_PAUSE_MS = 200.0
+MAX_PAUSE_MS = 3_000.0
 # Weight of the newest answer in the share of failed answers.
 ERROR_SMOOTHING = 0.1
 # Load that a share of failed answers of 1 above the best server's counts as.
@@ -29,7 +32,9 @@
         in_flight: requests of this host that run there.
         tokens: KV cache that this host's requests take there, in tokens.
         error_share: smoothed share of answers that are failures.
-        paused_until_ms: time before which it gets no new work, after it rejected some.
+        paused_until_ms: time before which it gets no new work, after it failed or
+            rejected some.
+        failures: failures since the last success.
         missing_since_ms: when its entry was first found missing; None while it is listed.
     """
 
@@ -40,6 +45,7 @@
         self.error_share = 0.0
         self.missing_since_ms: float | None = None
         self.paused_until_ms = 0.0
+        self.failures = 0
         self._backlog_ms = 0.0
         self._backlog_at_ms = 0.0
 
@@ -53,6 +59,17 @@
         age = (now_ms - self._backlog_at_ms) / BACKLOG_HALF_LIFE_MS
         return self._backlog_ms * 0.5**age
 
+    def pause_after_failure(self, now_ms: float) -> float:
+        """Gives the server no new work for a time, which is returned in ms."""
+        self.failures += 1
+        pause_ms = min(MAX_PAUSE_MS, FIRST_PAUSE_MS * 2 ** (self.failures - 1))
+        self.paused_until_ms = max(self.paused_until_ms, now_ms + pause_ms)
+        return pause_ms
+
+    def note_success(self) -> None:
+        """Ends the series of failures."""
+        self.failures = 0
+
     def note_answer(self, failed: bool) -> None:
         """Takes an answer into the share of failures."""
         self.error_share += ERROR_SMOOTHING * (float(failed) - self.error_share)
@@ -70,7 +87,6 @@
         self._failure_domain = failure_domain
         self._rng = rng
         self._loads: dict[ServerId, ServerLoad] = {}
-        self.health = HealthTable()
 
     def __len__(self) -> int:
         return len(self._loads)
@@ -84,7 +100,6 @@
         known = self._loads.get(server.server)
         if known is None or (server.born_ms and known.server.born_ms != server.born_ms):
             self._loads[server.server] = ServerLoad(server)
-            self.health.forget(server.server)
             log_info(
                 Event.SERVER_LEARNED,
                 server=server.server,
@@ -105,7 +120,6 @@
     def remove(self, server: ServerId) -> None:
         """Drops a server whose entry was removed."""
         if self._loads.pop(server, None) is not None:
-            self.health.forget(server)
             log_info(Event.SERVER_REMOVED, server=server)
 
     def replace_all(self, servers: Iterable[Server], now_ms: float, *, after_outage: bool) -> None:
@@ -140,7 +154,7 @@
         stage: EngineStage | None = None,
         excluded: Iterable[ServerId] = (),
     ) -> list[ServerLoad]:
-        """Returns the servers that may take new work; ejected ones only if no other is left."""
+        """Returns the servers that may take new work; paused ones only if no other is left."""
         excluded = set(excluded)
         listed = [
             load
@@ -148,13 +162,9 @@
             if load.server.service == service
             and load.server.state is ServerState.READY
             and load.server.stage is stage
-            and load.paused_until_ms <= now_ms
             and load.server.server not in excluded
         ]
-        sound = [
-            load for load in listed if self.health.share_allowed(load.server.server, now_ms) > 0
-        ]
-        return sound or listed
+        return [load for load in listed if load.paused_until_ms <= now_ms] or listed
 
     def takes_work(self, load: ServerLoad) -> bool:
         """Tells whether a server is still listed and not leaving."""
@@ -182,15 +192,13 @@
 
         return sorted(candidates, key=cost)
 
-    def note_failure(
-        self, load: ServerLoad, now_ms: float, reason: str, *, certain: bool = False
-    ) -> None:
-        """Counts a failed connection or lost answer against a server.
-
-        Args:
-            certain: the failure alone shows that the server can't be used.
-        """
-        server = load.server
-        size = self.service_size(server.service)
-        if self.health.record_failure(server.server, now_ms, size, certain=certain):
-            log_warning(Event.ENGINE_EJECTED, server=server.server, reason=reason)
+    def note_failure(self, load: ServerLoad, now_ms: float, reason: str) -> None:
+        """Pauses a server that could not be reached or lost an answer; repeated failures longer."""
+        pause_ms = load.pause_after_failure(now_ms)
+        log_warning(
+            Event.SERVER_PAUSED,
+            server=load.server.server,
+            reason=reason,
+            failures=load.failures,
+            pause_ms=int(pause_ms),
+        )
--- a/src/medlarvale/scheduling/health.py
+++ b/src/medlarvale/scheduling/health.py
@@ -48,21 +48,15 @@
         self._out: set[ServerId] = set()
         self._changes: list[HealthChange] = []
 
-    def record_failure(
-        self, server: ServerId, now_ms: float, group_size: int, *, certain: bool = False
-    ) -> bool:
-        """Counts a failed attempt; returns True if the engine is now ejected.
-
-        Args:
-            certain: the failure alone shows that the engine can't be used.
-        """
+    def record_failure(self, server: ServerId, now_ms: float, group_size: int) -> bool:
+        """Counts a failed attempt; returns True if the engine is now ejected."""
         health = self._engines.setdefault(server, EngineHealth())
         if self._is_out(health, now_ms):
             return False
         if now_ms - health.first_failure_ms > FAILURE_WINDOW_MS:
             health.failures, health.first_failure_ms = 0, now_ms
         health.failures += 1
-        if health.failures < FAILURES_TO_EJECT and not certain:
+        if health.failures < FAILURES_TO_EJECT:
             return False
         return self._eject(health, now_ms, group_size)
 
