Tell all hosts before an engine changes its stage

Change: the giver names the engine in its greetings before it orders; nobody sends work there. A move towards prefill needs more gain and lasts longer before it is ordered.

--- a/src/medlarvale/forwarding/fleet_messages.py
+++ b/src/medlarvale/forwarding/fleet_messages.py
@@ -5,7 +5,7 @@
 import msgspec
 
 from medlarvale.forwarding.messages import RouteTable, Server
-from medlarvale.ids import ConfigVersion, HostId, HostIdentity, ServiceName
+from medlarvale.ids import ConfigVersion, HostId, HostIdentity, ServerId, ServiceName
 
 
 class Demand(msgspec.Struct, frozen=True, array_like=True):
@@ -30,7 +30,8 @@
         config_version: 0 before the first configuration.
         store_reachable: whether the sender reads the published state.
         highest_fencing: largest fencing number that the sender gave or heard of.
-        changing_engine: engine that the sender has ordered to another stage, until it is done.
+        changing_engine: engine that the sender is about to order, or has ordered, to another stage;
+            None once it has changed.
     """
 
     sender: HostIdentity
@@ -39,7 +40,7 @@
     store_reachable: bool
     demand: dict[ServiceName, Demand]
     highest_fencing: int = 0
-    changing_engine: str = ""
+    changing_engine: ServerId | None = None
 
 
 class StateRequest(msgspec.Struct, frozen=True, tag="state?"):
--- a/src/medlarvale/forwarding/host.py
+++ b/src/medlarvale/forwarding/host.py
@@ -112,6 +112,7 @@
             self.follower.reachable,
             self.streams.demands(),
             self.orders.highest_fencing,
+            self.orders.changing_engine,
         )
 
     def _model_services(self) -> list[tuple[ServiceName, EngineTraits]]:
--- a/src/medlarvale/forwarding/orders.py
+++ b/src/medlarvale/forwarding/orders.py
@@ -4,6 +4,8 @@
 
 from collections.abc import Callable, Iterable
 
+import msgspec
+
 from medlarvale.clock import Clock
 from medlarvale.forwarding.context import BackgroundTasks
 from medlarvale.forwarding.demand import DemandMeter
@@ -14,13 +16,17 @@
 from medlarvale.forwarding.roles import RolePlanner, choose_donor
 from medlarvale.forwarding.servers import ServerTable
 from medlarvale.hashing import weight
-from medlarvale.ids import ServiceName
+from medlarvale.ids import ServerId, ServiceName
 from medlarvale.logs import Event, log_info, log_warning
 
 DECISION_PERIOD_MS = 500.0
 # Giver for this many leases without a pause before the first order: an order of a former giver is
 # older than a lease then, and steps of the clocks have passed.
 WAIT_LEASES = 2.0
+# Two greeting periods: by then every host knows of the change.
+NOTICE_MS = 1_100.0
+# Time after an order in which the engine finishes what it runs.
+LONGEST_RUN_MS = 10_000.0
 # Fencing numbers are wall-clock times in units of 1/16 s with the host's own bits below them.
 FENCING_UNIT_MS = 62.5
 HOST_BITS = 8
@@ -39,6 +45,18 @@
     return ((highest >> HOST_BITS) + 1) << HOST_BITS | own
 
 
+class _Change(msgspec.Struct):
+    """An engine on its way to another stage.
+
+    Attributes:
+        until_ms: time after which it is taken for unchanged.
+    """
+
+    server: ServerId
+    stage: EngineStage
+    until_ms: float
+
+
 class OrderTask:
     """Watches the load of each model service and orders engines to change stage.
 
@@ -72,28 +90,45 @@
         self._planners: dict[ServiceName, RolePlanner] = {}
         self._leading_since_ms: float | None = None
         self._background = BackgroundTasks()
-        self._ordering = False
+        self._change: _Change | None = None
         self.highest_fencing = 0
 
+    @property
+    def changing_engine(self) -> ServerId | None:
+        """The engine that this host is moving to another stage."""
+        return self._change.server if self._change is not None else None
+
     def start(self) -> None:
         """Starts deciding."""
         self._clock.every_ms(DECISION_PERIOD_MS, self._tick)
 
     def _tick(self) -> None:
         now_ms = self._clock.now_ms()
+        self._end_change(now_ms)
+        changing = {self.changing_engine}
         for hello in self._view.live(now_ms).values():
             self.highest_fencing = max(self.highest_fencing, hello.highest_fencing)
+            changing.add(hello.changing_engine)
+        self._servers.set_changing(server for server in changing if server is not None)
         if not self._view.leads(now_ms):
             self._leading_since_ms = None
             return
         if self._leading_since_ms is None:
             self._leading_since_ms = now_ms
         leading_ms = min(now_ms - self._leading_since_ms, self._view.steady_ms(now_ms))
-        if leading_ms < self._wait_ms or self._ordering:
+        if leading_ms < self._wait_ms or self._change is not None:
             return
         for service, traits in self._services():
             self._decide(service, traits, now_ms)
 
+    def _end_change(self, now_ms: float) -> None:
+        change = self._change
+        if change is None:
+            return
+        load = self._servers.get(change.server)
+        if load is None or load.server.stage is change.stage or now_ms > change.until_ms:
+            self._change = None
+
     def _decide(self, service: ServiceName, traits: EngineTraits, now_ms: float) -> None:
         planner = self._planners.setdefault(service, RolePlanner())
         meter = self._meter(service)
@@ -116,14 +151,17 @@
             decode_tokens=int(demand.decode_tokens),
             engines=len(engines),
         )
-        self._ordering = True
+        until_ms = now_ms + NOTICE_MS + traits.switch_ms + LONGEST_RUN_MS
+        self._change = _Change(donor.server, stage, until_ms)
         self._background.start(self._order(donor, stage))
 
     async def _order(self, engine: Server, stage: EngineStage) -> None:
+        # All hosts have to know first, so that none sends work that the engine would reject.
+        await self._clock.sleep_ms(NOTICE_MS)
+        accepted = False
         try:
             report = await self._backends.report(engine)
-            now_ms = self._clock.now_ms()
-            if report.busy or report.stage is stage or not self._view.leads(now_ms):
+            if report.busy or report.stage is stage or not self._may_order():
                 return
             self.highest_fencing = fencing_number(
                 self._clock.wall_ms(), self._view.identity.host, self.highest_fencing
@@ -140,7 +178,12 @@
         except BackendError as error:
             log_warning(Event.ORDER_REFUSED, server=engine.server, error=error.message)
         finally:
-            self._ordering = False
+            if not accepted:
+                self._change = None
+
+    def _may_order(self) -> bool:
+        now_ms = self._clock.now_ms()
+        return self._view.leads(now_ms) and self._view.steady_ms(now_ms) >= self._wait_ms
 
     async def close(self) -> None:
         """Gives no more orders."""
--- a/src/medlarvale/forwarding/roles.py
+++ b/src/medlarvale/forwarding/roles.py
@@ -14,12 +14,13 @@
 PREFILL_TARGET_LOAD = 0.7
 # Requests differ in size, so the last fifth of an engine's memory is often too small for the next.
 DECODE_TARGET_LOAD = 0.8
-# A switch takes an engine away for seconds, so it has to bring more than this share.
-MIN_GAIN = 0.15
+# A switch takes an engine away for seconds, so it has to bring more than this share. A decode
+# engine first finishes its streams and takes no others, so it is away for longer.
+MIN_GAIN = {EngineStage.DECODE: 0.15, EngineStage.PREFILL: 0.3}
 # Below this part of both targets no division is better than another.
 IDLE_PRESSURE = 0.4
 # The advantage has to last this long, so that a few long prompts move no engine.
-SUSTAIN_MS = 1_500.0
+SUSTAIN_MS = {EngineStage.DECODE: 1_000.0, EngineStage.PREFILL: 4_000.0}
 # Time from the end of a switch to the next, so that its effect is seen first.
 SETTLE_MS = 6_000.0
 
@@ -53,13 +54,13 @@
     if now < IDLE_PRESSURE:
         return None
     best: EngineStage | None = None
-    best_pressure = now * (1.0 - MIN_GAIN)
+    best_pressure = now
     for stage, step in ((EngineStage.DECODE, -1), (EngineStage.PREFILL, 1)):
         changed = Division(division.prefill + step, division.decode - step)
         if changed.prefill < 1 or changed.decode < 1:
             continue
         after = pressure(changed, demand, prefill_per_s, memory)
-        if after < best_pressure:
+        if after < min(best_pressure, now * (1.0 - MIN_GAIN[stage])):
             best, best_pressure = stage, after
     return best
 
@@ -85,10 +86,10 @@
         wanted = wanted_step(division, demand, prefill_per_s, memory)
         if wanted is not self._wanted:
             self._wanted, self._wanted_since_ms = wanted, now_ms
-        sustained = now_ms - self._wanted_since_ms >= SUSTAIN_MS
-        if wanted is None or not sustained or now_ms < self._not_before_ms:
+        if wanted is None or now_ms < self._not_before_ms:
             return None
-        return wanted
+        sustained = now_ms - self._wanted_since_ms >= SUSTAIN_MS[wanted]
+        return wanted if sustained else None
 
     def note_change(self, now_ms: float, switch_ms: float) -> None:
         """Pauses after an order was given or an engine was found to have changed."""
--- a/src/medlarvale/forwarding/servers.py
+++ b/src/medlarvale/forwarding/servers.py
@@ -87,6 +87,7 @@
         self._failure_domain = failure_domain
         self._rng = rng
         self._loads: dict[ServerId, ServerLoad] = {}
+        self._changing: frozenset[ServerId] = frozenset()
 
     def __len__(self) -> int:
         return len(self._loads)
@@ -162,10 +163,18 @@
             if load.server.service == service
             and load.server.state is ServerState.READY
             and load.server.stage is stage
+            and load.server.server not in self._changing
             and load.server.server not in excluded
         ]
         return [load for load in listed if load.paused_until_ms <= now_ms] or listed
 
+    def set_changing(self, servers: Iterable[ServerId]) -> None:
+        """Sets the engines that are about to change their stage; they get no new work.
+
+        Such an engine still grants reservations, but rejects the requests that come with them.
+        """
+        self._changing = frozenset(servers)
+
     def takes_work(self, load: ServerLoad) -> bool:
         """Tells whether a server is still listed and not leaving."""
         known = self._loads.get(load.server.server)
--- a/src/medlarvale/forwarding/stream_run.py
+++ b/src/medlarvale/forwarding/stream_run.py
@@ -77,6 +77,8 @@
         first_event_ms: time of the first event passed on; None before it.
         last_event_ms: time of the last event passed on.
         longest_pause_ms: longest time between two events.
+        prefills: prompts read by prefill engines.
+        complete: whether the stream was passed on to its end.
     """
 
     arrived_ms: float
@@ -85,6 +87,8 @@
     first_event_ms: float | None = None
     last_event_ms: float | None = None
     longest_pause_ms: float = 0.0
+    prefills: int = 0
+    complete: bool = False
     _mark_ms: float = 0.0
 
     def note_reserved(self, now_ms: float) -> float:
@@ -144,6 +148,11 @@
         self._fetch_from: Server | None = None
         self._rejections = 0
 
+    @property
+    def prompt_tokens(self) -> int:
+        """Size of the prompt."""
+        return self._tokens.prompt
+
     async def run(self) -> Reply | None:
         try:
             async with asyncio.timeout(max(0.0, self._left_ms()) / 1000.0):
@@ -234,7 +243,9 @@
         kept = reservation.load.server.server == self._keeper
         if kept or self._fetch_from is not None:
             return None
-        return await self._reader.read(self._end_ms)
+        source = await self._reader.read(self._end_ms)
+        self.times.prefills += source is not None
+        return source
 
     async def _send(self, reservation: Reservation, source: PrefillResult | None) -> BackendAnswer:
         load = reservation.load
@@ -251,9 +262,10 @@
                 self._note_failure(load, error)
             elif not error.full:
                 load.paused_until_ms = self._context.clock.now_ms() + REJECTED_PAUSE_MS
-            elif source is not None:
-                # With reserved memory, only the transfer can have failed.
-                self._fetch_from = source.server
+            else:
+                # The reservation held, so the transfer failed, or the engine is under an order.
+                load.pause_after_failure(self._context.clock.now_ms())
+                self._fetch_from = source.server if source is not None else None
             raise
         except BackendError as error:
             self._may_have_run = True
@@ -302,6 +314,7 @@
         if not self._started:
             await self._sink.start(answer.status, answer.headers)
         await self._sink.finish()
+        self.times.complete = True
         return None
 
     async def _watched(self, answer: BackendAnswer) -> AsyncIterator[bytes]:
--- a/src/medlarvale/forwarding/streams.py
+++ b/src/medlarvale/forwarding/streams.py
@@ -75,6 +75,9 @@
         log_info(
             Event.STREAM_ENDED,
             request=request.request_id,
+            complete=times.complete,
+            prompt_tokens=run.prompt_tokens,
+            prefills=times.prefills,
             runs=run.runs,
             waited_ms=int(times.waited_ms),
             prefill_ms=int(times.prefill_ms),
