Send callers to other failure domains when cut off from a service

Cause: behind a partition a host took its callers' requests although it reached no server for them. Change: a host that reaches nothing outside its domain, and lacks a sound server of some service in it, is not ready and closes its connections after each answer.

--- a/src/medlarvale/forwarding/fleet.py
+++ b/src/medlarvale/forwarding/fleet.py
@@ -164,8 +164,13 @@
         self._hello = hello
         self._tasks: set[asyncio.Task[None]] = set()
         self._live: set[HostId] = set()
+        self._hello_callbacks: list[Callable[[Hello], None]] = []
         transport.register(Hello, self._answer)
 
+    def on_hello(self, callback: Callable[[Hello], None]) -> None:
+        """Calls back with each greeting of a peer."""
+        self._hello_callbacks.append(callback)
+
     def start(self) -> None:
         """Starts greeting."""
         self._tick()
@@ -189,10 +194,15 @@
             # A silent peer is logged once, when it no longer counts as live.
             return
         if isinstance(answer, Hello):
-            self.view.learn(answer.sender, answer, self._clock.now_ms())
+            self._learn(answer)
+
+    def _learn(self, hello: Hello) -> None:
+        self.view.learn(hello.sender, hello, self._clock.now_ms())
+        for callback in self._hello_callbacks:
+            callback(hello)
 
     async def _answer(self, sender: HostIdentity, message: Hello) -> Hello:
-        self.view.learn(sender, message, self._clock.now_ms())
+        self._learn(message)
         return self._hello()
 
     def _note_live(self, live: set[HostId]) -> None:
--- a/src/medlarvale/forwarding/fleet_messages.py
+++ b/src/medlarvale/forwarding/fleet_messages.py
@@ -5,7 +5,7 @@
 import msgspec
 
 from medlarvale.forwarding.messages import RouteTable, Server
-from medlarvale.ids import ConfigVersion, HostId, HostIdentity, ServerId, ServiceName
+from medlarvale.ids import ConfigVersion, FailureDomain, HostId, HostIdentity, ServerId, ServiceName
 
 
 class Demand(msgspec.Struct, frozen=True, array_like=True):
@@ -26,6 +26,7 @@
 
     Attributes:
         sender: the host that tells, for answers, which carry no sender of their own.
+        failure_domain: where the sender is.
         hosts: peer addresses by host, as far as the sender knows them.
         config_version: 0 before the first configuration.
         store_reachable: whether the sender reads the published state.
@@ -35,6 +36,7 @@
     """
 
     sender: HostIdentity
+    failure_domain: FailureDomain
     hosts: dict[HostId, str]
     config_version: ConfigVersion
     store_reachable: bool
--- a/src/medlarvale/forwarding/follower.py
+++ b/src/medlarvale/forwarding/follower.py
@@ -53,6 +53,11 @@
         self._task: asyncio.Task[None] | None = None
         self.reachable = True
         self.index: RouteIndex | None = None
+        self._contact_callbacks: list[Callable[[], None]] = []
+
+    def on_contact(self, callback: Callable[[], None]) -> None:
+        """Calls back after each answer of the source."""
+        self._contact_callbacks.append(callback)
 
     def start(self) -> None:
         """Starts following."""
@@ -88,6 +93,8 @@
                     revision = await self._watch(revision)
                 retry_ms = RETRY_FIRST_MS
                 self._note_reachable(True, "")
+                for callback in self._contact_callbacks:
+                    callback()
                 continue
             except HistoryGoneError:
                 revision = None
--- a/src/medlarvale/forwarding/front.py
+++ b/src/medlarvale/forwarding/front.py
@@ -74,6 +74,7 @@
         decode: reads a request off the wire.
         clock: time service.
         rng: draws among the services of a route.
+        ready: tells whether this host takes new connections.
     """
 
     def __init__(
@@ -84,7 +85,9 @@
         decode: RequestDecoder,
         clock: Clock,
         rng: random.Random,
+        ready: Callable[[], bool],
     ) -> None:
+        self._ready = ready
         self._follower = follower
         self._plain = plain
         self._streams = streams
@@ -128,6 +131,10 @@
         """Whether connections are closed after their next answer."""
         return self._closing_since_ms is not None
 
+    def _sends_away(self) -> bool:
+        """Tells whether callers should open their next connection, at another host."""
+        return self.closing or not self._ready()
+
     def begin_closing(self) -> None:
         """Closes idle connections, and each other one after its next answer."""
         self._closing_since_ms = self._clock.now_ms()
@@ -160,7 +167,7 @@
         except web.HTTPRequestEntityTooLarge:
             return self._error_response(BodyTooLargeError("the body is too large"))
         request = self._decode(incoming, body, received_ms)
-        sink = _Sink(incoming, lambda: self.closing)
+        sink = _Sink(incoming, self._sends_away)
         try:
             reply = await self._forward(request, sink)
         except ForwardingError as error:
@@ -231,7 +238,7 @@
         if "Content-Type" not in headers:
             # aiohttp would add a type that the backend server did not send.
             response.headers.popall("Content-Type", None)
-        if self.closing:
+        if self._sends_away():
             response.force_close()
         return response
 
--- a/src/medlarvale/forwarding/host.py
+++ b/src/medlarvale/forwarding/host.py
@@ -15,7 +15,7 @@
 from medlarvale.forwarding.follower import StateFollower
 from medlarvale.forwarding.front import CallerPort, RequestDecoder, build_readiness
 from medlarvale.forwarding.interface import Backends, StateSource
-from medlarvale.forwarding.messages import EngineTraits, HostPlace
+from medlarvale.forwarding.messages import EngineStage, EngineTraits, HostPlace
 from medlarvale.forwarding.orders import OrderTask
 from medlarvale.forwarding.plain import PlainForwarder
 from medlarvale.forwarding.servers import ServerTable
@@ -61,11 +61,18 @@
         rng = random.Random(secrets.randbits(64))
         self.servers = ServerTable(place.failure_domain, rng)
         self.follower = StateFollower(source, self.servers, self.clock, self._log_ready)
+        self.follower.on_contact(lambda: self.servers.contact.note_contact(self.clock.now_ms()))
         limits = RetryLimits(place.retry_share, place.retry_reserve / ASSUMED_HOSTS)
         context = ForwardingContext(backends, self.servers, self.clock, rng, limits)
         self.streams = StreamForwarder(context, self._traits)
         self.port = CallerPort(
-            self.follower, PlainForwarder(context), self.streams, decode, self.clock, rng
+            self.follower,
+            PlainForwarder(context),
+            self.streams,
+            decode,
+            self.clock,
+            rng,
+            self.ready,
         )
         self._runners: list[web.ServerRunner] = []
         self._build_fleet(place, backends)
@@ -92,6 +99,7 @@
         )
         view = FleetView(identity, place.listen_control, place.seed_addresses)
         self.fleet = FleetTask(view, self._transport, self.clock, self._hello)
+        self.fleet.on_hello(self._note_peer)
         self.orders = OrderTask(
             view,
             backends,
@@ -107,6 +115,7 @@
         view = self.fleet.view
         return Hello(
             view.identity,
+            self._place.failure_domain,
             view.hosts(),
             index.table.version if index is not None else ConfigVersion(0),
             self.follower.reachable,
@@ -128,9 +137,29 @@
     def _log_ready(self) -> None:
         log_info(Event.HOST_READY, host=self._place.host)
 
+    def _note_peer(self, hello: Hello) -> None:
+        if hello.failure_domain != self._place.failure_domain:
+            self.servers.contact.note_contact(self.clock.now_ms())
+
+    def _cut_off(self) -> bool:
+        """Tells whether a partition keeps this host from serving some service.
+
+        Callers then do better at the hosts of other failure domains.
+        """
+        index = self.follower.index
+        if index is None or not self.servers.contact.isolated(self.clock.now_ms()):
+            return False
+        return not all(
+            self.servers.serves_alone(
+                service.name, EngineStage.DECODE if service.engine is not None else None
+            )
+            for service in index.table.services.values()
+        )
+
     def ready(self) -> bool:
         """Tells whether new connections are welcome."""
-        return self.follower.index is not None and len(self.servers) > 0 and not self.port.closing
+        known = self.follower.index is not None and len(self.servers) > 0
+        return known and not self.port.closing and not self._cut_off()
 
     async def start(self) -> None:
         """Listens at all ports and starts all tasks.
--- a/src/medlarvale/forwarding/memory.py
+++ b/src/medlarvale/forwarding/memory.py
@@ -230,7 +230,7 @@
             except BackendError as error:
                 context.servers.note_failure(load, context.clock.now_ms(), error.message)
                 continue
-            load.note_success()
+            context.servers.note_success(load, context.clock.now_ms())
             if hold is None:
                 self._refused[load.server.server] = (context.clock.now_ms(), request.tokens)
                 continue
--- a/src/medlarvale/forwarding/plain.py
+++ b/src/medlarvale/forwarding/plain.py
@@ -202,7 +202,7 @@
 
     def _judge(self, reply: Reply, load: ServerLoad) -> Reply | None:
         failed = reply.status >= 500
-        load.note_success()
+        self._context.servers.note_success(load, self._context.clock.now_ms())
         load.note_answer(failed)
         if not failed or not self._repeatable():
             return reply
--- a/src/medlarvale/forwarding/prefill.py
+++ b/src/medlarvale/forwarding/prefill.py
@@ -92,7 +92,7 @@
         return best if wait_ms(best) <= OVERFLOW_WAIT_MS + slower_ms else None
 
     def _note_success(self, load: ServerLoad, took_ms: float) -> None:
-        load.note_success()
+        self._context.servers.note_success(load, self._context.clock.now_ms())
         if load.tokens == self._tokens:
             self._meter.note_prefill(self._tokens, took_ms)
         backlog_ms = max(0.0, took_ms - self._tokens / self._meter.tokens_per_ms)
--- a/src/medlarvale/forwarding/servers.py
+++ b/src/medlarvale/forwarding/servers.py
@@ -5,6 +5,7 @@
 import random
 from collections.abc import Iterable
 
+from medlarvale.forwarding.contact import OutsideContact
 from medlarvale.forwarding.messages import EngineStage, Server, ServerState
 from medlarvale.ids import FailureDomain, ServerId, ServiceName
 from medlarvale.logs import Event, log_info, log_warning
@@ -19,6 +20,7 @@
 # that is gone is tried again every few seconds.
 FIRST_PAUSE_MS = 200.0
 MAX_PAUSE_MS = 3_000.0
+FAILURES_TO_DOUBT = 2
 # Weight of the newest answer in the share of failed answers.
 ERROR_SMOOTHING = 0.1
 # Load that a share of failed answers of 1 above the best server's counts as.
@@ -66,10 +68,6 @@
         self.paused_until_ms = max(self.paused_until_ms, now_ms + pause_ms)
         return pause_ms
 
-    def note_success(self) -> None:
-        """Ends the series of failures."""
-        self.failures = 0
-
     def note_answer(self, failed: bool) -> None:
         """Takes an answer into the share of failures."""
         self.error_share += ERROR_SMOOTHING * (float(failed) - self.error_share)
@@ -88,6 +86,7 @@
         self._rng = rng
         self._loads: dict[ServerId, ServerLoad] = {}
         self._changing: frozenset[ServerId] = frozenset()
+        self.contact = OutsideContact()
 
     def __len__(self) -> int:
         return len(self._loads)
@@ -201,8 +200,26 @@
 
         return sorted(candidates, key=cost)
 
+    def note_success(self, load: ServerLoad, now_ms: float) -> None:
+        """Ends a server's series of failures."""
+        load.failures = 0
+        if load.server.failure_domain != self._failure_domain:
+            self.contact.note_contact(now_ms)
+
+    def serves_alone(self, service: ServiceName, stage: EngineStage | None) -> bool:
+        """Tells whether a sound server of a service is in this failure domain."""
+        return any(
+            load.server.failure_domain == self._failure_domain
+            and load.server.state is ServerState.READY
+            and load.server.stage is stage
+            and load.failures < FAILURES_TO_DOUBT
+            for load in self.of_service(service)
+        )
+
     def note_failure(self, load: ServerLoad, now_ms: float, reason: str) -> None:
         """Pauses a server that could not be reached or lost an answer; repeated failures longer."""
+        if load.server.failure_domain != self._failure_domain:
+            self.contact.note_failure(load.server.server)
         pause_ms = load.pause_after_failure(now_ms)
         log_warning(
             Event.SERVER_PAUSED,
