Refuse a request at once when the queue for memory is too long

Cause: requests waited until their callers' patience ended and were refused then. Change: a request whose expected wait is longer than its time is refused on arrival with the wait as Retry-After; one whose hinted answer can't end in its route's time is not started.

--- a/src/medlarvale/forwarding/demand.py
+++ b/src/medlarvale/forwarding/demand.py
@@ -14,6 +14,8 @@
 TIME_SMOOTHING = 0.05
 # Time that a stream holds its memory, before one has ended: 60 events at about 50 ms.
 FIRST_HOLD_MS = 3_000.0
+# A decode step takes at least this long.
+FIRST_MS_PER_TOKEN = 3.8
 # Prefill speed before a prompt was read, and the slowest that is believed.
 FIRST_TOKENS_PER_MS = 40.0
 MIN_TOKENS_PER_MS = 5.0
@@ -57,6 +59,7 @@
         self._prompt = _Rate()
         self._memory = _Rate()
         self._hold_ms = FIRST_HOLD_MS
+        self._ms_per_token = FIRST_MS_PER_TOKEN
         self.tokens_per_ms = FIRST_TOKENS_PER_MS
 
     def note_arrival(self, prompt_tokens: int, memory_tokens: int, now_ms: float) -> None:
@@ -73,6 +76,15 @@
         """Learns how long a stream holds its memory."""
         self._hold_ms += TIME_SMOOTHING * (held_ms - self._hold_ms)
 
+    def note_decode(self, output_tokens: int, took_ms: float) -> None:
+        """Learns the speed of decoding from a stream and the output expected of it."""
+        sample = took_ms / max(1, output_tokens)
+        self._ms_per_token += TIME_SMOOTHING * (sample - self._ms_per_token)
+
+    def decode_ms(self, output_tokens: int) -> float:
+        """Returns how long a stream is expected to take from its first event."""
+        return output_tokens * self._ms_per_token
+
     def demand(self, now_ms: float) -> Demand:
         """Returns the present load."""
         return Demand(
--- a/src/medlarvale/forwarding/memory.py
+++ b/src/medlarvale/forwarding/memory.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections import deque
 from collections.abc import Callable
 
 import msgspec
@@ -27,6 +28,11 @@
 # 2 s.
 PATIENCE_TARGETS = 4.0
 MIN_PATIENCE_MS = 2_000.0
+# Time over which the rate of reservations is measured.
+RATE_MS = 2_000.0
+# A queue of this many says little about the wait.
+SHORT_QUEUE = 2
+MAX_RETRY_AFTER_MS = 3_000
 # Waiting requests that may be tried after one that does not fit.
 BACKFILL = 2
 
@@ -93,6 +99,11 @@
     return blocks * BLOCK_TOKENS
 
 
+def _rank(request: MemoryRequest, now_ms: float) -> tuple[bool, bool, float]:
+    late = request.aim_end_ms < now_ms + START_MS
+    return not request.urgent, late, request.output_tokens
+
+
 class MemoryQueue:
     """Gives decode memory of one service to requests in an order that serves most in time.
 
@@ -118,6 +129,7 @@
         self._waiting: list[_Waiter] = []
         self._refused: dict[ServerId, tuple[float, int]] = {}
         self._freed = asyncio.Event()
+        self._granted_ms: deque[float] = deque()
         self._pump: asyncio.Task[None] | None = None
 
     def __len__(self) -> int:
@@ -131,7 +143,14 @@
         """
         if request.tokens > self._traits().memory_tokens:
             raise OverloadedError("the request is larger than the memory of an engine")
-        waiter = _Waiter(request, self._context.clock.now_ms())
+        now_ms = self._context.clock.now_ms()
+        wait_ms = self._expected_wait_ms(request, now_ms)
+        if wait_ms > request.end_ms - now_ms:
+            raise OverloadedError(
+                "the queue for memory is too long",
+                retry_after_ms=min(MAX_RETRY_AFTER_MS, int(wait_ms)),
+            )
+        waiter = _Waiter(request, now_ms)
         self._waiting.append(waiter)
         if self._pump is None or self._pump.done():
             self._pump = asyncio.get_running_loop().create_task(self._run_pump())
@@ -184,13 +203,18 @@
                     continue
 
     def _order(self) -> list[_Waiter]:
-        latest_ms = self._context.clock.now_ms() + START_MS
-
-        def rank(waiter: _Waiter) -> tuple[bool, bool, float]:
-            request = waiter.request
-            return not request.urgent, request.aim_end_ms < latest_ms, request.output_tokens
-
-        return sorted(self._waiting, key=rank)
+        now_ms = self._context.clock.now_ms()
+        return sorted(self._waiting, key=lambda waiter: _rank(waiter.request, now_ms))
+
+    def _expected_wait_ms(self, request: MemoryRequest, now_ms: float) -> float:
+        """Returns how long a new request would wait behind those that go first."""
+        rank = _rank(request, now_ms)
+        ahead = sum(_rank(waiter.request, now_ms) <= rank for waiter in self._waiting)
+        while self._granted_ms and now_ms - self._granted_ms[0] > RATE_MS:
+            self._granted_ms.popleft()
+        if ahead <= SHORT_QUEUE:
+            return 0.0
+        return ahead * RATE_MS / max(1, len(self._granted_ms))
 
     def _expire(self) -> None:
         now_ms = self._context.clock.now_ms()
@@ -211,6 +235,7 @@
             self.release(reservation, drop_hold=True)
         else:
             waiter.future.set_result(reservation)
+            self._granted_ms.append(self._context.clock.now_ms())
         return True
 
     async def _reserve(self, waiter: _Waiter) -> Reservation | None:
--- a/src/medlarvale/forwarding/stream_run.py
+++ b/src/medlarvale/forwarding/stream_run.py
@@ -50,6 +50,8 @@
 # Rejected sends of one run, after which the request is refused as not run.
 MAX_REJECTIONS = 3
 REJECTED_RETRY_AFTER_MS = 1_000
+# Share of the expected duration that a stream takes at least.
+LEAST_DURATION_SHARE = 0.7
 # A stream that is silent for this long is lost: events come every 50 to 100 ms.
 SILENCE_MS = 1_200.0
 
@@ -232,13 +234,19 @@
                 self._memory_tokens,
                 expected_output(self._tokens),
                 self._request.received_ms + target_ms,
-                min(self._end_ms, last_start_ms),
+                min(self._end_ms - self._shortest_ms(), last_start_ms),
                 frozenset(self._excluded),
                 self._keeper,
                 urgent=self._started,
             )
         )
 
+    def _shortest_ms(self) -> float:
+        """Returns the time that the stream takes at least; a hint is often too high."""
+        if self._started:
+            return 0.0
+        return LEAST_DURATION_SHARE * self._meter.decode_ms(expected_output(self._tokens))
+
     async def _prefill(self, reservation: Reservation) -> PrefillResult | None:
         kept = reservation.load.server.server == self._keeper
         if kept or self._fetch_from is not None:
@@ -315,6 +323,10 @@
             await self._sink.start(answer.status, answer.headers)
         await self._sink.finish()
         self.times.complete = True
+        first_ms = self.times.first_event_ms
+        if first_ms is not None:
+            took_ms = self._context.clock.now_ms() - first_ms
+            self._meter.note_decode(expected_output(self._tokens), took_ms)
         return None
 
     async def _watched(self, answer: BackendAnswer) -> AsyncIterator[bytes]:
--- a/src/medlarvale/forwarding/streams.py
+++ b/src/medlarvale/forwarding/streams.py
@@ -62,7 +62,13 @@
             StreamBrokenError: a part was passed on and the rest can't be.
         """
         run = StreamRun(
-            self.context, self.queue(service), self.meter(service), request, route, service, sink
+            self.context,
+            self.queue(service),
+            self.meter(service),
+            request,
+            route,
+            service,
+            sink,
         )
         try:
             return await run.run()
