Share crashes, published state and the retry budget between hosts; metrics and bounded logs

Cause: a host that the store refuses kept an old list; a request that crashes servers was sent on by each host anew; the retry reserve was split over eight hosts however many there are; nothing served metrics, and logs could block. Change: peers answer for the published state and spread evidence of crashes; the reserve is split over the hosts heard of; a metrics address and a line writer that drops instead of blocking.

--- a/src/medlarvale/forward_command.py
+++ b/src/medlarvale/forward_command.py
@@ -6,6 +6,7 @@
 import asyncio
 import signal
 import sys
+import time
 from pathlib import Path
 from typing import Any
 
@@ -14,12 +15,14 @@
 from medlarvale.flags import add_flag
 from medlarvale.forwarding.host import ForwardingHost, wait_for_stop
 from medlarvale.forwarding.messages import HostPlace
+from medlarvale.log_writer import BoundedLineWriter
 from medlarvale.logs import Event, configure_logging, log_info, log_warning
 from medlarvale.platform.backends import HttpBackends, new_session
 from medlarvale.platform.boot import BootSettingsError, read_boot
 from medlarvale.platform.incoming import decode_incoming
 from medlarvale.platform.store import PlatformStore
 
+METRICS_PORT = 7380
 EXIT_SETTINGS = 2
 EXIT_NOT_STARTED = 1
 
@@ -29,38 +32,48 @@
     parser = subparsers.add_parser("forward", help="run a host on the users' platform")
     add_flag(parser, "--boot", help_text="settings file of the platform")
     add_flag(parser, "--log-level", help_text="debug, info, warning or error", default="info")
+    add_flag(
+        parser,
+        "--metrics-port",
+        help_text="port of the metrics, as deploy/system.toml names it",
+        default=str(METRICS_PORT),
+        parse=int,
+    )
     parser.set_defaults(run=run)
 
 
 def run(options: argparse.Namespace) -> int:
     """Runs a host until it is told to stop; returns the exit status."""
-    configure_logging(options.log_level, sys.stdout)
+    writer = BoundedLineWriter(sys.stdout.fileno(), lambda: time.monotonic() * 1000.0)
+    configure_logging(options.log_level, writer)
     try:
         place = read_boot(Path(options.boot))
     except BootSettingsError as error:
         log_warning(Event.SETTINGS_REFUSED, faults=error.message.split("; "))
         return EXIT_SETTINGS
     try:
-        uvloop.run(_serve(place, Path(options.boot)))
+        uvloop.run(_serve(place, options, writer))
     except OSError as error:
         print(f"medlarvale forward: {error}", file=sys.stderr)
         return EXIT_NOT_STARTED
     return 0
 
 
-async def _serve(place: HostPlace, boot: Path) -> None:
+async def _serve(place: HostPlace, options: argparse.Namespace, writer: BoundedLineWriter) -> None:
     session = new_session()
     host = ForwardingHost(
         place,
         PlatformStore(session, place.platform_address),
         HttpBackends(session),
         decode_incoming,
+        options.metrics_port,
+        lambda: {"log_lines_dropped": writer.dropped},
     )
     stop = asyncio.Event()
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
-    loop.add_signal_handler(signal.SIGHUP, _reload, boot)
+    loop.add_signal_handler(signal.SIGHUP, _reload, Path(options.boot))
     try:
         await wait_for_stop(stop, host)
     finally:
--- a/src/medlarvale/forwarding/context.py
+++ b/src/medlarvale/forwarding/context.py
@@ -4,14 +4,14 @@
 
 import asyncio
 import random
-from collections.abc import Coroutine
-from typing import Any
+from collections.abc import Callable, Coroutine
+from typing import Any, Protocol
 
 import msgspec
 
 from medlarvale.clock import Clock
 from medlarvale.forwarding.interface import Backends
-from medlarvale.forwarding.messages import ClientRequest, Route
+from medlarvale.forwarding.messages import ClientRequest, Route, Server
 from medlarvale.forwarding.servers import ServerTable
 from medlarvale.ids import ServiceName
 from medlarvale.scheduling.retry_budget import RetryBudget
@@ -53,6 +53,20 @@
     reserve: float
 
 
+class RunGuard(Protocol):
+    """Knows which requests may run; ``CrashGuard`` has it."""
+
+    def check(self, request: ClientRequest, service: ServiceName) -> int:
+        """Returns the fingerprint of a request that may run.
+
+        Raises:
+            CrashingRequestError: it has crashed too many servers.
+        """
+
+    def note_break(self, fingerprint: int, server: Server) -> None:
+        """Looks into the end of a run whose connection broke before its answer was complete."""
+
+
 class ForwardingContext:
     """Parts that both forwarders use.
 
@@ -61,7 +75,8 @@
         servers: backend servers and their load.
         clock: time service.
         rng: draws among equal choices.
-        retry_limits: limits of each service's retries.
+        retry_limits: returns the limits of each service's retries, as the fleet is now.
+        guard: stops requests that crash servers.
     """
 
     def __init__(
@@ -70,7 +85,8 @@
         servers: ServerTable,
         clock: Clock,
         rng: random.Random,
-        retry_limits: RetryLimits,
+        retry_limits: Callable[[], RetryLimits],
+        guard: RunGuard,
     ) -> None:
         self.backends = backends
         self.servers = servers
@@ -78,15 +94,18 @@
         self.rng = rng
         self.background = BackgroundTasks()
         self._retry_limits = retry_limits
+        self.guard = guard
         self._budgets: dict[ServiceName, RetryBudget] = {}
 
     def budget(self, service: ServiceName) -> RetryBudget:
         """Returns the retry budget of a service."""
         budget = self._budgets.get(service)
         if budget is None:
-            limits = self._retry_limits
-            budget = RetryBudget(limits.share, limits.reserve, limits.reserve)
+            limits = self._retry_limits()
+            budget = RetryBudget(limits.share, limits.reserve / 2.0, limits.reserve)
             self._budgets[service] = budget
+        else:
+            budget.set_ceiling(self._retry_limits().reserve)
         return budget
 
 
--- a/src/medlarvale/forwarding/errors.py
+++ b/src/medlarvale/forwarding/errors.py
@@ -41,6 +41,14 @@
     http_status = 503
 
 
+class CrashingRequestError(ForwardingError):
+    """The request was on several servers when they were lost; it has not run again."""
+
+    code = "crashing_request"
+    outcome = Outcome.NOT_RUN
+    http_status = 503
+
+
 class OutcomeUnknownError(ForwardingError):
     """A backend server may have run the request, but its answer is lost."""
 
--- a/src/medlarvale/forwarding/front.py
+++ b/src/medlarvale/forwarding/front.py
@@ -94,10 +94,15 @@
         self._decode = decode
         self._clock = clock
         self._rng = rng
+        self._finished_callbacks: list[Callable[[str, str, float], None]] = []
         self._busy: set[web.RequestHandler] = set()
         self._server: web.Server | None = None
         self._closing_since_ms: float | None = None
 
+    def on_finished(self, callback: Callable[[str, str, float], None]) -> None:
+        """Calls back with the route's kind, the outcome and the time in ms of each request."""
+        self._finished_callbacks.append(callback)
+
     def build(self) -> web.Server:
         """Returns the server of the callers' port."""
 
@@ -180,6 +185,7 @@
             return sink.response
         except asyncio.CancelledError:
             log_info(Event.CALLER_GONE, request=request.request_id, after_ms=self._age_ms(request))
+            self._note_finished(request, "caller_gone")
             raise
         if reply is None:
             assert sink.response is not None
@@ -212,12 +218,21 @@
             status=reply.status if reply is not None else 200,
             took_ms=self._age_ms(request),
         )
+        self._note_finished(request, str(reply.status if reply is not None else 200))
         return reply
 
     def _age_ms(self, request: ClientRequest) -> int:
         return int(self._clock.now_ms() - request.received_ms)
 
+    def _note_finished(self, request: ClientRequest, outcome: str) -> None:
+        index = self._follower.index
+        route = index.find(request.host, request.path) if index is not None else None
+        kind = route.kind.value if route is not None else "none"
+        for callback in self._finished_callbacks:
+            callback(kind, outcome, self._clock.now_ms() - request.received_ms)
+
     def _log_failure(self, request: ClientRequest, error: MedlarvaleError) -> None:
+        self._note_finished(request, error.code)
         log_warning(
             Event.REQUEST_FAILED,
             request=request.request_id,
--- a/src/medlarvale/forwarding/host.py
+++ b/src/medlarvale/forwarding/host.py
@@ -5,6 +5,7 @@
 import asyncio
 import random
 import secrets
+from collections.abc import Callable, Mapping
 
 from aiohttp import web
 
@@ -16,15 +17,19 @@
 from medlarvale.forwarding.front import CallerPort, RequestDecoder, build_readiness
 from medlarvale.forwarding.interface import Backends, StateSource
 from medlarvale.forwarding.messages import EngineStage, EngineTraits, HostPlace
+from medlarvale.forwarding.metrics import ForwardingMetrics
 from medlarvale.forwarding.orders import OrderTask
+from medlarvale.forwarding.peer_state import PeerStateTask, known_version
 from medlarvale.forwarding.plain import PlainForwarder
 from medlarvale.forwarding.servers import ServerTable
 from medlarvale.forwarding.streams import StreamForwarder
-from medlarvale.ids import ConfigVersion, HostId, HostIdentity, ServiceName, new_incarnation
+from medlarvale.forwarding.suspects import CrashGuard
+from medlarvale.ids import HostId, HostIdentity, ServiceName, new_incarnation
 from medlarvale.logs import Event, log_info
 from medlarvale.peers.auth import FrameGuard, SharedKeys
 from medlarvale.peers.pynng_transport import PynngTransport
 from medlarvale.peers.transport import MessageCodec
+from medlarvale.quarantine.messages import QuarantineAccepted, ShareEvidence
 
 FLEET_KEY_ID = "fleet"
 # Clocks of hosts may step by some seconds.
@@ -47,6 +52,8 @@
         source: published configuration and backend servers.
         backends: calls to backend servers.
         decode: reads a caller's request off the wire.
+        metrics_port: port of the metrics, at the address of the peers' port.
+        extra_gauges: returns further values for the metrics.
     """
 
     def __init__(
@@ -55,15 +62,22 @@
         source: StateSource,
         backends: Backends,
         decode: RequestDecoder,
+        metrics_port: int,
+        extra_gauges: Callable[[], Mapping[str, float]],
     ) -> None:
         self._place = place
+        self._extra_gauges = extra_gauges
+        self._metrics_address = f"{place.listen_control.rpartition(':')[0]}:{metrics_port}"
         self.clock = SystemClock()
         rng = random.Random(secrets.randbits(64))
         self.servers = ServerTable(place.failure_domain, rng)
         self.follower = StateFollower(source, self.servers, self.clock, self._log_ready)
         self.follower.on_contact(lambda: self.servers.contact.note_contact(self.clock.now_ms()))
-        limits = RetryLimits(place.retry_share, place.retry_reserve / ASSUMED_HOSTS)
-        context = ForwardingContext(backends, self.servers, self.clock, rng, limits)
+        self._build_peers(place)
+        self._guard = CrashGuard(backends, self._transport, self._live_peers, self.clock)
+        context = ForwardingContext(
+            backends, self.servers, self.clock, rng, self._retry_limits, self._guard
+        )
         self.streams = StreamForwarder(context, self._traits)
         self.port = CallerPort(
             self.follower,
@@ -74,8 +88,18 @@
             rng,
             self.ready,
         )
+        self.orders = OrderTask(
+            self.fleet.view,
+            backends,
+            self.servers,
+            self._model_services,
+            self.streams.meter,
+            self.clock,
+            place.lease_ms,
+        )
+        self.metrics = ForwardingMetrics(self._gauges)
+        self.port.on_finished(self.metrics.note)
         self._runners: list[web.ServerRunner] = []
-        self._build_fleet(place, backends)
 
     def _traits(self, service: ServiceName) -> EngineTraits:
         index = self.follower.index
@@ -84,7 +108,7 @@
         assert traits is not None
         return traits
 
-    def _build_fleet(self, place: HostPlace, backends: Backends) -> None:
+    def _build_peers(self, place: HostPlace) -> None:
         wall_ms = self.clock.wall_ms()
         identity = HostIdentity(place.host, new_incarnation(wall_ms))
         keys = SharedKeys({FLEET_KEY_ID: fleet_key([place.platform_address])})
@@ -94,30 +118,44 @@
             identity,
             f"tcp://{place.listen_control}",
             guard,
-            MessageCodec(FLEET_MESSAGES),
+            MessageCodec((*FLEET_MESSAGES, ShareEvidence, QuarantineAccepted)),
             self.clock,
         )
         view = FleetView(identity, place.listen_control, place.seed_addresses)
         self.fleet = FleetTask(view, self._transport, self.clock, self._hello)
         self.fleet.on_hello(self._note_peer)
-        self.orders = OrderTask(
-            view,
-            backends,
-            self.servers,
-            self._model_services,
-            self.streams.meter,
-            self.clock,
-            place.lease_ms,
+        self._peer_state = PeerStateTask(
+            view, self._transport, self.follower, self.servers, self.clock
         )
 
+    def _live_peers(self) -> list[HostId]:
+        return list(self.fleet.view.live(self.clock.now_ms()))
+
+    def _retry_limits(self) -> RetryLimits:
+        # Hosts that are not known yet, or not any more, draw on the same budget.
+        hosts = max(ASSUMED_HOSTS, self.fleet.view.host_count())
+        return RetryLimits(self._place.retry_share, self._place.retry_reserve / hosts)
+
+    def _gauges(self) -> dict[str, float]:
+        return {
+            "in_flight": self.port.in_flight,
+            "config_version": known_version(self.follower),
+            "store_reachable": self.follower.reachable,
+            "backend_servers": len(self.servers),
+            "live_peers": len(self._live_peers()),
+            "peer_frames_dropped": self._transport.dropped_frames,
+            "peer_bytes_sent": self._transport.sent_bytes,
+            "ready": self.ready(),
+            **self._extra_gauges(),
+        }
+
     def _hello(self) -> Hello:
-        index = self.follower.index
         view = self.fleet.view
         return Hello(
             view.identity,
             self._place.failure_domain,
             view.hosts(),
-            index.table.version if index is not None else ConfigVersion(0),
+            known_version(self.follower),
             self.follower.reachable,
             self.streams.demands(),
             self.orders.highest_fencing,
@@ -171,8 +209,11 @@
         self.follower.start()
         self.fleet.start()
         self.orders.start()
+        self._peer_state.start()
+        self._guard.start()
         for server, address in (
             (build_readiness(self.ready), self._place.listen_ready),
+            (self.metrics.build_server(), self._metrics_address),
             (self.port.build(), self._place.listen_caller),
         ):
             runner = web.ServerRunner(server)
--- a/src/medlarvale/forwarding/interface.py
+++ b/src/medlarvale/forwarding/interface.py
@@ -101,6 +101,13 @@
             BackendError: if the server does not answer.
         """
 
+    async def probe(self, server: Server) -> None:
+        """Opens and closes a connection.
+
+        Raises:
+            NotSentError: the server takes none.
+        """
+
     async def report(self, server: Server) -> EngineReport:
         """Returns the load of an engine.
 
--- /dev/null
+++ b/src/medlarvale/forwarding/peer_state.py
@@ -0,0 +1,95 @@
+"""Takes configuration and servers over from a peer while this host can't read the store."""
+
+from __future__ import annotations
+
+from medlarvale.clock import Clock
+from medlarvale.forwarding.context import BackgroundTasks
+from medlarvale.forwarding.fleet import FleetView
+from medlarvale.forwarding.fleet_messages import StateReply, StateRequest
+from medlarvale.forwarding.follower import StateFollower
+from medlarvale.forwarding.servers import ServerTable
+from medlarvale.ids import ConfigVersion, HostId, HostIdentity
+from medlarvale.logs import Event, log_info
+from medlarvale.peers.errors import PeerError
+from medlarvale.peers.transport import Transport
+
+# A change has to be in force within 2 s, so half of that is the longest useful period.
+ASK_PERIOD_MS = 1_000.0
+ASK_TIMEOUT_MS = 800.0
+
+
+class PeerStateTask:
+    """Asks a peer that reads the store while this host does not.
+
+    Args:
+        view: the peers.
+        transport: messages to peers.
+        follower: configuration of this host.
+        servers: backend servers of this host.
+        clock: time service.
+    """
+
+    def __init__(
+        self,
+        view: FleetView,
+        transport: Transport,
+        follower: StateFollower,
+        servers: ServerTable,
+        clock: Clock,
+    ) -> None:
+        self._view = view
+        self._transport = transport
+        self._follower = follower
+        self._servers = servers
+        self._clock = clock
+        self._background = BackgroundTasks()
+        transport.register(StateRequest, self._answer)
+
+    def start(self) -> None:
+        """Starts asking when needed."""
+        self._clock.every_ms(ASK_PERIOD_MS, self._tick)
+
+    def _tick(self) -> None:
+        if not self._needs_state():
+            return
+        now_ms = self._clock.now_ms()
+        readers = {
+            host: hello.config_version
+            for host, hello in self._view.live(now_ms).items()
+            if hello.store_reachable and hello.config_version
+        }
+        if readers:
+            newest = max(readers, key=lambda host: (readers[host], host))
+            self._background.start(self._ask(newest))
+
+    def _needs_state(self) -> bool:
+        return not self._follower.reachable or self._follower.index is None
+
+    async def _ask(self, host: HostId) -> None:
+        try:
+            reply = await self._transport.request(host, StateRequest(), ASK_TIMEOUT_MS)
+        except PeerError as error:
+            log_info(Event.PEER_STATE_FAILED, peer=host, error=error.message)
+            return
+        # The store may have answered in the meantime, and knows better.
+        if not isinstance(reply, StateReply) or not reply.store_reachable:
+            return
+        if not self._needs_state():
+            return
+        if reply.table is not None:
+            self._follower.accept(reply.table)
+        self._servers.replace_all(reply.servers, self._clock.now_ms(), after_outage=True)
+
+    async def _answer(self, sender: HostIdentity, message: StateRequest) -> StateReply:
+        index = self._follower.index
+        return StateReply(
+            index.table if index is not None else None,
+            self._servers.all_servers(),
+            self._follower.reachable,
+        )
+
+
+def known_version(follower: StateFollower) -> ConfigVersion:
+    """Returns the version in force; 0 before the first."""
+    index = follower.index
+    return index.table.version if index is not None else ConfigVersion(0)
--- a/src/medlarvale/forwarding/plain.py
+++ b/src/medlarvale/forwarding/plain.py
@@ -73,6 +73,7 @@
         self._end_ms = end_ms(request, route)
         self._budget = context.budget(service)
         self._budget.record_request()
+        self._fingerprint = context.guard.check(request, service)
         self._tried: set[ServerId] = set()
         self._sends = 0
         self._unreachable = 0
@@ -195,6 +196,7 @@
         else:
             self._may_have_run = True
             load.note_answer(failed=True)
+            self._context.guard.note_break(self._fingerprint, load.server)
             self._context.servers.note_failure(load, now_ms, error.message)
             if self._repeatable():
                 self._start_another()
--- a/src/medlarvale/forwarding/servers.py
+++ b/src/medlarvale/forwarding/servers.py
@@ -183,6 +183,10 @@
         """Returns all listed servers of a service."""
         return [load for load in self._loads.values() if load.server.service == service]
 
+    def all_servers(self) -> tuple[Server, ...]:
+        """Returns the entries of all listed servers."""
+        return tuple(load.server for load in self._loads.values())
+
     def service_size(self, service: ServiceName) -> int:
         """Returns the number of listed servers of a service."""
         return len(self.of_service(service))
--- a/src/medlarvale/forwarding/stream_run.py
+++ b/src/medlarvale/forwarding/stream_run.py
@@ -134,6 +134,7 @@
         self._end_ms = end_ms(request, route)
         self._budget = self._context.budget(service)
         self._budget.record_request()
+        self._fingerprint = context.guard.check(request, service)
         self._tokens = request.tokens or DEFAULT_TOKENS
         self._memory_tokens = reserved_tokens(self._tokens)
         self._reader = PromptReader(context, request, service, self._tokens.prompt, meter)
@@ -289,6 +290,8 @@
         return answer
 
     def _note_failure(self, load: ServerLoad, error: BackendError) -> None:
+        if not isinstance(error, NotSentError):
+            self._context.guard.note_break(self._fingerprint, load.server)
         self._excluded.add(load.server.server)
         self._context.servers.note_failure(load, self._context.clock.now_ms(), error.message)
 
@@ -315,6 +318,7 @@
                 await self._pass_on(answer, self._events.feed(chunk))
         except BackendError:
             load.note_answer(failed=True)
+            self._context.guard.note_break(self._fingerprint, load.server)
             self._keeper = load.server.server
             raise
         load.note_answer(failed=False)
--- /dev/null
+++ b/src/medlarvale/forwarding/suspects.py
@@ -0,0 +1,113 @@
+"""Stops requests that crash the backend servers which run them, together with the peers."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable
+
+from medlarvale.clock import Clock
+from medlarvale.forwarding.context import BackgroundTasks
+from medlarvale.forwarding.errors import BackendError, CrashingRequestError, NotSentError
+from medlarvale.forwarding.interface import Backends
+from medlarvale.forwarding.messages import ClientRequest, Server
+from medlarvale.ids import HostId, HostIdentity, ServiceName, WorkspaceId
+from medlarvale.logs import Event, log_warning
+from medlarvale.peers.errors import PeerError
+from medlarvale.peers.transport import Transport
+from medlarvale.quarantine.messages import (
+    Evidence,
+    Loss,
+    LossEvent,
+    QuarantineAccepted,
+    ShareEvidence,
+)
+from medlarvale.quarantine.suspects import QuarantineLimits, SuspectBook, fingerprint_of
+
+# A crashed server refuses connections until it has started again, which takes some seconds.
+PROBE_DELAY_MS = 100.0
+SHARE_TIMEOUT_MS = 500.0
+EXPIRE_PERIOD_MS = 10_000.0
+
+
+class CrashGuard:
+    """Counts the servers that were lost under each request.
+
+    Args:
+        backends: tells whether a server still takes connections.
+        transport: shares evidence with the peers.
+        peers: returns the live peers.
+        clock: time service.
+    """
+
+    def __init__(
+        self,
+        backends: Backends,
+        transport: Transport,
+        peers: Callable[[], Iterable[HostId]],
+        clock: Clock,
+    ) -> None:
+        self._backends = backends
+        self._transport = transport
+        self._peers = peers
+        self._clock = clock
+        self._book = SuspectBook(QuarantineLimits())
+        self._background = BackgroundTasks()
+        transport.register(ShareEvidence, self._learn)
+
+    def start(self) -> None:
+        """Starts dropping old evidence."""
+        self._clock.every_ms(EXPIRE_PERIOD_MS, lambda: self._book.expire(self._clock.wall_ms()))
+
+    def check(self, request: ClientRequest, service: ServiceName) -> int:
+        """Returns the fingerprint of a request that may run.
+
+        Raises:
+            CrashingRequestError: it has crashed too many servers.
+        """
+        # The platform names no workspace; the host name stands for the caller's service.
+        body = request.path.encode() + b"\0" + request.body
+        fingerprint = fingerprint_of(WorkspaceId(request.host), service, body)
+        left_ms = self._book.quarantine_left_ms(fingerprint, self._clock.wall_ms())
+        if left_ms > 0:
+            raise CrashingRequestError(
+                "this request has crashed several backend servers", retry_after_ms=left_ms
+            )
+        return fingerprint
+
+    def note_break(self, fingerprint: int, server: Server) -> None:
+        """Looks into the end of a run whose connection broke before its answer was complete."""
+        self._background.start(self._look_into(fingerprint, server))
+
+    async def _look_into(self, fingerprint: int, server: Server) -> None:
+        await self._clock.sleep_ms(PROBE_DELAY_MS)
+        try:
+            await self._backends.probe(server)
+        except NotSentError:
+            self._record(fingerprint, server)
+        except BackendError:
+            # It answers, if badly: a lost answer is no crash.
+            return
+
+    def _record(self, fingerprint: int, server: Server) -> None:
+        event = LossEvent(server.server, server.born_ms, 0)
+        if not self._book.record_loss(fingerprint, Loss(self._clock.wall_ms(), event)):
+            return
+        evidence = self._book.evidence_of(fingerprint)
+        log_warning(
+            Event.SERVER_LOST,
+            server=server.server,
+            fingerprint=f"{fingerprint:016x}",
+            losses=len(evidence.losses),
+        )
+        for host in self._peers():
+            self._background.start(self._share(host, evidence))
+
+    async def _share(self, host: HostId, evidence: Evidence) -> None:
+        try:
+            await self._transport.request(host, ShareEvidence((evidence,)), SHARE_TIMEOUT_MS)
+        except PeerError as error:
+            log_warning(Event.EVIDENCE_NOT_SHARED, peer=host, error=error.message)
+
+    async def _learn(self, sender: HostIdentity, message: ShareEvidence) -> QuarantineAccepted:
+        for evidence in message.evidence:
+            self._book.merge(evidence)
+        return QuarantineAccepted()
--- /dev/null
+++ b/src/medlarvale/log_writer.py
@@ -0,0 +1,57 @@
+"""Writes log lines to a descriptor without waiting, and drops what is too much."""
+
+from __future__ import annotations
+
+import os
+from collections.abc import Callable
+
+# A line takes about 20 µs of a core, so this many take half a percent of it.
+LINES_PER_S = 250.0
+# Lines of one burst, such as the loss of a backend server with all its requests.
+BURST_LINES = 2_000.0
+# Bytes kept while the reader is behind.
+MAX_PENDING_BYTES = 256 * 1024
+
+
+class BoundedLineWriter:
+    """File-like target of log lines that never blocks its caller.
+
+    Attributes:
+        dropped: lines that were not written.
+
+    Args:
+        descriptor: open file descriptor; it is switched to non-blocking mode.
+        now_ms: monotonic time in ms.
+    """
+
+    def __init__(self, descriptor: int, now_ms: Callable[[], float]) -> None:
+        os.set_blocking(descriptor, False)
+        self._descriptor = descriptor
+        self._now_ms = now_ms
+        self._allowance = BURST_LINES
+        self._at_ms = now_ms()
+        self._pending = b""
+        self.dropped = 0
+
+    def write(self, text: str) -> int:
+        """Writes or drops a line; returns its length."""
+        now_ms = self._now_ms()
+        gained = (now_ms - self._at_ms) / 1000.0 * LINES_PER_S
+        self._allowance = min(BURST_LINES, self._allowance + gained)
+        self._at_ms = now_ms
+        data = text.encode()
+        if self._allowance < 1.0 or len(self._pending) + len(data) > MAX_PENDING_BYTES:
+            self.dropped += 1
+            return len(text)
+        self._allowance -= 1.0
+        self._pending += data
+        self.flush()
+        return len(text)
+
+    def flush(self) -> None:
+        """Writes what the reader takes now."""
+        try:
+            written = os.write(self._descriptor, self._pending)
+        except BlockingIOError:
+            return
+        self._pending = self._pending[written:]
--- a/src/medlarvale/logs.py
+++ b/src/medlarvale/logs.py
@@ -5,7 +5,7 @@
 import enum
 import logging
 import sys
-from typing import TextIO
+from typing import Any
 
 import structlog
 
@@ -37,6 +37,8 @@
     PEER_STATE_CHANGED = (3001, "peer state changed")
     PEER_FRAME_DROPPED = (3002, "peer frame dropped")
     PEER_HANDLER_FAILED = (3003, "peer message handler failed")
+    PEER_STATE_FAILED = (3004, "published state could not be had from a peer")
+    EVIDENCE_NOT_SHARED = (3005, "evidence of a crash could not be shared with a peer")
     LEASE_GAINED = (4001, "booking lease gained")
     LEASE_LOST = (4002, "booking lease lost")
     BOOKING_OUTCOME_UNKNOWN = (4003, "booking outcome unknown")
@@ -69,12 +71,12 @@
         return self.value[1]
 
 
-def configure_logging(level: str, file: TextIO = sys.stderr) -> None:
+def configure_logging(level: str, file: Any = sys.stderr) -> None:
     """Sends JSON lines to a file.
 
     Args:
         level: name of the lowest level to write, such as ``info``.
-        file: standard error, or the file that the platform collects.
+        file: standard error, or another object with ``write`` and ``flush``.
     """
     structlog.configure(
         processors=[
--- a/src/medlarvale/platform/backends.py
+++ b/src/medlarvale/platform/backends.py
@@ -257,6 +257,16 @@
         """Frees the KV cache of a prompt that is not going to be used."""
         await self._call(server, "DELETE", f"/kv-handle/{handle}", None)
 
+    async def probe(self, server: Server) -> None:
+        """Opens and closes a connection."""
+        ip, _, port = server.address.rpartition(":")
+        try:
+            async with asyncio.timeout(CONNECT_TIMEOUT_MS / 1000.0):
+                _, writer = await asyncio.open_connection(ip, int(port))
+        except (OSError, TimeoutError) as error:
+            raise NotSentError(f"server {server.server}: {error!r}") from error
+        writer.close()
+
     async def report(self, server: Server) -> EngineReport:
         """Returns the load of an engine."""
         status, body = await self._call(server, "GET", "/report", None)
--- a/src/medlarvale/scheduling/retry_budget.py
+++ b/src/medlarvale/scheduling/retry_budget.py
@@ -29,6 +29,11 @@
         self._ceiling = ceiling
         self._saved = initial if share > 0 else 0.0
 
+    def set_ceiling(self, ceiling: float) -> None:
+        """Changes how many retries can be saved up; what is beyond it is lost."""
+        self._ceiling = ceiling
+        self._saved = min(self._saved, ceiling)
+
     def record_request(self) -> None:
         """Counts a first attempt."""
         self._saved = min(self._ceiling, self._saved + self._share)
