--- a/src/medlarvale/forwarding/orders.py
+++ b/src/medlarvale/forwarding/orders.py
@@ -27,9 +27,10 @@
 NOTICE_MS = 1_100.0
 # Time after an order in which the engine finishes what it runs.
 LONGEST_RUN_MS = 10_000.0
-# Fencing numbers are wall-clock times in units of 1/16 s with the host's own bits below them.
-FENCING_UNIT_MS = 62.5
-HOST_BITS = 8
+# Fencing numbers are wall-clock times in units of 4 s with the host's own bits below them; together
+# they stay below 2^53, which every JSON reader keeps exact.
+FENCING_UNIT_MS = 4_000
+HOST_BITS = 24
 
 
 def fencing_number(wall_ms: int, host: str, highest: int) -> int:
@@ -39,7 +40,7 @@
         highest: largest number that this host gave or heard of.
     """
     own = weight("fencing", host) % (1 << HOST_BITS)
-    by_clock = (int(wall_ms / FENCING_UNIT_MS) << HOST_BITS) | own
+    by_clock = ((wall_ms // FENCING_UNIT_MS) << HOST_BITS) | own
     if by_clock > highest:
         return by_clock
     return ((highest >> HOST_BITS) + 1) << HOST_BITS | own
--- /dev/null
+++ b/tests/forwarding/fakes.py
@@ -0,0 +1,270 @@
+"""In-memory backend servers and builders for tests of the forwarding path."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections.abc import AsyncIterator, Callable
+from typing import Any
+
+from multidict import CIMultiDict
+
+from medlarvale.clock import SystemClock
+from medlarvale.forwarding.context import ForwardingContext, RetryLimits
+from medlarvale.forwarding.errors import BackendError
+from medlarvale.forwarding.messages import (
+    ClientRequest,
+    Dispatch,
+    EngineReport,
+    EngineStage,
+    EngineTraits,
+    HandleId,
+    HoldId,
+    PrefillResult,
+    RequestLimits,
+    Route,
+    RouteKind,
+    RouteTable,
+    Server,
+    ServerState,
+    Service,
+    Target,
+    TokenCounts,
+)
+from medlarvale.forwarding.servers import ServerTable
+from medlarvale.ids import ConfigVersion, FailureDomain, RequestId, ServerId, ServiceName
+
+LLM = ServiceName("llm")
+APP = ServiceName("app")
+HERE = FailureDomain("a")
+TRAITS = EngineTraits(
+    slots=64, memory_tokens=20_000, handle_ttl_ms=500.0, hold_ttl_ms=2_000.0, switch_ms=6_000.0
+)
+
+
+def make_route(name: str = "r", **changes: Any) -> Route:
+    fields: dict[str, Any] = {
+        "host": "callers.example",
+        "path_prefix": "/",
+        "kind": RouteKind.STREAM,
+        "timeout_ms": 5_000.0,
+        "target_latency_ms": 900.0,
+        "priority": 1,
+        "targets": (Target(LLM, 1.0),),
+        "max_attempts": 2,
+        "resumable": True,
+    }
+    return Route(name, **(fields | changes))
+
+
+def make_table(*routes: Route, version: int = 1) -> RouteTable:
+    return RouteTable(
+        ConfigVersion(version),
+        routes,
+        {LLM: Service(LLM, 360, TRAITS), APP: Service(APP, 100)},
+        RequestLimits(16_384, 4_194_304, 3_000.0, 15_000.0),
+    )
+
+
+def make_server(
+    name: str,
+    *,
+    service: ServiceName = LLM,
+    stage: EngineStage | None = None,
+    domain: str = "a",
+    state: ServerState = ServerState.READY,
+    born_ms: int = 1,
+    slots: int = 6,
+) -> Server:
+    return Server(
+        ServerId(name),
+        service,
+        f"10.0.0.{len(name)}:80",
+        FailureDomain(domain),
+        slots,
+        state,
+        stage,
+        born_ms=born_ms,
+    )
+
+
+def make_request(
+    name: str = "q1", *, deadline_ms: float = 5_000.0, **changes: Any
+) -> ClientRequest:
+    fields: dict[str, Any] = {
+        "method": "POST",
+        "host": "callers.example",
+        "path": "/x",
+        "headers": CIMultiDict(),
+        "body": b"",
+        "received_ms": SystemClock().now_ms(),
+        "tokens": TokenCounts(5_000, 1_000, 700),
+    }
+    return ClientRequest(RequestId(name), deadline_ms=deadline_ms, **(fields | changes))
+
+
+class FakeAnswer:
+    """An answer whose body is given as chunks; an error among them ends it early."""
+
+    def __init__(
+        self,
+        chunks: list[bytes | Exception | float],
+        *,
+        status: int = 200,
+        signed: bool = True,
+        event_stream: bool = True,
+    ) -> None:
+        self.status = status
+        self.headers: CIMultiDict[str] = CIMultiDict({"X-Mark": "worker"})
+        self.signed = signed
+        self.event_stream = event_stream
+        self.closed = False
+        self._chunks = chunks
+
+    async def chunks(self) -> AsyncIterator[bytes]:
+        for chunk in self._chunks:
+            if isinstance(chunk, Exception):
+                raise chunk
+            if isinstance(chunk, float):
+                await asyncio.sleep(chunk)
+                continue
+            yield chunk
+
+    async def read(self) -> bytes:
+        return b"".join([chunk async for chunk in self.chunks()])
+
+    def close(self) -> None:
+        self.closed = True
+
+
+Script = Callable[[Server, ClientRequest, Dispatch], "FakeAnswer | Exception"]
+
+
+class FakeBackends:
+    """In-memory twin of the backend servers.
+
+    Attributes:
+        script: answers a send; may return an exception to be raised.
+        free_tokens: memory that can be reserved, by server; unlimited where missing.
+        calls: everything that was called, in order.
+    """
+
+    def __init__(self) -> None:
+        self.script: Script = lambda server, request, dispatch: FakeAnswer([])
+        self.prefill_script: Callable[[Server], float | Exception] = lambda server: 0.0
+        self.free_tokens: dict[ServerId, int] = {}
+        self.hold_errors: dict[ServerId, Exception] = {}
+        self.probe_errors: dict[ServerId, Exception] = {}
+        self.reports: dict[ServerId, EngineReport] = {}
+        self.calls: list[tuple[str, str]] = []
+        self.dispatches: list[tuple[ServerId, Dispatch]] = []
+        self.orders: list[tuple[ServerId, EngineStage, str, int, int]] = []
+        self._holds: dict[HoldId, tuple[ServerId, int]] = {}
+
+    async def send(self, server: Server, request: ClientRequest, dispatch: Dispatch) -> FakeAnswer:
+        self.calls.append(("send", server.server))
+        self.dispatches.append((server.server, dispatch))
+        answer = self.script(server, request, dispatch)
+        if isinstance(answer, Exception):
+            raise answer
+        return answer
+
+    async def prefill(
+        self, server: Server, request: ClientRequest, left_ms: float
+    ) -> PrefillResult:
+        self.calls.append(("prefill", server.server))
+        result = self.prefill_script(server)
+        if isinstance(result, Exception):
+            raise result
+        await asyncio.sleep(result)
+        return PrefillResult(server, HandleId(f"handle-{len(self.calls)}"))
+
+    async def take_hold(self, server: Server, tokens: int, ttl_ms: float) -> HoldId | None:
+        self.calls.append(("hold", server.server))
+        if server.server in self.hold_errors:
+            raise self.hold_errors[server.server]
+        free = self.free_tokens.get(server.server)
+        if free is not None and tokens > free:
+            return None
+        if free is not None:
+            self.free_tokens[server.server] = free - tokens
+        hold = HoldId(f"hold-{len(self.calls)}")
+        self._holds[hold] = (server.server, tokens)
+        return hold
+
+    async def drop_hold(self, server: Server, hold: HoldId) -> None:
+        self.calls.append(("drop hold", server.server))
+        held = self._holds.pop(hold, None)
+        if held is not None and server.server in self.free_tokens:
+            self.free_tokens[server.server] += held[1]
+
+    async def drop_handle(self, server: Server, handle: HandleId) -> None:
+        self.calls.append(("drop handle", server.server))
+
+    async def probe(self, server: Server) -> None:
+        self.calls.append(("probe", server.server))
+        if server.server in self.probe_errors:
+            raise self.probe_errors[server.server]
+
+    async def report(self, server: Server) -> EngineReport:
+        if server.server not in self.reports:
+            raise BackendError("no report")
+        return self.reports[server.server]
+
+    async def order_stage(
+        self, server: Server, stage: EngineStage, giver: str, fencing: int, orders_accepted: int
+    ) -> bool:
+        self.orders.append((server.server, stage, giver, fencing, orders_accepted))
+        return True
+
+    def count(self, kind: str) -> int:
+        """Returns how often a kind of call was made."""
+        return sum(call == kind for call, _ in self.calls)
+
+
+class FakeGuard:
+    """Lets every request run and remembers broken runs."""
+
+    def __init__(self) -> None:
+        self.breaks: list[ServerId] = []
+
+    def check(self, request: ClientRequest, service: ServiceName) -> int:
+        return 1
+
+    def note_break(self, fingerprint: int, server: Server) -> None:
+        self.breaks.append(server.server)
+
+
+def make_context(
+    backends: FakeBackends, *servers: Server, reserve: float = 10.0
+) -> ForwardingContext:
+    table = ServerTable(HERE, random.Random(1))
+    for server in servers:
+        table.learn(server)
+    return ForwardingContext(
+        backends,
+        table,
+        SystemClock(),
+        random.Random(2),
+        lambda: RetryLimits(0.2, reserve),
+        FakeGuard(),
+    )
+
+
+class FakeSink:
+    """Collects what a caller would receive."""
+
+    def __init__(self) -> None:
+        self.status: int | None = None
+        self.data = b""
+        self.finished = False
+
+    async def start(self, status: int, headers: CIMultiDict[str]) -> None:
+        assert self.status is None, "two heads on one connection"
+        self.status = status
+
+    async def write(self, data: bytes) -> None:
+        self.data += data
+
+    async def finish(self) -> None:
+        self.finished = True
--- /dev/null
+++ b/tests/forwarding/test_fleet.py
@@ -0,0 +1,105 @@
+"""Hosts find each other, one of them gives orders, and none acts on what it knew before a pause."""
+
+from __future__ import annotations
+
+import unittest
+
+from medlarvale.forwarding.fleet import (
+    FORGET_AFTER_MS,
+    HELLO_FANOUT,
+    HELLO_PERIOD_MS,
+    FleetView,
+    fleet_key,
+)
+from medlarvale.forwarding.fleet_messages import Demand, Hello
+from medlarvale.ids import ConfigVersion, FailureDomain, HostId, HostIdentity, Incarnation
+from tests.forwarding.fakes import LLM
+
+
+def identity(host: str, incarnation: int = 1) -> HostIdentity:
+    return HostIdentity(HostId(host), Incarnation(incarnation))
+
+
+def hello(host: str, incarnation: int = 1, **hosts: str) -> Hello:
+    return Hello(
+        identity(host, incarnation),
+        FailureDomain("a"),
+        {HostId(name): address for name, address in ({host: f"{host}:1"} | hosts).items()},
+        ConfigVersion(1),
+        True,
+        {LLM: Demand(100.0, 200.0)},
+    )
+
+
+def greet(view: FleetView, now_ms: float, *hosts: str) -> None:
+    for host in hosts:
+        view.learn(identity(host), hello(host), now_ms)
+
+
+class FleetViewTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.view = FleetView(identity("b"), "b:1", ["a:1", "b:1", "c:1"])
+
+    def test_seeds_are_greeted_until_their_hosts_are_known(self) -> None:
+        self.assertEqual(self.view.tick(0.0), ["a:1", "c:1"])
+        self.view.learn(identity("a"), hello("a", d="d:1"), 10.0)
+        self.assertEqual(self.view.tick(500.0), ["a", "c:1", "d"])
+        self.assertEqual(self.view.addresses()[HostId("d")], "d:1")
+
+    def test_who_gives_orders(self) -> None:
+        """Guards against two givers on the two sides of a partition."""
+        table: list[tuple[str, list[str], list[str], bool]] = [
+            ("alone from the start", [], [], True),
+            ("first by name", ["c", "d"], ["c", "d"], True),
+            ("another one is first", ["a", "c"], ["a", "c"], False),
+            ("the first one is gone", ["a", "c", "d"], ["c", "d"], True),
+            ("on the smaller side", ["c", "d", "e"], [], False),
+            ("on half of the fleet", ["c", "d", "e"], ["c"], False),
+        ]
+        for name, known, heard, expected in table:
+            with self.subTest(name):
+                self.setUp()
+                greet(self.view, 0.0, *known)
+                greet(self.view, 5_000.0, *heard)
+                self.assertEqual(self.view.leads(5_001.0), expected)
+
+    def test_a_pause_starts_the_wait_anew(self) -> None:
+        """Guards against an order that a frozen host gives as it wakes up."""
+        for step in range(10):
+            self.view.tick(step * HELLO_PERIOD_MS)
+        self.assertEqual(self.view.steady_ms(4_500.0), 4_500.0)
+        self.view.tick(9_000.0)
+        self.assertEqual(self.view.steady_ms(9_000.0), 0.0)
+
+    def test_an_older_life_is_passed_over(self) -> None:
+        self.view.learn(identity("c", 5), hello("c", 5), 0.0)
+        self.view.learn(identity("c", 4), hello("c", 4, x="x:1"), 1.0)
+        self.assertNotIn("x", self.view.addresses())
+
+    def test_hosts_that_are_gone_are_forgotten(self) -> None:
+        greet(self.view, 0.0, "c", "d")
+        self.view.tick(FORGET_AFTER_MS + 1)
+        self.assertEqual(self.view.host_count(), 1)
+        self.assertNotIn("d", self.view.addresses())
+
+    def test_a_large_fleet_is_greeted_in_turns(self) -> None:
+        """Guards against traffic that grows with the square of the fleet."""
+        names = [f"h{number:03}" for number in range(30)]
+        greet(self.view, 0.0, *names)
+        seen: set[str] = set()
+        for step in range(6):
+            targets = self.view.tick(step * HELLO_PERIOD_MS)
+            self.assertEqual(len(targets), HELLO_FANOUT)
+            seen.update(targets)
+        self.assertLessEqual(set(names), seen)
+        self.assertGreater(self.view.silent_after_ms(), 30 / HELLO_FANOUT * HELLO_PERIOD_MS)
+
+    def test_demand_is_that_of_all_live_hosts(self) -> None:
+        greet(self.view, 0.0, "c", "d")
+        total = self.view.demand(LLM, Demand(1.0, 2.0), 10.0)
+        self.assertEqual(total, Demand(201.0, 402.0))
+        self.assertEqual(self.view.demand(LLM, Demand(1.0, 2.0), 20_000.0), Demand(1.0, 2.0))
+
+    def test_other_fleets_have_other_keys(self) -> None:
+        self.assertNotEqual(fleet_key(["x", "y"]), fleet_key(["xy"]))
+        self.assertGreaterEqual(len(fleet_key([])), 16)
--- /dev/null
+++ b/tests/forwarding/test_follower.py
@@ -0,0 +1,114 @@
+"""The published state through outages, lost history and stale reads."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import unittest
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from medlarvale.clock import SystemClock
+from medlarvale.forwarding.errors import HistoryGoneError, PublishedStateError
+from medlarvale.forwarding.follower import StateFollower
+from medlarvale.forwarding.messages import Changes, Published, RouteTable, StoreRevision
+from medlarvale.forwarding.servers import ServerTable
+from medlarvale.ids import ServerId
+from tests.forwarding.fakes import APP, HERE, make_route, make_server, make_table
+
+
+class ScriptedSource:
+    """Gives out results one after the other, and waits after the last."""
+
+    def __init__(self, *results: Published | Changes | Exception) -> None:
+        self.results = list(results)
+        self.asked: list[object] = []
+        self.done = asyncio.Event()
+
+    async def _next(self):  # type: ignore[no-untyped-def]
+        if not self.results:
+            self.done.set()
+            await asyncio.Event().wait()
+        result = self.results.pop(0)
+        if isinstance(result, Exception):
+            raise result
+        return result
+
+    async def read(self) -> Published:
+        self.asked.append("read")
+        return await self._next()
+
+    async def watch(self, after: StoreRevision, wait_ms: int) -> Changes:
+        self.asked.append(after)
+        return await self._next()
+
+
+def published(version: int, *servers: str, revision: int = 10) -> Published:
+    entries = tuple(make_server(name, service=APP) for name in servers)
+    return Published(make_table(make_route(), version=version), entries, StoreRevision(revision))
+
+
+def changes(revision: int, *items: object) -> Changes:
+    return Changes(tuple(items), StoreRevision(revision))  # type: ignore[arg-type]
+
+
+class StateFollowerTest(unittest.IsolatedAsyncioTestCase):
+    async def follow(self, *results: Published | Changes | Exception) -> None:
+        self.servers = ServerTable(HERE, random.Random(1))
+        self.ready = 0
+        self.source = ScriptedSource(*results)
+        self.follower = StateFollower(self.source, self.servers, SystemClock(), self.note_ready)
+        self.follower.start()
+        await asyncio.wait_for(self.source.done.wait(), 5.0)
+        await self.follower.close()
+
+    def note_ready(self) -> None:
+        self.ready += 1
+
+    def version(self) -> int:
+        assert self.follower.index is not None
+        return self.follower.index.table.version
+
+    def listed(self) -> list[str]:
+        return sorted(server.server for server in self.servers.all_servers())
+
+    async def test_watch_goes_on_from_the_last_revision(self) -> None:
+        await self.follow(
+            published(1, "s1", revision=10),
+            changes(12, make_server("s2", service=APP)),
+            changes(15, ServerId("s1"), make_table(make_route(), version=4)),
+        )
+        self.assertEqual(self.source.asked, ["read", 10, 12, 15])
+        self.assertEqual((self.listed(), self.version(), self.ready), (["s2"], 4, 1))
+
+    async def test_outages_and_lost_history_lead_to_a_new_read(self) -> None:
+        """Guards against changes that are missed while the store was away, and against servers
+        that are dropped because their entries lapsed meanwhile."""
+        for error in (HistoryGoneError("410"), PublishedStateError("503")):
+            with self.subTest(error.message):
+                await self.follow(published(1, "s1", "s2"), error, published(2, "s2", revision=90))
+                self.assertEqual(self.source.asked, ["read", 10, "read", 90])
+                self.assertEqual(self.listed(), ["s1", "s2"], "kept until it stays missing")
+                self.assertEqual(self.version(), 2)
+                self.assertTrue(self.follower.reachable)
+
+    async def test_a_start_during_an_outage(self) -> None:
+        await self.follow(PublishedStateError("down"), PublishedStateError("down"), published(3))
+        self.assertEqual((self.version(), self.ready), (3, 1))
+
+
+class VersionTest(unittest.TestCase):
+    @given(st.lists(st.integers(1, 30), min_size=1, max_size=20))
+    def test_the_configuration_never_goes_back(self, versions: list[int]) -> None:
+        """Guards against a stale read that takes an accepted configuration back."""
+        follower = StateFollower(
+            ScriptedSource(), ServerTable(HERE, random.Random(1)), SystemClock(), lambda: None
+        )
+        newest = 0
+        for version in versions:
+            follower.accept(make_table(make_route(), version=version))
+            newest = max(newest, version)
+            index = follower.index
+            assert index is not None and isinstance(index.table, RouteTable)
+            self.assertEqual(index.table.version, newest)
--- /dev/null
+++ b/tests/forwarding/test_orders.py
@@ -0,0 +1,123 @@
+"""Orders to engines: one giver, rising fencing numbers, nothing given on old belief."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import unittest
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from medlarvale.clock import ManualClock
+from medlarvale.forwarding.demand import DemandMeter
+from medlarvale.forwarding.fleet import FleetView
+from medlarvale.forwarding.messages import EngineReport, EngineStage
+from medlarvale.forwarding.orders import NOTICE_MS, OrderTask, fencing_number
+from medlarvale.forwarding.servers import ServerTable
+from medlarvale.ids import ServerId
+from tests.forwarding.fakes import HERE, LLM, TRAITS, FakeBackends, make_server
+from tests.forwarding.test_fleet import greet, identity
+
+LEASE_MS = 3_000.0
+
+
+class FencingNumberTest(unittest.TestCase):
+    @given(
+        st.lists(st.tuples(st.sampled_from("abcd"), st.integers(-2_400, 2_400)), max_size=20),
+        st.integers(1_700_000_000_000, 1_900_000_000_000),
+    )
+    def test_numbers_rise_through_steps_of_the_clock(
+        self, orders: list[tuple[str, int]], start_ms: int
+    ) -> None:
+        """Guards against an order that engines refuse, or take although it is older."""
+        highest, previous = 0, 0
+        for host, step_ms in orders:
+            number = fencing_number(start_ms + step_ms, host, highest)
+            self.assertGreater(number, previous)
+            highest = previous = number
+
+    def test_hosts_never_share_a_number(self) -> None:
+        """Guards against two givers with one number; 8 bits for the host gave that to 2 of 12."""
+        hosts = [f"front-zone-{letter}-{n}" for letter in "abc" for n in range(1, 101)]
+        numbers = {fencing_number(1_750_000_000_000, host, 0) for host in hosts}
+        self.assertEqual(len(numbers), len(hosts))
+
+
+class OrderTaskTest(unittest.IsolatedAsyncioTestCase):
+    def setUp(self) -> None:
+        self.clock = ManualClock()
+        self.backends = FakeBackends()
+        self.servers = ServerTable(HERE, random.Random(1))
+        for number in range(3):
+            self.servers.learn(make_server(f"p{number}", stage=EngineStage.PREFILL))
+            self.servers.learn(make_server(f"d{number}", stage=EngineStage.DECODE))
+            self.backends.reports[ServerId(f"p{number}")] = EngineReport(
+                EngineStage.PREFILL, False, 4, 0, 0, 0, 20_000
+            )
+        self.view = FleetView(identity("b"), "b:1", [])
+        self.meter = DemandMeter()
+        self.orders = OrderTask(
+            self.view,
+            self.backends,
+            self.servers,
+            lambda: [(LLM, TRAITS)],
+            lambda service: self.meter,
+            self.clock,
+            LEASE_MS,
+        )
+        self.orders.start()
+
+    async def run_for(self, duration_ms: float, *peers: str, load: bool = True) -> None:
+        for _ in range(int(duration_ms / 100.0)):
+            now_ms = self.clock.now_ms()
+            if load:
+                self.meter.note_arrival(600, 1_800, now_ms)
+            greet(self.view, now_ms, *peers)
+            if now_ms % 500.0 == 0.0:
+                self.view.tick(now_ms)
+            self.clock.advance_ms(100.0)
+            for _ in range(5):
+                await asyncio.sleep(0)
+
+    async def test_the_giver_announces_then_orders(self) -> None:
+        """Guards against work that reaches an engine under an order, and is rejected there after
+        its prompt was read."""
+        await self.run_for(2 * LEASE_MS - 600.0, "c")
+        self.assertEqual(self.backends.orders, [])
+        await self.run_for(4_500.0, "c")
+        self.assertEqual(len(self.backends.orders), 1)
+        server, stage, giver, fencing, accepted = self.backends.orders[0]
+        self.assertEqual((server, stage, giver, accepted), ("p0", EngineStage.DECODE, "b", 4))
+        self.assertEqual(fencing, self.orders.highest_fencing)
+        self.assertEqual(self.orders.changing_engine, "p0")
+        prefill = self.servers.candidates(LLM, 0.0, stage=EngineStage.PREFILL)
+        self.assertNotIn("p0", [load.server.server for load in prefill])
+        self.servers.learn(make_server("p0", stage=EngineStage.DECODE))
+        await self.run_for(600.0, "c")
+        self.assertIsNone(self.orders.changing_engine)
+
+    async def test_others_give_no_order(self) -> None:
+        for name, peers in (("not the first", ("a", "c")), ("a minority", ())):
+            with self.subTest(name):
+                self.setUp()
+                greet(self.view, 0.0, "c", "d", "e")
+                await self.run_for(3 * LEASE_MS, *peers)
+                self.assertEqual(self.backends.orders, [])
+
+    async def test_a_giver_that_wakes_up_waits_again(self) -> None:
+        """Guards against an order on the belief of before a freeze."""
+        await self.run_for(2 * LEASE_MS + 400.0, "c", load=False)
+        self.clock.advance_ms(5_000.0)
+        self.view.tick(self.clock.now_ms())
+        await self.run_for(2 * LEASE_MS - 500.0, "c")
+        self.assertEqual(self.backends.orders, [])
+
+    async def test_loss_of_the_lead_after_the_notice_stops_the_order(self) -> None:
+        await self.run_for(2 * LEASE_MS + 2_000.0, "c")
+        started = self.orders.changing_engine
+        self.assertIsNotNone(started)
+        greet(self.view, self.clock.now_ms(), "a")
+        await self.run_for(NOTICE_MS + 400.0, "a", "c")
+        self.assertEqual(self.backends.orders, [])
+        self.assertIsNone(self.orders.changing_engine)
--- /dev/null
+++ b/tests/forwarding/test_plain.py
@@ -0,0 +1,126 @@
+"""Calls to plain services: what is repeated, what runs at most once, and what callers are told."""
+
+from __future__ import annotations
+
+import asyncio
+import unittest
+from typing import Any
+
+from medlarvale.forwarding.errors import (
+    BackendError,
+    NotSentError,
+    OutcomeUnknownError,
+    OverloadedError,
+    RejectedError,
+    RequestTimeoutError,
+)
+from medlarvale.forwarding.messages import ClientRequest, Dispatch, RouteKind, Server
+from medlarvale.forwarding.plain import PlainForwarder, Reply
+from tests.forwarding.fakes import (
+    APP,
+    FakeAnswer,
+    FakeBackends,
+    make_context,
+    make_request,
+    make_route,
+    make_server,
+)
+
+Outcomes = list[FakeAnswer | Exception]
+
+
+def ok(body: bytes = b"done", *, status: int = 200, signed: bool = True) -> FakeAnswer:
+    return FakeAnswer([body], status=status, signed=signed, event_stream=False)
+
+
+class PlainForwarderTest(unittest.IsolatedAsyncioTestCase):
+    def setUp(self) -> None:
+        self.backends = FakeBackends()
+        servers = [make_server(name, service=APP) for name in ("s1", "s2", "s3")]
+        self.context = make_context(self.backends, *servers)
+
+    def answer(self, outcomes: Outcomes) -> None:
+        remaining = list(outcomes)
+
+        def script(server: Server, request: ClientRequest, dispatch: Dispatch) -> Any:
+            return remaining.pop(0)
+
+        self.backends.script = script
+
+    async def forward(self, kind: RouteKind, max_attempts: int = 2, **route: Any) -> Reply:
+        made = make_route(kind=kind, max_attempts=max_attempts, **route)
+        return await PlainForwarder(self.context).forward(make_request(), made, APP)
+
+    async def test_what_is_repeated(self) -> None:
+        """Guards against a booking that runs twice and a lookup that fails needlessly."""
+        lost = BackendError("reset")
+        table: list[tuple[str, RouteKind, int, Outcomes, int | type[Exception], int]] = [
+            ("safe, answer lost", RouteKind.SAFE, 2, [lost, ok()], 200, 2),
+            ("safe, server error", RouteKind.SAFE, 2, [ok(status=500), ok()], 200, 2),
+            ("safe, all fail", RouteKind.SAFE, 2, [ok(status=500), ok(status=500)], 500, 2),
+            ("safe, one attempt", RouteKind.SAFE, 1, [lost], OutcomeUnknownError, 1),
+            ("unsafe, answer lost", RouteKind.UNSAFE, 3, [lost], OutcomeUnknownError, 1),
+            ("unsafe, server error", RouteKind.UNSAFE, 3, [ok(status=500)], 500, 1),
+            ("unsafe, not run", RouteKind.UNSAFE, 2, [RejectedError(), ok()], 200, 2),
+            ("unsafe, unreached", RouteKind.UNSAFE, 1, [NotSentError(), ok()], 200, 2),
+            ("unsafe, all full", RouteKind.UNSAFE, 2, [RejectedError()] * 2, OverloadedError, 2),
+            ("unsafe, unreachable", RouteKind.UNSAFE, 1, [NotSentError()] * 3, OverloadedError, 3),
+            ("no signature", RouteKind.UNSAFE, 2, [ok(signed=False)], OutcomeUnknownError, 1),
+            (
+                "full, then lost",
+                RouteKind.UNSAFE,
+                2,
+                [RejectedError(), lost],
+                OutcomeUnknownError,
+                2,
+            ),
+        ]
+        for name, kind, attempts, outcomes, expected, sends in table:
+            with self.subTest(name):
+                self.setUp()
+                self.answer(outcomes)
+                if isinstance(expected, int):
+                    self.assertEqual((await self.forward(kind, attempts)).status, expected)
+                else:
+                    with self.assertRaises(expected):
+                        await self.forward(kind, attempts)
+                self.assertEqual(self.backends.count("send"), sends)
+
+    async def test_a_spent_budget_stops_repeats(self) -> None:
+        """Guards against repeats that multiply an overload."""
+        self.context = make_context(
+            self.backends, *(make_server(n, service=APP) for n in ("s1", "s2")), reserve=0.0
+        )
+        self.answer([ok(status=500), ok()])
+        self.assertEqual((await self.forward(RouteKind.SAFE)).status, 500)
+
+    async def test_a_slow_safe_call_is_sent_to_a_second_server(self) -> None:
+        """Guards against a lookup that waits for a server that hangs, and against an answer of the
+        first server that comes late and is thrown away."""
+        table = [("second is faster", [2.0, 0.0], b"1"), ("first is faster", [0.15, 2.0], b"0")]
+        for name, delays, expected in table:
+            with self.subTest(name):
+                self.setUp()
+                self.answer([FakeAnswer([d, b"%d" % i]) for i, d in enumerate(delays)])
+                reply = await self.forward(RouteKind.SAFE, target_latency_ms=100.0)
+                self.assertEqual(reply.body, expected)
+                self.assertEqual(self.backends.count("send"), 2)
+
+    async def test_the_time_of_the_route_ends_a_call(self) -> None:
+        """Guards against callers that are held past the time that the operator set."""
+        self.answer([FakeAnswer([9.0, b"late"])])
+        with self.assertRaises(RequestTimeoutError):
+            await self.forward(RouteKind.UNSAFE, 1, timeout_ms=150.0)
+
+    async def test_a_gone_caller_leaves_no_attempt(self) -> None:
+        answer = FakeAnswer([9.0, b"late"])
+        self.answer([answer])
+        task = asyncio.create_task(self.forward(RouteKind.UNSAFE, 1))
+        await asyncio.sleep(0.02)
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+        await asyncio.sleep(0)
+        self.assertTrue(answer.closed)
+        self.assertEqual(
+            [load.in_flight for load in self.context.servers.of_service(APP)], [0, 0, 0]
+        )
--- /dev/null
+++ b/tests/forwarding/test_stream_run.py
@@ -0,0 +1,194 @@
+"""Streams: whole events in order, one run at a time, true refusals, no memory left behind."""
+
+from __future__ import annotations
+
+import asyncio
+import unittest
+from typing import Any
+
+from medlarvale.forwarding.errors import (
+    BackendError,
+    NotSentError,
+    OutcomeUnknownError,
+    OverloadedError,
+    RejectedError,
+    StreamBrokenError,
+)
+from medlarvale.forwarding.messages import ClientRequest, Dispatch, EngineStage, Server, TokenCounts
+from medlarvale.forwarding.streams import StreamForwarder
+from medlarvale.ids import ServerId
+from tests.forwarding.fakes import (
+    LLM,
+    TRAITS,
+    FakeAnswer,
+    FakeBackends,
+    FakeSink,
+    make_context,
+    make_request,
+    make_route,
+    make_server,
+)
+
+RESET = BackendError("reset")
+
+
+def event(number: int) -> bytes:
+    return b"id: %d\ndata: token\n\n" % number
+
+
+def events(first: int, last: int) -> bytes:
+    return b"".join(event(number) for number in range(first, last + 1))
+
+
+class StreamRunTest(unittest.IsolatedAsyncioTestCase):
+    def setUp(self) -> None:
+        self.backends = FakeBackends()
+        self.sink = FakeSink()
+        self.context = make_context(
+            self.backends,
+            make_server("p1", stage=EngineStage.PREFILL),
+            make_server("p2", stage=EngineStage.PREFILL),
+            make_server("d1", stage=EngineStage.DECODE),
+            make_server("d2", stage=EngineStage.DECODE),
+        )
+        self.forwarder = StreamForwarder(self.context, lambda service: TRAITS)
+
+    def answer(self, *outcomes: FakeAnswer | Exception) -> None:
+        remaining = list(outcomes)
+
+        def script(server: Server, request: ClientRequest, dispatch: Dispatch) -> Any:
+            return remaining.pop(0)
+
+        self.backends.script = script
+
+    async def forward(self, **route: Any) -> Any:
+        request = make_request(tokens=TokenCounts(5_000, 100, 80))
+        reply = await self.forwarder.forward(request, make_route(**route), LLM, self.sink)
+        await self.context.background.finish(500.0)
+        return reply
+
+    def assert_nothing_held(self) -> None:
+        for load in self.context.servers.of_service(LLM):
+            self.assertEqual((load.tokens, load.in_flight), (0, 0), load.server.server)
+
+    async def test_memory_is_reserved_before_the_prompt_is_read(self) -> None:
+        """Guards against prompts read in vain because no decode engine has room."""
+        self.answer(FakeAnswer([events(1, 3)]))
+        await self.forward()
+        kinds = [kind for kind, _ in self.backends.calls]
+        self.assertEqual(kinds, ["hold", "prefill", "send"])
+        server, dispatch = self.backends.dispatches[0]
+        assert dispatch.source is not None and dispatch.hold is not None
+        self.assertIn(dispatch.source.server.server, ("p1", "p2"))
+        self.assertEqual(self.sink.data, events(1, 3))
+        self.assertTrue(self.sink.finished)
+        self.assert_nothing_held()
+
+    async def test_a_broken_stream_goes_on_at_the_engine_that_keeps_its_memory(self) -> None:
+        """Guards against missing, doubled or joined events, and against a prompt read again."""
+        half = b"id: 4\ndata: to"
+        self.answer(FakeAnswer([events(1, 3) + half, RESET]), FakeAnswer([events(4, 6)]))
+        await self.forward()
+        self.assertEqual(self.sink.data, events(1, 6))
+        self.assertEqual(self.backends.count("prefill"), 1)
+        first, second = self.backends.dispatches
+        self.assertEqual(first[0], second[0])
+        self.assertEqual(second[1].resume_after, 3)
+        self.assert_nothing_held()
+
+    async def test_a_lost_engine_is_replaced_by_another(self) -> None:
+        self.answer(FakeAnswer([events(1, 2), RESET]), FakeAnswer([events(3, 4)]))
+        task = asyncio.create_task(self.forward())
+        await asyncio.sleep(0)
+        for name in ("d1", "d2"):
+            self.backends.hold_errors.pop(ServerId(name), None)
+        await task
+        self.assertEqual(self.sink.data, events(1, 4))
+
+    async def test_what_callers_are_told(self) -> None:
+        """Guards against "not run" for a stream that may have run, and against a second head."""
+        table: list[tuple[str, bool, list[FakeAnswer | Exception], type[Exception], int]] = [
+            ("never reached", True, [NotSentError()] * 3, OverloadedError, 3),
+            ("rejected", True, [RejectedError()] * 3, OverloadedError, 3),
+            ("lost, not resumable", False, [RESET], OutcomeUnknownError, 1),
+            ("lost twice", True, [RESET, RESET], OutcomeUnknownError, 2),
+            ("lost, then rejected", True, [RESET, RejectedError()] * 2, OutcomeUnknownError, 4),
+            ("cut", False, [FakeAnswer([event(1), RESET])], StreamBrokenError, 1),
+            ("unsigned", False, [FakeAnswer([event(1)], signed=False)], OutcomeUnknownError, 1),
+        ]
+        for name, resumable, outcomes, expected, sends in table:
+            with self.subTest(name):
+                self.setUp()
+                self.answer(*outcomes)
+                with self.assertRaises(expected):
+                    await self.forward(resumable=resumable)
+                self.assertLessEqual(self.backends.count("send"), sends)
+                self.assertFalse(self.sink.finished)
+                self.assert_nothing_held()
+
+    async def test_no_room_for_the_rest_cuts_a_started_stream(self) -> None:
+        """Guards against a refusal written into a stream that has begun."""
+        self.answer(FakeAnswer([event(1), RESET]))
+        self.backends.free_tokens = {ServerId("d1"): 6_000, ServerId("d2"): 0}
+        with self.assertRaises(StreamBrokenError):
+            await self.forward(timeout_ms=900.0)
+        self.assertEqual(self.sink.data, event(1))
+        self.assertFalse(self.sink.finished)
+
+    async def test_a_silent_stream_goes_on_elsewhere(self) -> None:
+        """Guards against a caller that waits for an engine behind a partition until it gives up."""
+        silent = FakeAnswer([event(1), 30.0, event(2)])
+        self.answer(silent, FakeAnswer([event(2)]))
+        await self.forward()
+        self.assertEqual(self.sink.data, events(1, 2))
+        self.assertTrue(silent.closed, "only one run may be at work")
+
+    async def test_a_gone_caller_leaves_no_memory_and_no_handle(self) -> None:
+        table = [("while the prompt is read", 0.05, 0.5), ("while decoding", 0.05, 0.0)]
+        for name, after_s, prefill_s in table:
+            with self.subTest(name):
+                self.setUp()
+                self.backends.prefill_script = lambda server, s=prefill_s: s  # type: ignore[misc]
+                answer = FakeAnswer([event(1), 9.0])
+                self.answer(answer)
+                task = asyncio.create_task(self.forward())
+                await asyncio.sleep(after_s)
+                task.cancel()
+                await asyncio.gather(task, return_exceptions=True)
+                await self.context.background.finish(500.0)
+                self.assert_nothing_held()
+                self.assertEqual(self.backends.count("drop hold"), int(prefill_s > 0))
+
+    async def test_an_engine_that_begins_to_leave_gets_no_reserved_request(self) -> None:
+        """Guards against new work at an engine whose leaving was known while the prompt was read
+        (DRAIN, Ventilo Breizh trouble-1 with seed 11)."""
+        self.backends.free_tokens = {ServerId("d2"): 0}
+        self.answer(FakeAnswer([event(1)]))
+        from medlarvale.forwarding.messages import ServerState
+
+        def prefill(server: Server) -> float:
+            self.context.servers.learn(
+                make_server("d1", stage=EngineStage.DECODE, state=ServerState.DRAINING)
+            )
+            self.backends.free_tokens = {}
+            return 0.0
+
+        self.backends.prefill_script = prefill
+        await self.forward()
+        self.assertEqual([server for server, _ in self.backends.dispatches], ["d2"])
+
+    async def test_a_failed_transfer_does_not_read_the_prompt_again(self) -> None:
+        """Guards against prompts read twice when handles lapse at once."""
+        self.answer(RejectedError(), FakeAnswer([event(1)]))
+        await self.forward()
+        self.assertEqual(self.backends.count("prefill"), 1)
+        second = self.backends.dispatches[1][1]
+        self.assertIsNone(second.source)
+        assert second.fetch_from is not None
+        self.assertEqual(second.fetch_from.stage, EngineStage.PREFILL)
+
+    async def test_an_answer_that_is_no_stream_is_returned(self) -> None:
+        self.answer(FakeAnswer([b"no"], status=500, event_stream=False))
+        reply = await self.forward()
+        self.assertEqual((reply.status, reply.body), (500, b"no"))
+        self.assertIsNone(self.sink.status)
--- /dev/null
+++ b/tests/forwarding/test_suspects.py
@@ -0,0 +1,58 @@
+"""Requests that crash the servers which run them are stopped, at every host."""
+
+from __future__ import annotations
+
+import asyncio
+import unittest
+
+from medlarvale.clock import SystemClock
+from medlarvale.forwarding.errors import BackendError, CrashingRequestError, NotSentError
+from medlarvale.forwarding.suspects import PROBE_DELAY_MS, CrashGuard
+from medlarvale.ids import HostId, HostIdentity, Incarnation, ServerId
+from medlarvale.peers.transport import MemoryNetwork, MemoryTransport, MessageCodec
+from medlarvale.quarantine.messages import QuarantineAccepted, ShareEvidence
+from tests.forwarding.fakes import APP, FakeBackends, make_request, make_server
+
+
+class CrashGuardTest(unittest.IsolatedAsyncioTestCase):
+    def setUp(self) -> None:
+        self.backends = FakeBackends()
+        self.network = MemoryNetwork(MessageCodec((ShareEvidence, QuarantineAccepted)))
+        self.guards = {name: self.make_guard(name) for name in ("a", "b")}
+
+    def make_guard(self, name: str) -> CrashGuard:
+        identity = HostIdentity(HostId(name), Incarnation(1))
+        others = [HostId(other) for other in ("a", "b") if other != name]
+        return CrashGuard(
+            self.backends, MemoryTransport(identity, self.network), lambda: others, SystemClock()
+        )
+
+    async def break_runs(self, guard: CrashGuard, *servers: str) -> None:
+        fingerprint = guard.check(make_request(body=b"poison"), APP)
+        for name in servers:
+            guard.note_break(fingerprint, make_server(name, service=APP))
+        await asyncio.sleep(PROBE_DELAY_MS / 1000.0 + 0.05)
+
+    async def test_what_stops_a_request(self) -> None:
+        """Guards against a request that takes all servers down one after the other, and against
+        requests that are refused because an answer got lost."""
+        table: list[tuple[str, Exception | None, list[str], bool]] = [
+            ("three servers are gone", NotSentError(), ["s1", "s2", "s3"], True),
+            ("two servers are gone", NotSentError(), ["s1", "s2"], False),
+            ("one server, three broken runs", NotSentError(), ["s1", "s1", "s1"], False),
+            ("the servers still answer", None, ["s1", "s2", "s3"], False),
+            ("they answer badly", BackendError("odd"), ["s1", "s2", "s3"], False),
+        ]
+        for name, probe, servers, stopped in table:
+            with self.subTest(name):
+                self.setUp()
+                if probe is not None:
+                    self.backends.probe_errors = {ServerId(server): probe for server in servers}
+                await self.break_runs(self.guards["a"], *servers)
+                for guard in self.guards.values():
+                    guard.check(make_request(body=b"other"), APP)
+                    if stopped:
+                        with self.assertRaises(CrashingRequestError):
+                            guard.check(make_request(body=b"poison"), APP)
+                    else:
+                        guard.check(make_request(body=b"poison"), APP)
--- /dev/null
+++ b/tests/platform/test_boot.py
@@ -0,0 +1,59 @@
+"""Tests of the settings file that the platform gives to a process."""
+
+import tempfile
+import unittest
+from pathlib import Path
+
+from medlarvale.platform.boot import BootSettingsError, decode_boot, read_boot
+
+SETTINGS = """
+NodeName=front-a-1
+Zone=a
+Listen.Front=10.1.0.3:8149
+Listen.Ready=10.1.0.3:8141
+Listen.Control=10.1.0.3:8144
+InternalPorts=7380,7395
+Seeds=10.1.0.3:8144,10.2.0.4:8144
+Limits.MemoryMb=205
+Bounds.GraceS=8
+Bounds.DrainMs=2000
+Bounds.ConfigApplyMs=2000
+Bounds.RetryBudgetRatio=0.2
+Bounds.BudgetSlack=54
+Bounds.LeaseMs=3000
+Platform.Address=10.200.1.7:8142
+# a comment=1
+Future.Field=7
+"""
+
+
+class DecodeBootTest(unittest.TestCase):
+    def test_all_values_are_decoded_and_unknown_ones_ignored(self) -> None:
+        """Guards against seconds taken for milliseconds and a start refused for new fields."""
+        place = decode_boot(SETTINGS)
+        self.assertEqual(place.host, "front-a-1")
+        self.assertEqual(place.grace_ms, 8_000.0)
+        self.assertEqual(place.seed_addresses, ("10.1.0.3:8144", "10.2.0.4:8144"))
+        self.assertEqual(place.internal_ports, (7380, 7395))
+        self.assertEqual(place.retry_share, 0.2)
+
+    def test_faults_are_all_named(self) -> None:
+        """Guards against an operator who mends one fault at a time."""
+        table = [
+            ("NodeName=front-a-1\n", "", "NodeName: missing"),
+            ("Listen.Front=10.1.0.3:8149", "Listen.Front=nowhere", "Listen.Front: unusable"),
+            ("Bounds.GraceS=8", "Bounds.GraceS=soon", "Bounds.GraceS: unusable value 'soon'"),
+            ("InternalPorts=7380,7395", "InternalPorts=7380", "InternalPorts: unusable"),
+        ]
+        broken = SETTINGS
+        for present, replaced, _ in table:
+            broken = broken.replace(present, replaced)
+        with self.assertRaises(BootSettingsError) as raised:
+            decode_boot(broken)
+        for _, _, fault in table:
+            with self.subTest(fault):
+                self.assertIn(fault, raised.exception.message)
+
+    def test_a_missing_file_is_a_clear_error(self) -> None:
+        with tempfile.TemporaryDirectory() as folder, self.assertRaises(BootSettingsError):
+            read_boot(Path(folder) / "boot.conf")
--- /dev/null
+++ b/tests/platform/test_headers.py
@@ -0,0 +1,92 @@
+"""Tests of the headers that pass through, and of those that only the system sets."""
+
+import unittest
+
+from multidict import CIMultiDict, CIMultiDictProxy
+
+from medlarvale.forwarding.messages import (
+    Dispatch,
+    HandleId,
+    HoldId,
+    PrefillResult,
+    Server,
+    ServerState,
+    TokenCounts,
+)
+from medlarvale.ids import FailureDomain, ServerId, ServiceName
+from medlarvale.platform.headers import decode_request, encode_request
+
+ENGINE = Server(
+    ServerId("i-1"), ServiceName("llm"), "10.1.64.9:80", FailureDomain("a"), 64, ServerState.READY
+)
+
+
+def decoded(**headers: str):  # type: ignore[no-untyped-def]
+    named = {name.replace("_", "-"): value for name, value in headers.items()}
+    return decode_request(
+        "POST", "/p/1?q=2", CIMultiDictProxy(CIMultiDict(named)), b"body", received_ms=5.0
+    )
+
+
+class RequestHeadersTest(unittest.TestCase):
+    def test_headers_of_one_connection_or_of_the_system_are_dropped(self) -> None:
+        """Guards against a caller that acts on engine memory of others, and against smuggling."""
+        table = [
+            ("X-Kv-Source", "10.0.0.1:80/abc", False),
+            ("X-Kv-Hold", "h", False),
+            ("X-Kv-Backup", "10.0.0.1:80", False),
+            ("X-Pin-Ms", "4000", False),
+            ("X-Serving-Stage", "prefill", False),
+            ("X-Request-Priority", "0", False),
+            ("Kv-Fetch", "10.0.0.1:80", False),
+            ("X-Expected-Instance", "i-9", False),
+            ("Transfer-Encoding", "chunked", False),
+            ("Content-Length", "4", False),
+            ("Keep-Alive", "timeout=5", False),
+            ("X-Named-By-Connection", "1", False),
+            ("Host", "callers.example", True),
+            ("X-Request-Id", "abc", True),
+            ("X-Model", "m", True),
+            ("X-Token-Counts", "10,20", True),
+            ("X-Prompt-Prefix", "5c:8", True),
+            ("Last-Event-Id", "3", True),
+            ("X-Other", "kept", True),
+        ]
+        headers = {name: value for name, value, _ in table}
+        headers["Connection"] = "close, X-Named-By-Connection"
+        request = decode_request(
+            "GET", "/", CIMultiDictProxy(CIMultiDict(headers)), b"", received_ms=0.0
+        )
+        for name, value, kept in table:
+            with self.subTest(name):
+                self.assertEqual(request.headers.get(name), value if kept else None)
+
+    def test_sizes_and_deadline(self) -> None:
+        table = [
+            ({"X_Token_Counts": "1460,80"}, TokenCounts(1460, 80)),
+            ({"X_Token_Counts": "1460,80", "X_Length_Hint": "70"}, TokenCounts(1460, 80, 70)),
+            ({"X_Token_Counts": "1460"}, None),
+            ({"X_Token_Counts": "many,80"}, None),
+            ({}, None),
+        ]
+        for headers, expected in table:
+            with self.subTest(headers):
+                self.assertEqual(decoded(**headers).tokens, expected)
+        self.assertEqual(decoded(X_Deadline_Ms="1500").deadline_ms, 1500.0)
+        self.assertGreater(decoded(X_Deadline_Ms="soon").deadline_ms, 0.0)
+        self.assertEqual(decoded(Last_Event_Id="12").resume_after, 12)
+
+    def test_dispatch_sets_what_is_left_and_whom_it_expects(self) -> None:
+        """Guards against a server that works longer than the caller waits."""
+        request = decoded(X_Deadline_Ms="14000", X_Request_Id="abc")
+        source = PrefillResult(ENGINE, HandleId("3fa0"))
+        sent = encode_request(
+            request, ServerId("i-2"), Dispatch(1234.9, source, None, HoldId("h1"), resume_after=7)
+        )
+        self.assertEqual(sent["X-Deadline-Ms"], "1234")
+        self.assertEqual(sent["X-Expected-Instance"], "i-2")
+        self.assertEqual(sent["X-Kv-Source"], "10.1.64.9:80/3fa0")
+        self.assertEqual(sent["X-Kv-Hold"], "h1")
+        self.assertEqual(sent["Last-Event-Id"], "7")
+        self.assertEqual(sent["X-Request-Id"], "abc")
+        self.assertNotIn("X-Kv-Source", request.headers, "the request itself stays unchanged")
--- /dev/null
+++ b/tests/platform/test_imports.py
@@ -0,0 +1,34 @@
+"""Only ``medlarvale.platform`` knows the platform's names."""
+
+import re
+import unittest
+from pathlib import Path
+
+SOURCE = Path(__file__).resolve().parents[2] / "src" / "medlarvale"
+WIRE_NAMES = re.compile(
+    r"X-Serving-Stage|X-Kv-|Kv-Fetch|X-Expected-Instance|X-Response-Signature|X-Not-Executed"
+    r"|X-Token-Counts|X-Length-Hint|X-Instance-Id|KvTokenCapacity|KvHandle|kv-range|kv-watch"
+    r"|hold-take|hold-drop|op/config|CurrentRev|PathPrefix|TargetLatencyMs|TimeoutMs"
+)
+# Interfaces and types that the adapter translates to, besides plumbing.
+ALLOWED_IMPORTS = re.compile(
+    r"^from medlarvale\.(platform|errors|ids|logs|forwarding\.(messages|errors|interface))\b"
+)
+
+
+class BoundaryTest(unittest.TestCase):
+    def test_no_wire_name_outside_the_adapter(self) -> None:
+        """Guards against decisions that depend on the platform's spelling."""
+        for path in SOURCE.rglob("*.py"):
+            # The stand-in speaks the platform's protocol for tests and the demonstration.
+            if "platform" in path.relative_to(SOURCE).parts[:1] or "standins" in path.parts:
+                continue
+            with self.subTest(path.name):
+                self.assertIsNone(WIRE_NAMES.search(path.read_text()))
+
+    def test_the_adapter_imports_no_decisions(self) -> None:
+        for path in (SOURCE / "platform").glob("*.py"):
+            for line in path.read_text().splitlines():
+                if line.startswith("from medlarvale"):
+                    with self.subTest(path=path.name, line=line):
+                        self.assertRegex(line, ALLOWED_IMPORTS)
