Test a whole host on loopback before a stand-in of the platform

Change: a stand-in of store, plain servers and engines, and tests for CONFIG, DRAIN, DENIED, GONE, LOST, MIXED and ORDER through real sockets.

--- /dev/null
+++ b/tests/forwarding/standin_platform.py
@@ -0,0 +1,274 @@
+"""Stand-in of the users' platform on loopback: store, plain servers and engines.
+
+It speaks the published protocol as far as the forwarding path uses it. Events of a stream are a
+function of the request's id, so that tests can check whole answers.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+import json
+from base64 import b64encode
+from typing import Any
+
+from aiohttp import web
+from aiohttp.test_utils import TestServer
+
+EVENT_COUNT = 8
+
+
+def stream_body(request_id: str, first: int = 1, last: int = EVENT_COUNT) -> bytes:
+    """Returns the events of a request."""
+    return b"".join(
+        b"id: %d\ndata: %s %d\n\n" % (number, request_id.encode(), number)
+        for number in range(first, last + 1)
+    )
+
+
+class StandinStore:
+    """Metadata store: a revision counter over items, which can be read and watched."""
+
+    def __init__(self) -> None:
+        self.items: dict[str, tuple[bytes, int]] = {}
+        self.history: list[dict[str, Any]] = []
+        self.revision = 1
+        self.down = False
+        self._changed = asyncio.Condition()
+
+    async def put(self, key: str, value: dict[str, Any]) -> None:
+        self.revision += 1
+        data = json.dumps(value).encode()
+        self.items[key] = (data, self.revision)
+        self.history.append(self._item(key))
+        async with self._changed:
+            self._changed.notify_all()
+
+    async def delete(self, key: str) -> None:
+        self.revision += 1
+        self.items.pop(key, None)
+        self.history.append({"Key": key, "Revision": self.revision, "Deleted": True})
+        async with self._changed:
+            self._changed.notify_all()
+
+    def _item(self, key: str) -> dict[str, Any]:
+        data, revision = self.items[key]
+        return {"Key": key, "Value": b64encode(data).decode(), "Revision": revision, "Lease": 0}
+
+    async def read_range(self, request: web.Request) -> web.Response:
+        if self.down:
+            return web.Response(status=503)
+        items = [self._item(key) for key in sorted(self.items)]
+        return web.json_response({"items": items, "HasMore": False, "CurrentRev": self.revision})
+
+    async def watch(self, request: web.Request) -> web.Response:
+        after = int(request.query["after"])
+
+        def events() -> list[dict[str, Any]]:
+            return [event for event in self.history if event["Revision"] > after]
+
+        if not events() and not self.down:
+            try:
+                async with asyncio.timeout(int(request.query["WaitMs"]) / 1000.0), self._changed:
+                    await self._changed.wait()
+            except TimeoutError:
+                pass
+        if self.down:
+            return web.Response(status=503)
+        return web.json_response({"events": events(), "CurrentRev": self.revision})
+
+
+class StandinServer:
+    """A backend server: plain, or an engine with ``stage``.
+
+    Attributes:
+        runs: ids of the requests that began to run.
+        break_after: events after which the next stream is cut; None leaves streams whole.
+        delay_s: time that a plain call takes, or a stream between two events.
+    """
+
+    def __init__(self, name: str, service: str, stage: str | None, domain: str = "a") -> None:
+        self.name, self.service, self.stage, self.domain = name, service, stage, domain
+        self.state = "ready"
+        self.runs: list[str] = []
+        self.gone: list[str] = []
+        self.prefills = 0
+        self.holds: set[str] = set()
+        self.handles: set[str] = set()
+        self.break_after: int | None = None
+        self.delay_s = 0.0
+        self._numbers = itertools.count(1)
+        self.peers: dict[str, StandinServer] = {}
+        app = web.Application()
+        app.router.add_post("/hold-take", self._take_hold)
+        app.router.add_delete("/hold-drop/{hold}", self._drop_hold)
+        app.router.add_delete("/kv-handle/{handle}", self._drop_handle)
+        app.router.add_route("*", "/{path:.*}", self._serve)
+        self.server = TestServer(app)
+
+    @property
+    def address(self) -> str:
+        return f"127.0.0.1:{self.server.port}"
+
+    def entry(self) -> dict[str, Any]:
+        entry = {
+            "Service": self.service,
+            "Address": self.address,
+            "Zone": self.domain,
+            "Version": "v1",
+            "Slots": 8,
+            "State": self.state,
+            "ColdLeftMs": 0,
+            "Sequence": 1,
+            "born": 1,
+        }
+        return entry | ({"Stage": self.stage} if self.stage else {})
+
+    async def _take_hold(self, request: web.Request) -> web.Response:
+        hold = f"hold-{next(self._numbers)}"
+        self.holds.add(hold)
+        return web.json_response({"Hold": hold})
+
+    async def _drop_hold(self, request: web.Request) -> web.Response:
+        self.holds.discard(request.match_info["hold"])
+        return web.Response()
+
+    async def _drop_handle(self, request: web.Request) -> web.Response:
+        self.handles.discard(request.match_info["handle"])
+        return web.Response()
+
+    async def _serve(self, request: web.Request) -> web.StreamResponse:
+        if request.headers.get("X-Expected-Instance") != self.name:
+            return web.Response(status=421, headers={"X-Instance-Id": self.name})
+        request_id = request.headers["X-Request-Id"]
+        if self.stage is None:
+            return await self._plain(request, request_id)
+        if request.headers.get("X-Serving-Stage") == "prefill":
+            return await self._prefill()
+        if self.stage != "decode":
+            return web.Response(status=421)
+        return await self._decode(request, request_id)
+
+    async def _plain(self, request: web.Request, request_id: str) -> web.Response:
+        self.runs.append(request_id)
+        await asyncio.sleep(self.delay_s)
+        body = await request.read()
+        return web.Response(body=b"ok:" + body, headers=self._signed(request_id))
+
+    def _signed(self, request_id: str) -> dict[str, str]:
+        return {"X-Request-Id": request_id, "X-Response-Signature": f"{self.name}.{request_id}"}
+
+    async def _prefill(self) -> web.Response:
+        self.prefills += 1
+        handle = f"kv-{self.name}-{next(self._numbers)}"
+        self.handles.add(handle)
+        return web.json_response({"KvHandle": handle, "Tokens": 10, "Version": 1})
+
+    async def _decode(self, request: web.Request, request_id: str) -> web.StreamResponse:
+        source = request.headers.get("X-Kv-Source", "")
+        address, _, handle = source.partition("/")
+        if source:
+            peer = self.peers.get(address)
+            if peer is None or handle not in peer.handles:
+                return web.Response(status=503, headers={"X-Not-Executed": "1"})
+            peer.handles.discard(handle)
+        self.holds.discard(request.headers.get("X-Kv-Hold", ""))
+        self.runs.append(request_id)
+        first = int(request.headers.get("Last-Event-Id", "0")) + 1
+        response = web.StreamResponse(
+            headers=self._signed(request_id) | {"Content-Type": "text/event-stream"}
+        )
+        await response.prepare(request)
+        cut_after, self.break_after = self.break_after, None
+        try:
+            for number in range(first, EVENT_COUNT + 1):
+                if cut_after is not None and number > cut_after:
+                    await response.write(stream_body(request_id, number, number)[:9])
+                    assert request.transport is not None
+                    request.transport.abort()
+                    break
+                await response.write(stream_body(request_id, number, number))
+                await asyncio.sleep(self.delay_s)
+        except asyncio.CancelledError:
+            self.gone.append(request_id)
+            raise
+        return response
+
+
+class StandinPlatform:
+    """All parts, with one plain service ``app`` and one model service ``llm``."""
+
+    def __init__(self) -> None:
+        self.store = StandinStore()
+        app = web.Application()
+        app.router.add_get("/kv-range", self.store.read_range)
+        app.router.add_get("/kv-watch", self.store.watch)
+        self.store_server = TestServer(app)
+        self.servers = {
+            name: StandinServer(name, service, stage)
+            for name, service, stage in (
+                ("s1", "app", None),
+                ("s2", "app", None),
+                ("p1", "llm", "prefill"),
+                ("d1", "llm", "decode"),
+                ("d2", "llm", "decode"),
+            )
+        }
+
+    @property
+    def address(self) -> str:
+        return f"127.0.0.1:{self.store_server.port}"
+
+    async def start(self) -> None:
+        await self.store_server.start_server()
+        for server in self.servers.values():
+            await server.server.start_server()
+        by_address = {server.address: server for server in self.servers.values()}
+        for server in self.servers.values():
+            server.peers = by_address
+            await self.publish(server)
+
+    async def publish(self, server: StandinServer) -> None:
+        await self.store.put(f"servers/{server.name}", server.entry())
+
+    async def close(self) -> None:
+        self.store.down = True
+        for server in (self.store_server, *(part.server for part in self.servers.values())):
+            await server.close()
+
+    async def configure(self, version: int, **routes: str) -> None:
+        """Publishes a configuration; routes are ``name="kind service"``, at ``/name/``."""
+        made = []
+        for name, text in routes.items():
+            kind, service = text.split()
+            made.append(
+                {
+                    "Name": name,
+                    "Host": "callers.example",
+                    "PathPrefix": f"/{name}/",
+                    "Kind": kind,
+                    "TimeoutMs": 3000,
+                    "TargetLatencyMs": 500,
+                    "Service": service,
+                    "MaxAttempts": 2,
+                    "Resumable": True,
+                }
+            )
+        engine = {"Slots": 8, "KvTokenCapacity": 60000, "KvHoldS": 0.5, "HoldMs": 2000.0}
+        await self.store.put(
+            "op/config",
+            {
+                "Version": version,
+                "Routes": made,
+                "Services": [
+                    {"Name": "llm", "MaxConns": 360, "Engine": engine},
+                    {"Name": "app", "MaxConns": 100},
+                ],
+                "Limits": {
+                    "MaxHeaderBytes": 16384,
+                    "MaxBodyBytes": 1000,
+                    "HeaderTimeoutMs": 3000,
+                    "IdleTimeoutMs": 15000,
+                },
+            },
+        )
--- /dev/null
+++ b/tests/forwarding/test_host.py
@@ -0,0 +1,239 @@
+"""A whole host on loopback before a stand-in platform: the rules that callers and servers see."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+import unittest
+from typing import Any
+
+import aiohttp
+
+from medlarvale.forwarding.host import ForwardingHost
+from medlarvale.forwarding.messages import HostPlace
+from medlarvale.ids import FailureDomain, HostId
+from medlarvale.platform.backends import HttpBackends, new_session
+from medlarvale.platform.incoming import decode_incoming
+from medlarvale.platform.store import PlatformStore
+from tests.forwarding.standin_platform import StandinPlatform, stream_body
+
+IP = "127.0.0.1"
+WAIT_S = 5.0
+
+
+def free_port() -> int:
+    with socket.socket() as probe:
+        probe.bind((IP, 0))
+        return probe.getsockname()[1]
+
+
+class HostTestCase(unittest.IsolatedAsyncioTestCase):
+    """A started host and a caller's session."""
+
+    async def asyncSetUp(self) -> None:
+        self.platform = StandinPlatform()
+        await self.platform.start()
+        self.addAsyncCleanup(self.platform.close)
+        self.servers = self.platform.servers
+        self.host = await self.start_host()
+        self.client = aiohttp.ClientSession()
+        self.addAsyncCleanup(self.client.close)
+
+    async def start_host(self) -> ForwardingHost:
+        self.front, self.ready_port = free_port(), free_port()
+        self.place = HostPlace(
+            host=HostId("a1"),
+            failure_domain=FailureDomain("a"),
+            listen_caller=f"{IP}:{self.front}",
+            listen_ready=f"{IP}:{self.ready_port}",
+            listen_control=f"{IP}:{free_port()}",
+            seed_addresses=(),
+            platform_address=self.platform.address,
+            grace_ms=4_000.0,
+            drain_ms=2_000.0,
+            config_apply_ms=2_000.0,
+            retry_share=0.2,
+            retry_reserve=54.0,
+            lease_ms=3_000.0,
+            internal_ports=(0, 0),
+        )
+        session = new_session()
+        store = PlatformStore(session, self.place.platform_address)
+        host = ForwardingHost(
+            self.place, store, HttpBackends(session), decode_incoming, free_port(), dict
+        )
+        await host.start()
+        self.addAsyncCleanup(session.close)
+        self.addAsyncCleanup(host.close)
+        return host
+
+    async def configure(self, version: int = 1, **routes: str) -> None:
+        chosen = routes or {"look": "safe app", "book": "unsafe app", "chat": "streaming llm"}
+        await self.platform.configure(version, **chosen)
+        await self.until(lambda: self.version() == version)
+        await self.until(lambda: len(self.host.servers) == len(self.servers))
+
+    def version(self) -> int:
+        index = self.host.follower.index
+        return index.table.version if index is not None else 0
+
+    async def until(self, condition: Any) -> None:
+        async with asyncio.timeout(WAIT_S):
+            while not condition():
+                await asyncio.sleep(0.01)
+
+    def call(self, path: str, request_id: str = "q1", **options: Any) -> Any:
+        headers = {
+            "Host": "callers.example",
+            "X-Request-Id": request_id,
+            "X-Deadline-Ms": "3000",
+            "X-Token-Counts": "100,20",
+        } | options.pop("headers", {})
+        return self.client.request(
+            options.pop("method", "POST"),
+            f"http://{IP}:{self.front}{path}",
+            headers=headers,
+            **options,
+        )
+
+    async def status(self, path: str, request_id: str = "q1", **options: Any) -> int:
+        async with self.call(path, request_id, **options) as response:
+            await response.read()
+            return response.status
+
+    async def ready(self) -> int:
+        async with self.client.get(f"http://{IP}:{self.ready_port}/ready") as response:
+            return response.status
+
+
+class ServingTest(HostTestCase):
+    async def test_a_calm_day(self) -> None:
+        await self.configure()
+        self.assertEqual(await self.ready(), 200)
+        async with self.call("/book/1?x=%2F", data=b"van") as response:
+            self.assertEqual((response.status, await response.read()), (200, b"ok:van"))
+            self.assertIn("X-Response-Signature", response.headers)
+        async with self.call("/chat/1", "q2") as response:
+            self.assertEqual(await response.read(), stream_body("q2"))
+            self.assertTrue(response.headers["X-Response-Signature"].endswith(".q2"))
+        self.assertEqual(self.servers["p1"].prefills, 1)
+        self.assertEqual(self.servers["p1"].handles, set())
+        self.assertEqual(self.servers["d1"].holds | self.servers["d2"].holds, set())
+
+    async def test_before_the_first_configuration(self) -> None:
+        """Guards against 404 for a route that is only not known yet (DENIED)."""
+        self.assertEqual(await self.ready(), 503)
+        async with self.call("/book/1") as response:
+            self.assertEqual(response.status, 503)
+            self.assertIn("Retry-After", response.headers)
+        await self.configure()
+        self.assertEqual(await self.ready(), 200)
+
+    async def test_refusals(self) -> None:
+        await self.configure()
+        table = [("/none/1", b"", 404), ("/book/1", b"x" * 2_000, 413)]
+        for path, body, expected in table:
+            with self.subTest(path):
+                self.assertEqual(await self.status(path, data=body), expected)
+        self.assertEqual(self.servers["s1"].runs + self.servers["s2"].runs, [])
+
+    async def test_a_change_of_the_configuration(self) -> None:
+        """Guards against requests that go on by an older version (CONFIG)."""
+        await self.configure()
+        await self.configure(5, look="safe app", new="unsafe app")
+        self.assertEqual(await self.status("/new/1"), 200)
+        self.assertEqual(await self.status("/chat/1"), 404)
+
+    async def test_a_leaving_server_gets_no_new_work(self) -> None:
+        """Guards against work at a server that is known to leave (DRAIN)."""
+        await self.configure()
+        leaving = self.servers["s1"]
+        leaving.state = "draining"
+        await self.platform.publish(leaving)
+        await self.platform.store.delete("servers/d1")
+        await self.until(lambda: len(self.host.servers) == len(self.servers) - 1)
+        for number in range(6):
+            await self.status("/book/1", f"b{number}")
+            await self.status("/chat/1", f"c{number}")
+        self.assertEqual(leaving.runs + self.servers["d1"].runs, [])
+        self.assertEqual(len(self.servers["s2"].runs), 6)
+
+    async def test_an_outage_of_the_store_changes_nothing(self) -> None:
+        await self.configure()
+        self.platform.store.down = True
+        async with self.platform.store._changed:
+            self.platform.store._changed.notify_all()
+        await self.until(lambda: not self.host.follower.reachable)
+        self.assertEqual(await self.status("/book/1"), 200)
+        self.assertEqual(await self.ready(), 200)
+
+    async def test_a_cut_stream_goes_on_in_one_answer(self) -> None:
+        """Guards against events that are missing, doubled or half (ORDER)."""
+        await self.configure()
+        for engine in ("d1", "d2"):
+            self.servers[engine].break_after = 3
+        async with self.call("/chat/1", "q3") as response:
+            self.assertEqual(await response.read(), stream_body("q3"))
+
+    async def test_a_stream_that_can_not_go_on_does_not_look_complete(self) -> None:
+        """Guards against a cut answer that a caller takes for a whole one (MIXED)."""
+        await self.configure()
+        for engine in ("d1", "d2"):
+            self.servers[engine].break_after = 3
+            self.servers[engine].holds.clear()
+        first = self.servers["d1"]
+        original = first._decode
+
+        async def always_cut(request: Any, request_id: str) -> Any:
+            first.break_after = 3
+            return await original(request, request_id)
+
+        for engine in ("d1", "d2"):
+            self.servers[engine]._decode = always_cut  # type: ignore[method-assign]
+        with self.assertRaises(aiohttp.ClientPayloadError):
+            async with self.call("/chat/1", "q4") as response:
+                await response.read()
+
+    async def test_a_gone_caller_ends_the_work(self) -> None:
+        """Guards against engines that work for callers that have left (GONE)."""
+        await self.configure()
+        for engine in ("d1", "d2"):
+            self.servers[engine].delay_s = 0.05
+        async with self.call("/chat/1", "q5") as response:
+            await response.content.readany()
+            response.close()
+        await self.until(lambda: self.servers["d1"].gone + self.servers["d2"].gone == ["q5"])
+        await self.until(lambda: self.host.port.in_flight == 0)
+
+    async def test_metrics(self) -> None:
+        await self.configure()
+        await self.status("/book/1")
+        ip, _, port = self.host._metrics_address.rpartition(":")
+        async with self.client.get(f"http://{ip}:{port}/metrics") as response:
+            text = await response.text()
+        self.assertIn('medlarvale_requests_total{kind="unsafe",outcome="200"} 1.0', text)
+
+
+class StopTest(HostTestCase):
+    async def test_a_planned_stop_disturbs_no_one(self) -> None:
+        """Guards against requests that are cut or never answered by a stop (LOST): aiohttp's own
+        closing leaves idle connections open with nobody reading them."""
+        await self.configure()
+        for server in self.servers.values():
+            server.delay_s = 0.1
+        idle = await asyncio.open_connection(IP, self.front)
+        await self.status("/look/1")
+        under_way = asyncio.create_task(self._stream("q6"))
+        await asyncio.sleep(0.1)
+        drain = asyncio.create_task(self.host.drain())
+        self.assertEqual(await asyncio.wait_for(idle[0].read(), 1.0), b"", "closed at once")
+        self.assertEqual(await self.ready(), 503)
+        async with self.call("/look/2", "q7") as response:
+            self.assertEqual(response.status, 200)
+            self.assertEqual(response.headers["Connection"].lower(), "close")
+        self.assertEqual(await under_way, stream_body("q6"))
+        await drain
+
+    async def _stream(self, request_id: str) -> bytes:
+        async with self.call("/chat/1", request_id) as response:
+            return await response.read()
--- /dev/null
+++ b/tests/platform/test_backends.py
@@ -0,0 +1,206 @@
+"""Calls to backend servers against raw sockets: faults on the wire become true errors."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+import struct
+import unittest
+
+from multidict import CIMultiDict, CIMultiDictProxy
+
+from medlarvale.forwarding.errors import BackendError, NotSentError, RejectedError
+from medlarvale.forwarding.messages import (
+    ClientRequest,
+    Dispatch,
+    EngineStage,
+    HandleId,
+    HoldId,
+    Server,
+    ServerState,
+)
+from medlarvale.ids import FailureDomain, ServerId, ServiceName
+from medlarvale.platform.backends import HttpBackends, new_session
+from medlarvale.platform.headers import decode_request
+
+SIGNED = b"X-Request-Id: q1\r\nX-Response-Signature: s\r\n"
+
+
+def answer(
+    status: str = "200 OK", headers: bytes = SIGNED, body: bytes = b"done", length: bool = True
+) -> bytes:
+    framing = b"Content-Length: %d\r\n" % len(body) if length else b""
+    return b"HTTP/1.1 " + status.encode() + b"\r\n" + headers + framing + b"\r\n" + body
+
+
+class RawServer:
+    """Answers each request with the next of some byte strings; ``None`` closes unanswered.
+
+    Attributes:
+        heads: request heads received.
+        reset: whether connections end with a reset.
+    """
+
+    def __init__(self, *answers: bytes | None, reset: bool = False, close: bool = False) -> None:
+        self.answers = list(answers)
+        self.reset, self.close = reset, close
+        self.heads: list[bytes] = []
+        self.connections = 0
+
+    async def start(self) -> Server:
+        self.server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        port = self.server.sockets[0].getsockname()[1]
+        return Server(
+            ServerId("i-1"),
+            ServiceName("llm"),
+            f"127.0.0.1:{port}",
+            FailureDomain("a"),
+            4,
+            ServerState.READY,
+        )
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.connections += 1
+        try:
+            while self.answers:
+                self.heads.append(await reader.readuntil(b"\r\n\r\n"))
+                reply = self.answers.pop(0)
+                if reply is None:
+                    break
+                writer.write(reply)
+                await writer.drain()
+                if self.close:
+                    break
+        except (asyncio.IncompleteReadError, ConnectionError):
+            return
+        if self.reset:
+            linger = struct.pack("ii", 1, 0)
+            writer.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+        writer.close()
+
+
+def make_request(method: str = "GET") -> ClientRequest:
+    headers = {"Host": "callers.example", "X-Request-Id": "q1", "X-Deadline-Ms": "2000"}
+    return decode_request(method, "/p?q=%2F", CIMultiDictProxy(CIMultiDict(headers)), b"", 0.0)
+
+
+class HttpBackendsTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self) -> None:
+        self.session = new_session()
+        self.addAsyncCleanup(self.session.close)
+        self.backends = HttpBackends(self.session)
+
+    async def start(self, raw: RawServer) -> Server:
+        server = await raw.start()
+        self.addCleanup(raw.server.close)
+        return server
+
+    async def send(self, server: Server) -> bytes:
+        reply = await self.backends.send(server, make_request(), Dispatch(1_000.0))
+        try:
+            return await reply.read()
+        finally:
+            reply.close()
+
+    async def test_the_request_goes_out_as_it_came(self) -> None:
+        """Guards against a path that is decoded on its way and headers that nobody sent."""
+        raw = RawServer(answer())
+        self.assertEqual(await self.send(await self.start(raw)), b"done")
+        head = raw.heads[0].lower()
+        self.assertTrue(head.startswith(b"get /p?q=%2f http/1.1\r\n"))
+        for name in (b"user-agent", b"accept-encoding", b"accept:"):
+            self.assertNotIn(name, head)
+        self.assertIn(b"host: callers.example", head)
+
+    async def test_faults_on_the_wire(self) -> None:
+        """Guards against half an answer taken for a whole one, an answer given to another
+        request, and "not run" for a request that may have run."""
+        other = SIGNED.replace(b"q1", b"q0")
+        half = answer(body=b"done")[:-2]
+        table: list[tuple[str, RawServer, type[Exception]]] = [
+            ("rejected", RawServer(answer("503 Full", b"X-Not-Executed: 1\r\n")), RejectedError),
+            ("other server", RawServer(answer("421 Misdirected")), RejectedError),
+            ("closed unanswered", RawServer(None), BackendError),
+            ("half an answer", RawServer(half, close=True), BackendError),
+            (
+                "reset without a length",
+                RawServer(answer(length=False), reset=True, close=True),
+                BackendError,
+            ),
+            ("another request's", RawServer(answer(headers=other)), BackendError),
+            ("no answer in the protocol", RawServer(b"hello\r\n\r\n"), BackendError),
+        ]
+        for name, raw, expected in table:
+            with self.subTest(name):
+                server = await self.start(raw)
+                with self.assertRaises(expected) as raised:
+                    await self.send(server)
+                if expected is BackendError:
+                    self.assertNotIsInstance(raised.exception, NotSentError | RejectedError)
+
+    async def test_an_answer_without_a_length_ends_with_its_connection(self) -> None:
+        raw = RawServer(answer(length=False), close=True)
+        self.assertEqual(await self.send(await self.start(raw)), b"done")
+
+    async def test_nothing_is_repeated_by_the_library(self) -> None:
+        """Guards against a lookup that runs twice without being counted as a retry."""
+        raw = RawServer(answer(), None)
+        server = await self.start(raw)
+        await self.send(server)
+        with self.assertRaises(BackendError):
+            await self.send(server)
+        self.assertEqual(len(raw.heads), 2)
+
+    async def test_an_unreachable_server_has_not_seen_the_request(self) -> None:
+        raw = RawServer()
+        server = await self.start(raw)
+        raw.server.close()
+        await raw.server.wait_closed()
+        for call in (self.send(server), self.backends.probe(server)):
+            with self.assertRaises(NotSentError):
+                await call
+
+    async def test_a_connection_with_a_late_answer_is_not_used_again(self) -> None:
+        raw = RawServer(answer(headers=SIGNED.replace(b"q1", b"q0")) + answer())
+        server = await self.start(raw)
+        with self.assertRaises(BackendError):
+            await self.send(server)
+        raw.answers = [answer()]
+        self.assertEqual(await self.send(server), b"done")
+        self.assertEqual(raw.connections, 2)
+
+    async def test_engine_calls(self) -> None:
+        json = b"Content-Type: application/json\r\n"
+        raw = RawServer(
+            answer(headers=json, body=b'{"Hold":"h1"}'),
+            answer("503 Full", headers=json, body=b"{}"),
+            answer(headers=json, body=b'{"KvHandle":"k1","Tokens":10,"Version":1}'),
+            answer(
+                headers=json,
+                body=b'{"Stage":"decode","Busy":false,"Sequence":2,"Queued":1,"Running":12,'
+                b'"KvUsed":41000,"KvTotal":90000,"KvHandles":0,"Models":[]}',
+            ),
+            answer(headers=json, body=b""),
+            answer(headers=json, body=b""),
+        )
+        server = await self.start(raw)
+        self.assertEqual(await self.backends.take_hold(server, 10, 100.0), HoldId("h1"))
+        self.assertIsNone(await self.backends.take_hold(server, 10, 100.0))
+        result = await self.backends.prefill(server, make_request(), 500.0)
+        self.assertEqual(result.handle, HandleId("k1"))
+        report = await self.backends.report(server)
+        self.assertEqual((report.stage, report.orders_accepted), (EngineStage.DECODE, 2))
+        await self.backends.drop_hold(server, HoldId("h1"))
+        await self.backends.drop_handle(server, HandleId("k1"))
+        starts = [head.split(b"\r\n")[0] for head in raw.heads]
+        self.assertEqual(starts[4], b"DELETE /hold-drop/h1 HTTP/1.1")
+        self.assertEqual(starts[5], b"DELETE /kv-handle/k1 HTTP/1.1")
+        self.assertIn(b"X-Serving-Stage: prefill", raw.heads[2])
+
+    async def test_orders(self) -> None:
+        table = [("202 Accepted", True), ("200 OK", True), ("409 Busy", False), ("412 Old", False)]
+        for status, accepted in table:
+            with self.subTest(status):
+                server = await self.start(RawServer(answer(status, b"")))
+                result = await self.backends.order_stage(server, EngineStage.DECODE, "a", 5, 1)
+                self.assertEqual(result, accepted)
--- /dev/null
+++ b/tests/platform/test_store.py
@@ -0,0 +1,124 @@
+"""The client of the metadata store against a stand-in that speaks its protocol."""
+
+from __future__ import annotations
+
+import unittest
+from base64 import b64encode
+from typing import Any
+
+from aiohttp import web
+from aiohttp.test_utils import TestServer
+
+from medlarvale.forwarding.errors import HistoryGoneError, PublishedStateError
+from medlarvale.forwarding.messages import RouteTable, Server, StoreRevision
+from medlarvale.ids import ServerId
+from medlarvale.platform.backends import new_session
+from medlarvale.platform.store import PlatformStore
+from tests.platform.test_entries import CONFIG, SERVER, encoded
+
+
+def item(key: str, value: bytes, revision: int = 1) -> dict[str, Any]:
+    return {"Key": key, "Value": b64encode(value).decode(), "Revision": revision, "Lease": 0}
+
+
+def page(*items: dict[str, Any], revision: int, more: bool = False) -> dict[str, Any]:
+    return {"items": list(items), "HasMore": more, "CurrentRev": revision}
+
+
+class StoreTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self) -> None:
+        self.answers: list[tuple[int, Any]] = []
+        self.asked: list[dict[str, str]] = []
+
+        async def handle(request: web.Request) -> web.StreamResponse:
+            self.asked.append({"path": request.path, **request.query})
+            status, body = self.answers.pop(0)
+            if status == 0:
+                assert request.transport is not None
+                request.transport.abort()
+                return web.Response()
+            return web.json_response(body, status=status)
+
+        app = web.Application()
+        app.router.add_get("/{call}", handle)
+        self.server = TestServer(app)
+        await self.server.start_server()
+        self.addAsyncCleanup(self.server.close)
+        session = new_session()
+        self.addAsyncCleanup(session.close)
+        self.store = PlatformStore(session, f"127.0.0.1:{self.server.port}")
+
+    async def test_pages_are_read_to_the_end(self) -> None:
+        """Guards against changes that are missed because pages are no snapshot."""
+        self.answers = [
+            (200, page(item("op/config", encoded(CONFIG)), revision=7, more=True)),
+            (200, page(item("servers/i-1", encoded(SERVER)), revision=9)),
+        ]
+        published = await self.store.read()
+        self.assertEqual(published.revision, 7, "watched from the first page on")
+        assert published.table is not None
+        self.assertEqual([server.server for server in published.servers], ["i-1"])
+        self.assertEqual(self.asked[1]["after"], "op/config")
+
+    async def test_entries_of_other_writers_leave_the_others_in_force(self) -> None:
+        self.answers = [
+            (
+                200,
+                {
+                    "items": [
+                        item("servers/i-1", b"\xff\x00"),
+                        item("servers/i-2", encoded(SERVER)),
+                        item("servers/i-3", encoded(SERVER | {"State": "odd"})),
+                        {"Key": "servers/i-4", "Value": "?", "Revision": 3},
+                        item("something/else", b"x"),
+                    ],
+                    "HasMore": False,
+                    "CurrentRev": 9,
+                },
+            )
+        ]
+        published = await self.store.read()
+        self.assertIsNone(published.table)
+        self.assertEqual([server.server for server in published.servers], ["i-2"])
+
+    async def test_watch_tells_changes_and_removals(self) -> None:
+        self.answers = [
+            (
+                200,
+                {
+                    "events": [
+                        item("servers/i-1", encoded(SERVER), 11),
+                        {"Key": "servers/i-2", "Revision": 12, "Deleted": True},
+                        item("op/config", encoded(CONFIG), 13),
+                        {"Key": "op/config", "Revision": 14, "Deleted": True},
+                    ],
+                    "CurrentRev": 14,
+                },
+            )
+        ]
+        changes = await self.store.watch(StoreRevision(10), 2_000)
+        kinds = [type(change) for change in changes.items]
+        self.assertEqual(kinds, [Server, str, RouteTable])
+        self.assertEqual(changes.items[1], ServerId("i-2"))
+        self.assertEqual(changes.revision, 14)
+        self.assertEqual(self.asked[0]["after"], "10")
+        self.assertEqual(self.asked[0]["WaitMs"], "2000")
+
+    async def test_failures(self) -> None:
+        """Guards against an outage that is taken for an empty list."""
+        table: list[tuple[str, tuple[int, Any], type[Exception]]] = [
+            ("too many calls", (429, {}), PublishedStateError),
+            ("down", (503, {}), PublishedStateError),
+            ("reset", (0, None), PublishedStateError),
+            ("unreadable", (200, ["no"]), PublishedStateError),
+            ("history gone", (410, {}), HistoryGoneError),
+        ]
+        for name, answer, expected in table:
+            with self.subTest(name):
+                self.answers = [answer]
+                with self.assertRaises(expected):
+                    await self.store.watch(StoreRevision(1), 10)
+                if expected is PublishedStateError:
+                    self.answers = [answer]
+                    with self.assertRaises(expected):
+                        await self.store.read()
