--- a/src/medlarvale/forward_command.py
+++ b/src/medlarvale/forward_command.py
@@ -23,6 +23,7 @@
 from medlarvale.platform.store import PlatformStore
 
 METRICS_PORT = 7380
+DROP_REPORT_MS = 5_000.0
 EXIT_SETTINGS = 2
 EXIT_NOT_STARTED = 1
 
@@ -69,6 +70,7 @@
         options.metrics_port,
         lambda: {"log_lines_dropped": writer.dropped},
     )
+    host.clock.every_ms(DROP_REPORT_MS, _DropReport(writer).tick)
     stop = asyncio.Event()
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
@@ -80,6 +82,19 @@
         await session.close()
 
 
+class _DropReport:
+    """Says now and then how many log lines were dropped."""
+
+    def __init__(self, writer: BoundedLineWriter) -> None:
+        self._writer = writer
+        self._reported = 0
+
+    def tick(self) -> None:
+        if self._writer.dropped > self._reported:
+            self._reported = self._writer.dropped
+            log_warning(Event.LOG_LINES_DROPPED, dropped=self._reported)
+
+
 def _reload(boot: Path) -> None:
     """Checks a changed settings file; addresses and bounds stay those of the start."""
     try:
--- a/src/medlarvale/forwarding/errors.py
+++ b/src/medlarvale/forwarding/errors.py
@@ -8,6 +8,8 @@
 class ForwardingError(MedlarvaleError):
     """Base of the errors that end a forwarded request."""
 
+    code = "forwarding_failed"
+
 
 class NotReadyError(ForwardingError):
     """No configuration is known yet."""
@@ -28,7 +30,7 @@
 class BodyTooLargeError(ForwardingError):
     """The body is larger than the configuration allows."""
 
-    code = "body_too_large"
+    code = "forwarded_body_too_large"
     outcome = Outcome.NOT_RUN
     http_status = 413
 
