Prefer near engines, end hopeless waiting, and expect waits by the fair share of the engines

Cause: KV caches crossed failure domains by chance; requests that could not be served any more waited until their callers' patience ended; after a calm time the measured rate of reservations said nothing of the capacity; the first order came a second late for a notice that prefill engines don't need. Change: prefill beside the decode engine, decode near the host; the last of a queue is refused when its wait is longer than its time, with a Retry-After of 1.5 to 4.5 s; the notice only towards prefill.

--- a/src/medlarvale/forwarding/context.py
+++ b/src/medlarvale/forwarding/context.py
@@ -77,6 +77,7 @@
         rng: draws among equal choices.
         retry_limits: returns the limits of each service's retries, as the fleet is now.
         guard: stops requests that crash servers.
+        host_count: returns the number of hosts that share the backend servers.
     """
 
     def __init__(
@@ -87,7 +88,9 @@
         rng: random.Random,
         retry_limits: Callable[[], RetryLimits],
         guard: RunGuard,
+        host_count: Callable[[], int],
     ) -> None:
+        self.host_count = host_count
         self.backends = backends
         self.servers = servers
         self.clock = clock
--- a/src/medlarvale/forwarding/demand.py
+++ b/src/medlarvale/forwarding/demand.py
@@ -53,13 +53,14 @@
     """Load of one service at one host.
 
     Attributes:
+        hold_ms: how long a stream holds its memory.
         tokens_per_ms: prompt tokens that an otherwise idle prefill engine reads in a ms.
     """
 
     def __init__(self) -> None:
         self._prompt = _Rate()
         self._memory = _Rate()
-        self._hold_ms = FIRST_HOLD_MS
+        self.hold_ms = FIRST_HOLD_MS
         self._decode_ms = FIRST_MS_PER_TOKEN * FIRST_OUTPUT_TOKENS
         self._decode_tokens = FIRST_OUTPUT_TOKENS
         self.tokens_per_ms = FIRST_TOKENS_PER_MS
@@ -76,7 +77,7 @@
 
     def note_hold(self, held_ms: float) -> None:
         """Learns how long a stream holds its memory."""
-        self._hold_ms += TIME_SMOOTHING * (held_ms - self._hold_ms)
+        self.hold_ms += TIME_SMOOTHING * (held_ms - self.hold_ms)
 
     def note_decode(self, output_tokens: int, took_ms: float) -> None:
         """Learns the speed of decoding from a stream and the output expected of it."""
@@ -92,5 +93,5 @@
     def demand(self, now_ms: float) -> Demand:
         """Returns the present load."""
         return Demand(
-            self._prompt.per_s(now_ms), self._memory.per_s(now_ms) * self._hold_ms / 1000.0
+            self._prompt.per_s(now_ms), self._memory.per_s(now_ms) * self.hold_ms / 1000.0
         )
--- a/src/medlarvale/forwarding/host.py
+++ b/src/medlarvale/forwarding/host.py
@@ -76,7 +76,13 @@
         self._build_peers(place)
         self._guard = CrashGuard(backends, self._transport, self._live_peers, self.clock)
         context = ForwardingContext(
-            backends, self.servers, self.clock, rng, self._retry_limits, self._guard
+            backends,
+            self.servers,
+            self.clock,
+            rng,
+            self._retry_limits,
+            self._guard,
+            self.fleet.view.host_count,
         )
         self.streams = StreamForwarder(context, self._traits)
         self.port = CallerPort(
--- a/src/medlarvale/forwarding/memory.py
+++ b/src/medlarvale/forwarding/memory.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from medlarvale.forwarding.context import ForwardingContext
+from medlarvale.forwarding.demand import DemandMeter
 from medlarvale.forwarding.errors import BackendError, OverloadedError
 from medlarvale.forwarding.messages import EngineStage, EngineTraits, HoldId, TokenCounts
 from medlarvale.forwarding.servers import ERROR_PENALTY, ServerLoad
@@ -30,9 +31,16 @@
 MIN_PATIENCE_MS = 2_000.0
 # Time over which the rate of reservations is measured.
 RATE_MS = 2_000.0
+# Part of the even share of the engines that a host can count on: callers are spread unevenly.
+FAIR_SHARE = 0.5
+LEAST_RATE_PER_S = 0.1
 # A queue of this many says little about the wait.
 SHORT_QUEUE = 2
-MAX_RETRY_AFTER_MS = 3_000
+# A burst lasts some seconds; callers wait up to a third of their time, 4.6 s of 14 s.
+MIN_RETRY_AFTER_MS = 1_500
+MAX_RETRY_AFTER_MS = 4_500
+# Share of an engine's memory by which a nearer engine may be fuller: events cost less from there.
+FAR_PENALTY = 0.05
 # Waiting requests that may be tried after one that does not fit.
 BACKFILL = 2
 
@@ -115,6 +123,7 @@
         context: calls, servers and time.
         service: the service.
         traits: returns what its engines have in common, as configured now.
+        meter: how long streams hold their memory.
     """
 
     def __init__(
@@ -122,7 +131,9 @@
         context: ForwardingContext,
         service: ServiceName,
         traits: Callable[[], EngineTraits],
+        meter: DemandMeter,
     ) -> None:
+        self._meter = meter
         self._context = context
         self._service = service
         self._traits = traits
@@ -150,7 +161,7 @@
         if wait_ms > request.end_ms - now_ms:
             raise OverloadedError(
                 "the queue for memory is too long",
-                retry_after_ms=min(MAX_RETRY_AFTER_MS, int(wait_ms)),
+                retry_after_ms=self._retry_after_ms(request, now_ms),
             )
         waiter = _Waiter(request, now_ms)
         self._waiting.append(waiter)
@@ -211,21 +222,45 @@
     def _expected_wait_ms(self, request: MemoryRequest, now_ms: float) -> float:
         """Returns how long a new request would wait behind those that go first."""
         rank = _rank(request, now_ms)
-        ahead = sum(_rank(waiter.request, now_ms) <= rank for waiter in self._waiting)
+        ahead = sum(
+            waiter.request is not request and _rank(waiter.request, now_ms) <= rank
+            for waiter in self._waiting
+        )
         while self._granted_ms and now_ms - self._granted_ms[0] > RATE_MS:
             self._granted_ms.popleft()
         if ahead <= SHORT_QUEUE:
             return 0.0
-        return ahead * RATE_MS / max(1, len(self._granted_ms))
+        granted_per_s = len(self._granted_ms) * 1000.0 / RATE_MS
+        # After a calm time few reservations were asked for, which says nothing of the capacity.
+        fair_per_s = FAIR_SHARE * self._fair_rate_per_s(request.tokens)
+        return ahead * 1000.0 / max(granted_per_s, fair_per_s, LEAST_RATE_PER_S)
+
+    def _fair_rate_per_s(self, tokens: int) -> float:
+        """Returns how many requests of a size this host could start a second, by its share."""
+        engines = self._context.servers.candidates(
+            self._service, self._context.clock.now_ms(), stage=EngineStage.DECODE
+        )
+        at_once = len(engines) * self._traits().memory_tokens / max(1, tokens)
+        return at_once * 1000.0 / self._meter.hold_ms / self._context.host_count()
 
     def _expire(self) -> None:
         now_ms = self._context.clock.now_ms()
         for waiter in [waiting for waiting in self._waiting if waiting.request.end_ms <= now_ms]:
-            self._waiting.remove(waiter)
-            if not waiter.future.done():
-                waiter.future.set_exception(
-                    OverloadedError("no engine had room in time", retry_after_ms=1_000)
-                )
+            self._refuse(waiter, "no engine had room in time", now_ms)
+        if self._waiting:
+            last = self._order()[-1]
+            if self._expected_wait_ms(last.request, now_ms) > last.request.end_ms - now_ms:
+                self._refuse(last, "the queue for memory has become too long", now_ms)
+
+    def _refuse(self, waiter: _Waiter, reason: str, now_ms: float) -> None:
+        self._waiting.remove(waiter)
+        if not waiter.future.done():
+            retry_after_ms = self._retry_after_ms(waiter.request, now_ms)
+            waiter.future.set_exception(OverloadedError(reason, retry_after_ms=retry_after_ms))
+
+    def _retry_after_ms(self, request: MemoryRequest, now_ms: float) -> int:
+        wait_ms = self._expected_wait_ms(request, now_ms)
+        return int(min(MAX_RETRY_AFTER_MS, max(MIN_RETRY_AFTER_MS, wait_ms)))
 
     async def _serve(self, waiter: _Waiter) -> bool:
         reservation = await self._reserve(waiter)
@@ -276,6 +311,7 @@
         def cost(load: ServerLoad) -> tuple[bool, float, float]:
             other = load.server.server != preferred
             share = load.tokens / memory + ERROR_PENALTY * (load.error_share - best_error)
+            share += FAR_PENALTY * self._context.servers.is_far(load)
             return other, share, self._context.rng.random()
 
         return sorted(candidates, key=cost)
--- a/src/medlarvale/forwarding/orders.py
+++ b/src/medlarvale/forwarding/orders.py
@@ -157,8 +157,10 @@
         self._background.start(self._order(donor, stage))
 
     async def _order(self, engine: Server, stage: EngineStage) -> None:
-        # All hosts have to know first, so that none sends work that the engine would reject.
-        await self._clock.sleep_ms(NOTICE_MS)
+        if stage is EngineStage.PREFILL:
+            # A decode engine under an order still grants memory, and rejects the request after its
+            # prompt was read. A prefill engine rejects the prompt, which costs nothing.
+            await self._clock.sleep_ms(NOTICE_MS)
         accepted = False
         try:
             report = await self._backends.report(engine)
--- a/src/medlarvale/forwarding/prefill.py
+++ b/src/medlarvale/forwarding/prefill.py
@@ -7,7 +7,7 @@
 from medlarvale.forwarding.errors import BackendError, RejectedError
 from medlarvale.forwarding.messages import ClientRequest, EngineStage, PrefillResult
 from medlarvale.forwarding.servers import ServerLoad
-from medlarvale.ids import ServerId, ServiceName
+from medlarvale.ids import FailureDomain, ServerId, ServiceName
 from medlarvale.logs import Event, log_warning
 
 # Prefill engines that are asked for one prompt, the first included.
@@ -16,6 +16,8 @@
 REJECTED_PAUSE_MS = 1_000.0
 # Share of a prefill engine's speed at which a decode engine reads a prompt itself.
 DECODE_PREFILL_SPEED = 0.5
+# Wait that is worth fetching the KV cache within a failure domain, where it costs a third.
+FAR_PENALTY_MS = 60.0
 # Extra wait for a prefill engine that is better than slowing the streams of a decode engine down.
 OVERFLOW_WAIT_MS = 300.0
 
@@ -47,16 +49,17 @@
         self._budget = context.budget(service)
         self._calls = 0
 
-    async def read(self, end_ms: float) -> PrefillResult | None:
+    async def read(self, decode_in: FailureDomain, end_ms: float) -> PrefillResult | None:
         """Returns where the prompt was read; None lets the decode engine read it itself.
 
         Args:
+            decode_in: failure domain of the engine that will fetch the KV cache.
             end_ms: monotonic time at which the request ends.
         """
         clock = self._context.clock
         tried: set[ServerId] = set()
         while self._calls < MAX_PREFILLS:
-            load = self._choose(tried)
+            load = self._choose(decode_in, tried)
             if load is None or (self._calls and not self._budget.take_retry()):
                 break
             tried.add(load.server.server)
@@ -75,7 +78,7 @@
                 load.tokens -= self._tokens
         return None
 
-    def _choose(self, tried: set[ServerId]) -> ServerLoad | None:
+    def _choose(self, decode_in: FailureDomain, tried: set[ServerId]) -> ServerLoad | None:
         context, now_ms = self._context, self._context.clock.now_ms()
         candidates = context.servers.candidates(
             self._service, now_ms, stage=EngineStage.PREFILL, excluded=tried
@@ -85,7 +88,11 @@
         def wait_ms(load: ServerLoad) -> float:
             return max(load.tokens / speed, load.backlog_ms(now_ms))
 
-        best = min(candidates, key=lambda load: (wait_ms(load), context.rng.random()), default=None)
+        def cost(load: ServerLoad) -> tuple[float, float]:
+            far = load.server.failure_domain != decode_in
+            return wait_ms(load) + far * FAR_PENALTY_MS, context.rng.random()
+
+        best = min(candidates, key=cost, default=None)
         if best is None:
             return None
         slower_ms = self._tokens / speed * (1.0 / DECODE_PREFILL_SPEED - 1.0)
--- a/src/medlarvale/forwarding/servers.py
+++ b/src/medlarvale/forwarding/servers.py
@@ -174,6 +174,10 @@
         """
         self._changing = frozenset(servers)
 
+    def is_far(self, load: ServerLoad) -> bool:
+        """Tells whether a server is in another failure domain."""
+        return load.server.failure_domain != self._failure_domain
+
     def takes_work(self, load: ServerLoad) -> bool:
         """Tells whether a server is still listed and not leaving."""
         known = self._loads.get(load.server.server)
@@ -197,7 +201,7 @@
 
         def cost(load: ServerLoad) -> tuple[float, float]:
             share = load.in_flight / max(1, load.server.slots)
-            if load.server.failure_domain != self._failure_domain:
+            if self.is_far(load):
                 share += REMOTE_PENALTY
             share += ERROR_PENALTY * (load.error_share - best_error)
             return share, self._rng.random()
@@ -207,7 +211,7 @@
     def note_success(self, load: ServerLoad, now_ms: float) -> None:
         """Ends a server's series of failures."""
         load.failures = 0
-        if load.server.failure_domain != self._failure_domain:
+        if self.is_far(load):
             self.contact.note_contact(now_ms)
 
     def serves_alone(self, service: ServiceName, stage: EngineStage | None) -> bool:
@@ -222,7 +226,7 @@
 
     def note_failure(self, load: ServerLoad, now_ms: float, reason: str) -> None:
         """Pauses a server that could not be reached or lost an answer; repeated failures longer."""
-        if load.server.failure_domain != self._failure_domain:
+        if self.is_far(load):
             self.contact.note_failure(load.server.server)
         pause_ms = load.pause_after_failure(now_ms)
         log_warning(
--- a/src/medlarvale/forwarding/stream_run.py
+++ b/src/medlarvale/forwarding/stream_run.py
@@ -252,7 +252,7 @@
         kept = reservation.load.server.server == self._keeper
         if kept or self._fetch_from is not None:
             return None
-        source = await self._reader.read(self._end_ms)
+        source = await self._reader.read(reservation.load.server.failure_domain, self._end_ms)
         self.times.prefills += source is not None
         return source
 
--- a/src/medlarvale/forwarding/streams.py
+++ b/src/medlarvale/forwarding/streams.py
@@ -37,7 +37,9 @@
         """Returns the queue for the decode memory of a service."""
         queue = self._queues.get(service)
         if queue is None:
-            queue = MemoryQueue(self.context, service, lambda: self._traits(service))
+            queue = MemoryQueue(
+                self.context, service, lambda: self._traits(service), self.meter(service)
+            )
             self._queues[service] = queue
         return queue
 
--- a/tests/forwarding/fakes.py
+++ b/tests/forwarding/fakes.py
@@ -248,6 +248,7 @@
         random.Random(2),
         lambda: RetryLimits(0.2, reserve),
         FakeGuard(),
+        lambda: 1,
     )
 
 
