--- a/tests/forwarding/test_orders.py
+++ b/tests/forwarding/test_orders.py
@@ -108,10 +108,10 @@
 
     async def test_a_giver_that_wakes_up_waits_again(self) -> None:
         """Guards against an order on the belief of before a freeze."""
-        await self.run_for(2 * LEASE_MS + 400.0, "c", load=False)
+        await self.run_for(2 * LEASE_MS + 400.0, load=False)
         self.clock.advance_ms(5_000.0)
         self.view.tick(self.clock.now_ms())
-        await self.run_for(2 * LEASE_MS - 500.0, "c")
+        await self.run_for(2 * LEASE_MS - 500.0)
         self.assertEqual(self.backends.orders, [])
 
     async def test_an_order_to_a_decode_engine_is_announced_first(self) -> None:
--- a/tests/forwarding/test_stream_run.py
+++ b/tests/forwarding/test_stream_run.py
@@ -131,7 +131,7 @@
         self.answer(FakeAnswer([event(1), RESET]))
         self.backends.free_tokens = {ServerId("d1"): 6_000, ServerId("d2"): 0}
         with self.assertRaises(StreamBrokenError):
-            await self.forward(timeout_ms=900.0)
+            await self.forward()
         self.assertEqual(self.sink.data, event(1))
         self.assertFalse(self.sink.finished)
 
--- a/tests/platform/test_backends.py
+++ b/tests/platform/test_backends.py
@@ -144,7 +144,7 @@
 
     async def test_nothing_is_repeated_by_the_library(self) -> None:
         """Guards against a lookup that runs twice without being counted as a retry."""
-        raw = RawServer(answer(), None)
+        raw = RawServer(answer(), None, answer())
         server = await self.start(raw)
         await self.send(server)
         with self.assertRaises(BackendError):
