Serve engines without reservations or stages, and streams of plain services

Cause: found on reading: a deployment whose engines take no reservations, or have no stages, got 503 for each stream; streams of a service without engines were read whole before they were passed on. Change: without reservations a host fills engines by its own count; a server without a stage answers whole requests; every stream goes event by event.

--- a/src/medlarvale/forwarding/front.py
+++ b/src/medlarvale/forwarding/front.py
@@ -202,8 +202,7 @@
         if len(request.body) > index.table.limits.max_body_bytes:
             raise BodyTooLargeError("the body is larger than the configuration allows")
         service = choose_service(route, self._rng)
-        known = index.table.services.get(service)
-        if route.kind is RouteKind.STREAM and known is not None and known.engine is not None:
+        if route.kind is RouteKind.STREAM and service in index.table.services:
             if self._refuses_streams():
                 raise OverloadedError("this host is stopping", retry_after_ms=STOPPING_RETRY_MS)
             reply = await self._streams.forward(request, route, service, sink)
--- a/src/medlarvale/forwarding/memory.py
+++ b/src/medlarvale/forwarding/memory.py
@@ -55,7 +55,7 @@
 
     Attributes:
         tokens: size in tokens.
-        hold: None if the engine admits without reservations.
+        hold: None where engines take no reservations: then only this host's own load is known.
     """
 
     load: ServerLoad
@@ -285,22 +285,33 @@
             refused_ms, refused_tokens = self._refused.get(load.server.server, (-1e9, 0))
             if now_ms - refused_ms < REFUSED_PAUSE_MS and request.tokens >= refused_tokens:
                 continue
-            try:
-                hold = await context.backends.take_hold(
-                    load.server, request.tokens, self._traits().hold_ttl_ms
-                )
-            except BackendError as error:
-                context.servers.note_failure(load, context.clock.now_ms(), error.message)
-                continue
-            context.servers.note_success(load, context.clock.now_ms())
-            if hold is None:
-                self._refused[load.server.server] = (context.clock.now_ms(), request.tokens)
-                continue
-            load.tokens += request.tokens
-            load.in_flight += 1
-            return Reservation(load, request.tokens, hold)
+            if self._traits().hold_ttl_ms <= 0:
+                if load.tokens + request.tokens > self._traits().memory_tokens:
+                    continue
+                return self._taken(load, request.tokens, None)
+            hold = await self._take_hold(load, request.tokens)
+            if hold is not None:
+                return self._taken(load, request.tokens, hold)
         return None
 
+    async def _take_hold(self, load: ServerLoad, tokens: int) -> HoldId | None:
+        context = self._context
+        try:
+            hold = await context.backends.take_hold(load.server, tokens, self._traits().hold_ttl_ms)
+        except BackendError as error:
+            context.servers.note_failure(load, context.clock.now_ms(), error.message)
+            return None
+        context.servers.note_success(load, context.clock.now_ms())
+        if hold is None:
+            self._refused[load.server.server] = (context.clock.now_ms(), tokens)
+        return hold
+
+    @staticmethod
+    def _taken(load: ServerLoad, tokens: int, hold: HoldId | None) -> Reservation:
+        load.tokens += tokens
+        load.in_flight += 1
+        return Reservation(load, tokens, hold)
+
     def _order_engines(
         self, candidates: list[ServerLoad], preferred: ServerId | None
     ) -> list[ServerLoad]:
--- a/src/medlarvale/forwarding/servers.py
+++ b/src/medlarvale/forwarding/servers.py
@@ -73,6 +73,11 @@
         self.error_share += ERROR_SMOOTHING * (float(failed) - self.error_share)
 
 
+def _serves(server: Server, stage: EngineStage | None) -> bool:
+    """Tells whether a server serves a stage; one without stages answers whole requests."""
+    return server.stage is stage or (server.stage is None and stage is EngineStage.DECODE)
+
+
 class ServerTable:
     """All backend servers by id.
 
@@ -161,7 +166,7 @@
             for load in self._loads.values()
             if load.server.service == service
             and load.server.state is ServerState.READY
-            and load.server.stage is stage
+            and _serves(load.server, stage)
             and load.server.server not in self._changing
             and load.server.server not in excluded
         ]
@@ -219,7 +224,7 @@
         return any(
             load.server.failure_domain == self._failure_domain
             and load.server.state is ServerState.READY
-            and load.server.stage is stage
+            and _serves(load.server, stage)
             and load.failures < FAILURES_TO_DOUBT
             for load in self.of_service(service)
         )
--- a/tests/forwarding/test_host.py
+++ b/tests/forwarding/test_host.py
@@ -194,6 +194,12 @@
             async with self.call("/chat/1", "q4") as response:
                 await response.read()
 
+    async def test_a_stream_of_a_plain_service(self) -> None:
+        """Guards against events that are held back until the answer is whole."""
+        await self.configure(look="streaming app")
+        async with self.call("/look/1", "q8") as response:
+            self.assertEqual((response.status, await response.read()), (200, b"ok:"))
+
     async def test_a_gone_caller_ends_the_work(self) -> None:
         """Guards against engines that work for callers that have left (GONE)."""
         await self.configure()
--- a/tests/forwarding/test_memory.py
+++ b/tests/forwarding/test_memory.py
@@ -5,6 +5,8 @@
 import asyncio
 import unittest
 
+import msgspec
+
 from medlarvale.clock import SystemClock
 from medlarvale.forwarding.demand import DemandMeter
 from medlarvale.forwarding.errors import BackendError, OverloadedError
@@ -150,6 +152,18 @@
         self.assertEqual(len(self.queue), 0)
         self.assertEqual(self.backends.free_tokens[D1], 5_000)
 
+    async def test_engines_without_reservations_are_filled_by_own_count(self) -> None:
+        """Guards against deployments whose engines take no reservations, or have no stages."""
+        traits = msgspec.structs.replace(TRAITS, hold_ttl_ms=0.0)
+        self.context = make_context(self.backends, make_server("whole"))
+        queue = MemoryQueue(self.context, LLM, lambda: traits, DemandMeter())
+        taken = [await queue.acquire(need(8_000)) for _ in range(2)]
+        with self.assertRaises(OverloadedError):
+            await queue.acquire(need(8_000, end_ms=150.0))
+        queue.release(taken[0], drop_hold=False)
+        await queue.acquire(need(8_000))
+        self.assertEqual(self.backends.calls, [])
+
     async def test_the_engine_that_keeps_the_memory_is_asked_first(self) -> None:
         for preferred in (D1, D2):
             reservation = await self.queue.acquire(need(100, preferred=preferred))
