Test the forward command as a process; drop settings that nothing reads

Change: process tests of refused settings, start, reload and planned stop; the version in force is a property of the follower.

--- a/src/medlarvale/forwarding/follower.py
+++ b/src/medlarvale/forwarding/follower.py
@@ -11,7 +11,7 @@
 from medlarvale.forwarding.messages import RouteTable, Server, StoreRevision
 from medlarvale.forwarding.routes import RouteIndex
 from medlarvale.forwarding.servers import ServerTable
-from medlarvale.ids import ServerId
+from medlarvale.ids import ConfigVersion, ServerId
 from medlarvale.logs import Event, log_info, log_warning
 
 # A watch over a connection that fell silent has to end well within the 2 s in which a change must
@@ -55,6 +55,11 @@
         self.index: RouteIndex | None = None
         self._contact_callbacks: list[Callable[[], None]] = []
 
+    @property
+    def version(self) -> ConfigVersion:
+        """The version in force; 0 before the first."""
+        return self.index.table.version if self.index is not None else ConfigVersion(0)
+
     def on_contact(self, callback: Callable[[], None]) -> None:
         """Calls back after each answer of the source."""
         self._contact_callbacks.append(callback)
@@ -74,12 +79,13 @@
 
     def accept(self, table: RouteTable) -> None:
         """Puts a configuration in force unless the known one is as new."""
-        known = self.index.table.version if self.index is not None else None
-        if known is not None and table.version <= known:
+        previous = self.version
+        first = self.index is None
+        if not first and table.version <= previous:
             return
         self.index = RouteIndex(table)
-        log_info(Event.CONFIG_ACCEPTED, version=table.version, previous=known)
-        if known is None:
+        log_info(Event.CONFIG_ACCEPTED, version=table.version, previous=previous)
+        if first:
             self._on_ready()
 
     async def _follow(self) -> None:
--- a/src/medlarvale/forwarding/host.py
+++ b/src/medlarvale/forwarding/host.py
@@ -19,7 +19,7 @@
 from medlarvale.forwarding.messages import EngineStage, EngineTraits, HostPlace
 from medlarvale.forwarding.metrics import ForwardingMetrics
 from medlarvale.forwarding.orders import OrderTask
-from medlarvale.forwarding.peer_state import PeerStateTask, known_version
+from medlarvale.forwarding.peer_state import PeerStateTask
 from medlarvale.forwarding.plain import PlainForwarder
 from medlarvale.forwarding.servers import ServerTable
 from medlarvale.forwarding.streams import StreamForwarder
@@ -148,7 +148,7 @@
     def _gauges(self) -> dict[str, float]:
         return {
             "in_flight": self.port.in_flight,
-            "config_version": known_version(self.follower),
+            "config_version": self.follower.version,
             "store_reachable": self.follower.reachable,
             "backend_servers": len(self.servers),
             "live_peers": len(self._live_peers()),
@@ -164,7 +164,7 @@
             view.identity,
             self._place.failure_domain,
             view.hosts_to_tell(self.clock.now_ms()),
-            known_version(self.follower),
+            self.follower.version,
             self.follower.reachable,
             self.streams.demands(),
             self.orders.highest_fencing,
--- a/src/medlarvale/forwarding/messages.py
+++ b/src/medlarvale/forwarding/messages.py
@@ -241,7 +241,6 @@
     Attributes:
         seed_addresses: control addresses of up to three hosts, which may be stale.
         grace_ms: time between the order to stop and the kill.
-        drain_ms: time within which a leaving server must get no more work.
         retry_share: retries allowed per request, over all hosts.
         retry_reserve: retries allowed beyond the share in each window, over all hosts.
         lease_ms: time within which two hosts must not give orders in turns.
@@ -255,10 +254,6 @@
     seed_addresses: tuple[str, ...]
     platform_address: str
     grace_ms: float
-    drain_ms: float
-    config_apply_ms: float
     retry_share: float
     retry_reserve: float
     lease_ms: float
-    internal_ports: tuple[int, int]
-    memory_mb: int = 0
--- a/src/medlarvale/forwarding/peer_state.py
+++ b/src/medlarvale/forwarding/peer_state.py
@@ -8,7 +8,7 @@
 from medlarvale.forwarding.fleet_messages import StateReply, StateRequest
 from medlarvale.forwarding.follower import StateFollower
 from medlarvale.forwarding.servers import ServerTable
-from medlarvale.ids import ConfigVersion, HostId, HostIdentity
+from medlarvale.ids import HostId, HostIdentity
 from medlarvale.logs import Event, log_info
 from medlarvale.peers.errors import PeerError
 from medlarvale.peers.transport import Transport
@@ -87,9 +87,3 @@
             self._servers.all_servers(),
             self._follower.reachable,
         )
-
-
-def known_version(follower: StateFollower) -> ConfigVersion:
-    """Returns the version in force; 0 before the first."""
-    index = follower.index
-    return index.table.version if index is not None else ConfigVersion(0)
--- a/src/medlarvale/platform/boot.py
+++ b/src/medlarvale/platform/boot.py
@@ -62,11 +62,6 @@
     return tuple(_address(part) for part in text.split(",") if part)
 
 
-def _ports(text: str) -> tuple[int, int]:
-    first, last = text.split(",")
-    return int(first), int(last)
-
-
 def decode_boot(text: str) -> HostPlace:
     """Returns the place that a settings file describes; unknown names are ignored.
 
@@ -81,17 +76,13 @@
         failure_domain=FailureDomain(_take(values, faults, "Zone", str, "")),
         listen_caller=_take(values, faults, "Listen.Front", _address, ""),
         listen_ready=_take(values, faults, "Listen.Ready", _address, ""),
-        listen_control=values.get("Listen.Control", ""),
+        listen_control=_take(values, faults, "Listen.Control", _address, ""),
         seed_addresses=seeds,
         platform_address=_take(values, faults, "Platform.Address", _address, ""),
         grace_ms=_take(values, faults, "Bounds.GraceS", _seconds_as_ms, 0.0),
-        drain_ms=_take(values, faults, "Bounds.DrainMs", float, 0.0),
-        config_apply_ms=_take(values, faults, "Bounds.ConfigApplyMs", float, 0.0),
         retry_share=_take(values, faults, "Bounds.RetryBudgetRatio", float, 0.0),
         retry_reserve=_take(values, faults, "Bounds.BudgetSlack", float, 0.0),
         lease_ms=_take(values, faults, "Bounds.LeaseMs", float, 0.0),
-        internal_ports=_take(values, faults, "InternalPorts", _ports, (0, 0)),
-        memory_mb=_take(values, faults, "Limits.MemoryMb", lambda text: int(float(text)), 0),
     )
     if faults:
         raise BootSettingsError("; ".join(faults))
--- a/tests/forwarding/test_host.py
+++ b/tests/forwarding/test_host.py
@@ -50,12 +50,9 @@
             seed_addresses=(),
             platform_address=self.platform.address,
             grace_ms=4_000.0,
-            drain_ms=2_000.0,
-            config_apply_ms=2_000.0,
             retry_share=0.2,
             retry_reserve=54.0,
             lease_ms=3_000.0,
-            internal_ports=(0, 0),
         )
         session = new_session()
         store = PlatformStore(session, self.place.platform_address)
--- a/tests/platform/test_boot.py
+++ b/tests/platform/test_boot.py
@@ -34,7 +34,6 @@
         self.assertEqual(place.host, "front-a-1")
         self.assertEqual(place.grace_ms, 8_000.0)
         self.assertEqual(place.seed_addresses, ("10.1.0.3:8144", "10.2.0.4:8144"))
-        self.assertEqual(place.internal_ports, (7380, 7395))
         self.assertEqual(place.retry_share, 0.2)
 
     def test_faults_are_all_named(self) -> None:
@@ -43,7 +42,7 @@
             ("NodeName=front-a-1\n", "", "NodeName: missing"),
             ("Listen.Front=10.1.0.3:8149", "Listen.Front=nowhere", "Listen.Front: unusable"),
             ("Bounds.GraceS=8", "Bounds.GraceS=soon", "Bounds.GraceS: unusable value 'soon'"),
-            ("InternalPorts=7380,7395", "InternalPorts=7380", "InternalPorts: unusable"),
+            ("Listen.Control=10.1.0.3:8144", "", "Listen.Control: missing"),
         ]
         broken = SETTINGS
         for present, replaced, _ in table:
--- /dev/null
+++ b/tests/test_forward_command.py
@@ -0,0 +1,98 @@
+"""``medlarvale forward`` as a process: settings, a start, a planned stop, log lines."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import signal
+import sys
+import tempfile
+import unittest
+from pathlib import Path
+from typing import Any
+
+import aiohttp
+
+from tests.forwarding.standin_platform import StandinPlatform
+from tests.forwarding.test_host import IP, free_port
+
+SOURCE = Path(__file__).resolve().parent.parent / "src"
+SETTINGS = """
+NodeName=a1
+Zone=a
+Listen.Front={front}
+Listen.Ready={ready}
+Listen.Control={control}
+Bounds.GraceS=4
+Bounds.RetryBudgetRatio=0.2
+Bounds.BudgetSlack=54
+Bounds.LeaseMs=3000
+Platform.Address={store}
+"""
+START_S = 20.0
+
+
+class ForwardCommandTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self) -> None:
+        folder = self.enterContext(tempfile.TemporaryDirectory())
+        self.boot = Path(folder) / "boot.conf"
+
+    async def start(self, **options: Any) -> asyncio.subprocess.Process:
+        return await asyncio.create_subprocess_exec(
+            sys.executable,
+            "-m",
+            "medlarvale",
+            "forward",
+            "--metrics-port",
+            str(free_port()),
+            env=os.environ | {"MEDLARVALE_BOOT": str(self.boot), "PYTHONPATH": str(SOURCE)},
+            stdout=asyncio.subprocess.PIPE,
+            **options,
+        )
+
+    async def test_unusable_settings_are_named(self) -> None:
+        """Guards against a process that starts with half of its settings."""
+        self.boot.write_text("NodeName=a1\nBounds.GraceS=soon\n")
+        process = await self.start()
+        output, _ = await process.communicate()
+        self.assertEqual(process.returncode, 2)
+        line = json.loads(output.splitlines()[-1])
+        self.assertEqual(line["event_number"], 1101)
+        self.assertIn("Zone: missing", line["faults"])
+        self.assertIn("Bounds.GraceS: unusable value 'soon'", line["faults"])
+
+    async def test_start_reload_and_planned_stop(self) -> None:
+        platform = StandinPlatform()
+        await platform.start()
+        self.addAsyncCleanup(platform.close)
+        await platform.configure(1, look="safe app")
+        front, ready, control = (f"{IP}:{free_port()}" for _ in range(3))
+        self.boot.write_text(
+            SETTINGS.format(front=front, ready=ready, control=control, store=platform.address)
+        )
+        process = await self.start()
+        async with aiohttp.ClientSession() as session:
+            await self.wait_until_ready(session, ready)
+            headers = {"Host": "callers.example", "X-Request-Id": "q1", "X-Deadline-Ms": "2000"}
+            async with session.get(f"http://{front}/look/1", headers=headers) as response:
+                self.assertEqual(response.status, 200)
+            process.send_signal(signal.SIGHUP)
+            process.send_signal(signal.SIGTERM)
+        output, _ = await asyncio.wait_for(process.communicate(), START_S)
+        self.assertEqual(process.returncode, 0)
+        numbers = [json.loads(line)["event_number"] for line in output.splitlines()]
+        for number in (1001, 1004, 1102, 1002, 1003, 5004):
+            with self.subTest(number):
+                self.assertIn(number, numbers)
+
+    async def wait_until_ready(self, session: aiohttp.ClientSession, address: str) -> None:
+        async with asyncio.timeout(START_S):
+            while True:
+                try:
+                    async with session.get(f"http://{address}/ready") as response:
+                        if response.status == 200:
+                            return
+                except aiohttp.ClientError:
+                    pass
+                await asyncio.sleep(0.05)
