Read through the order of waiting requests and the checks before an order

Change: a waiting request keeps no time that nothing reads; an order after its notice needs the lead to have lasted.

--- a/src/medlarvale/forwarding/memory.py
+++ b/src/medlarvale/forwarding/memory.py
@@ -88,9 +88,8 @@
 class _Waiter:
     """A request that waits for memory."""
 
-    def __init__(self, request: MemoryRequest, since_ms: float) -> None:
+    def __init__(self, request: MemoryRequest) -> None:
         self.request = request
-        self.since_ms = since_ms
         self.future: asyncio.Future[Reservation] = asyncio.get_running_loop().create_future()
 
 
@@ -108,6 +107,7 @@
 
 
 def _rank(request: MemoryRequest, now_ms: float) -> tuple[bool, bool, float]:
+    """Returns the place of a request in the order of service; the lowest goes first."""
     late = request.aim_end_ms < now_ms + START_MS
     return not request.urgent, late, request.output_tokens
 
@@ -163,7 +163,7 @@
                 "the queue for memory is too long",
                 retry_after_ms=self._retry_after_ms(request, now_ms),
             )
-        waiter = _Waiter(request, now_ms)
+        waiter = _Waiter(request)
         self._waiting.append(waiter)
         if self._pump is None or self._pump.done():
             self._pump = asyncio.get_running_loop().create_task(self._run_pump())
--- a/src/medlarvale/forwarding/orders.py
+++ b/src/medlarvale/forwarding/orders.py
@@ -186,7 +186,8 @@
 
     def _may_order(self) -> bool:
         now_ms = self._clock.now_ms()
-        return self._view.leads(now_ms) and self._view.steady_ms(now_ms) >= self._wait_ms
+        leads = self._leading_since_ms is not None and self._view.leads(now_ms)
+        return leads and self._view.steady_ms(now_ms) >= self._wait_ms
 
     async def close(self) -> None:
         """Gives no more orders."""
--- a/src/medlarvale/forwarding/plain.py
+++ b/src/medlarvale/forwarding/plain.py
@@ -87,6 +87,7 @@
             task.cancel()
 
     async def run(self) -> Reply:
+        """Returns the first answer that can be given; see ``PlainForwarder.forward``."""
         self._start_attempt()
         while self._under_way:
             done = await self._wait()
--- a/src/medlarvale/forwarding/stream_run.py
+++ b/src/medlarvale/forwarding/stream_run.py
@@ -157,6 +157,7 @@
         return self._tokens.prompt
 
     async def run(self) -> Reply | None:
+        """Passes the stream on; see ``StreamForwarder.forward``."""
         try:
             async with asyncio.timeout(max(0.0, self._left_ms()) / 1000.0):
                 return await self._run_until_complete()
