Demonstration of the forwarding hosts before a stand-in platform; clean end of the grace period

The first demonstration found calls on a closed session at the end of the grace period, which answered 500. Change: `medlarvale standin users-platform` and `make demo-forward`; at the end of the grace period connections are cut and the cancelled requests give engine memory back before the session closes.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 export PYTHONPATH := src:.
 export PYTHONDONTWRITEBYTECODE := 1
 
-.PHONY: demo demo-dist test fuzz mutations bench slopes run-dev format check dist
+.PHONY: demo demo-forward demo-dist test fuzz mutations bench slopes run-dev format check dist
 
 $(VENV)/.installed: requirements.lock
 	python3 -m venv $(VENV)
@@ -17,6 +17,9 @@
 demo: $(VENV)/.installed
 	$(PYTHON) -m scripts.demo
 
+demo-forward: $(VENV)/.installed
+	$(PYTHON) -m scripts.demo_forward
+
 demo-dist: dist
 	$(PYTHON) -m scripts.demo --zipapp dist/medlarvale.pyz
 
--- a/src/medlarvale/forwarding/front.py
+++ b/src/medlarvale/forwarding/front.py
@@ -151,6 +151,12 @@
                 # close() of an idle connection would leave it open, with nobody reading it.
                 connection.transport.close()
 
+    def abort(self) -> None:
+        """Cuts the requests that are still in flight; their tasks end and clean up."""
+        for connection in list(self._busy):
+            if connection.transport is not None:
+                connection.transport.abort()
+
     def _refuses_streams(self) -> bool:
         """Tells whether a stream that begins now would be cut off by the stop."""
         since_ms = self._closing_since_ms
--- a/src/medlarvale/forwarding/host.py
+++ b/src/medlarvale/forwarding/host.py
@@ -45,6 +45,9 @@
 # Left over of the grace period for closing connections before the kill.
 STOP_MARGIN_MS = 500.0
 STOP_POLL_MS = 50.0
+# Time for cancelled requests to end, and for their last calls to engines: within the margin above.
+ABORT_MS = 20.0
+CLEANUP_MS = 200.0
 LISTEN_BACKLOG = 1_024
 
 
@@ -79,7 +82,7 @@
         self.follower.on_contact(lambda: self.servers.contact.note_contact(self.clock.now_ms()))
         self._build_peers(place)
         self._guard = CrashGuard(backends, self._transport, self._live_peers, self.clock)
-        context = ForwardingContext(
+        self._context = context = ForwardingContext(
             backends,
             self.servers,
             self.clock,
@@ -253,13 +256,18 @@
 
     async def close(self) -> None:
         """Ends all tasks and closes all ports."""
-        await self.orders.close()
-        await self.follower.close()
-        await self._transport.close()
+        in_flight = self.port.in_flight
         for runner in self._runners:
             for site in list(runner.sites):
                 await site.stop()
-        log_info(Event.HOST_STOPPED, host=self._place.host, in_flight=self.port.in_flight)
+        self.port.abort()
+        # The cancelled requests give their engine memory back.
+        await self.clock.sleep_ms(ABORT_MS)
+        await self._context.background.finish(CLEANUP_MS)
+        await self.orders.close()
+        await self.follower.close()
+        await self._transport.close()
+        log_info(Event.HOST_STOPPED, host=self._place.host, in_flight=in_flight)
 
 
 async def wait_for_stop(stop: asyncio.Event, host: ForwardingHost) -> None:
--- a/src/medlarvale/standins/commands.py
+++ b/src/medlarvale/standins/commands.py
@@ -4,12 +4,26 @@
 
 from typing import Any
 
-from medlarvale.standins import engine_command, link_command, plain_command, platform_command
+from medlarvale.standins import (
+    engine_command,
+    link_command,
+    plain_command,
+    platform_command,
+    users_platform_command,
+)
+
+KINDS = (
+    engine_command,
+    plain_command,
+    link_command,
+    platform_command,
+    users_platform_command,
+)
 
 
 def add_commands(subparsers: Any) -> None:
     """Adds the ``standin`` parser with one subcommand for each kind of stand-in."""
     parser = subparsers.add_parser("standin", help="run a stand-in for tests and demonstrations")
     kinds = parser.add_subparsers(dest="standin", required=True)
-    for command in (engine_command, plain_command, link_command, platform_command):
+    for command in KINDS:
         command.add_commands(kinds)
--- a/tests/forwarding/standin_platform.py
+++ b/src/medlarvale/standins/users_platform.py
@@ -10,11 +10,16 @@
 import itertools
 import json
 from base64 import b64encode
+from collections import Counter
+from contextlib import AsyncExitStack
 from typing import Any
 
 from aiohttp import web
-from aiohttp.test_utils import TestServer
 
+from medlarvale.standins.serving import Address, serve
+
+# Port 0 lets the system choose.
+LOOPBACK = Address("127.0.0.1", 0)
 EVENT_COUNT = 8
 
 
@@ -34,9 +39,24 @@
         self.history: list[dict[str, Any]] = []
         self.revision = 1
         self.down = False
+        self.address = ""
         self._changed = asyncio.Condition()
 
+    def application(self) -> web.Application:
+        """Returns the HTTP application of the store."""
+        app = web.Application()
+        app.router.add_get("/kv-range", self.read_range)
+        app.router.add_get("/kv-watch", self.watch)
+        return app
+
+    async def set_down(self, down: bool) -> None:
+        """Switches an outage on or off; waiting watches end."""
+        self.down = down
+        async with self._changed:
+            self._changed.notify_all()
+
     async def put(self, key: str, value: dict[str, Any]) -> None:
+        """Writes an item."""
         self.revision += 1
         data = json.dumps(value).encode()
         self.items[key] = (data, self.revision)
@@ -45,6 +65,7 @@
             self._changed.notify_all()
 
     async def delete(self, key: str) -> None:
+        """Removes an item."""
         self.revision += 1
         self.items.pop(key, None)
         self.history.append({"Key": key, "Revision": self.revision, "Deleted": True})
@@ -56,12 +77,14 @@
         return {"Key": key, "Value": b64encode(data).decode(), "Revision": revision, "Lease": 0}
 
     async def read_range(self, request: web.Request) -> web.Response:
+        """Answers a read with all items."""
         if self.down:
             return web.Response(status=503)
         items = [self._item(key) for key in sorted(self.items)]
         return web.json_response({"items": items, "HasMore": False, "CurrentRev": self.revision})
 
     async def watch(self, request: web.Request) -> web.Response:
+        """Answers a watch with the changes after a revision, or after its time with none."""
         after = int(request.query["after"])
 
         def events() -> list[dict[str, Any]]:
@@ -97,20 +120,21 @@
         self.handles: set[str] = set()
         self.break_after: int | None = None
         self.delay_s = 0.0
+        self.address = ""
         self._numbers = itertools.count(1)
         self.peers: dict[str, StandinServer] = {}
+
+    def application(self) -> web.Application:
+        """Returns the HTTP application of the server."""
         app = web.Application()
         app.router.add_post("/hold-take", self._take_hold)
         app.router.add_delete("/hold-drop/{hold}", self._drop_hold)
         app.router.add_delete("/kv-handle/{handle}", self._drop_handle)
         app.router.add_route("*", "/{path:.*}", self._serve)
-        self.server = TestServer(app)
-
-    @property
-    def address(self) -> str:
-        return f"127.0.0.1:{self.server.port}"
+        return app
 
     def entry(self) -> dict[str, Any]:
+        """Returns the server's entry in the store."""
         entry = {
             "Service": self.service,
             "Address": self.address,
@@ -200,10 +224,7 @@
 
     def __init__(self) -> None:
         self.store = StandinStore()
-        app = web.Application()
-        app.router.add_get("/kv-range", self.store.read_range)
-        app.router.add_get("/kv-watch", self.store.watch)
-        self.store_server = TestServer(app)
+        self._stack = AsyncExitStack()
         self.servers = {
             name: StandinServer(name, service, stage)
             for name, service, stage in (
@@ -217,24 +238,32 @@
 
     @property
     def address(self) -> str:
-        return f"127.0.0.1:{self.store_server.port}"
+        """Address of the store."""
+        return self.store.address
 
     async def start(self) -> None:
-        await self.store_server.start_server()
-        for server in self.servers.values():
-            await server.server.start_server()
+        """Listens with all parts and publishes the servers."""
+        parts: list[StandinStore | StandinServer] = [self.store, *self.servers.values()]
+        for part in parts:
+            bound = await self._stack.enter_async_context(serve(part.application(), LOOPBACK))
+            part.address = str(bound)
         by_address = {server.address: server for server in self.servers.values()}
         for server in self.servers.values():
             server.peers = by_address
             await self.publish(server)
 
+    def runs(self) -> Counter[str]:
+        """Returns how often each request ran."""
+        return Counter(run for server in self.servers.values() for run in server.runs)
+
     async def publish(self, server: StandinServer) -> None:
+        """Writes a server's entry as it is now."""
         await self.store.put(f"servers/{server.name}", server.entry())
 
     async def close(self) -> None:
-        self.store.down = True
-        for server in (self.store_server, *(part.server for part in self.servers.values())):
-            await server.close()
+        """Ends all parts."""
+        await self.store.set_down(True)
+        await self._stack.aclose()
 
     async def configure(self, version: int, **routes: str) -> None:
         """Publishes a configuration; routes are ``name="kind service"``, at ``/name/``."""
--- a/tests/forwarding/test_host.py
+++ b/tests/forwarding/test_host.py
@@ -15,7 +15,7 @@
 from medlarvale.platform.backends import HttpBackends, new_session
 from medlarvale.platform.incoming import decode_incoming
 from medlarvale.platform.store import PlatformStore
-from tests.forwarding.standin_platform import StandinPlatform, stream_body
+from medlarvale.standins.users_platform import StandinPlatform, stream_body
 
 IP = "127.0.0.1"
 WAIT_S = 5.0
@@ -157,9 +157,7 @@
 
     async def test_an_outage_of_the_store_changes_nothing(self) -> None:
         await self.configure()
-        self.platform.store.down = True
-        async with self.platform.store._changed:
-            self.platform.store._changed.notify_all()
+        await self.platform.store.set_down(True)
         await self.until(lambda: not self.host.follower.reachable)
         self.assertEqual(await self.status("/book/1"), 200)
         self.assertEqual(await self.ready(), 200)
@@ -237,6 +235,21 @@
         self.assertEqual(await under_way, stream_body("q6"))
         await drain
 
+    async def test_the_end_of_the_grace_period_leaves_no_memory(self) -> None:
+        """Guards against calls on a closed session, which had answered 500, and against engine
+        memory that stays reserved for callers of a host that is gone."""
+        await self.configure()
+        for server in self.servers.values():
+            server.delay_s = 5.0
+        cut = asyncio.create_task(self._stream("q9"))
+        await self.until(lambda: self.host.port.in_flight == 1)
+        await asyncio.sleep(0.1)
+        await self.host.close()
+        with self.assertRaises(aiohttp.ClientError):
+            await cut
+        await self.until(lambda: self.servers["d1"].gone + self.servers["d2"].gone == ["q9"])
+        self.assertEqual(self.servers["d1"].holds | self.servers["d2"].holds, set())
+
     async def _stream(self, request_id: str) -> bytes:
         async with self.call("/chat/1", request_id) as response:
             return await response.read()
