Divide engines by capacity, see shared prefill queues, let late requests leave room

Prompts waited 400 to 1,400 ms at a prefill engine whose queue other hosts had made, while prompts that the decode engine read itself had their first event after 150 to 500 ms. Late requests of one host took the memory for which requests in time waited at another.

Change: roles.py computes how many times the present load a division could serve, prompts read by decode engines included, and moves several engines at once while enough of them stay at work. backlog.py takes a prompt that is overdue as the queue of its engine. The overflow to the decode engine begins at 50 ms of waiting, at 700 ms where its events would be more than the expected pause apart. A late request takes memory only where a tenth of the engine stays free.

Tried in the emulation and not taken: reservations of 0.6 and 0.9 of the hint instead of 1.25 (no gain, pauses of preempted streams), waiting requests by memory times output (no clear gain, the largest requests go last).

--- /dev/null
+++ b/bench/forwarding/__init__.py
@@ -0,0 +1,1 @@
+"""Experiments on the forwarding hosts with emulated engines, in virtual time."""
--- /dev/null
+++ b/bench/forwarding/patterns.py
@@ -0,0 +1,75 @@
+"""Loads of the deployments: bursts, lost engines, slow engines, engines in other shares.
+
+Rates, memory and bursts are those of the deployments' standard days with disruptions.
+"""
+
+from __future__ import annotations
+
+from bench.forwarding.engines import EngineModel
+from bench.forwarding.load import LoadPattern
+
+BURSTS = ((3.0, 5.0, 1.8), (12.0, 4.0, 2.1))
+GLATFORE_PER_S = 6.2
+VENTILO_PER_S = 8.0
+VENTILO_DOMAINS = ("a", "b", "c", "d")
+VENTILO_ENGINE = EngineModel(memory_tokens=59_496)
+SLOW = 1.3
+
+
+def glatfore(
+    name: str,
+    prefill: int,
+    decode: int,
+    *,
+    bursts: tuple[tuple[float, float, float], ...] = (),
+    hosts: int = 4,
+) -> LoadPattern:
+    """Returns a load of the site Glatføre with engines in given shares."""
+    return LoadPattern(
+        name, prefill=prefill, decode=decode, rate_per_s=GLATFORE_PER_S, bursts=bursts, hosts=hosts
+    )
+
+
+def ventilo(
+    name: str,
+    prefill: int,
+    decode: int,
+    *,
+    bursts: tuple[tuple[float, float, float], ...] = (),
+    hosts: int = 5,
+) -> LoadPattern:
+    """Returns a load of the site Ventilo Breizh, where a third of the engines is slow."""
+    slow = (("d2", SLOW), ("p0", SLOW)) if prefill > 1 else (("d1", SLOW), ("d2", SLOW))
+    return LoadPattern(
+        name,
+        domains=VENTILO_DOMAINS,
+        prefill=prefill,
+        decode=decode,
+        rate_per_s=VENTILO_PER_S,
+        bursts=bursts,
+        hosts=hosts,
+        slow=slow,
+        model=VENTILO_ENGINE,
+    )
+
+
+CALM = glatfore("calm", 2, 3)
+BURSTS_AS_INSTALLED = glatfore("bursts, engines as installed", 2, 3, bursts=BURSTS)
+BURSTS_ONE_PREFILL = glatfore("bursts, one prefill engine", 1, 4, bursts=BURSTS)
+NO_PREFILL_LEFT = glatfore("bursts, no prefill engine", 0, 5, bursts=BURSTS)
+DECODE_LOST = glatfore("a decode engine lost", 2, 2)
+TWO_LOST = glatfore("two engines lost", 1, 2)
+MEMORY_SHORT = ventilo("bursts, memory short, engines as installed", 3, 3, bursts=BURSTS)
+SLOW_ENGINES = ventilo("bursts, slow engines, one prefill engine", 1, 5, bursts=BURSTS)
+SLOW_ENGINES_TWO = ventilo("bursts, slow engines, two prefill engines", 2, 4, bursts=BURSTS)
+PATTERNS = (
+    CALM,
+    BURSTS_AS_INSTALLED,
+    BURSTS_ONE_PREFILL,
+    NO_PREFILL_LEFT,
+    DECODE_LOST,
+    TWO_LOST,
+    MEMORY_SHORT,
+    SLOW_ENGINES,
+    SLOW_ENGINES_TWO,
+)
--- a/src/medlarvale/forwarding/fleet_messages.py
+++ b/src/medlarvale/forwarding/fleet_messages.py
@@ -31,8 +31,8 @@
         config_version: 0 before the first configuration.
         store_reachable: whether the sender reads the published state.
         highest_fencing: largest fencing number that the sender gave or heard of.
-        changing_engine: engine that the sender is about to order, or has ordered, to another stage;
-            None once it has changed.
+        changing_engines: engines that the sender is about to order, or has ordered, to another
+            stage and that have not changed yet.
     """
 
     sender: HostIdentity
@@ -42,7 +42,7 @@
     store_reachable: bool
     demand: dict[ServiceName, Demand]
     highest_fencing: int = 0
-    changing_engine: ServerId | None = None
+    changing_engines: tuple[ServerId, ...] = ()
 
 
 class StateRequest(msgspec.Struct, frozen=True, tag="state?"):
--- a/src/medlarvale/forwarding/host.py
+++ b/src/medlarvale/forwarding/host.py
@@ -171,7 +171,7 @@
             self.follower.reachable,
             self.streams.demands(),
             self.orders.highest_fencing,
-            self.orders.changing_engine,
+            self.orders.changing_engines,
         )
 
     def _model_services(self) -> list[tuple[ServiceName, EngineTraits]]:
--- a/src/medlarvale/forwarding/memory.py
+++ b/src/medlarvale/forwarding/memory.py
@@ -22,7 +22,7 @@
 HINT_MARGIN = 1.25
 MIN_OUTPUT_TOKENS = 64
 # An engine that refused is asked again after this time, unless this host freed memory there.
-REFUSED_PAUSE_MS = 60.0
+REFUSED_PAUSE_MS = 30.0
 # Time from a reservation to the first event at an idle deployment: prefill, transfer, first step.
 START_MS = 250.0
 # Callers leave a stream without a first event after four times the latency target, but not before
@@ -41,6 +41,9 @@
 MAX_RETRY_AFTER_MS = 4_500
 # Share of an engine's memory by which a nearer engine may be fuller: events cost less from there.
 FAR_PENALTY = 0.05
+# Share of an engine's memory that a late request leaves free: about one request, so that the next
+# one that can still be in time does not wait behind it.
+LATE_HEADROOM = 0.1
 # Waiting requests that may be tried after one that does not fit.
 BACKFILL = 2
 
@@ -106,18 +109,23 @@
     return blocks * BLOCK_TOKENS
 
 
+def _is_late(request: MemoryRequest, now_ms: float) -> bool:
+    """Tells whether a request that gets memory now has its first event after its target."""
+    return request.aim_end_ms < now_ms + START_MS
+
+
 def _rank(request: MemoryRequest, now_ms: float) -> tuple[bool, bool, float]:
     """Returns the place of a request in the order of service; the lowest goes first."""
-    late = request.aim_end_ms < now_ms + START_MS
-    return not request.urgent, late, request.output_tokens
+    return not request.urgent, _is_late(request, now_ms), request.output_tokens
 
 
 class MemoryQueue:
     """Gives decode memory of one service to requests in an order that serves most in time.
 
-    Requests that can still meet their latency target go first, and those that can't any more take
-    what is left. Among each, short answers go first: they hold memory for the shortest time, so
-    most callers are served (shortest job first).
+    Requests that can still meet their latency target go first. Those that can't any more take what
+    is left, and leave some of it for the requests of other hosts that still can. Among each, short
+    answers go first: they hold memory for the shortest time, so most callers are served (shortest
+    job first).
 
     Args:
         context: calls, servers and time.
@@ -278,22 +286,37 @@
     async def _reserve(self, waiter: _Waiter) -> Reservation | None:
         context, now_ms = self._context, self._context.clock.now_ms()
         request = waiter.request
+        memory = self._traits().memory_tokens
+        yields = _is_late(request, now_ms) and not request.urgent
+        needed = request.tokens
+        if yields:
+            needed = min(memory, needed + int(LATE_HEADROOM * memory))
         candidates = context.servers.candidates(
             self._service, now_ms, stage=EngineStage.DECODE, excluded=request.excluded
         )
         for load in self._order_engines(candidates, request.preferred):
             refused_ms, refused_tokens = self._refused.get(load.server.server, (-1e9, 0))
-            if now_ms - refused_ms < REFUSED_PAUSE_MS and request.tokens >= refused_tokens:
+            if now_ms - refused_ms < REFUSED_PAUSE_MS and needed >= refused_tokens:
                 continue
             if self._traits().hold_ttl_ms <= 0:
-                if load.tokens + request.tokens > self._traits().memory_tokens:
+                if load.tokens + needed > memory:
                     continue
                 return self._taken(load, request.tokens, None)
+            if yields and not await self._has_room(load, needed):
+                continue
             hold = await self._take_hold(load, request.tokens)
             if hold is not None:
                 return self._taken(load, request.tokens, hold)
         return None
 
+    async def _has_room(self, load: ServerLoad, tokens: int) -> bool:
+        """Tells whether an engine has room by a reservation that is given back at once."""
+        hold = await self._take_hold(load, tokens)
+        if hold is None:
+            return False
+        await self._drop(load, hold)
+        return True
+
     async def _take_hold(self, load: ServerLoad, tokens: int) -> HoldId | None:
         context = self._context
         try:
--- a/src/medlarvale/forwarding/orders.py
+++ b/src/medlarvale/forwarding/orders.py
@@ -13,8 +13,8 @@
 from medlarvale.forwarding.fleet import FleetView
 from medlarvale.forwarding.interface import Backends
 from medlarvale.forwarding.messages import EngineStage, EngineTraits, Server
-from medlarvale.forwarding.roles import RolePlanner, choose_donor
-from medlarvale.forwarding.servers import ServerTable
+from medlarvale.forwarding.roles import RolePlanner, choose_donors
+from medlarvale.forwarding.servers import FAILURES_TO_DOUBT, ServerTable
 from medlarvale.hashing import weight
 from medlarvale.ids import ServerId, ServiceName
 from medlarvale.logs import Event, log_info, log_warning
@@ -53,7 +53,6 @@
         until_ms: time after which it is taken for unchanged.
     """
 
-    server: ServerId
     stage: EngineStage
     until_ms: float
 
@@ -91,13 +90,13 @@
         self._planners: dict[ServiceName, RolePlanner] = {}
         self._leading_since_ms: float | None = None
         self._background = BackgroundTasks()
-        self._change: _Change | None = None
+        self._changes: dict[ServerId, _Change] = {}
         self.highest_fencing = 0
 
     @property
-    def changing_engine(self) -> ServerId | None:
-        """The engine that this host is moving to another stage."""
-        return self._change.server if self._change is not None else None
+    def changing_engines(self) -> tuple[ServerId, ...]:
+        """The engines that this host is moving to another stage."""
+        return tuple(self._changes)
 
     def start(self) -> None:
         """Starts deciding."""
@@ -105,56 +104,56 @@
 
     def _tick(self) -> None:
         now_ms = self._clock.now_ms()
-        self._end_change(now_ms)
-        changing = {self.changing_engine}
+        self._end_changes(now_ms)
+        changing = set(self._changes)
         for hello in self._view.live(now_ms).values():
             self.highest_fencing = max(self.highest_fencing, hello.highest_fencing)
-            changing.add(hello.changing_engine)
-        self._servers.set_changing(server for server in changing if server is not None)
+            changing.update(hello.changing_engines)
+        self._servers.set_changing(changing)
         if not self._view.leads(now_ms):
             self._leading_since_ms = None
             return
         if self._leading_since_ms is None:
             self._leading_since_ms = now_ms
         leading_ms = min(now_ms - self._leading_since_ms, self._view.steady_ms(now_ms))
-        if leading_ms < self._wait_ms or self._change is not None:
+        if leading_ms < self._wait_ms or changing:
             return
         for service, traits in self._services():
             self._decide(service, traits, now_ms)
 
-    def _end_change(self, now_ms: float) -> None:
-        change = self._change
-        if change is None:
-            return
-        load = self._servers.get(change.server)
-        if load is None or load.server.stage is change.stage or now_ms > change.until_ms:
-            self._change = None
+    def _end_changes(self, now_ms: float) -> None:
+        for server, change in list(self._changes.items()):
+            load = self._servers.get(server)
+            if load is None or load.server.stage is change.stage or now_ms > change.until_ms:
+                del self._changes[server]
 
     def _decide(self, service: ServiceName, traits: EngineTraits, now_ms: float) -> None:
         planner = self._planners.setdefault(service, RolePlanner())
         meter = self._meter(service)
-        engines = [load.server for load in self._servers.of_service(service)]
+        # An engine that fails is counted out before its entry is removed.
+        loads = [
+            load for load in self._servers.of_service(service) if load.failures < FAILURES_TO_DOUBT
+        ]
+        engines = [load.server for load in loads]
         demand = self._view.demand(service, meter.demand(now_ms), now_ms)
         prefill_per_s = meter.tokens_per_ms * 1000.0
-        stage = planner.decide(engines, demand, prefill_per_s, traits.memory_tokens, now_ms)
-        if stage is None:
-            return
-        in_flight = {load.server.server: load.tokens for load in self._servers.of_service(service)}
-        donor = choose_donor(engines, stage, in_flight)
-        if donor is None:
+        move = planner.decide(engines, demand, prefill_per_s, traits.memory_tokens, now_ms)
+        if move is None:
             return
         planner.note_change(now_ms, traits.switch_ms)
-        log_info(
-            Event.STAGE_ORDERED,
-            server=donor.server,
-            stage=stage.value,
-            prompt_tokens_per_s=int(demand.prompt_tokens_per_s),
-            decode_tokens=int(demand.decode_tokens),
-            engines=len(engines),
-        )
+        in_flight = {load.server.server: load.tokens for load in loads}
         until_ms = now_ms + NOTICE_MS + traits.switch_ms + LONGEST_RUN_MS
-        self._change = _Change(donor.server, stage, until_ms)
-        self._background.start(self._order(donor, stage))
+        for donor in choose_donors(engines, move, in_flight):
+            log_info(
+                Event.STAGE_ORDERED,
+                server=donor.server,
+                stage=move.stage.value,
+                prompt_tokens_per_s=int(demand.prompt_tokens_per_s),
+                decode_tokens=int(demand.decode_tokens),
+                engines=len(engines),
+            )
+            self._changes[donor.server] = _Change(move.stage, until_ms)
+            self._background.start(self._order(donor, move.stage))
 
     async def _order(self, engine: Server, stage: EngineStage) -> None:
         if stage is EngineStage.PREFILL:
@@ -182,7 +181,7 @@
             log_warning(Event.ORDER_REFUSED, server=engine.server, error=error.message)
         finally:
             if not accepted:
-                self._change = None
+                self._changes.pop(engine.server, None)
 
     def _may_order(self) -> bool:
         now_ms = self._clock.now_ms()
--- a/src/medlarvale/forwarding/prefill.py
+++ b/src/medlarvale/forwarding/prefill.py
@@ -7,7 +7,7 @@
 from medlarvale.forwarding.errors import BackendError, RejectedError
 from medlarvale.forwarding.messages import ClientRequest, EngineStage, PrefillResult
 from medlarvale.forwarding.servers import ServerLoad
-from medlarvale.ids import FailureDomain, ServerId, ServiceName
+from medlarvale.ids import ServerId, ServiceName
 from medlarvale.logs import Event, log_warning
 
 # Prefill engines that are asked for one prompt, the first included.
@@ -18,8 +18,12 @@
 DECODE_PREFILL_SPEED = 0.5
 # Wait that is worth fetching the KV cache within a failure domain, where it costs a third.
 FAR_PENALTY_MS = 60.0
-# Extra wait for a prefill engine that is better than slowing the streams of a decode engine down.
-OVERFLOW_WAIT_MS = 300.0
+# A decode engine reads a chunk of a prompt between two steps, which takes as long as four steps.
+OWN_READING_STRETCH = 5.0
+# Extra wait for a prefill engine that is better than a prompt read by the decode engine, if the
+# streams there stay within the pauses that callers expect, and if they don't.
+OVERFLOW_WAIT_MS = 50.0
+SLOW_OVERFLOW_WAIT_MS = 700.0
 
 
 class PromptReader:
@@ -49,36 +53,46 @@
         self._budget = context.budget(service)
         self._calls = 0
 
-    async def read(self, decode_in: FailureDomain, end_ms: float) -> PrefillResult | None:
+    async def read(
+        self, decode: ServerLoad, gap_target_ms: float, end_ms: float
+    ) -> PrefillResult | None:
         """Returns where the prompt was read; None lets the decode engine read it itself.
 
         Args:
-            decode_in: failure domain of the engine that will fetch the KV cache.
+            decode: engine that will fetch the KV cache.
+            gap_target_ms: longest pause between two events that callers expect; 0 if unknown.
             end_ms: monotonic time at which the request ends.
         """
         clock = self._context.clock
         tried: set[ServerId] = set()
         while self._calls < MAX_PREFILLS:
-            load = self._choose(decode_in, tried)
+            load = self._choose(decode, gap_target_ms, tried)
             if load is None or (self._calls and not self._budget.take_retry()):
                 break
             tried.add(load.server.server)
             self._calls += 1
             load.tokens += self._tokens
             sent_ms = clock.now_ms()
+            due_ms = sent_ms + load.tokens / self._meter.tokens_per_ms
+            load.backlog.begin(due_ms)
+            read = False
             try:
                 result = await self._context.backends.prefill(
                     load.server, self._request, end_ms - sent_ms
                 )
+                read = True
                 self._note_success(load, clock.now_ms() - sent_ms)
                 return result
             except BackendError as error:
                 self._note_failure(load, error)
             finally:
                 load.tokens -= self._tokens
+                load.backlog.end(due_ms, clock.now_ms(), read=read)
         return None
 
-    def _choose(self, decode_in: FailureDomain, tried: set[ServerId]) -> ServerLoad | None:
+    def _choose(
+        self, decode: ServerLoad, gap_target_ms: float, tried: set[ServerId]
+    ) -> ServerLoad | None:
         context, now_ms = self._context, self._context.clock.now_ms()
         candidates = context.servers.candidates(
             self._service, now_ms, stage=EngineStage.PREFILL, excluded=tried
@@ -86,24 +100,25 @@
         speed = self._meter.tokens_per_ms
 
         def wait_ms(load: ServerLoad) -> float:
-            return max(load.tokens / speed, load.backlog_ms(now_ms))
+            return max(load.tokens / speed, load.backlog.wait_ms(now_ms))
 
         def cost(load: ServerLoad) -> tuple[float, float]:
-            far = load.server.failure_domain != decode_in
+            far = load.server.failure_domain != decode.server.failure_domain
             return wait_ms(load) + far * FAR_PENALTY_MS, context.rng.random()
 
         best = min(candidates, key=cost, default=None)
         if best is None:
             return None
         slower_ms = self._tokens / speed * (1.0 / DECODE_PREFILL_SPEED - 1.0)
-        return best if wait_ms(best) <= OVERFLOW_WAIT_MS + slower_ms else None
+        stretched_ms = decode.event_pause_ms * OWN_READING_STRETCH
+        keeps_pace = not gap_target_ms or stretched_ms <= gap_target_ms
+        allowed_ms = OVERFLOW_WAIT_MS if keeps_pace else SLOW_OVERFLOW_WAIT_MS
+        return best if wait_ms(best) <= allowed_ms + slower_ms else None
 
     def _note_success(self, load: ServerLoad, took_ms: float) -> None:
         self._context.servers.note_success(load, self._context.clock.now_ms())
         if load.tokens == self._tokens:
             self._meter.note_prefill(self._tokens, took_ms)
-        backlog_ms = max(0.0, took_ms - self._tokens / self._meter.tokens_per_ms)
-        load.note_backlog(backlog_ms, self._context.clock.now_ms())
 
     def _note_failure(self, load: ServerLoad, error: BackendError) -> None:
         now_ms = self._context.clock.now_ms()
--- a/src/medlarvale/forwarding/servers.py
+++ b/src/medlarvale/forwarding/servers.py
@@ -5,6 +5,7 @@
 import random
 from collections.abc import Iterable
 
+from medlarvale.forwarding.backlog import PrefillBacklog
 from medlarvale.forwarding.contact import OutsideContact
 from medlarvale.forwarding.messages import EngineStage, Server, ServerState
 from medlarvale.ids import FailureDomain, ServerId, ServiceName
@@ -14,8 +15,6 @@
 MISSING_GRACE_MS = 2_200.0
 # Load that a server of another failure domain must have less to be preferred: its bytes cost more.
 REMOTE_PENALTY = 0.2
-# An engine that was overloaded by a burst has worked its queue off in about a second.
-BACKLOG_HALF_LIFE_MS = 500.0
 # One lost packet delays a call by a retransmission time, about 200 ms, and means little; a server
 # that is gone is tried again every few seconds.
 FIRST_PAUSE_MS = 200.0
@@ -23,6 +22,8 @@
 FAILURES_TO_DOUBT = 2
 # Weight of the newest answer in the share of failed answers.
 ERROR_SMOOTHING = 0.1
+# Weight of the newest stream in the pause between events that an engine is known for.
+PAUSE_SMOOTHING = 0.2
 # Load that a share of failed answers of 1 above the best server's counts as.
 ERROR_PENALTY = 3.0
 
@@ -34,6 +35,8 @@
         in_flight: requests of this host that run there.
         tokens: KV cache that this host's requests take there, in tokens.
         error_share: smoothed share of answers that are failures.
+        event_pause_ms: usual pause between two events of its streams; 0 before the first.
+        backlog: queue of a prefill engine.
         paused_until_ms: time before which it gets no new work, after it failed or
             rejected some.
         failures: failures since the last success.
@@ -48,18 +51,14 @@
         self.missing_since_ms: float | None = None
         self.paused_until_ms = 0.0
         self.failures = 0
-        self._backlog_ms = 0.0
-        self._backlog_at_ms = 0.0
-
-    def note_backlog(self, backlog_ms: float, now_ms: float) -> None:
-        """Takes over how long a prompt had to wait for those of all hosts before it."""
-        self._backlog_ms = (self.backlog_ms(now_ms) + backlog_ms) / 2.0
-        self._backlog_at_ms = now_ms
-
-    def backlog_ms(self, now_ms: float) -> float:
-        """Returns how long a new prompt is expected to wait for others."""
-        age = (now_ms - self._backlog_at_ms) / BACKLOG_HALF_LIFE_MS
-        return self._backlog_ms * 0.5**age
+        self.event_pause_ms = 0.0
+        self.backlog = PrefillBacklog()
+
+    def note_event_pause(self, pause_ms: float) -> None:
+        """Learns the usual pause between two events of a stream."""
+        if not self.event_pause_ms:
+            self.event_pause_ms = pause_ms
+        self.event_pause_ms += PAUSE_SMOOTHING * (pause_ms - self.event_pause_ms)
 
     def pause_after_failure(self, now_ms: float) -> float:
         """Gives the server no new work for a time, which is returned in ms."""
--- a/src/medlarvale/forwarding/stream_run.py
+++ b/src/medlarvale/forwarding/stream_run.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import statistics
 from collections.abc import AsyncIterator
 from typing import Protocol
 
@@ -55,6 +56,9 @@
 # A stream that is silent for this long is lost: events come every 50 to 100 ms.
 SILENCE_MS = 1_200.0
 
+# The median of fewer pauses says little about the speed of an engine.
+MIN_PAUSES = 8
+
 
 class StreamSink(Protocol):
     """Where the answer goes: the caller's connection."""
@@ -78,7 +82,7 @@
         prefill_ms: time spent on prefill.
         first_event_ms: time of the first event passed on; None before it.
         last_event_ms: time of the last event passed on.
-        longest_pause_ms: longest time between two events.
+        pauses_ms: times between two events.
         prefills: prompts read by prefill engines.
         complete: whether the stream was passed on to its end.
     """
@@ -88,11 +92,16 @@
     prefill_ms: float = 0.0
     first_event_ms: float | None = None
     last_event_ms: float | None = None
-    longest_pause_ms: float = 0.0
     prefills: int = 0
     complete: bool = False
+    pauses_ms: list[float] = []
     _mark_ms: float = 0.0
 
+    @property
+    def longest_pause_ms(self) -> float:
+        """Longest time between two events."""
+        return max(self.pauses_ms, default=0.0)
+
     def note_reserved(self, now_ms: float) -> float:
         """Counts the wait for memory; returns ``now_ms``."""
         self.waited_ms += now_ms - max(self.arrived_ms, self.last_event_ms or 0.0)
@@ -108,7 +117,7 @@
         if self.last_event_ms is None:
             self.first_event_ms = now_ms
         else:
-            self.longest_pause_ms = max(self.longest_pause_ms, now_ms - self.last_event_ms)
+            self.pauses_ms.append(now_ms - self.last_event_ms)
         self.last_event_ms = now_ms
 
 
@@ -146,6 +155,7 @@
         self._started = False
         self._may_have_run = False
         self.runs = 0
+        self.engine: ServerId | None = None
         # Engine that broke off, but may still keep the KV cache of this request.
         self._keeper: ServerId | None = None
         self._fetch_from: Server | None = None
@@ -156,6 +166,16 @@
         """Size of the prompt."""
         return self._tokens.prompt
 
+    @property
+    def reserved_tokens(self) -> int:
+        """Memory that is reserved for each run."""
+        return self._memory_tokens
+
+    @property
+    def last_event(self) -> int | None:
+        """Number of the last event passed on."""
+        return self._events.last_id
+
     async def run(self) -> Reply | None:
         """Passes the stream on; see ``StreamForwarder.forward``."""
         try:
@@ -253,7 +273,7 @@
         kept = reservation.load.server.server == self._keeper
         if kept or self._fetch_from is not None:
             return None
-        source = await self._reader.read(reservation.load.server.failure_domain, self._end_ms)
+        source = await self._reader.read(reservation.load, self._route.gap_target_ms, self._end_ms)
         self.times.prefills += source is not None
         return source
 
@@ -264,6 +284,7 @@
         )
         self._fetch_from = None
         self.runs += 1
+        self.engine = load.server.server
         try:
             answer = await self._context.backends.send(load.server, self._request, dispatch)
         except (NotSentError, RejectedError) as error:
@@ -328,6 +349,8 @@
             await self._sink.start(answer.status, answer.headers)
         await self._sink.finish()
         self.times.complete = True
+        if len(self.times.pauses_ms) >= MIN_PAUSES:
+            load.note_event_pause(statistics.median(self.times.pauses_ms))
         first_ms = self.times.first_event_ms
         if first_ms is not None:
             took_ms = self._context.clock.now_ms() - first_ms
--- /dev/null
+++ b/tests/forwarding/test_backlog.py
@@ -0,0 +1,31 @@
+"""A host sees the queue of a shared prefill engine while it grows and after it has gone."""
+
+from __future__ import annotations
+
+import unittest
+
+from medlarvale.forwarding.backlog import HALF_LIFE_MS, PrefillBacklog
+
+
+class PrefillBacklogTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.backlog = PrefillBacklog()
+
+    def test_an_overdue_prompt_shows_a_queue(self) -> None:
+        """Guards against a burst that is noticed only when its first prompt is read: four hosts
+        sent one engine prompts for 1.4 s of reading while none of them knew of the others'."""
+        self.backlog.begin(100.0)
+        self.assertEqual(self.backlog.wait_ms(100.0), 0.0)
+        self.assertEqual(self.backlog.wait_ms(700.0), 600.0)
+
+    def test_the_last_wait_fades(self) -> None:
+        self.backlog.begin(100.0)
+        self.backlog.end(100.0, 500.0, read=True)
+        self.assertEqual(self.backlog.wait_ms(500.0), 400.0)
+        self.assertAlmostEqual(self.backlog.wait_ms(500.0 + HALF_LIFE_MS), 200.0)
+
+    def test_a_failed_prompt_tells_nothing_of_the_queue(self) -> None:
+        """Guards against an engine that is avoided for a queue since its call timed out."""
+        self.backlog.begin(100.0)
+        self.backlog.end(100.0, 900.0, read=False)
+        self.assertEqual(self.backlog.wait_ms(900.0), 0.0)
