Recheck servers apart from requests, count returning callers as late, find kept prompts

After the closing fault about 15 streams came back at once and their prompts were read again, while the engines still kept them.

Change: a server that failed gets work again only after a connection to it was opened (rechecks.py); a reservation that is not answered within 30 ms is given up and the next engine is asked; prompts go to sound prefill engines only. returns.py learns the deadline with which callers of a route first ask, and a shorter one counts as that much later. Retry-After is 3 s at least. keepers.py asks engines for the prompts that they keep when a caller comes back for the rest of a stream, at most once in 0.5 s each, and memory is reserved only for what is not kept.

--- a/bench/forwarding/engines.py
+++ b/bench/forwarding/engines.py
@@ -21,6 +21,7 @@
     HandleId,
     HoldId,
     PrefillResult,
+    PromptPartId,
     Server,
 )
 from medlarvale.ids import FailureDomain, ServerId
@@ -355,6 +356,10 @@
     async def drop_handle(self, server: Server, handle: HandleId) -> None:
         """Frees a prompt that was read; the emulation keeps none."""
 
+    async def kept_parts(self, server: Server) -> dict[PromptPartId, int]:
+        """Returns nothing; the emulation keeps no prompts."""
+        return {}
+
     async def probe(self, server: Server) -> None:
         """Opens a connection."""
         if not (await self._reach(server)).alive:
--- a/src/medlarvale/forwarding/front.py
+++ b/src/medlarvale/forwarding/front.py
@@ -19,7 +19,7 @@
     OverloadedError,
 )
 from medlarvale.forwarding.follower import StateFollower
-from medlarvale.forwarding.messages import ClientRequest, RouteKind
+from medlarvale.forwarding.messages import ClientRequest, Route, RouteKind
 from medlarvale.forwarding.plain import PlainForwarder, Reply
 from medlarvale.forwarding.routes import choose_service
 from medlarvale.forwarding.streams import StreamForwarder
@@ -229,18 +229,26 @@
     def _age_ms(self, request: ClientRequest) -> int:
         return int(self._clock.now_ms() - request.received_ms)
 
-    def _note_finished(self, request: ClientRequest, outcome: str) -> None:
+    def _route_of(self, request: ClientRequest) -> Route | None:
         index = self._follower.index
-        route = index.find(request.host, request.path) if index is not None else None
+        return index.find(request.host, request.path) if index is not None else None
+
+    def _note_finished(self, request: ClientRequest, outcome: str) -> None:
+        route = self._route_of(request)
         kind = route.kind.value if route is not None else "none"
         for callback in self._finished_callbacks:
             callback(kind, outcome, self._clock.now_ms() - request.received_ms)
 
     def _log_failure(self, request: ClientRequest, error: MedlarvaleError) -> None:
         self._note_finished(request, error.code)
+        route = self._route_of(request)
         log_warning(
             Event.REQUEST_FAILED,
             request=request.request_id,
+            route=route.name if route is not None else None,
+            config=self._follower.version,
+            route_timeout_ms=int(route.timeout_ms) if route is not None else None,
+            caller_deadline_ms=int(request.deadline_ms),
             code=error.code,
             outcome=error.outcome.value,
             reason=error.message,
--- a/src/medlarvale/forwarding/host.py
+++ b/src/medlarvale/forwarding/host.py
@@ -21,6 +21,7 @@
 from medlarvale.forwarding.orders import OrderTask
 from medlarvale.forwarding.peer_state import PeerStateTask
 from medlarvale.forwarding.plain import PlainForwarder
+from medlarvale.forwarding.rechecks import RecheckTask
 from medlarvale.forwarding.servers import ServerTable
 from medlarvale.forwarding.streams import StreamForwarder
 from medlarvale.forwarding.suspects import CrashGuard
@@ -91,6 +92,7 @@
             self._guard,
             self.fleet.view.host_count,
         )
+        self._rechecks = RecheckTask(self.servers, backends, self.clock)
         self.streams = StreamForwarder(context, self._traits)
         self.port = CallerPort(
             self.follower,
@@ -223,6 +225,7 @@
         self.orders.start()
         self._peer_state.start()
         self._guard.start()
+        self._rechecks.start()
         for server, address in (
             (build_readiness(self.ready), self._place.listen_ready),
             (self.metrics.build_server(), self._metrics_address),
@@ -265,6 +268,7 @@
         await self.clock.sleep_ms(ABORT_MS)
         await self._context.background.finish(CLEANUP_MS)
         await self.orders.close()
+        await self._rechecks.close()
         await self.follower.close()
         await self._transport.close()
         log_info(Event.HOST_STOPPED, host=self._place.host, in_flight=in_flight)
--- a/src/medlarvale/forwarding/interface.py
+++ b/src/medlarvale/forwarding/interface.py
@@ -16,6 +16,7 @@
     HandleId,
     HoldId,
     PrefillResult,
+    PromptPartId,
     Published,
     Server,
     StoreRevision,
@@ -101,6 +102,13 @@
             BackendError: if the server does not answer.
         """
 
+    async def kept_parts(self, server: Server) -> dict[PromptPartId, int]:
+        """Returns the tokens of each part of a prompt that an engine keeps.
+
+        Raises:
+            BackendError: if the server does not answer.
+        """
+
     async def probe(self, server: Server) -> None:
         """Opens and closes a connection.
 
--- a/src/medlarvale/forwarding/memory.py
+++ b/src/medlarvale/forwarding/memory.py
@@ -37,13 +37,17 @@
 # A queue of this many says little about the wait.
 SHORT_QUEUE = 2
 # A burst lasts some seconds; callers wait up to a third of their time, 4.6 s of 14 s.
-MIN_RETRY_AFTER_MS = 1_500
+MIN_RETRY_AFTER_MS = 3_000
 MAX_RETRY_AFTER_MS = 4_500
 # Share of an engine's memory by which a nearer engine may be fuller: events cost less from there.
 FAR_PENALTY = 0.05
 # Share of an engine's memory that a late request leaves free: about one request, so that the next
 # one that can still be in time does not wait behind it.
 LATE_HEADROOM = 0.1
+# An engine answers a reservation without work; ten round trips between failure domains.
+HOLD_WAIT_MS = 30.0
+# Pause of an engine that does not answer that fast; a lost packet takes as long to be sent again.
+SLOW_PAUSE_MS = 200.0
 # Waiting requests that may be tried after one that does not fit.
 BACKFILL = 2
 
@@ -76,6 +80,8 @@
         end_ms: time at which the request is given up.
         excluded: engines on which the request must not run.
         preferred: engine that is asked first, since it keeps the request's KV cache.
+        kept_tokens: part of ``tokens`` that the preferred engine keeps already. Memory reserved for
+            it would push out the KV cache of others that are about to come back.
         urgent: whether its caller has a part of the stream and waits for the next event.
     """
 
@@ -85,6 +91,7 @@
     end_ms: float
     excluded: frozenset[ServerId] = frozenset()
     preferred: ServerId | None = None
+    kept_tokens: int = 0
     urgent: bool = False
 
 
@@ -304,7 +311,10 @@
                 return self._taken(load, request.tokens, None)
             if yields and not await self._has_room(load, needed):
                 continue
-            hold = await self._take_hold(load, request.tokens)
+            new_tokens = request.tokens
+            if load.server.server == request.preferred:
+                new_tokens -= request.kept_tokens
+            hold = await self._take_hold(load, new_tokens)
             if hold is not None:
                 return self._taken(load, request.tokens, hold)
         return None
@@ -318,15 +328,34 @@
         return True
 
     async def _take_hold(self, load: ServerLoad, tokens: int) -> HoldId | None:
-        context = self._context
+        """Reserves memory; gives up on an engine that is slow to answer, as others wait too."""
+        call = asyncio.get_running_loop().create_task(
+            self._context.backends.take_hold(load.server, tokens, self._traits().hold_ttl_ms)
+        )
+        done, _ = await asyncio.wait({call}, timeout=HOLD_WAIT_MS / 1000.0)
+        if not done:
+            slow_until_ms = self._context.clock.now_ms() + SLOW_PAUSE_MS
+            load.paused_until_ms = max(load.paused_until_ms, slow_until_ms)
+            self._context.background.start(self._give_back(load, call))
+            return None
+        hold = await self._answered(load, call)
+        if hold is None:
+            self._refused[load.server.server] = (self._context.clock.now_ms(), tokens)
+        return hold
+
+    async def _give_back(self, load: ServerLoad, call: asyncio.Task[HoldId | None]) -> None:
+        hold = await self._answered(load, call)
+        if hold is not None:
+            await self._drop(load, hold)
+
+    async def _answered(self, load: ServerLoad, call: asyncio.Task[HoldId | None]) -> HoldId | None:
+        now_ms = self._context.clock.now_ms
         try:
-            hold = await context.backends.take_hold(load.server, tokens, self._traits().hold_ttl_ms)
+            hold = await call
         except BackendError as error:
-            context.servers.note_failure(load, context.clock.now_ms(), error.message)
+            self._context.servers.note_failure(load, now_ms(), error.message)
             return None
-        context.servers.note_success(load, context.clock.now_ms())
-        if hold is None:
-            self._refused[load.server.server] = (context.clock.now_ms(), tokens)
+        self._context.servers.note_success(load, now_ms())
         return hold
 
     @staticmethod
--- a/src/medlarvale/forwarding/messages.py
+++ b/src/medlarvale/forwarding/messages.py
@@ -13,6 +13,7 @@
 
 HoldId = NewType("HoldId", str)
 HandleId = NewType("HandleId", str)
+PromptPartId = NewType("PromptPartId", str)
 StoreRevision = NewType("StoreRevision", int)
 
 
@@ -176,6 +177,7 @@
         headers: headers to pass on; those of one connection and those that only this system sets
             are left out.
         deadline_ms: time that the caller waits, from ``received_ms``.
+        prompt_part: last part of the prompt, which no other request or session has.
         resume_after: number of the last event that the caller has.
     """
 
@@ -188,6 +190,7 @@
     received_ms: float
     deadline_ms: float
     tokens: TokenCounts | None = None
+    prompt_part: PromptPartId | None = None
     resume_after: int | None = None
 
 
--- a/src/medlarvale/forwarding/prefill.py
+++ b/src/medlarvale/forwarding/prefill.py
@@ -95,7 +95,7 @@
     ) -> ServerLoad | None:
         context, now_ms = self._context, self._context.clock.now_ms()
         candidates = context.servers.candidates(
-            self._service, now_ms, stage=EngineStage.PREFILL, excluded=tried
+            self._service, now_ms, stage=EngineStage.PREFILL, excluded=tried, sound_only=True
         )
         speed = self._meter.tokens_per_ms
 
--- /dev/null
+++ b/src/medlarvale/forwarding/rechecks.py
@@ -0,0 +1,54 @@
+"""Finds out whether servers that failed can be reached again, without risking a request."""
+
+from __future__ import annotations
+
+from medlarvale.clock import Clock
+from medlarvale.forwarding.context import BackgroundTasks
+from medlarvale.forwarding.errors import BackendError
+from medlarvale.forwarding.interface import Backends
+from medlarvale.forwarding.servers import ServerLoad, ServerTable
+from medlarvale.ids import ServerId
+
+# Half of the shortest pause after a failure.
+RECHECK_PERIOD_MS = 100.0
+
+
+class RecheckTask:
+    """Opens a connection to each doubted server when its pause is over.
+
+    Args:
+        servers: the servers and what is known of them.
+        backends: opens the connections.
+        clock: time service.
+    """
+
+    def __init__(self, servers: ServerTable, backends: Backends, clock: Clock) -> None:
+        self._servers = servers
+        self._backends = backends
+        self._clock = clock
+        self._background = BackgroundTasks()
+        self._under_way: set[ServerId] = set()
+
+    def start(self) -> None:
+        """Starts looking for doubted servers."""
+        self._clock.every_ms(RECHECK_PERIOD_MS, self._tick)
+
+    def _tick(self) -> None:
+        for load in self._servers.to_recheck(self._clock.now_ms()):
+            if load.server.server not in self._under_way:
+                self._under_way.add(load.server.server)
+                self._background.start(self._recheck(load))
+
+    async def _recheck(self, load: ServerLoad) -> None:
+        try:
+            await self._backends.probe(load.server)
+        except BackendError as error:
+            self._servers.note_failure(load, self._clock.now_ms(), error.message)
+        else:
+            self._servers.note_reachable(load)
+        finally:
+            self._under_way.discard(load.server.server)
+
+    async def close(self) -> None:
+        """Ends the checks under way."""
+        await self._background.finish(0.0)
--- a/src/medlarvale/forwarding/servers.py
+++ b/src/medlarvale/forwarding/servers.py
@@ -40,6 +40,8 @@
         paused_until_ms: time before which it gets no new work, after it failed or
             rejected some.
         failures: failures since the last success.
+        doubted: whether it failed and has not been reached since; it gets new work only if no other
+            server is left.
         missing_since_ms: when its entry was first found missing; None while it is listed.
     """
 
@@ -51,6 +53,7 @@
         self.missing_since_ms: float | None = None
         self.paused_until_ms = 0.0
         self.failures = 0
+        self.doubted = False
         self.event_pause_ms = 0.0
         self.backlog = PrefillBacklog()
 
@@ -157,8 +160,13 @@
         *,
         stage: EngineStage | None = None,
         excluded: Iterable[ServerId] = (),
+        sound_only: bool = False,
     ) -> list[ServerLoad]:
-        """Returns the servers that may take new work; paused ones only if no other is left."""
+        """Returns the servers that may take new work.
+
+        Args:
+            sound_only: return none rather than servers that are paused or doubted.
+        """
         excluded = set(excluded)
         listed = [
             load
@@ -169,7 +177,19 @@
             and load.server.server not in self._changing
             and load.server.server not in excluded
         ]
-        return [load for load in listed if load.paused_until_ms <= now_ms] or listed
+        awake = [load for load in listed if load.paused_until_ms <= now_ms]
+        sound = [load for load in awake if not load.doubted]
+        return sound if sound or sound_only else awake or listed
+
+    def to_recheck(self, now_ms: float) -> list[ServerLoad]:
+        """Returns the doubted servers whose pause is over."""
+        return [
+            load for load in self._loads.values() if load.doubted and load.paused_until_ms <= now_ms
+        ]
+
+    def note_reachable(self, load: ServerLoad) -> None:
+        """Ends the doubt in a server; its next failure still pauses it for longer."""
+        load.doubted = False
 
     def set_changing(self, servers: Iterable[ServerId]) -> None:
         """Sets the engines that are about to change their stage; they get no new work.
@@ -215,6 +235,7 @@
     def note_success(self, load: ServerLoad, now_ms: float) -> None:
         """Ends a server's series of failures."""
         load.failures = 0
+        load.doubted = False
         if self.is_far(load):
             self.contact.note_contact(now_ms)
 
@@ -232,6 +253,7 @@
         """Pauses a server that could not be reached or lost an answer; repeated failures longer."""
         if self.is_far(load):
             self.contact.note_failure(load.server.server)
+        load.doubted = True
         pause_ms = load.pause_after_failure(now_ms)
         log_warning(
             Event.SERVER_PAUSED,
--- a/src/medlarvale/forwarding/stream_run.py
+++ b/src/medlarvale/forwarding/stream_run.py
@@ -23,6 +23,7 @@
 )
 from medlarvale.forwarding.events import EventSplitter
 from medlarvale.forwarding.interface import BackendAnswer
+from medlarvale.forwarding.keepers import KeeperFinder
 from medlarvale.forwarding.memory import (
     START_MS,
     MemoryQueue,
@@ -122,21 +123,29 @@
 
 
 class StreamRun:
-    """One stream through its runs on decode engines."""
+    """One stream through its runs on decode engines.
+
+    Args:
+        asked_before_ms: how long before this attempt the caller first asked.
+    """
 
     def __init__(
         self,
         context: ForwardingContext,
         queue: MemoryQueue,
         meter: DemandMeter,
+        keepers: KeeperFinder,
         request: ClientRequest,
         route: Route,
         service: ServiceName,
         sink: StreamSink,
+        asked_before_ms: float = 0.0,
     ) -> None:
         self._context = context
         self._queue = queue
         self._meter = meter
+        self._keepers = keepers
+        self._service = service
         self._request = request
         self._route = route
         self._sink = sink
@@ -144,6 +153,7 @@
         self._budget = self._context.budget(service)
         self._budget.record_request()
         self._fingerprint = context.guard.check(request, service)
+        self._aim_end_ms = request.received_ms - asked_before_ms + route.target_latency_ms
         self._tokens = request.tokens or DEFAULT_TOKENS
         self._memory_tokens = reserved_tokens(self._tokens)
         self._reader = PromptReader(context, request, service, self._tokens.prompt, meter)
@@ -158,6 +168,7 @@
         self.engine: ServerId | None = None
         # Engine that broke off, but may still keep the KV cache of this request.
         self._keeper: ServerId | None = None
+        self._kept_tokens = 0
         self._fetch_from: Server | None = None
         self._rejections = 0
 
@@ -180,10 +191,18 @@
         """Passes the stream on; see ``StreamForwarder.forward``."""
         try:
             async with asyncio.timeout(max(0.0, self._left_ms()) / 1000.0):
+                await self._find_keeper()
                 return await self._run_until_complete()
         except TimeoutError as error:
             raise self._final_error("the time of the route is over", timeout=True) from error
 
+    async def _find_keeper(self) -> None:
+        """Looks for the engine that ran the part of the stream which the caller already has."""
+        part = self._request.prompt_part
+        if self._request.resume_after is not None and part is not None:
+            now_ms = self._context.clock.now_ms()
+            self._kept_tokens, self._keeper = await self._keepers.find(self._service, part, now_ms)
+
     def _left_ms(self) -> float:
         return self._end_ms - self._context.clock.now_ms()
 
@@ -255,11 +274,12 @@
             MemoryRequest(
                 self._memory_tokens,
                 expected_output(self._tokens),
-                self._request.received_ms + target_ms,
+                self._aim_end_ms,
                 min(self._end_ms - self._shortest_ms(), last_start_ms),
                 frozenset(self._excluded),
                 self._keeper,
-                urgent=self._started,
+                min(self._kept_tokens, self._tokens.prompt),
+                urgent=self._started or self._request.resume_after is not None,
             )
         )
 
--- a/src/medlarvale/forwarding/streams.py
+++ b/src/medlarvale/forwarding/streams.py
@@ -7,9 +7,11 @@
 from medlarvale.forwarding.context import ForwardingContext
 from medlarvale.forwarding.demand import DemandMeter
 from medlarvale.forwarding.fleet_messages import Demand
+from medlarvale.forwarding.keepers import KeeperFinder
 from medlarvale.forwarding.memory import MemoryQueue
 from medlarvale.forwarding.messages import ClientRequest, EngineTraits, Route
 from medlarvale.forwarding.plain import Reply
+from medlarvale.forwarding.returns import ReturnEstimator
 from medlarvale.forwarding.stream_run import StreamRun, StreamSink
 from medlarvale.ids import ServiceName
 from medlarvale.logs import Event, log_info
@@ -32,6 +34,8 @@
         self._traits = traits
         self._queues: dict[ServiceName, MemoryQueue] = {}
         self._meters: dict[ServiceName, DemandMeter] = {}
+        self._returns: dict[str, ReturnEstimator] = {}
+        self._keepers = KeeperFinder(context.backends, context.servers)
 
     def queue(self, service: ServiceName) -> MemoryQueue:
         """Returns the queue for the decode memory of a service."""
@@ -63,14 +67,17 @@
             RequestTimeoutError: its time is over and nothing was passed on.
             StreamBrokenError: a part was passed on and the rest can't be.
         """
+        returns = self._returns.setdefault(route.name, ReturnEstimator())
         run = StreamRun(
             self.context,
             self.queue(service),
             self.meter(service),
+            self._keepers,
             request,
             route,
             service,
             sink,
+            returns.elapsed_ms(request.deadline_ms),
         )
         try:
             return await run.run()
--- a/src/medlarvale/logs.py
+++ b/src/medlarvale/logs.py
@@ -50,6 +50,8 @@
     ATTEMPT_FAILED = (5005, "attempt failed")
     CALLER_GONE = (5006, "caller gone")
     STREAM_ENDED = (5008, "stream ended")
+    KEEPER_SOUGHT = (5009, "engine sought that keeps the KV cache of a stream")
+    KEEPER_UNKNOWN = (5010, "list of kept prompts could not be had from an engine")
     CLEANUP_FAILED = (5007, "unused engine memory could not be given back")
     ENGINE_EJECTED = (6001, "engine ejected")
     ENGINE_READMITTED = (6002, "engine readmitted")
--- a/src/medlarvale/platform/backends.py
+++ b/src/medlarvale/platform/backends.py
@@ -23,6 +23,7 @@
     HandleId,
     HoldId,
     PrefillResult,
+    PromptPartId,
     Server,
 )
 from medlarvale.platform import headers as names
@@ -53,6 +54,17 @@
     kv_handle: str
 
 
+class _KeptPart(msgspec.Struct, array_like=True):
+    # Always empty.
+    reserved: str
+    part: str
+    tokens: int
+
+
+class _KeptFields(msgspec.Struct):
+    held: list[_KeptPart]
+
+
 class _ReportFields(msgspec.Struct, rename="pascal"):
     stage: EngineStage
     busy: bool
@@ -257,6 +269,17 @@
         """Frees the KV cache of a prompt that is not going to be used."""
         await self._call(server, "DELETE", f"/kv-handle/{handle}", None)
 
+    async def kept_parts(self, server: Server) -> dict[PromptPartId, int]:
+        """Returns the tokens of each part of a prompt that an engine keeps."""
+        status, body = await self._call(server, "GET", "/kv-list", None, HOLD_TIMEOUT_MS)
+        if status != 200:
+            raise BackendError(f"server {server.server}: list ended with status {status}")
+        try:
+            fields = msgspec.json.decode(body, type=_KeptFields)
+        except msgspec.MsgspecError as error:
+            raise BackendError(f"server {server.server}: unreadable list: {error}") from error
+        return {PromptPartId(kept.part.lower()): kept.tokens for kept in fields.held}
+
     async def probe(self, server: Server) -> None:
         """Opens and closes a connection."""
         ip, _, port = server.address.rpartition(":")
--- a/src/medlarvale/platform/headers.py
+++ b/src/medlarvale/platform/headers.py
@@ -4,7 +4,7 @@
 
 from multidict import CIMultiDict, CIMultiDictProxy
 
-from medlarvale.forwarding.messages import ClientRequest, Dispatch, TokenCounts
+from medlarvale.forwarding.messages import ClientRequest, Dispatch, PromptPartId, TokenCounts
 from medlarvale.ids import RequestId, ServerId
 
 REQUEST_ID = "X-Request-Id"
@@ -21,6 +21,8 @@
 KV_FETCH = "Kv-Fetch"
 # Prompt tokens and the largest number of output tokens, in one value.
 TOKEN_COUNTS = "X-Token-Counts"
+# "ID:TOKENS" of each part of the prompt, in order, joined by commas.
+PROMPT_PARTS = "X-Prompt-Prefix"
 LENGTH_HINT = "X-Length-Hint"
 RESUME_AFTER = "Last-Event-Id"
 
@@ -93,6 +95,12 @@
     return TokenCounts(prompt_tokens, max_output, _whole_number(headers.get(LENGTH_HINT)))
 
 
+def _last_part(headers: CIMultiDictProxy[str]) -> PromptPartId | None:
+    last = headers.get(PROMPT_PARTS, "").rpartition(",")[2]
+    part = last.partition(":")[0].strip().lower()
+    return PromptPartId(part) if part else None
+
+
 def decode_request(
     method: str,
     path: str,
@@ -112,6 +120,7 @@
         received_ms=received_ms,
         deadline_ms=DEFAULT_DEADLINE_MS if deadline_ms is None else float(deadline_ms),
         tokens=_token_counts(headers),
+        prompt_part=_last_part(headers),
         resume_after=_whole_number(headers.get(RESUME_AFTER)),
     )
 
--- a/src/medlarvale/standins/users_platform.py
+++ b/src/medlarvale/standins/users_platform.py
@@ -128,6 +128,7 @@
         """Returns the HTTP application of the server."""
         app = web.Application()
         app.router.add_post("/hold-take", self._take_hold)
+        app.router.add_get("/kv-list", self._list_kept)
         app.router.add_delete("/hold-drop/{hold}", self._drop_hold)
         app.router.add_delete("/kv-handle/{handle}", self._drop_handle)
         app.router.add_route("*", "/{path:.*}", self._serve)
@@ -153,6 +154,9 @@
         self.holds.add(hold)
         return web.json_response({"Hold": hold})
 
+    async def _list_kept(self, request: web.Request) -> web.Response:
+        return web.json_response({"epoch": 1, "Next": 0, "held": []})
+
     async def _drop_hold(self, request: web.Request) -> web.Response:
         self.holds.discard(request.match_info["hold"])
         return web.Response()
--- a/tests/forwarding/fakes.py
+++ b/tests/forwarding/fakes.py
@@ -21,6 +21,7 @@
     HandleId,
     HoldId,
     PrefillResult,
+    PromptPartId,
     RequestLimits,
     Route,
     RouteKind,
@@ -156,6 +157,8 @@
         self.hold_errors: dict[ServerId, Exception] = {}
         self.probe_errors: dict[ServerId, Exception] = {}
         self.reports: dict[ServerId, EngineReport] = {}
+        self.kept: dict[ServerId, dict[PromptPartId, int] | Exception] = {}
+        self.hold_delays_s: dict[ServerId, float] = {}
         self.calls: list[tuple[str, str]] = []
         self.dispatches: list[tuple[ServerId, Dispatch]] = []
         self.orders: list[tuple[ServerId, EngineStage, str, int, int]] = []
@@ -181,6 +184,7 @@
 
     async def take_hold(self, server: Server, tokens: int, ttl_ms: float) -> HoldId | None:
         self.calls.append(("hold", server.server))
+        await asyncio.sleep(self.hold_delays_s.get(server.server, 0.0))
         if server.server in self.hold_errors:
             raise self.hold_errors[server.server]
         free = self.free_tokens.get(server.server)
@@ -201,6 +205,13 @@
     async def drop_handle(self, server: Server, handle: HandleId) -> None:
         self.calls.append(("drop handle", server.server))
 
+    async def kept_parts(self, server: Server) -> dict[PromptPartId, int]:
+        self.calls.append(("kept", server.server))
+        kept = self.kept.get(server.server, {})
+        if isinstance(kept, Exception):
+            raise kept
+        return kept
+
     async def probe(self, server: Server) -> None:
         self.calls.append(("probe", server.server))
         if server.server in self.probe_errors:
--- a/tests/forwarding/test_load_patterns.py
+++ b/tests/forwarding/test_load_patterns.py
@@ -22,6 +22,7 @@
     SLOW_ENGINES,
 )
 from medlarvale.forwarding import memory, prefill
+from medlarvale.forwarding.returns import ReturnEstimator
 
 SEEDS = range(3)
 # Share of the worth that hosts may lose by knowing only their own requests.
@@ -56,6 +57,13 @@
         with mock.patch.object(memory, "LATE_HEADROOM", 0.0):
             self.assertGreater(served, worth(MEMORY_SHORT) + 0.03)
 
+    def test_callers_that_come_back_count_as_late(self) -> None:
+        """Pattern: memory short for so long that refused callers come back. Guards against callers
+        who can no longer be served in time ahead of those who can."""
+        served = worth(MEMORY_SHORT)
+        with mock.patch.object(ReturnEstimator, "elapsed_ms", return_value=0.0):
+            self.assertGreater(served, worth(MEMORY_SHORT) + 0.02)
+
     def test_prompts_leave_a_queue_that_other_hosts_made(self) -> None:
         """Pattern: one prefill engine for all hosts in a burst. Guards against prompts that wait
         behind those of other hosts while decode engines could read them."""
--- a/tests/forwarding/test_memory.py
+++ b/tests/forwarding/test_memory.py
@@ -126,6 +126,26 @@
         await self.finish(await late)
         self.assertEqual(self.backends.free_tokens[D1], 8_000)
 
+    async def test_a_silent_engine_does_not_block_the_queue(self) -> None:
+        """Guards against requests that wait 200 ms for each engine behind a partition, one after
+        the other, while other engines have room."""
+        self.backends.hold_delays_s[D1] = 0.3
+        started_ms = SystemClock().now_ms()
+        taken = [await self.queue.acquire(need(5_000)) for _ in range(3)]
+        self.assertLess(SystemClock().now_ms() - started_ms, 150.0)
+        self.assertEqual({reservation.load.server.server for reservation in taken}, {D2})
+        await self.context.background.finish(500.0)
+        self.assertEqual(self.backends.count("drop hold"), self.backends.count("hold") - 3)
+
+    async def test_kept_tokens_are_not_reserved_again(self) -> None:
+        """Guards against reservations for streams that come back which push their own KV cache out
+        of the engine."""
+        self.free(5_000, 1_000)
+        request = MemoryRequest(6_000, 900, 1e12, 1e12, preferred=D2, kept_tokens=5_200)
+        reservation = await self.queue.acquire(request)
+        self.assertEqual(reservation.load.server.server, D2)
+        self.assertEqual(self.backends.free_tokens[D2], 200)
+
     async def test_what_can_not_be_served_is_refused_at_once(self) -> None:
         """Guards against callers that are held although it is known that they can't be served."""
         with self.assertRaises(OverloadedError):
--- /dev/null
+++ b/tests/forwarding/test_rechecks.py
@@ -0,0 +1,84 @@
+"""Servers that failed come back after a connection was opened, not by a caller's request."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import unittest
+
+from medlarvale.clock import ManualClock
+from medlarvale.forwarding.errors import NotSentError
+from medlarvale.forwarding.messages import EngineStage
+from medlarvale.forwarding.rechecks import RECHECK_PERIOD_MS, RecheckTask
+from medlarvale.forwarding.servers import FIRST_PAUSE_MS, ServerTable
+from medlarvale.ids import ServerId
+from tests.forwarding.fakes import APP, HERE, LLM, FakeBackends, make_server
+
+ONE, TWO = ServerId("one"), ServerId("two")
+
+
+class RecheckTaskTest(unittest.IsolatedAsyncioTestCase):
+    def setUp(self) -> None:
+        self.clock = ManualClock()
+        self.backends = FakeBackends()
+        self.servers = ServerTable(HERE, random.Random(1))
+        for name in ("one", "two"):
+            self.servers.learn(make_server(name, service=APP))
+        RecheckTask(self.servers, self.backends, self.clock).start()
+        load = self.servers.get(ONE)
+        assert load is not None
+        self.load = load
+
+    async def run_for(self, duration_ms: float) -> None:
+        for _ in range(int(duration_ms / RECHECK_PERIOD_MS)):
+            self.clock.advance_ms(RECHECK_PERIOD_MS)
+            for _ in range(4):
+                await asyncio.sleep(0)
+
+    def sound(self) -> list[ServerId]:
+        found = self.servers.candidates(APP, self.clock.now_ms())
+        return sorted(load.server.server for load in found)
+
+    async def test_a_server_that_failed_waits_for_a_connection(self) -> None:
+        """Guards against requests that are sent to a server behind a partition each time its pause
+        is over: each took 400 ms to find that out."""
+        self.backends.probe_errors[ONE] = NotSentError("no route")
+        self.servers.note_failure(self.load, self.clock.now_ms(), "timed out")
+        await self.run_for(5_000.0)
+        self.assertEqual(self.sound(), [TWO])
+        checks = self.backends.count("probe")
+        self.assertTrue(2 <= checks <= 6, checks)
+        del self.backends.probe_errors[ONE]
+        await self.run_for(3_200.0)
+        self.assertEqual(self.sound(), [ONE, TWO])
+
+    async def test_the_pause_after_the_next_failure_is_longer(self) -> None:
+        """Guards against a server that takes connections and answers nothing: it would come back
+        after each shortest pause."""
+        for expected_ms in (FIRST_PAUSE_MS, 2 * FIRST_PAUSE_MS):
+            now_ms = self.clock.now_ms()
+            self.servers.note_failure(self.load, now_ms, "silent")
+            self.assertEqual(self.load.paused_until_ms, now_ms + expected_ms)
+            await self.run_for(1_000.0)
+            self.assertEqual(self.sound(), [ONE, TWO])
+
+    async def test_doubted_servers_are_better_than_none(self) -> None:
+        for name in (ONE, TWO):
+            load = self.servers.get(name)
+            assert load is not None
+            self.backends.probe_errors[name] = NotSentError("down")
+            self.servers.note_failure(load, self.clock.now_ms(), "down")
+        await self.run_for(RECHECK_PERIOD_MS)
+        self.assertEqual(self.sound(), [ONE, TWO])
+
+    async def test_a_prompt_is_not_sent_to_a_doubted_engine(self) -> None:
+        """Guards against prompts for the only prefill engine behind a partition, although decode
+        engines could read them."""
+        self.servers.learn(make_server("p", stage=EngineStage.PREFILL))
+        load = self.servers.get(ServerId("p"))
+        assert load is not None
+        self.servers.note_failure(load, self.clock.now_ms(), "timed out")
+        found = self.servers.candidates(
+            LLM, self.clock.now_ms(), stage=EngineStage.PREFILL, sound_only=True
+        )
+        self.assertEqual(found, [])
--- a/tests/platform/test_backends.py
+++ b/tests/platform/test_backends.py
@@ -197,6 +197,22 @@
         self.assertEqual(starts[5], b"DELETE /kv-handle/k1 HTTP/1.1")
         self.assertIn(b"X-Serving-Stage: prefill", raw.heads[2])
 
+    async def test_kept_parts(self) -> None:
+        json = b"Content-Type: application/json\r\n"
+        raw = RawServer(
+            answer(
+                headers=json,
+                body=b'{"epoch":7,"Next":3,"held":[["","A1",200,"m"],["","b2",4402,"m"]]}',
+            ),
+            answer(headers=json, body=b'{"held":[["",5]]}'),
+            answer("429 Too Many Requests", headers=json, body=b"{}"),
+        )
+        server = await self.start(raw)
+        self.assertEqual(await self.backends.kept_parts(server), {"a1": 200, "b2": 4_402})
+        for name in ("unreadable", "refused"):
+            with self.subTest(name), self.assertRaises(BackendError):
+                await self.backends.kept_parts(server)
+
     async def test_orders(self) -> None:
         table = [("202 Accepted", True), ("200 OK", True), ("409 Busy", False), ("412 Old", False)]
         for status, accepted in table:
--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -76,6 +76,17 @@
         self.assertGreater(decoded(X_Deadline_Ms="soon").deadline_ms, 0.0)
         self.assertEqual(decoded(Last_Event_Id="12").resume_after, 12)
 
+    def test_the_last_part_of_a_prompt_names_it(self) -> None:
+        table = [
+            ("5c1e07a2:800,91BD3f06:410", "91bd3f06"),
+            ("5c1e07a2:800", "5c1e07a2"),
+            ("", None),
+            ("5c1e07a2:800,", None),
+        ]
+        for value, expected in table:
+            with self.subTest(value):
+                self.assertEqual(decoded(X_Prompt_Prefix=value).prompt_part, expected)
+
     def test_dispatch_sets_what_is_left_and_whom_it_expects(self) -> None:
         """Guards against a server that works longer than the caller waits."""
         request = decoded(X_Deadline_Ms="14000", X_Request_Id="abc")
