Learn the usual wait of prompts at a host; ask full engines less often in large fleets

Full engines were asked for memory by every host each 30 ms.

Change: a host keeps the usual wait of its own prompts at any engine (RecentWaits) and lets decode engines read the next ones while it lasts. With more than four hosts a full engine is asked again after a pause that grows with their number.

--- a/bench/forwarding/engines.py
+++ b/bench/forwarding/engines.py
@@ -57,6 +57,14 @@
     tokens_per_event: int = 11
     switch_ms: float = 6_000.0
 
+    def event_of(self, made_tokens: int) -> int:
+        """Returns the number of the event that brings a token."""
+        return 1 + -(-(made_tokens - 1) // self.tokens_per_event)
+
+    def tokens_until(self, event: int) -> int:
+        """Returns the tokens in all events up to one."""
+        return 1 + (event - 1) * self.tokens_per_event if event else 0
+
 
 @dataclass(eq=False, slots=True)
 class _Run:
@@ -83,10 +91,12 @@
     Attributes:
         read_tokens: prompt tokens read, also in vain.
         preempted: requests that lost their memory.
+        started: ids of the requests that began to run, in order.
     """
 
     read_tokens: int = 0
     preempted: int = 0
+    started: list[str] = field(default_factory=list)
 
 
 class EmulatedEngine:
@@ -127,6 +137,11 @@
         """Memory in use or reserved."""
         return sum(self._holds.values()) + sum(run.memory_tokens for run in self._runs)
 
+    @property
+    def running(self) -> list[str]:
+        """Ids of the requests that run."""
+        return [run.request for run in self._runs]
+
     @property
     def idle(self) -> bool:
         """Whether it runs nothing."""
@@ -182,7 +197,7 @@
         hold_tokens = self._holds.pop(dispatch.hold, 0) if dispatch.hold else 0
         if not hold_tokens and self.used_tokens + prompt > self.model.memory_tokens:
             raise RejectedError("no room", full=True)
-        made = (dispatch.resume_after or 0) * self.model.tokens_per_event
+        made = self.model.tokens_until(dispatch.resume_after or 0)
         read_before = prompt if dispatch.source is not None else 0
         run = _Run(
             request.request_id,
@@ -193,6 +208,7 @@
             made_tokens=made,
         )
         self._runs.append(run)
+        self.counts.started.append(request.request_id)
         if self._worker is None or self._worker.done():
             self._worker = asyncio.get_running_loop().create_task(self._work())
         return run
@@ -235,10 +251,10 @@
         run.kept_tokens += 1
         if run.kept_tokens > run.hold_tokens and self.used_tokens > self.model.memory_tokens:
             self._preempt()
-        # The first token goes out at once, so that its caller sees the answer begin.
-        made = run.made_tokens
-        if made == 1 or made % self.model.tokens_per_event == 0 or run.left_tokens <= 0:
-            number = -(-made // self.model.tokens_per_event)
+        # The first event has one token, so that its caller sees the answer begin.
+        last = run.left_tokens <= 0
+        if last or (run.made_tokens - 1) % self.model.tokens_per_event == 0:
+            number = self.model.event_of(run.made_tokens)
             run.events.put_nowait(f"id: {number}\ndata: x\n\n".encode())
         if run.left_tokens <= 0:
             run.events.put_nowait(_END)
--- a/bench/forwarding/patterns.py
+++ b/bench/forwarding/patterns.py
@@ -62,6 +62,17 @@
 MEMORY_SHORT = ventilo("bursts, memory short, engines as installed", 3, 3, bursts=BURSTS)
 SLOW_ENGINES = ventilo("bursts, slow engines, one prefill engine", 1, 5, bursts=BURSTS)
 SLOW_ENGINES_TWO = ventilo("bursts, slow engines, two prefill engines", 2, 4, bursts=BURSTS)
+# Glatføre grown: many hosts of which each has few requests, and too few prefill engines.
+MANY_HOSTS = LoadPattern(
+    "thirty hosts, few prefill engines",
+    hosts=30,
+    prefill=7,
+    decode=38,
+    rate_per_s=45.0,
+    bursts=((2.0, 4.0, 1.9),),
+    duration_s=7.0,
+    model=EngineModel(memory_tokens=42_278),
+)
 PATTERNS = (
     CALM,
     BURSTS_AS_INSTALLED,
@@ -72,4 +83,5 @@
     MEMORY_SHORT,
     SLOW_ENGINES,
     SLOW_ENGINES_TWO,
+    MANY_HOSTS,
 )
--- a/src/medlarvale/forwarding/demand.py
+++ b/src/medlarvale/forwarding/demand.py
@@ -4,6 +4,7 @@
 
 import math
 
+from medlarvale.forwarding.backlog import RecentWaits
 from medlarvale.forwarding.fleet_messages import Demand
 
 # Time constant of the arrival rates: longer than a burst, which is over before a switch is.
@@ -64,6 +65,7 @@
         self._decode_ms = FIRST_MS_PER_TOKEN * FIRST_OUTPUT_TOKENS
         self._decode_tokens = FIRST_OUTPUT_TOKENS
         self.tokens_per_ms = FIRST_TOKENS_PER_MS
+        self.prefill_waits = RecentWaits()
 
     def note_arrival(self, prompt_tokens: int, memory_tokens: int, now_ms: float) -> None:
         """Counts a request, whether it is served or not."""
--- a/src/medlarvale/forwarding/memory.py
+++ b/src/medlarvale/forwarding/memory.py
@@ -21,8 +21,10 @@
 # The hint is right at the median only, so some room is added to it.
 HINT_MARGIN = 1.25
 MIN_OUTPUT_TOKENS = 64
-# An engine that refused is asked again after this time, unless this host freed memory there.
+# An engine that refused is asked again after this time, unless this host freed memory there. More
+# than this many hosts ask each engine less often, so that it is asked as often in all.
 REFUSED_PAUSE_MS = 30.0
+ASKING_HOSTS = 4
 # Time from a reservation to the first event at an idle deployment: prefill, transfer, first step.
 START_MS = 250.0
 # Callers leave a stream without a first event after four times the latency target, but not before
@@ -294,6 +296,7 @@
         context, now_ms = self._context, self._context.clock.now_ms()
         request = waiter.request
         memory = self._traits().memory_tokens
+        pause_ms = REFUSED_PAUSE_MS * max(1.0, context.host_count() / ASKING_HOSTS)
         yields = _is_late(request, now_ms) and not request.urgent
         needed = request.tokens
         if yields:
@@ -303,7 +306,7 @@
         )
         for load in self._order_engines(candidates, request.preferred):
             refused_ms, refused_tokens = self._refused.get(load.server.server, (-1e9, 0))
-            if now_ms - refused_ms < REFUSED_PAUSE_MS and needed >= refused_tokens:
+            if now_ms - refused_ms < pause_ms and needed >= refused_tokens:
                 continue
             if self._traits().hold_ttl_ms <= 0:
                 if load.tokens + needed > memory:
--- a/src/medlarvale/forwarding/prefill.py
+++ b/src/medlarvale/forwarding/prefill.py
@@ -82,6 +82,8 @@
                 )
                 read = True
                 self._note_success(load, clock.now_ms() - sent_ms)
+                waited_ms = max(0.0, clock.now_ms() - due_ms)
+                self._meter.prefill_waits.note(waited_ms, clock.now_ms())
                 return result
             except BackendError as error:
                 self._note_failure(load, error)
@@ -98,9 +100,10 @@
             self._service, now_ms, stage=EngineStage.PREFILL, excluded=tried, sound_only=True
         )
         speed = self._meter.tokens_per_ms
+        usual_ms = self._meter.prefill_waits.wait_ms(now_ms)
 
         def wait_ms(load: ServerLoad) -> float:
-            return max(load.tokens / speed, load.backlog.wait_ms(now_ms))
+            return max(load.tokens / speed, load.backlog.wait_ms(now_ms), usual_ms)
 
         def cost(load: ServerLoad) -> tuple[float, float]:
             far = load.server.failure_domain != decode.server.failure_domain
--- a/tests/forwarding/test_backlog.py
+++ b/tests/forwarding/test_backlog.py
@@ -4,7 +4,12 @@
 
 import unittest
 
-from medlarvale.forwarding.backlog import HALF_LIFE_MS, PrefillBacklog
+from medlarvale.forwarding.backlog import (
+    HALF_LIFE_MS,
+    RECENT_HALF_LIFE_MS,
+    PrefillBacklog,
+    RecentWaits,
+)
 
 
 class PrefillBacklogTest(unittest.TestCase):
@@ -29,3 +34,14 @@
         self.backlog.begin(100.0)
         self.backlog.end(100.0, 900.0, read=False)
         self.assertEqual(self.backlog.wait_ms(900.0), 0.0)
+
+
+class RecentWaitsTest(unittest.TestCase):
+    def test_waits_are_learnt_and_fade(self) -> None:
+        """Guards against a host that never sends prompts to prefill engines again after a burst."""
+        waits = RecentWaits()
+        self.assertEqual(waits.wait_ms(0.0), 0.0)
+        for number in range(8):
+            waits.note(400.0, number * 10.0)
+        self.assertGreater(waits.wait_ms(70.0), 380.0)
+        self.assertLess(waits.wait_ms(70.0 + 4 * RECENT_HALF_LIFE_MS), 30.0)
--- a/tests/forwarding/test_load_patterns.py
+++ b/tests/forwarding/test_load_patterns.py
@@ -18,10 +18,12 @@
 from bench.forwarding.patterns import (
     BURSTS_ONE_PREFILL,
     DECODE_LOST,
+    MANY_HOSTS,
     MEMORY_SHORT,
     SLOW_ENGINES,
 )
 from medlarvale.forwarding import memory, prefill
+from medlarvale.forwarding.backlog import RecentWaits
 from medlarvale.forwarding.returns import ReturnEstimator
 
 SEEDS = range(3)
@@ -71,6 +73,14 @@
         with mock.patch.object(prefill, "OVERFLOW_WAIT_MS", 300.0):
             self.assertGreater(served, worth(BURSTS_ONE_PREFILL) + 0.01)
 
+    def test_many_hosts_notice_busy_prefill_engines(self) -> None:
+        """Pattern: thirty hosts share few prefill engines in a burst, and each sends a prompt about
+        every second. Guards against prompts that queue at an engine of which this host has not
+        heard lately, though its prompts waited at all the others."""
+        served = play(MANY_HOSTS, 1).worth
+        with mock.patch.object(RecentWaits, "wait_ms", return_value=0.0):
+            self.assertGreater(served, play(MANY_HOSTS, 1).worth + 0.1)
+
     def test_slow_engines_do_not_read_prompts(self) -> None:
         """Pattern: a third of the engines is 1.3 times slower. Guards against pauses beyond the
         300 ms that callers expect, while such an engine reads a prompt between its steps."""
