Treat a connection that resets while an event is written as a caller that left

The line had no request id, the request was counted with no outcome.

Change: the port logs event 5006 and counts "caller_gone". The work was already ended and its memory given back by the stream's own clean-up.

Before and after: the test fails on the former port with the same error in aiohttp.server.

--- a/src/medlarvale/forwarding/front.py
+++ b/src/medlarvale/forwarding/front.py
@@ -190,9 +190,12 @@
                 incoming.transport.abort()
             return sink.response
         except asyncio.CancelledError:
-            log_info(Event.CALLER_GONE, request=request.request_id, after_ms=self._age_ms(request))
-            self._note_finished(request, "caller_gone")
+            self._log_caller_gone(request)
             raise
+        except ConnectionError:
+            # The connection of the caller was reset while an event was written to it.
+            self._log_caller_gone(request)
+            return sink.response or web.Response()
         if reply is None:
             assert sink.response is not None
             return sink.response
@@ -239,6 +242,10 @@
         for callback in self._finished_callbacks:
             callback(kind, outcome, self._clock.now_ms() - request.received_ms)
 
+    def _log_caller_gone(self, request: ClientRequest) -> None:
+        log_info(Event.CALLER_GONE, request=request.request_id, after_ms=self._age_ms(request))
+        self._note_finished(request, "caller_gone")
+
     def _log_failure(self, request: ClientRequest, error: MedlarvaleError) -> None:
         self._note_finished(request, error.code)
         route = self._route_of(request)
--- /dev/null
+++ b/tests/forwarding/test_front.py
@@ -0,0 +1,58 @@
+"""What becomes of a request whose caller is gone."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import unittest
+from typing import Any
+
+from aiohttp import web
+
+from medlarvale.clock import SystemClock
+from medlarvale.forwarding.front import CallerPort
+from medlarvale.forwarding.routes import RouteIndex
+from tests.forwarding.fakes import make_request, make_route, make_table
+
+
+class _Follower:
+    def __init__(self) -> None:
+        self.index = RouteIndex(make_table(make_route()))
+        self.version = 1
+
+
+class _ResetStreams:
+    """Meets a reset of the caller's connection while an event is written to it."""
+
+    async def forward(self, *arguments: Any) -> None:
+        raise ConnectionResetError("Cannot write to closing transport")
+
+
+class CallerGoneTest(unittest.IsolatedAsyncioTestCase):
+    async def test_a_reset_while_writing_is_a_caller_that_left(self) -> None:
+        """Guards against an error of the host in the log, without the id of a request, for each
+        connection that a caller resets in the middle of its stream."""
+        finished: list[tuple[str, str]] = []
+        port = CallerPort(
+            _Follower(),  # type: ignore[arg-type]
+            None,  # type: ignore[arg-type]
+            _ResetStreams(),  # type: ignore[arg-type]
+            lambda incoming, body, received_ms: make_request(),
+            SystemClock(),
+            random.Random(1),
+            lambda: True,
+        )
+        port.on_finished(lambda kind, outcome, took_ms: finished.append((kind, outcome)))
+        runner = web.ServerRunner(port.build())
+        await runner.setup()
+        site = web.TCPSite(runner, "127.0.0.1", 0)
+        await site.start()
+        assert site._server is not None
+        address = site._server.sockets[0].getsockname()  # type: ignore[attr-defined]
+        with self.assertNoLogs("aiohttp.server"):
+            reader, writer = await asyncio.open_connection(*address)
+            writer.write(b"GET /x HTTP/1.1\r\nHost: callers.example\r\n\r\n")
+            await asyncio.wait_for(reader.readline(), 2.0)
+            writer.close()
+        await runner.cleanup()
+        self.assertEqual(finished, [("stream", "caller_gone")])
