Serve callers who come back for the last events with little time left

Change: for a request that continues a stream the time that is left to it counts, not that of the whole answer.

Before and after: the test is refused with "the time left is too short for the answer" on the former code and gets its two events now.

--- a/src/medlarvale/forwarding/stream_run.py
+++ b/src/medlarvale/forwarding/stream_run.py
@@ -279,13 +279,18 @@
                 frozenset(self._excluded),
                 self._keeper,
                 min(self._kept_tokens, self._tokens.prompt),
-                urgent=self._started or self._request.resume_after is not None,
+                urgent=self._continues(),
             )
         )
 
+    def _continues(self) -> bool:
+        """Tells whether the caller has a part of the stream already."""
+        return self._started or self._request.resume_after is not None
+
     def _shortest_ms(self) -> float:
         """Returns the time that the stream takes at least; a hint is often too high."""
-        if self._started:
+        if self._continues():
+            # How much is left is not known.
             return 0.0
         return LEAST_DURATION_SHARE * self._meter.decode_ms(expected_output(self._tokens))
 
--- a/tests/forwarding/test_stream_run.py
+++ b/tests/forwarding/test_stream_run.py
@@ -71,6 +71,18 @@
         for load in self.context.servers.of_service(LLM):
             self.assertEqual((load.tokens, load.in_flight), (0, 0), load.server.server)
 
+    async def test_a_caller_back_for_the_rest_is_served_with_little_time(self) -> None:
+        """Guards against a refusal for lack of time for the whole answer, of which the caller
+        lacks the last events only."""
+        self.answer(FakeAnswer([events(159, 160)]))
+        tokens = TokenCounts(5_000, 1_760, 1_700)
+        request = make_request(tokens=tokens, deadline_ms=3_900.0, resume_after=158)
+        await self.forwarder.forward(request, make_route(), LLM, self.sink)
+        await self.context.background.finish(500.0)
+        self.assertEqual(self.sink.data, events(159, 160))
+        self.assertTrue(self.sink.finished)
+        self.assert_nothing_held()
+
     async def test_memory_is_reserved_before_the_prompt_is_read(self) -> None:
         """Guards against prompts read in vain because no decode engine has room."""
         self.answer(FakeAnswer([events(1, 3)]))
