Let a test see that doubted servers get no requests

Cause: the mutation that drops the doubt stayed green, since a server whose recheck fails is paused again before the test looks. The test now also looks right after the pause.

--- a/tests/forwarding/test_rechecks.py
+++ b/tests/forwarding/test_rechecks.py
@@ -44,6 +44,8 @@
         is over: each took 400 ms to find that out."""
         self.backends.probe_errors[ONE] = NotSentError("no route")
         self.servers.note_failure(self.load, self.clock.now_ms(), "timed out")
+        after_pause = self.servers.candidates(APP, FIRST_PAUSE_MS + 1.0)
+        self.assertEqual([load.server.server for load in after_pause], [TWO])
         await self.run_for(5_000.0)
         self.assertEqual(self.sound(), [TWO])
         checks = self.backends.count("probe")
