Let a test see that engines move only for a gain

Cause: the mutation that drops the least gain stayed green, since no case had a gain below it. The new case gains a twentieth and expects no move; the mutation is red now.

--- a/tests/forwarding/test_demand_and_roles.py
+++ b/tests/forwarding/test_demand_and_roles.py
@@ -70,6 +70,7 @@
             ("last prefill engine stays", Division(1, 2), Demand(10_000, 300_000), None),
             ("last decode engine stays", Division(2, 1), Demand(300_000, 30_000), None),
             ("no engine of a stage", Division(0, 3), Demand(9_000, 9_000), None),
+            ("a gain of a twentieth", Division(2, 2), Demand(60_000, 120_000), None),
             ("a large fleet", Division(16, 29), Demand(260_000, 1_300_000), Move(DECODE, 6)),
         ]
         for name, division, demand, expected in table:
