Learn the speeds and outputs of engines instead of assuming those of one engine

Cause: estimates started from the speed of one engine (3.8 ms a token, 3,000 ms of hold) and a host corrected them by a twentieth with each stream. Suva's engines take 0.53 ms a step: hosts refused requests before empty engines, and the stage planner acted on the same figures. Memory was sized as 1.25 times a hint whose error has a spread of 0.5, so long streams were preempted.

Change: engine_model.py keeps decayed log-normal moments of event times, first events, hold times and outputs against hints, and the highest prefill speed. Hosts exchange 70 bytes of figures in a seventh of their hellos. The planner knows slots and makes no change on unmeasured figures. Retry-After is the hold time within a third of the caller's time. A decode engine prefills a prompt itself only if its other streams keep the gap target.

--- a/bench/forwarding/engines.py
+++ b/bench/forwarding/engines.py
@@ -26,7 +26,7 @@
 )
 from medlarvale.ids import FailureDomain, ServerId
 
-# Decode steps without a prefill are simulated together; events are late by up to two steps.
+# Decode steps that are simulated together, or parts into which an event of many steps is divided.
 STEPS_AT_ONCE = 3
 # Marks the end of a stream in its event queue.
 _END = b""
@@ -45,6 +45,7 @@
             ``prefill_tokens_per_ms``.
         prefill_chunk_tokens: prompt tokens that a decode engine prefills between two steps.
         tokens_per_event: output tokens in one event.
+        slots: requests that run or have reserved memory at the same time.
         stage_change_ms: duration of a change of stage, after the engine is idle.
     """
 
@@ -57,6 +58,12 @@
     prefill_chunk_tokens: int = 512
     tokens_per_event: int = 11
     stage_change_ms: float = 6_000.0
+    slots: int = 64
+
+    @property
+    def steps_at_once(self) -> int:
+        """Decode steps without a prefill that are simulated together, at most part of an event."""
+        return max(STEPS_AT_ONCE, self.tokens_per_event // STEPS_AT_ONCE)
 
     def event_of(self, generated_tokens: int) -> int:
         """Returns the number of the event that contains the last generated token."""
@@ -181,6 +188,8 @@
             raise BackendError("no connection")
         if self.used_tokens + tokens > self.model.memory_tokens:
             return None
+        if len(self._runs) + len(self._holds) >= self.model.slots:
+            return None
         hold = HoldId(f"{self.name}-{next(self._numbers)}")
         self._holds[hold] = tokens
         asyncio.get_running_loop().call_later(ttl_ms / 1000.0, self.release_hold, hold)
@@ -233,7 +242,7 @@
                 run for run in self._runs if not run.pending_prefill_tokens and not run.preempted
             ]
             step_ms = model.step_ms + model.step_ms_per_request * len(active)
-            steps = STEPS_AT_ONCE
+            steps = model.steps_at_once
             prefilling = next(
                 (run for run in self._runs if run.pending_prefill_tokens and not run.preempted),
                 None,
@@ -246,7 +255,7 @@
                 steps = 1
             await asyncio.sleep(steps * step_ms * self.slowdown / 1000.0)
             for run in active * steps:
-                if run in self._runs and not run.preempted:
+                if run.remaining_tokens > 0 and run in self._runs and not run.preempted:
                     self._advance(run)
 
     def _advance(self, run: _Run) -> None:
--- a/bench/forwarding/patterns.py
+++ b/bench/forwarding/patterns.py
@@ -77,7 +77,48 @@
     duration_s=7.0,
     model=EngineModel(memory_tokens=42_278),
 )
+# Fast engines with few slots, on which an answer needs more memory than its prompt.
+SUVA_ENGINE = EngineModel(
+    memory_tokens=81_432,
+    step_ms=0.529,
+    step_ms_per_request=0.0001,
+    prefill_setup_ms=0.3,
+    prefill_chunk_tokens=256,
+    tokens_per_event=86,
+    slots=12,
+)
+
+
+def suva(
+    name: str,
+    prefill: int,
+    decode: int,
+    *,
+    bursts: tuple[tuple[float, float, float], ...] = (),
+    hosts: int = 4,
+) -> LoadPattern:
+    """Returns a load pattern of the site Suva, with long answers of fast engines."""
+    return LoadPattern(
+        name,
+        hosts=hosts,
+        prefill=prefill,
+        decode=decode,
+        rate_per_s=5.2,
+        bursts=bursts,
+        model=SUVA_ENGINE,
+        events_mean=70.0,
+        events_spread=0.5,
+        events_max=130,
+    )
+
+
+LONG_ANSWERS = suva("long answers of fast engines", 2, 4)
+LONG_ANSWERS_BURSTS = suva("long answers of fast engines, bursts", 2, 4, bursts=BURSTS)
+LONG_ANSWERS_ONE_PREFILL = suva("long answers, one prefill engine, bursts", 1, 5, bursts=BURSTS)
 PATTERNS = (
+    LONG_ANSWERS,
+    LONG_ANSWERS_BURSTS,
+    LONG_ANSWERS_ONE_PREFILL,
     CALM,
     BURSTS_AS_INSTALLED,
     BURSTS_ONE_PREFILL,
--- a/src/medlarvale/forwarding/errors.py
+++ b/src/medlarvale/forwarding/errors.py
@@ -111,3 +111,9 @@
     """The changes since a revision are no longer available; the full state must be read again."""
 
     code = "published_history_gone"
+
+
+class FiguresError(MedlarvaleError):
+    """The engine figures of a peer can't be decoded or can't be those of any measurements."""
+
+    code = "figures_invalid"
--- a/src/medlarvale/forwarding/fleet.py
+++ b/src/medlarvale/forwarding/fleet.py
@@ -91,8 +91,11 @@
         the size of a hello.
         """
         own = {self.identity.host: self._address}
-        fresh = now_ms - self._newest_host_ms <= ANNOUNCE_HOSTS_MS
-        return {**self._known_addresses, **own} if fresh else own
+        return {**self._known_addresses, **own} if self.is_announcing(now_ms) else own
+
+    def is_announcing(self, now_ms: float) -> bool:
+        """Returns whether a host was discovered so recently that others may not know it."""
+        return now_ms - self._newest_host_ms <= ANNOUNCE_HOSTS_MS
 
     def tick(self, now_ms: float) -> list[HostId]:
         """Returns the peers that get a hello now; removes peers that were silent for too long."""
@@ -149,6 +152,7 @@
         return Demand(
             sum(part.prompt_tokens_per_s for part in parts),
             sum(part.decode_tokens for part in parts),
+            sum(part.decode_streams for part in parts),
         )
 
 
--- a/src/medlarvale/forwarding/fleet_messages.py
+++ b/src/medlarvale/forwarding/fleet_messages.py
@@ -15,10 +15,12 @@
         prompt_tokens_per_s: arrival rate of prompt tokens.
         decode_tokens: KV cache that the arriving requests would use if none had to wait, by
             Little's law: arrivals per second times tokens times hold time in seconds.
+        decode_streams: number of streams that would use it.
     """
 
     prompt_tokens_per_s: float
     decode_tokens: float
+    decode_streams: float = 0.0
 
 
 class Hello(msgspec.Struct, frozen=True, tag="hello"):
@@ -34,6 +36,7 @@
         highest_fencing: highest fencing number that the sender used or received.
         changing_engines: engines that the sender has ordered, or is about to order, to change
             their stage and that have not changed yet.
+        figures: packed ``EngineFigures`` of the sender by service; absent from most hellos.
     """
 
     sender: HostIdentity
@@ -44,6 +47,7 @@
     demand: dict[ServiceName, Demand]
     highest_fencing: int = 0
     changing_engines: tuple[ServerId, ...] = ()
+    figures: dict[ServiceName, bytes] = {}
 
 
 class StateRequest(msgspec.Struct, frozen=True, tag="state?"):
--- a/src/medlarvale/forwarding/host.py
+++ b/src/medlarvale/forwarding/host.py
@@ -51,6 +51,8 @@
 ABORT_WAIT_MS = 20.0
 CLEANUP_TIMEOUT_MS = 200.0
 LISTEN_BACKLOG = 1_024
+# Share of the hellos that carry the figures of engines, 70 bytes a service.
+FIGURES_SHARE = 1.0 / 7.0
 
 
 class ForwardingHost:
@@ -78,7 +80,7 @@
         self._extra_gauges = extra_gauges
         self._metrics_address = f"{parameters.listen_control.rpartition(':')[0]}:{metrics_port}"
         self.clock = SystemClock()
-        rng = random.Random(secrets.randbits(64))
+        rng = self._rng = random.Random(secrets.randbits(64))
         self.servers = ServerTable(parameters.failure_domain, rng)
         self.follower = StateFollower(source, self.servers, self.clock, self._log_ready)
         self.follower.on_contact(lambda: self.servers.isolation.note_contact(self.clock.now_ms()))
@@ -175,8 +177,16 @@
             self.streams.demands(),
             self.orders.highest_fencing,
             self.orders.changing_engines,
+            self._figures_to_send(),
         )
 
+    def _figures_to_send(self) -> dict[ServiceName, bytes]:
+        now_ms = self.clock.now_ms()
+        announcing = self.fleet.view.is_announcing(now_ms)
+        if not announcing and self._rng.random() >= FIGURES_SHARE:
+            return {}
+        return self.streams.own_figures()
+
     def _model_services(self) -> list[tuple[ServiceName, EngineTraits]]:
         index = self.follower.index
         if index is None:
@@ -191,6 +201,7 @@
         log_info(Event.HOST_READY, host=self._parameters.host)
 
     def _note_peer(self, hello: Hello) -> None:
+        self.streams.note_peer(hello.sender.host, hello.figures)
         if hello.failure_domain != self._parameters.failure_domain:
             self.servers.isolation.note_contact(self.clock.now_ms())
 
--- a/src/medlarvale/forwarding/memory.py
+++ b/src/medlarvale/forwarding/memory.py
@@ -11,26 +11,22 @@
 from medlarvale.forwarding.context import ForwardingContext
 from medlarvale.forwarding.demand import DemandMeter
 from medlarvale.forwarding.errors import BackendError, OverloadedError
-from medlarvale.forwarding.messages import EngineStage, EngineTraits, HoldId, TokenCounts
+from medlarvale.forwarding.messages import EngineStage, EngineTraits, HoldId, Route
 from medlarvale.forwarding.servers import ERROR_PENALTY, ServerLoad
 from medlarvale.ids import ServerId, ServiceName
 from medlarvale.logs import Event, log_warning
 
 # KV cache memory is allocated in blocks of this many tokens.
 BLOCK_TOKENS = 16
-# The output hint is a median estimate, so a margin is added for longer outputs.
-HINT_MARGIN = 1.25
-MIN_OUTPUT_TOKENS = 64
 # Retry interval for an engine that refused a reservation, unless this host freed memory there. With
 # more than RETRYING_HOSTS hosts the interval grows, which keeps the total rate at an engine
 # constant.
 REFUSED_PAUSE_MS = 30.0
 RETRYING_HOSTS = 4
-# Time from a reservation to the first event in an idle deployment: prefill, transfer, first step.
-FIRST_EVENT_DELAY_MS = 250.0
-# Callers abandon a stream without a first event after four times the latency target, but at least
-# 2 s.
+# Callers abandon a stream after a gap of four times the target latency or eight times the target
+# gap, but at least 2 s.
 PATIENCE_TARGETS = 4.0
+PATIENCE_GAPS = 8.0
 MIN_PATIENCE_MS = 2_000.0
 # Window over which the rate of reservations is measured.
 RATE_MS = 2_000.0
@@ -39,9 +35,12 @@
 MIN_RATE_PER_S = 0.1
 # A queue of this length is too short to estimate the wait.
 SHORT_QUEUE = 2
-# A burst lasts some seconds; callers wait up to a third of their deadline, 4.6 s of 14 s.
-MIN_RETRY_AFTER_MS = 3_000
-MAX_RETRY_AFTER_MS = 4_500
+# Callers wait up to this share of their remaining time before they retry.
+RETRY_SHARE_OF_TIME = 1.0 / 3.0
+# Retry delay until hold times have been measured.
+DEFAULT_RETRY_AFTER_MS = 1_000.0
+# Share of the streams whose time to the first event does not exceed the usual one.
+USUAL_SHARE = 0.5
 # Load, as a share of engine memory, added to engines in other failure domains, because events from
 # there cost more.
 REMOTE_PENALTY = 0.05
@@ -56,9 +55,13 @@
 BACKFILL_REQUESTS = 2
 
 
-def patience_ms(target_latency_ms: float) -> float:
-    """Returns how long a caller waits for the first event of a stream."""
-    return max(MIN_PATIENCE_MS, PATIENCE_TARGETS * target_latency_ms)
+def patience_ms(route: Route) -> float:
+    """Returns how long a caller waits for the first or the next event of a stream."""
+    return max(
+        MIN_PATIENCE_MS,
+        PATIENCE_TARGETS * route.target_latency_ms,
+        PATIENCE_GAPS * route.gap_target_ms,
+    )
 
 
 class Reservation(msgspec.Struct):
@@ -83,6 +86,7 @@
         output_tokens: part of ``tokens`` that is expected to be generated.
         first_event_target_ms: time by which the caller expects the first event.
         end_ms: time at which the request is refused.
+        caller_end_ms: time until which the caller waits for the whole answer.
         excluded: engines on which the request must not run.
         preferred: engine that is tried first, because it holds the request's KV cache.
         cached_tokens: part of ``tokens`` that the preferred engine has cached. Memory reserved for
@@ -94,6 +98,7 @@
     output_tokens: int
     first_event_target_ms: float
     end_ms: float
+    caller_end_ms: float
     excluded: frozenset[ServerId] = frozenset()
     preferred: ServerId | None = None
     cached_tokens: int = 0
@@ -108,27 +113,9 @@
         self.future: asyncio.Future[Reservation] = asyncio.get_running_loop().create_future()
 
 
-def expected_output(tokens: TokenCounts) -> int:
-    """Returns the output tokens for which memory is reserved."""
-    if tokens.output_hint is None:
-        return tokens.max_output
-    return min(tokens.max_output, max(MIN_OUTPUT_TOKENS, int(tokens.output_hint * HINT_MARGIN)))
-
-
-def reserved_tokens(tokens: TokenCounts) -> int:
-    """Returns the memory that a request is expected to use, rounded up to whole blocks."""
-    blocks = -(-(tokens.prompt + expected_output(tokens)) // BLOCK_TOKENS)
-    return blocks * BLOCK_TOKENS
-
-
-def _is_late(request: MemoryRequest, now_ms: float) -> bool:
-    """Returns whether a request that gets memory now would miss its target for the first event."""
-    return request.first_event_target_ms < now_ms + FIRST_EVENT_DELAY_MS
-
-
-def _rank(request: MemoryRequest, now_ms: float) -> tuple[bool, bool, float]:
-    """Returns the sort key of a request; the lowest is served first."""
-    return not request.urgent, _is_late(request, now_ms), request.output_tokens
+def in_blocks(tokens: int) -> int:
+    """Returns a size in tokens rounded up to whole blocks."""
+    return -(-tokens // BLOCK_TOKENS) * BLOCK_TOKENS
 
 
 class MemoryQueue:
@@ -235,33 +222,44 @@
                 except TimeoutError:
                     continue
 
+    def _is_late(self, request: MemoryRequest, now_ms: float) -> bool:
+        """Returns whether a request that gets memory now would miss its first event target."""
+        delay_ms = self._meter.model.first_event_ms(now_ms, USUAL_SHARE) or 0.0
+        return request.first_event_target_ms < now_ms + delay_ms
+
+    def _rank(self, request: MemoryRequest, now_ms: float) -> tuple[bool, bool, float]:
+        """Returns the sort key of a request; the lowest is served first."""
+        return not request.urgent, self._is_late(request, now_ms), request.output_tokens
+
     def _sorted_waiters(self) -> list[_Waiter]:
         now_ms = self._context.clock.now_ms()
-        return sorted(self._waiting, key=lambda waiter: _rank(waiter.request, now_ms))
+        return sorted(self._waiting, key=lambda waiter: self._rank(waiter.request, now_ms))
 
     def _expected_wait_ms(self, request: MemoryRequest, now_ms: float) -> float:
         """Returns the expected wait of a request behind those that are served before it."""
-        rank = _rank(request, now_ms)
+        rank = self._rank(request, now_ms)
         ahead = sum(
-            waiter.request is not request and _rank(waiter.request, now_ms) <= rank
+            waiter.request is not request and self._rank(waiter.request, now_ms) <= rank
             for waiter in self._waiting
         )
         while self._granted_ms and now_ms - self._granted_ms[0] > RATE_MS:
             self._granted_ms.popleft()
-        if ahead <= SHORT_QUEUE:
+        hold_ms = self._meter.model.hold_ms(now_ms)
+        if ahead <= SHORT_QUEUE or hold_ms is None:
             return 0.0
         granted_per_s = len(self._granted_ms) * 1000.0 / RATE_MS
         # After a period of low load the measured rate is far below the capacity.
-        fair_per_s = FAIR_SHARE * self._fair_rate_per_s(request.tokens)
+        fair_per_s = FAIR_SHARE * self._fair_rate_per_s(request.tokens, hold_ms)
         return ahead * 1000.0 / max(granted_per_s, fair_per_s, MIN_RATE_PER_S)
 
-    def _fair_rate_per_s(self, tokens: int) -> float:
+    def _fair_rate_per_s(self, tokens: int, hold_ms: float) -> float:
         """Returns the requests of a size that this host can start per second by an equal share."""
+        traits = self._traits()
         engines = self._context.servers.candidates(
             self._service, self._context.clock.now_ms(), stage=EngineStage.DECODE
         )
-        at_once = len(engines) * self._traits().memory_tokens / max(1, tokens)
-        return at_once * 1000.0 / self._meter.hold_ms / self._context.host_count()
+        streams = min(traits.memory_tokens / max(1, tokens), traits.slots)
+        return len(engines) * streams * 1000.0 / hold_ms / self._context.host_count()
 
     def _expire(self) -> None:
         now_ms = self._context.clock.now_ms()
@@ -279,8 +277,11 @@
             waiter.future.set_exception(OverloadedError(reason, retry_after_ms=retry_after_ms))
 
     def _retry_after_ms(self, request: MemoryRequest, now_ms: float) -> int:
-        wait_ms = self._expected_wait_ms(request, now_ms)
-        return int(min(MAX_RETRY_AFTER_MS, max(MIN_RETRY_AFTER_MS, wait_ms)))
+        """Returns when memory is expected: the streams that hold it now have ended by then."""
+        hold_ms = self._meter.model.hold_ms(now_ms) or DEFAULT_RETRY_AFTER_MS
+        wait_ms = max(hold_ms, self._expected_wait_ms(request, now_ms))
+        longest_ms = RETRY_SHARE_OF_TIME * (request.caller_end_ms - now_ms)
+        return max(0, int(min(wait_ms, longest_ms)))
 
     async def _serve(self, waiter: _Waiter) -> bool:
         reservation = await self._reserve(waiter)
@@ -315,7 +316,7 @@
     def _free_memory_needed(self, request: MemoryRequest, now_ms: float) -> int:
         """Returns the free memory that an engine must have for a request to be placed there."""
         memory = self._traits().memory_tokens
-        if request.urgent or not _is_late(request, now_ms):
+        if request.urgent or not self._is_late(request, now_ms):
             return request.tokens
         return min(memory, request.tokens + int(LATE_HEADROOM * memory))
 
--- a/src/medlarvale/forwarding/orders.py
+++ b/src/medlarvale/forwarding/orders.py
@@ -14,7 +14,7 @@
 from medlarvale.forwarding.interface import Backends
 from medlarvale.forwarding.messages import EngineStage, EngineTraits, Server
 from medlarvale.forwarding.servers import FAILURES_UNTIL_SUSPECT, ServerTable
-from medlarvale.forwarding.stage_planner import StagePlanner, choose_donors
+from medlarvale.forwarding.stage_planner import EngineCapacity, StagePlanner, choose_donors
 from medlarvale.hashing import weight
 from medlarvale.ids import ServerId, ServiceName
 from medlarvale.logs import Event, log_info, log_warning
@@ -141,8 +141,11 @@
         ]
         engines = [load.server for load in loads]
         demand = self._view.demand(service, meter.demand(now_ms), now_ms)
-        prefill_per_s = meter.tokens_per_ms * 1000.0
-        change = planner.decide(engines, demand, prefill_per_s, traits.memory_tokens, now_ms)
+        speed = meter.model.prefill_tokens_per_ms(now_ms)
+        engine = EngineCapacity(
+            None if speed is None else speed * 1000.0, traits.memory_tokens, traits.slots
+        )
+        change = planner.decide(engines, demand, engine, now_ms)
         if change is None:
             return
         planner.note_change(now_ms, traits.switch_ms)
--- a/src/medlarvale/forwarding/prefill.py
+++ b/src/medlarvale/forwarding/prefill.py
@@ -19,8 +19,9 @@
 # Added to the wait at prefill engines in other failure domains, because fetching the KV cache
 # within a failure domain costs a third.
 REMOTE_PENALTY_MS = 60.0
-# A decode engine prefills a chunk of a prompt between two steps, which takes as long as four steps.
-LOCAL_PREFILL_STRETCH = 5.0
+# Part of a prompt that a decode engine prefills between two decode steps. Engines don't publish it;
+# the gaps between events are overestimated for engines with smaller chunks.
+LOCAL_CHUNK_TOKENS = 512
 # Wait for a prefill engine, beyond the slower prefill of the decode engine, up to which the prefill
 # engine is preferred. The first value holds if the streams of the decode engine stay within the gap
 # target during prefill, the second if they don't. In bursts in bench.forwarding 300 ms made 9% of
@@ -76,7 +77,8 @@
             self._calls += 1
             load.tokens += self._tokens
             sent_ms = clock.now_ms()
-            due_ms = sent_ms + load.tokens / self._meter.tokens_per_ms
+            speed = self._meter.model.prefill_tokens_per_ms(sent_ms)
+            due_ms = sent_ms + (load.tokens / speed if speed is not None else 0.0)
             load.backlog.begin(due_ms)
             prefilled = False
             try:
@@ -85,14 +87,16 @@
                 )
                 prefilled = True
                 self._note_success(load, clock.now_ms() - sent_ms)
-                waited_ms = max(0.0, clock.now_ms() - due_ms)
-                self._meter.prefill_waits.note(waited_ms, clock.now_ms())
+                if speed is not None:
+                    waited_ms = max(0.0, clock.now_ms() - due_ms)
+                    self._meter.prefill_waits.note(waited_ms, clock.now_ms())
                 return result
             except BackendError as error:
                 self._note_failure(load, error)
             finally:
                 load.tokens -= self._tokens
-                load.backlog.end(due_ms, clock.now_ms(), prefilled=prefilled)
+                measured = prefilled and speed is not None
+                load.backlog.end(due_ms, clock.now_ms(), prefilled=measured)
         return None
 
     def _choose(
@@ -102,7 +106,12 @@
         candidates = context.servers.candidates(
             self._service, now_ms, stage=EngineStage.PREFILL, excluded=tried, healthy_only=True
         )
-        speed = self._meter.tokens_per_ms
+        speed = self._meter.model.prefill_tokens_per_ms(now_ms)
+        if speed is None:
+            # Without a measured speed nothing is known about the queues but their own share.
+            return min(
+                candidates, key=lambda load: (load.tokens, context.rng.random()), default=None
+            )
         recent_wait_ms = self._meter.prefill_waits.wait_ms(now_ms)
 
         def wait_ms(load: ServerLoad) -> float:
@@ -116,15 +125,27 @@
         if best is None:
             return None
         slower_ms = self._tokens / speed * (1.0 / DECODE_PREFILL_SPEED - 1.0)
-        stretched_ms = decode.event_gap_ms * LOCAL_PREFILL_STRETCH
-        within_gap_target = not gap_target_ms or stretched_ms <= gap_target_ms
+        gap_ms = decode.event_gap_ms + self._local_delay_ms(speed, now_ms)
+        within_gap_target = not gap_target_ms or gap_ms <= gap_target_ms
         allowed_ms = OVERFLOW_WAIT_MS if within_gap_target else SLOW_OVERFLOW_WAIT_MS
         return best if wait_ms(best) <= allowed_ms + slower_ms else None
 
+    def _local_delay_ms(self, tokens_per_ms: float, now_ms: float) -> float:
+        """Returns the longest delay between two events of the decode engine's other streams.
+
+        Each decode step of an event is delayed by the prefill of one chunk at most.
+        """
+        local_tokens_per_ms = tokens_per_ms * DECODE_PREFILL_SPEED
+        delayed_tokens = float(self._tokens)
+        steps_per_event = self._meter.model.tokens_per_event(now_ms)
+        if steps_per_event is not None:
+            delayed_tokens = min(delayed_tokens, steps_per_event * LOCAL_CHUNK_TOKENS)
+        return delayed_tokens / local_tokens_per_ms
+
     def _note_success(self, load: ServerLoad, took_ms: float) -> None:
         self._context.servers.note_success(load, self._context.clock.now_ms())
         if load.tokens == self._tokens:
-            self._meter.note_prefill(self._tokens, took_ms)
+            self._meter.model.note_prefill(self._tokens, took_ms, self._context.clock.now_ms())
 
     def _note_failure(self, load: ServerLoad, error: BackendError) -> None:
         now_ms = self._context.clock.now_ms()
--- a/src/medlarvale/forwarding/stage_planner.py
+++ b/src/medlarvale/forwarding/stage_planner.py
@@ -62,9 +62,21 @@
     count: int
 
 
-def capacity(
-    counts: StageCounts, demand: Demand, prefill_per_s: float, memory_tokens: int
-) -> float:
+class EngineCapacity(msgspec.Struct, frozen=True):
+    """Capacity of one engine.
+
+    Attributes:
+        prefill_per_s: prompt tokens that it prefills per second; None if not measured yet.
+        memory_tokens: size of its KV cache in tokens.
+        slots: streams that it runs concurrently.
+    """
+
+    prefill_per_s: float | None
+    memory_tokens: int
+    slots: int
+
+
+def capacity(counts: StageCounts, demand: Demand, engine: EngineCapacity) -> float:
     """Returns the multiple of the present load that engines could serve.
 
     Prompts that exceed the prefill capacity are prefilled by decode engines, whose streams are
@@ -73,11 +85,15 @@
     Args:
         counts: engines per stage.
         demand: present load.
-        prefill_per_s: prompt tokens that one engine prefills per second.
-        memory_tokens: KV cache of one engine in tokens.
+        engine: capacity of each engine.
     """
-    decode_need = demand.decode_tokens / (memory_tokens * DECODE_UTILIZATION)
-    prefill_need = demand.prompt_tokens_per_s / (prefill_per_s * PREFILL_UTILIZATION)
+    if engine.prefill_per_s is None:
+        return math.inf
+    decode_need = max(
+        demand.decode_tokens / (engine.memory_tokens * DECODE_UTILIZATION),
+        demand.decode_streams / (engine.slots * DECODE_UTILIZATION),
+    )
+    prefill_need = demand.prompt_tokens_per_s / (engine.prefill_per_s * PREFILL_UTILIZATION)
     if decode_need <= 0.0 or prefill_need <= 0.0:
         return math.inf
     decode_ratio = counts.decode / decode_need
@@ -88,15 +104,16 @@
     return (counts.decode + prefill_ratio * local_prefill_need) / (decode_need + local_prefill_need)
 
 
-def plan_change(
-    counts: StageCounts, demand: Demand, prefill_per_s: float, memory_tokens: int
-) -> StageChange | None:
-    """Returns the change that maximizes capacity; None if the gain is too small."""
+def plan_change(counts: StageCounts, demand: Demand, engine: EngineCapacity) -> StageChange | None:
+    """Returns the change that maximizes capacity.
+
+    None if the gain is too small, or if the load or the capacity has not been measured yet.
+    """
     if counts.prefill < 1 or counts.decode < 1:
         return None
 
     def capacity_of(other: StageCounts) -> float:
-        return capacity(other, demand, prefill_per_s, memory_tokens)
+        return capacity(other, demand, engine)
 
     present = capacity_of(counts)
     if present >= AMPLE_CAPACITY:
@@ -131,12 +148,11 @@
         self,
         engines: Sequence[Server],
         demand: Demand,
-        prefill_per_s: float,
-        memory_tokens: int,
+        engine: EngineCapacity,
         now_ms: float,
     ) -> StageChange | None:
         """Returns the change to carry out now, or None."""
-        change = plan_change(count_stages(engines), demand, prefill_per_s, memory_tokens)
+        change = plan_change(count_stages(engines), demand, engine)
         stage = change.stage if change is not None else None
         if stage is not self._pending_stage:
             self._pending_stage, self._pending_since_ms = stage, now_ms
--- a/src/medlarvale/forwarding/stream_run.py
+++ b/src/medlarvale/forwarding/stream_run.py
@@ -11,6 +11,7 @@
 from medlarvale.forwarding.cache_holders import CacheHolderFinder
 from medlarvale.forwarding.context import ForwardingContext, end_ms
 from medlarvale.forwarding.demand import DemandMeter
+from medlarvale.forwarding.engine_model import FASTEST_SHARE
 from medlarvale.forwarding.errors import (
     BackendError,
     NotSentError,
@@ -23,13 +24,11 @@
 from medlarvale.forwarding.events import EventSplitter
 from medlarvale.forwarding.interface import BackendAnswer
 from medlarvale.forwarding.memory import (
-    FIRST_EVENT_DELAY_MS,
     MemoryQueue,
     MemoryRequest,
     Reservation,
-    expected_output,
+    in_blocks,
     patience_ms,
-    reserved_tokens,
 )
 from medlarvale.forwarding.messages import (
     ClientRequest,
@@ -51,8 +50,10 @@
 # Number of rejected sends after which a request is refused as not run.
 MAX_REJECTIONS = 3
 REJECTED_RETRY_AFTER_MS = 1_000
-# Minimum duration of a stream, as a share of the expected duration.
-MIN_DURATION_SHARE = 0.7
+# Share of the outputs that are at most as long as the expected output.
+MEDIAN_SHARE = 0.5
+# Number of events over which the speed of a stream is measured.
+MEASURED_EVENTS = 8
 # A stream without data for this long is considered lost: events arrive every 50 to 100 ms.
 SILENCE_TIMEOUT_MS = 1_200.0
 
@@ -118,11 +119,13 @@
             request.received_ms - first_attempt_age_ms + route.target_latency_ms
         )
         self._tokens = request.tokens or DEFAULT_TOKENS
-        self._memory_tokens = reserved_tokens(self._tokens)
+        now_ms = context.clock.now_ms()
+        self._memory_tokens = in_blocks(
+            self._tokens.prompt + meter.model.reserved_output(self._tokens, now_ms)
+        )
         self._prefill_dispatcher = PrefillDispatcher(
             context, request, service, self._tokens.prompt, meter
         )
-        now_ms = context.clock.now_ms()
         meter.note_arrival(self._tokens.prompt, self._memory_tokens, now_ms)
         self.times = StreamTimes(now_ms)
         self._events = EventSplitter(request.resume_after)
@@ -136,6 +139,8 @@
         self._cached_tokens = 0
         self._fetch_from: Server | None = None
         self._rejections = 0
+        # Number and time of the event from which the speed of the present run is measured.
+        self._measured_from: tuple[int, float] | None = None
 
     @property
     def prompt_tokens(self) -> int:
@@ -224,25 +229,29 @@
                     self._start_handle_release(source)
                 raise
             try:
-                return await self._relay(answer, reservation.load)
+                reply = await self._relay(answer, reservation.load, reserved_ms)
             finally:
                 answer.close()
         finally:
             self._queue.release(reservation, release_hold=unused)
-            if not unused:
-                self._meter.note_hold(self._context.clock.now_ms() - reserved_ms)
+        if self.times.complete:
+            now_ms = self._context.clock.now_ms()
+            self._meter.model.note_hold(now_ms - reserved_ms, now_ms)
+        return reply
 
     async def _reserve(self) -> Reservation:
-        target_ms = self._route.target_latency_ms
+        now_ms, model = self._context.clock.now_ms(), self._meter.model
         # A caller that has received part of the stream waits since its last event.
         since_ms = self.times.last_event_ms or self._request.received_ms
-        last_start_ms = since_ms + patience_ms(target_ms) - FIRST_EVENT_DELAY_MS
+        first_event_ms = model.first_event_ms(now_ms, FASTEST_SHARE) or 0.0
+        last_start_ms = since_ms + patience_ms(self._route) - first_event_ms
         return await self._queue.acquire(
             MemoryRequest(
                 self._memory_tokens,
-                expected_output(self._tokens),
+                model.output_tokens(self._tokens, now_ms, MEDIAN_SHARE),
                 self._first_event_target_ms,
-                min(self._end_ms - self._min_duration_ms(), last_start_ms),
+                min(self._end_ms - self._min_duration_ms(now_ms), last_start_ms),
+                self._end_ms,
                 frozenset(self._excluded),
                 self._cache_holder,
                 min(self._cached_tokens, self._tokens.prompt),
@@ -254,12 +263,12 @@
         """Returns whether the caller has already received part of the stream."""
         return self._started or self._request.resume_after is not None
 
-    def _min_duration_ms(self) -> float:
-        """Returns the minimum duration of the stream, because hints are often too high."""
+    def _min_duration_ms(self, now_ms: float) -> float:
+        """Returns the duration below which the stream can't end; 0 if unknown."""
         if self._is_continuation():
             # The remaining output is unknown.
             return 0.0
-        return MIN_DURATION_SHARE * self._meter.decode_ms(expected_output(self._tokens))
+        return self._meter.model.shortest_stream_ms(self._tokens, now_ms)
 
     async def _prefill(self, reservation: Reservation) -> PrefillResult | None:
         cached = reservation.load.server.server == self._cache_holder
@@ -321,7 +330,9 @@
             # The handle expires at the engine after its TTL.
             log_warning(Event.CLEANUP_FAILED, server=source.server.server, error=error.message)
 
-    async def _relay(self, answer: BackendAnswer, load: ServerLoad) -> Reply | None:
+    async def _relay(
+        self, answer: BackendAnswer, load: ServerLoad, reserved_ms: float
+    ) -> Reply | None:
         """Forwards an answer; only whole events are sent, and none after a missing one."""
         if answer.status != 200 or not answer.event_stream:
             body = await answer.read()
@@ -329,6 +340,8 @@
                 raise BackendError(f"status {answer.status} for the rest of a stream")
             return Reply(answer.status, answer.headers, body, load.server.server)
         self._events.rest = b""
+        self._measured_from = None
+        first_of_request = not self._is_continuation()
         try:
             async for chunk in self._chunks_until_silent(answer):
                 await self._forward_events(answer, self._events.feed(chunk))
@@ -346,12 +359,18 @@
         gap_ms = self.times.median_gap_ms()
         if gap_ms is not None:
             load.note_event_gap(gap_ms)
-        first_ms = self.times.first_event_ms
-        if first_ms is not None:
-            took_ms = self._context.clock.now_ms() - first_ms
-            self._meter.note_decode(expected_output(self._tokens), took_ms)
+        self._note_complete(first_of_request, reserved_ms)
         return None
 
+    def _note_complete(self, first_of_request: bool, reserved_ms: float) -> None:
+        """Records the output and the time to the first event of a complete stream."""
+        now_ms, model = self._context.clock.now_ms(), self._meter.model
+        hint, last_id = self._tokens.output_hint, self._events.last_id
+        if hint is not None and last_id:
+            model.note_output(hint, last_id, now_ms)
+        if first_of_request and self.times.first_event_ms is not None:
+            model.note_first_event(self.times.first_event_ms - reserved_ms, now_ms)
+
     async def _chunks_until_silent(self, answer: BackendAnswer) -> AsyncIterator[bytes]:
         """Yields the body; raises after a silence if the stream can resume on another engine."""
         chunks = aiter(answer.chunks())
@@ -375,5 +394,20 @@
         if not self._started:
             self._started = True
             await self._sink.start(answer.status, answer.headers)
-        self.times.note_event(self._context.clock.now_ms())
+        now_ms = self._context.clock.now_ms()
+        self.times.note_event(now_ms)
+        self._measure_speed(now_ms)
         await self._sink.write(data)
+
+    def _measure_speed(self, now_ms: float) -> None:
+        """Records the speed of the engine each time that some more events have arrived."""
+        last_id = self._events.last_id
+        if last_id is None:
+            return
+        if self._measured_from is None:
+            self._measured_from = last_id, now_ms
+            return
+        events = last_id - self._measured_from[0]
+        if events >= MEASURED_EVENTS:
+            self._meter.model.note_events(events, now_ms - self._measured_from[1], now_ms)
+            self._measured_from = last_id, now_ms
--- a/src/medlarvale/forwarding/streams.py
+++ b/src/medlarvale/forwarding/streams.py
@@ -2,19 +2,21 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 
 from medlarvale.forwarding.cache_holders import CacheHolderFinder
 from medlarvale.forwarding.context import ForwardingContext
 from medlarvale.forwarding.demand import DemandMeter
+from medlarvale.forwarding.engine_model import pack_figures, unpack_figures
+from medlarvale.forwarding.errors import FiguresError
 from medlarvale.forwarding.first_attempts import FirstAttemptEstimator
 from medlarvale.forwarding.fleet_messages import Demand
 from medlarvale.forwarding.memory import MemoryQueue
 from medlarvale.forwarding.messages import ClientRequest, EngineTraits, Route
 from medlarvale.forwarding.plain import Reply
 from medlarvale.forwarding.stream_run import StreamRun, StreamSink
-from medlarvale.ids import ServiceName
-from medlarvale.logs import Event, log_info
+from medlarvale.ids import HostId, ServiceName
+from medlarvale.logs import Event, log_info, log_warning
 
 
 class StreamForwarder:
@@ -56,6 +58,25 @@
         now_ms = self.context.clock.now_ms()
         return {service: meter.demand(now_ms) for service, meter in self._meters.items()}
 
+    def own_figures(self) -> dict[ServiceName, bytes]:
+        """Returns what this host has measured on the engines of each service."""
+        now_ms = self.context.clock.now_ms()
+        return {
+            service: pack_figures(meter.model.own_figures(now_ms))
+            for service, meter in self._meters.items()
+        }
+
+    def note_peer(self, host: HostId, figures: Mapping[ServiceName, bytes]) -> None:
+        """Merges the figures of a peer; implausible ones are ignored."""
+        now_ms = self.context.clock.now_ms()
+        for service, packed in figures.items():
+            try:
+                measured = unpack_figures(packed)
+            except FiguresError as error:
+                log_warning(Event.FIGURES_IGNORED, peer=host, service=service, error=error.message)
+                continue
+            self.meter(service).model.note_peer(host, measured, now_ms)
+
     async def forward(
         self, request: ClientRequest, route: Route, service: ServiceName, sink: StreamSink
     ) -> Reply | None:
--- a/src/medlarvale/logs.py
+++ b/src/medlarvale/logs.py
@@ -52,6 +52,7 @@
     STREAM_ENDED = (5008, "stream ended")
     KEEPER_SOUGHT = (5009, "KV cache holder of a stream looked up")
     KEEPER_UNKNOWN = (5010, "list of cached prompts could not be fetched from an engine")
+    FIGURES_IGNORED = (5011, "implausible engine figures of a peer ignored")
     CLEANUP_FAILED = (5007, "unused engine memory could not be released")
     ENGINE_EJECTED = (6001, "engine ejected")
     ENGINE_READMITTED = (6002, "engine readmitted")
--- a/tests/forwarding/fakes.py
+++ b/tests/forwarding/fakes.py
@@ -11,6 +11,7 @@
 
 from medlarvale.clock import SystemClock
 from medlarvale.forwarding.context import ForwardingContext, RetryLimits
+from medlarvale.forwarding.demand import DemandMeter
 from medlarvale.forwarding.errors import BackendError
 from medlarvale.forwarding.messages import (
     ClientRequest,
@@ -38,11 +39,25 @@
 LLM = ServiceName("llm")
 APP = ServiceName("app")
 HERE = FailureDomain("a")
+# Enough evidence for a minute.
+MEASURED_STREAMS = 200
 TRAITS = EngineTraits(
     slots=64, memory_tokens=20_000, handle_ttl_ms=500.0, hold_ttl_ms=2_000.0, switch_ms=6_000.0
 )
 
 
+def learned_meter(
+    hold_ms: float = 3_000.0, tokens_per_ms: float = 40.0, now_ms: float | None = None
+) -> DemandMeter:
+    """Returns a meter that has measured enough streams for estimates."""
+    meter = DemandMeter()
+    at_ms = SystemClock().now_ms() if now_ms is None else now_ms
+    for _ in range(MEASURED_STREAMS):
+        meter.model.note_hold(hold_ms, at_ms)
+        meter.model.note_prefill(int(100 * tokens_per_ms), 100.0, at_ms)
+    return meter
+
+
 def make_route(name: str = "r", **changes: Any) -> Route:
     fields: dict[str, Any] = {
         "host": "callers.example",
--- a/tests/forwarding/test_load_patterns.py
+++ b/tests/forwarding/test_load_patterns.py
@@ -20,11 +20,14 @@
 from bench.forwarding.patterns import (
     BURSTS_ONE_PREFILL,
     DECODE_LOST,
+    LONG_ANSWERS,
+    LONG_ANSWERS_BURSTS,
+    LONG_ANSWERS_ONE_PREFILL,
     MANY_HOSTS,
     MEMORY_SHORT,
     SLOW_ENGINES,
 )
-from medlarvale.forwarding import memory, prefill
+from medlarvale.forwarding import engine_model, memory, prefill
 from medlarvale.forwarding.backlog import RecentWaits
 from medlarvale.forwarding.first_attempts import FirstAttemptEstimator
 
@@ -93,3 +96,40 @@
         with mock.patch.object(prefill, "SLOW_OVERFLOW_WAIT_MS", prefill.OVERFLOW_WAIT_MS):
             without_limit = long_gaps()
         self.assertLess(long_gaps(), 0.7 * without_limit)
+
+    def test_nothing_is_refused_at_a_cold_start_before_empty_engines(self) -> None:
+        """Pattern: hosts that have measured nothing get their first requests for engines of an
+        unknown speed. Guards against refusals for lack of time that follow from the speed of other
+        engines."""
+        start = dataclasses.replace(LONG_ANSWERS, duration_s=6.0)
+        for seed in SEEDS:
+            figures = run_pattern(start, seed)
+            self.assertEqual((figures.refused, figures.failed), (0, 0))
+
+    def test_long_answers_get_memory_for_their_likely_length(self) -> None:
+        """Pattern: answers need more memory than prompts, and a burst fills all engines. Guards
+        against preemption of streams that outgrow their reservation: their prompt and answer are
+        prefilled again, and their callers wait."""
+
+        def outcome() -> tuple[float, int]:
+            runs = [run_pattern(LONG_ANSWERS_BURSTS, seed) for seed in SEEDS]
+            return statistics.mean(run.value_share for run in runs), sum(r.preempted for r in runs)
+
+        served, preempted = outcome()
+        with mock.patch.object(engine_model, "RESERVED_SHARE", 0.5):
+            served_at_median, preempted_at_median = outcome()
+        self.assertGreater(served, served_at_median + 0.03)
+        self.assertLess(preempted, 0.5 * preempted_at_median)
+
+    def test_fast_engines_do_not_prefill_long_prompts_between_events(self) -> None:
+        """Pattern: one prefill engine, fast decode engines with many steps to an event. Guards
+        against gaps above the target because all chunks of a prompt fall between two events."""
+        # With exact hints no stream is preempted, which would cause gaps as well.
+        pattern = dataclasses.replace(LONG_ANSWERS_ONE_PREFILL, hint_error=0.01)
+
+        def long_gaps() -> int:
+            return sum(run_pattern(pattern, seed).pauses for seed in SEEDS)
+
+        with mock.patch.object(prefill, "LOCAL_CHUNK_TOKENS", 10):
+            without_limit = long_gaps()
+        self.assertLess(long_gaps(), 0.8 * without_limit)
