Bound what servers send, judge streams by their events, share one reader of the store

Cause: a body without end filled the memory of a host (7.8 GB in 4 s); any byte kept a stalled stream; silence was judged by 1,200 ms for every engine, and streams that may not resume had no limit. A response on an idle connection was kept as the response to the next request, and answers to calls for engine memory carry no id. Each change in the store woke each host (1.7 to 2.7 calls a second). A plain call that a server shed was not sent elsewhere on a route with one attempt, though it had not run.

Change: platform/connections.py bounds bodies, interim responses and all other bytes, and closes an idle connection that receives a response. Holds and handles have one owner. The limit of silence follows the callers' patience and the usual gaps, and only whole events with data count. In failure domains of 4 hosts or more the first live host by name watches the store for its neighbours, which read themselves when it doesn't answer, can't read or is behind. Rejected calls don't count towards the maximum of attempts, up to 3.

--- a/src/medlarvale/forward_command.py
+++ b/src/medlarvale/forward_command.py
@@ -17,8 +17,9 @@
 from medlarvale.forwarding.messages import HostParameters
 from medlarvale.log_writer import BoundedLineWriter
 from medlarvale.logs import Event, configure_logging, log_info, log_warning
-from medlarvale.platform.backends import HttpBackends, new_session
+from medlarvale.platform.backends import HttpBackends
 from medlarvale.platform.boot import BootSettingsError, read_boot_settings
+from medlarvale.platform.connections import new_session
 from medlarvale.platform.incoming import decode_incoming
 from medlarvale.platform.store import PlatformStore
 
--- /dev/null
+++ b/src/medlarvale/forwarding/domain_reader.py
@@ -0,0 +1,162 @@
+"""Lets one host of a failure domain read the store for its neighbours.
+
+Each change of the store wakes each host that watches it. In a large failure domain, only the first
+live host by name watches the store; its neighbours wait for changes at that host, which costs no
+traffic between failure domains. A neighbour reads the store itself whenever the reader doesn't
+answer, can't read the store or is behind what the neighbour knows.
+"""
+
+from __future__ import annotations
+
+import asyncio
+
+from medlarvale.clock import Clock
+from medlarvale.forwarding.fleet import FleetView
+from medlarvale.forwarding.fleet_messages import SharedState, SharedStateRequest, StateMark
+from medlarvale.forwarding.follower import StateFollower
+from medlarvale.forwarding.servers import ServerTable
+from medlarvale.ids import FailureDomain, HostId, HostIdentity
+from medlarvale.logs import Event, log_info
+from medlarvale.peers.errors import PeerError
+from medlarvale.peers.transport import Transport
+
+# In a smaller failure domain, sharing would save too little to depend on another host.
+MIN_DOMAIN_HOSTS = 4
+# A reader answers after this time if nothing has changed.
+ANSWER_AFTER_MS = 800.0
+# Time for an answer beyond that. With both, the loss of a reader delays a change by 1.2 s.
+ANSWER_SLACK_MS = 400.0
+# Delay before a reader that did not answer is tried again, and between checks for a reader.
+RETRY_PERIOD_MS = 1_000.0
+
+
+class DomainReaderTask:
+    """Follows the published state at the reader of this host's failure domain.
+
+    Args:
+        view: the peers.
+        failure_domain: failure domain of this host.
+        transport: messages to peers.
+        follower: reads the store unless a reader does so for this host.
+        servers: backend servers of this host.
+        clock: time service.
+    """
+
+    def __init__(
+        self,
+        view: FleetView,
+        failure_domain: FailureDomain,
+        transport: Transport,
+        follower: StateFollower,
+        servers: ServerTable,
+        clock: Clock,
+    ) -> None:
+        self._view = view
+        self._failure_domain = failure_domain
+        self._transport = transport
+        self._follower = follower
+        self._servers = servers
+        self._clock = clock
+        self._task: asyncio.Task[None] | None = None
+        self._mark: StateMark | None = None
+        self.reader: HostId | None = None
+        self._changed = asyncio.Event()
+        servers.on_change(self._note_change)
+        follower.on_accept(self._note_change)
+        transport.register(SharedStateRequest, self._answer)
+
+    def start(self) -> None:
+        """Starts looking for a reader."""
+        self._task = asyncio.get_running_loop().create_task(self._run())
+
+    async def close(self) -> None:
+        """Stops following a reader."""
+        if self._task is not None:
+            self._task.cancel()
+            await asyncio.gather(self._task, return_exceptions=True)
+
+    def choose_reader(self, now_ms: float) -> HostId | None:
+        """Returns the host that reads for this one; None if this host reads itself."""
+        if self._follower.index is None:
+            return None
+        neighbours = [
+            (host, hello)
+            for host, hello in self._view.live(now_ms).items()
+            if hello.failure_domain == self._failure_domain
+        ]
+        if len(neighbours) + 1 < MIN_DOMAIN_HOSTS:
+            return None
+        own = self._view.identity.host
+        readers = [host for host, hello in neighbours if hello.store_reachable and host < own]
+        return min(readers, default=None)
+
+    async def _run(self) -> None:
+        while True:
+            reader = self.choose_reader(self._clock.now_ms())
+            if reader is not None and await self._follow(reader):
+                self._note_reader(reader)
+                continue
+            self._note_reader(None)
+            await self._clock.sleep_ms(RETRY_PERIOD_MS)
+
+    def _note_reader(self, reader: HostId | None) -> None:
+        if reader is None:
+            self._mark = None
+            self._follower.resume()
+        if reader != self.reader:
+            log_info(Event.STORE_READER_CHANGED, reader=reader or "", before=self.reader or "")
+        self.reader = reader
+
+    async def _follow(self, reader: HostId) -> bool:
+        """Waits for a change at the reader; returns False if this host has to read itself."""
+        if reader != self.reader:
+            self._mark = None
+        try:
+            reply = await self._transport.request(
+                reader,
+                SharedStateRequest(self._mark, int(ANSWER_AFTER_MS)),
+                ANSWER_AFTER_MS + ANSWER_SLACK_MS,
+            )
+        except PeerError as error:
+            log_info(Event.PEER_STATE_FAILED, peer=reader, error=error.message)
+            return False
+        if not isinstance(reply, SharedState) or not reply.store_reachable:
+            return False
+        if reply.revision < self._follower.revision:
+            # The reader was paused or has just started; what this host knows is newer.
+            return False
+        if reply.mark != self._mark:
+            if reply.table is not None:
+                self._follower.accept(reply.table)
+            self._servers.replace_all(reply.servers, self._clock.now_ms(), after_outage=False)
+        self._mark = reply.mark
+        self._follower.suspend(reply.revision)
+        return True
+
+    async def _answer(self, sender: HostIdentity, message: SharedStateRequest) -> SharedState:
+        if self._present_mark() == message.mark:
+            try:
+                async with asyncio.timeout(min(message.wait_ms, ANSWER_AFTER_MS) / 1000.0):
+                    await self._changed.wait()
+            except TimeoutError:
+                # Answering without a change shows that this host is alive.
+                pass
+        mark = self._present_mark()
+        index = self._follower.index
+        changed = mark != message.mark
+        return SharedState(
+            mark,
+            self._follower.revision,
+            self._follower.reachable and index is not None,
+            index.table if changed and index is not None else None,
+            self._servers.all_servers() if changed else (),
+        )
+
+    def _note_change(self) -> None:
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+    def _present_mark(self) -> StateMark:
+        return StateMark(
+            self._view.identity.incarnation, self._servers.generation, self._follower.version
+        )
--- a/src/medlarvale/forwarding/events.py
+++ b/src/medlarvale/forwarding/events.py
@@ -4,7 +4,13 @@
 
 import re
 
+from medlarvale.forwarding.errors import BackendError
+
+# An event that is longer is no event of a model; hosts hold an incomplete event in memory.
+MAX_EVENT_BYTES = 256 * 1024
+
 _EVENT_END = re.compile(rb"\r\n\r\n|\n\n|\r\r")
+_EVENT_DATA = re.compile(rb"^data:", re.MULTILINE)
 _EVENT_ID = re.compile(rb"^id: ?(\d+)\r?$", re.MULTILINE)
 
 
@@ -21,12 +27,23 @@
         self.rest = b""
 
     def feed(self, chunk: bytes) -> bytes:
-        """Returns the events that a chunk completes; empty if there is none."""
+        """Returns the events that a chunk completes; empty if there is none.
+
+        Raises:
+            BackendError: if an event is too long.
+        """
         data = self.rest + chunk
         end = 0
         for match in _EVENT_END.finditer(data):
             end = match.end()
         whole, self.rest = data[:end], data[end:]
+        if len(self.rest) > MAX_EVENT_BYTES:
+            raise BackendError(f"an event is longer than {MAX_EVENT_BYTES} bytes")
         for match in _EVENT_ID.finditer(whole):
             self.last_id = int(match.group(1))
         return whole
+
+
+def has_data(events: bytes) -> bool:
+    """Returns whether some event has data; comments and events without data are no progress."""
+    return _EVENT_DATA.search(events) is not None
--- a/src/medlarvale/forwarding/fleet_messages.py
+++ b/src/medlarvale/forwarding/fleet_messages.py
@@ -4,8 +4,16 @@
 
 import msgspec
 
-from medlarvale.forwarding.messages import RouteTable, Server
-from medlarvale.ids import ConfigVersion, FailureDomain, HostId, HostIdentity, ServerId, ServiceName
+from medlarvale.forwarding.messages import RouteTable, Server, StoreRevision
+from medlarvale.ids import (
+    ConfigVersion,
+    FailureDomain,
+    HostId,
+    HostIdentity,
+    Incarnation,
+    ServerId,
+    ServiceName,
+)
 
 
 class Demand(msgspec.Struct, frozen=True, array_like=True):
@@ -66,4 +74,48 @@
     store_reachable: bool
 
 
-FLEET_MESSAGES = (Hello, StateRequest, StateReply)
+class StateMark(msgspec.Struct, frozen=True, array_like=True):
+    """Identifies the published state that a host knows.
+
+    Attributes:
+        incarnation: incarnation of the host.
+        generation: number of changes of its list of servers.
+        config_version: version of its configuration.
+    """
+
+    incarnation: Incarnation
+    generation: int
+    config_version: ConfigVersion
+
+
+class SharedStateRequest(msgspec.Struct, frozen=True, tag="shared?"):
+    """Requests the published state that a host reads for its failure domain.
+
+    Attributes:
+        mark: mark of the last answer; None before the first.
+        wait_ms: time after which the host answers although nothing has changed.
+    """
+
+    mark: StateMark | None
+    wait_ms: int
+
+
+class SharedState(msgspec.Struct, frozen=True, tag="shared"):
+    """Published state as a host has read it for its failure domain.
+
+    Attributes:
+        mark: identifies the state.
+        revision: revision of the store up to which the sender has read.
+        store_reachable: whether the sender can read the store.
+        table: the configuration; None if the receiver already has this state.
+        servers: the servers; empty if the receiver already has this state.
+    """
+
+    mark: StateMark
+    revision: StoreRevision
+    store_reachable: bool
+    table: RouteTable | None = None
+    servers: tuple[Server, ...] = ()
+
+
+FLEET_MESSAGES = (Hello, StateRequest, StateReply, SharedStateRequest, SharedState)
--- a/src/medlarvale/forwarding/follower.py
+++ b/src/medlarvale/forwarding/follower.py
@@ -30,6 +30,7 @@
     Attributes:
         index: routes of the newest configuration; None before the first.
         reachable: whether the last call to the source succeeded.
+        revision: revision of the source up to which changes are known.
 
     Args:
         source: published state.
@@ -52,7 +53,11 @@
         self._task: asyncio.Task[None] | None = None
         self.reachable = True
         self.index: RouteIndex | None = None
+        self.revision = StoreRevision(0)
         self._contact_callbacks: list[Callable[[], None]] = []
+        self._accept_callbacks: list[Callable[[], None]] = []
+        self._reading = asyncio.Event()
+        self._reading.set()
 
     @property
     def version(self) -> ConfigVersion:
@@ -63,6 +68,10 @@
         """Registers a callback for each answer of the source."""
         self._contact_callbacks.append(callback)
 
+    def on_accept(self, callback: Callable[[], None]) -> None:
+        """Registers a callback for each new configuration."""
+        self._accept_callbacks.append(callback)
+
     def start(self) -> None:
         """Starts following."""
         self._task = asyncio.get_running_loop().create_task(self._follow())
@@ -70,6 +79,19 @@
             EXPIRY_PERIOD_MS, lambda: self._servers.expire_missing(self._clock.now_ms())
         )
 
+    def suspend(self, revision: StoreRevision) -> None:
+        """Stops reading the source, because another host reports its changes.
+
+        Args:
+            revision: revision up to which the other host has reported them.
+        """
+        self.revision = max(self.revision, revision)
+        self._reading.clear()
+
+    def resume(self) -> None:
+        """Reads the source again, from the last known revision on."""
+        self._reading.set()
+
     async def close(self) -> None:
         """Stops following."""
         if self._task is not None:
@@ -86,41 +108,48 @@
         log_info(Event.CONFIG_ACCEPTED, version=table.version, previous=previous)
         if first:
             self._on_ready()
+        for callback in self._accept_callbacks:
+            callback()
 
     async def _follow(self) -> None:
-        revision: StoreRevision | None = None
+        synchronized = False
         retry_ms = RETRY_FIRST_MS
         while True:
+            await self._reading.wait()
             try:
-                if revision is None:
-                    revision = await self._read_all()
+                if synchronized:
+                    await self._watch()
                 else:
-                    revision = await self._watch(revision)
+                    await self._read_all()
+                synchronized = True
                 retry_ms = RETRY_FIRST_MS
                 self._note_reachable(True, "")
                 for callback in self._contact_callbacks:
                     callback()
                 continue
             except HistoryGoneError:
-                revision = None
+                synchronized = False
             except PublishedStateError as error:
                 self._note_reachable(False, error.message)
                 # Entries that expire during an outage are registered again; a watch alone would
                 # miss them.
-                revision = None
+                synchronized = False
             await self._clock.sleep_ms(retry_ms)
             retry_ms = min(RETRY_MAX_MS, retry_ms * 2)
 
-    async def _read_all(self) -> StoreRevision:
+    async def _read_all(self) -> None:
         published = await self._source.read()
         if published.table is not None:
             self.accept(published.table)
         known = len(self._servers) > 0
         self._servers.replace_all(published.servers, self._clock.now_ms(), after_outage=known)
-        return published.revision
+        self.revision = published.revision
 
-    async def _watch(self, revision: StoreRevision) -> StoreRevision:
-        changes = await self._source.watch(revision, WATCH_WAIT_MS)
+    async def _watch(self) -> None:
+        changes = await self._source.watch(self.revision, WATCH_WAIT_MS)
+        if not self._reading.is_set():
+            # The other host may have reported newer changes while this call was in progress.
+            return
         for item in changes.items:
             if isinstance(item, RouteTable):
                 self.accept(item)
@@ -128,7 +157,7 @@
                 self._servers.upsert(item)
             else:
                 self._servers.remove(ServerId(item))
-        return changes.revision
+        self.revision = max(self.revision, changes.revision)
 
     def _note_reachable(self, reachable: bool, reason: str) -> None:
         if reachable == self.reachable:
--- a/src/medlarvale/forwarding/host.py
+++ b/src/medlarvale/forwarding/host.py
@@ -13,6 +13,7 @@
 from medlarvale.forwarding.caller_server import CallerServer, RequestDecoder, build_readiness_server
 from medlarvale.forwarding.context import ForwardingContext, RetryLimits
 from medlarvale.forwarding.crash_guard import CrashGuard
+from medlarvale.forwarding.domain_reader import DomainReaderTask
 from medlarvale.forwarding.fleet import FleetTask, FleetView, fleet_key
 from medlarvale.forwarding.fleet_messages import FLEET_MESSAGES, Hello
 from medlarvale.forwarding.follower import StateFollower
@@ -141,6 +142,14 @@
         view = FleetView(identity, parameters.listen_control, parameters.seed_addresses)
         self.fleet = FleetTask(view, self._transport, self.clock, self._build_hello)
         self.fleet.on_hello(self._note_peer)
+        self._domain_reader = DomainReaderTask(
+            view,
+            parameters.failure_domain,
+            self._transport,
+            self.follower,
+            self.servers,
+            self.clock,
+        )
         self._peer_state = PeerStateTask(
             view, self._transport, self.follower, self.servers, self.clock
         )
@@ -235,6 +244,7 @@
         self.follower.start()
         self.fleet.start()
         self.orders.start()
+        self._domain_reader.start()
         self._peer_state.start()
         self._guard.start()
         self._rechecks.start()
@@ -283,6 +293,7 @@
         await self._context.background.finish(CLEANUP_TIMEOUT_MS)
         await self.orders.close()
         await self._rechecks.close()
+        await self._domain_reader.close()
         await self.follower.close()
         await self._transport.close()
         log_info(Event.HOST_STOPPED, host=self._parameters.host, in_flight=in_flight)
--- a/src/medlarvale/forwarding/plain.py
+++ b/src/medlarvale/forwarding/plain.py
@@ -23,8 +23,9 @@
 
 # A server that is full completes a few calls in this time.
 RETRY_AFTER_MS = 250
-# Number of failed connections after which a call is refused as not run.
-MAX_UNREACHABLE = 3
+# Number of servers that could not be reached or rejected a call after which it is refused as not
+# run.
+MAX_NOT_RUN = 3
 # A safe call without an answer is also sent to another server after this share of the target
 # latency.
 HEDGE_SHARE = 0.8
@@ -76,7 +77,7 @@
         self._fingerprint = context.guard.check(request, service)
         self._tried: set[ServerId] = set()
         self._sends = 0
-        self._unreachable = 0
+        self._not_run = 0
         self._may_have_run = False
         self._in_progress: dict[asyncio.Task[Reply], ServerLoad] = {}
         self._failed_reply: Reply | None = None
@@ -186,14 +187,16 @@
             error=str(error),
         )
         now_ms = self._context.clock.now_ms()
-        if isinstance(error, NotSentError):
-            self._context.servers.note_failure(load, now_ms, error.message)
+        if isinstance(error, NotSentError | RejectedError):
+            # The call has not run there, so it does not count towards the maximum.
             self._sends -= 1
-            self._unreachable += 1
-            if self._unreachable < MAX_UNREACHABLE and self._left_ms() > 0:
-                self._start_attempt()
-        elif isinstance(error, RejectedError):
-            self._start_another()
+            self._not_run += 1
+            if isinstance(error, NotSentError):
+                self._context.servers.note_failure(load, now_ms, error.message)
+                if self._not_run < MAX_NOT_RUN and self._left_ms() > 0:
+                    self._start_attempt()
+            elif self._not_run < MAX_NOT_RUN:
+                self._start_another()
         else:
             self._may_have_run = True
             load.note_answer(failed=True)
--- a/src/medlarvale/forwarding/servers.py
+++ b/src/medlarvale/forwarding/servers.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
+
+import msgspec
 
 from medlarvale.forwarding.backlog import PrefillBacklog
 from medlarvale.forwarding.isolation import IsolationDetector
@@ -95,10 +97,22 @@
         self._loads: dict[ServerId, ServerLoad] = {}
         self._changing: frozenset[ServerId] = frozenset()
         self.isolation = IsolationDetector()
+        # Number of changes of the list, without changes of ``cold_left_ms``.
+        self.generation = 0
+        self._change_callbacks: list[Callable[[], None]] = []
 
     def __len__(self) -> int:
         return len(self._loads)
 
+    def on_change(self, callback: Callable[[], None]) -> None:
+        """Registers a callback for each change of the list."""
+        self._change_callbacks.append(callback)
+
+    def _note_change(self) -> None:
+        self.generation += 1
+        for callback in self._change_callbacks:
+            callback()
+
     def get(self, server: ServerId) -> ServerLoad | None:
         """Returns a listed server."""
         return self._loads.get(server)
@@ -108,6 +122,7 @@
         known = self._loads.get(server.server)
         if known is None or (server.born_ms and known.server.born_ms != server.born_ms):
             self._loads[server.server] = ServerLoad(server)
+            self._note_change()
             log_info(
                 Event.SERVER_LEARNED,
                 server=server.server,
@@ -122,12 +137,16 @@
                 state=server.state.value,
                 stage=server.stage.value if server.stage else "",
             )
+        changed = msgspec.structs.replace(known.server, cold_left_ms=server.cold_left_ms) != server
         known.server = server
         known.missing_since_ms = None
+        if changed:
+            self._note_change()
 
     def remove(self, server: ServerId) -> None:
         """Removes a server whose entry was deleted."""
         if self._loads.pop(server, None) is not None:
+            self._note_change()
             log_info(Event.SERVER_REMOVED, server=server)
 
     def replace_all(self, servers: Iterable[Server], now_ms: float, *, after_outage: bool) -> None:
--- a/src/medlarvale/forwarding/stream_run.py
+++ b/src/medlarvale/forwarding/stream_run.py
@@ -21,7 +21,7 @@
     RequestTimeoutError,
     StreamBrokenError,
 )
-from medlarvale.forwarding.events import EventSplitter
+from medlarvale.forwarding.events import EventSplitter, has_data
 from medlarvale.forwarding.interface import BackendAnswer
 from medlarvale.forwarding.memory import (
     MemoryQueue,
@@ -54,8 +54,14 @@
 MEDIAN_SHARE = 0.5
 # Number of events over which the speed of a stream is measured.
 MEASURED_EVENTS = 8
-# A stream without data for this long is considered lost: events arrive every 50 to 100 ms.
-SILENCE_TIMEOUT_MS = 1_200.0
+# A stream that can resume elsewhere is considered lost after a time without an event: a share of
+# the callers' patience, or longer if the usual gaps are long, since engines under load are several
+# times slower than usual. Enough patience is left for the resumption.
+SILENCE_SHARE = 1.0 / 3.0
+MAX_SILENCE_SHARE = 0.5
+SILENCE_GAPS = 20.0
+# Share of the gaps that are at most as long as the usual gap.
+USUAL_GAP_SHARE = 0.95
 
 
 class StreamSink(Protocol):
@@ -343,8 +349,8 @@
         self._measured_from = None
         first_of_request = not self._is_continuation()
         try:
-            async for chunk in self._chunks_until_silent(answer):
-                await self._forward_events(answer, self._events.feed(chunk))
+            async for events in self._events_until_silent(answer):
+                await self._forward_events(answer, events)
         except BackendError:
             load.note_answer(failed=True)
             self._context.guard.note_broken_run(self._fingerprint, load.server)
@@ -371,19 +377,35 @@
         if first_of_request and self.times.first_event_ms is not None:
             model.note_first_event(self.times.first_event_ms - reserved_ms, now_ms)
 
-    async def _chunks_until_silent(self, answer: BackendAnswer) -> AsyncIterator[bytes]:
-        """Yields the body; raises after a silence if the stream can resume on another engine."""
+    async def _events_until_silent(self, answer: BackendAnswer) -> AsyncIterator[bytes]:
+        """Yields whole events; raises after a time without any, whatever bytes arrive."""
         chunks = aiter(answer.chunks())
-        limit_s = SILENCE_TIMEOUT_MS / 1000.0 if self._can_resume() else None
+        clock = self._context.clock
+        silent_since_ms = clock.now_ms()
         while True:
+            left_ms = silent_since_ms + self._silence_limit_ms() - clock.now_ms()
             try:
-                async with asyncio.timeout(limit_s):
+                async with asyncio.timeout(max(0.0, left_ms) / 1000.0):
                     chunk = await anext(chunks)
             except StopAsyncIteration:
                 return
             except TimeoutError as error:
-                raise BackendError("no data from the stream in time") from error
-            yield chunk
+                raise BackendError("no event of the stream in time") from error
+            events = self._events.feed(chunk)
+            if events:
+                yield events
+            if has_data(events):
+                silent_since_ms = clock.now_ms()
+
+    def _silence_limit_ms(self) -> float:
+        """Returns the time without an event after which the stream is considered lost."""
+        patience = patience_ms(self._route)
+        if not self._can_resume():
+            return patience
+        now_ms = self._context.clock.now_ms()
+        usual_ms = self._meter.model.event_ms(now_ms, USUAL_GAP_SHARE) or 0.0
+        limit_ms = max(SILENCE_SHARE * patience, SILENCE_GAPS * usual_ms)
+        return min(limit_ms, MAX_SILENCE_SHARE * patience)
 
     def _can_resume(self) -> bool:
         return self._route.resumable and self.runs < self._route.max_attempts
--- a/src/medlarvale/logs.py
+++ b/src/medlarvale/logs.py
@@ -31,6 +31,7 @@
     STORE_LOST = (2201, "published state could not be read")
     STORE_REGAINED = (2202, "published state readable again")
     STORE_ENTRY_UNUSABLE = (2203, "store entry invalid")
+    STORE_READER_CHANGED = (2207, "host that reads the store for this one changed")
     SERVER_LEARNED = (2204, "backend server listed")
     SERVER_CHANGED = (2205, "backend server changed")
     SERVER_REMOVED = (2206, "backend server no longer listed")
--- a/src/medlarvale/platform/backends.py
+++ b/src/medlarvale/platform/backends.py
@@ -3,14 +3,12 @@
 from __future__ import annotations
 
 import asyncio
-import functools
-import socket
+from collections import OrderedDict
 from collections.abc import AsyncIterator, Mapping
 from typing import Any
 
 import aiohttp
 import msgspec
-from aiohttp.client_proto import ResponseHandler
 from multidict import CIMultiDict
 from yarl import URL
 
@@ -26,26 +24,29 @@
     PromptPartId,
     Server,
 )
+from medlarvale.ids import ServerId
 from medlarvale.platform import headers as names
+from medlarvale.platform.connections import (
+    CONNECT_TIMEOUT_MS,
+    TRANSPORT_ERRORS,
+    RelayedResponse,
+    note_body,
+    read_body,
+)
 
-# Ten round trips between failure domains. A machine without power never answers, so a connection
-# attempt needs its own limit.
-CONNECT_TIMEOUT_MS = 400
-# If data stays unacknowledged for this long, the machine or the network path has failed.
-UNACKNOWLEDGED_LIMIT_MS = 800
-KEEPALIVE_IDLE_S = 2
-KEEPALIVE_INTERVAL_S = 1
-KEEPALIVE_PROBES = 2
 # Limit of the short calls: handles, orders and reports.
 CALL_TIMEOUT_MS = 600
 # An engine answers a reservation or a cache list without doing any work, and requests wait behind
 # an answer that takes longer.
 HOLD_TIMEOUT_MS = 200
-# Close idle connections before the server does: a request that is sent while the server closes the
-# connection is lost.
-IDLE_CONNECTION_S = 4.0
 
-TRANSPORT_ERRORS = (TimeoutError, aiohttp.ClientError, OSError)
+
+# Sizes of bodies. Hosts have a few hundred MB, and many answers may be in progress.
+MAX_ANSWER_BYTES = 4 * 1024 * 1024
+MAX_CALL_BYTES = 256 * 1024
+MAX_CACHE_LIST_BYTES = 1024 * 1024
+# Number of holds and handles that are remembered, to detect a second copy of an answer.
+REMEMBERED_GRANTS = 4_096
 
 
 class _HoldFields(msgspec.Struct, rename="pascal"):
@@ -78,78 +79,6 @@
     total_tokens: int = msgspec.field(name="KvTotal")
 
 
-class BackendConnection(ResponseHandler):
-    """Connection that records whether it was reset.
-
-    aiohttp treats a reset as the regular end of a body that has no length.
-    """
-
-    was_reset = False
-
-    def connection_lost(self, exc: BaseException | None) -> None:
-        """Records a reset before the reader of the body is notified of the end."""
-        self.was_reset = exc is not None
-        super().connection_lost(exc)
-
-
-class RelayedResponse(aiohttp.ClientResponse):
-    """Response that rejects a late answer to an earlier request on a reused connection."""
-
-    connection_in_use: BackendConnection
-
-    async def start(self, connection: Any) -> aiohttp.ClientResponse:
-        """Reads the head of the response.
-
-        Raises:
-            aiohttp.ClientPayloadError: if it carries the id of another request.
-        """
-        protocol = self.connection_in_use = connection.protocol
-        await super().start(connection)
-        expected = self.request_info.headers.get(names.REQUEST_ID)
-        received = self.headers.get(names.REQUEST_ID)
-        if expected is not None and received is not None and received != expected:
-            # The response to this request may still follow, so the connection can't be reused.
-            protocol.close()
-            raise aiohttp.ClientPayloadError("the response belongs to another request")
-        return self
-
-
-def _socket_factory(info: Any) -> socket.socket:
-    family, kind, protocol, _, _ = info
-    sock = socket.socket(family, kind, protocol)
-    sock.setblocking(False)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_LIMIT_MS)
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES)
-    return sock
-
-
-def new_session() -> aiohttp.ClientSession:
-    """Returns a session that adds no headers of its own and never repeats a request."""
-    connector = aiohttp.TCPConnector(
-        limit=0,
-        keepalive_timeout=IDLE_CONNECTION_S,
-        socket_factory=_socket_factory,
-        use_dns_cache=False,
-    )
-    loop = asyncio.get_running_loop()
-    connector._factory = functools.partial(BackendConnection, loop=loop)  # type: ignore[assignment]
-    session = aiohttp.ClientSession(
-        connector=connector,
-        auto_decompress=False,
-        cookie_jar=aiohttp.DummyCookieJar(),
-        skip_auto_headers=("User-Agent", "Accept", "Accept-Encoding", "Content-Type"),
-        response_class=RelayedResponse,
-        timeout=aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_TIMEOUT_MS / 1000.0),
-    )
-    # By default, aiohttp repeats a GET request if a reused connection breaks.
-    session._retry_connection = False
-    return session
-
-
 class HttpResponse:
     """HTTP response of a backend server; see ``BackendAnswer``."""
 
@@ -163,7 +92,7 @@
     async def read(self) -> bytes:
         """Returns the whole body."""
         try:
-            body = await self._response.read()
+            body = await read_body(self._response, MAX_ANSWER_BYTES)
         except TRANSPORT_ERRORS as error:
             raise BackendError(f"the response body ended early: {error!r}") from error
         self._check_complete()
@@ -173,6 +102,7 @@
         """Yields the body as it arrives."""
         try:
             async for chunk in self._response.content.iter_any():
+                note_body(self._response)
                 yield chunk
         except TRANSPORT_ERRORS as error:
             raise BackendError(f"the response body ended early: {error!r}") from error
@@ -190,11 +120,31 @@
         self._response.close()
 
 
+class _Grants:
+    """Remembers holds and handles, so that a second copy of an answer grants nothing."""
+
+    def __init__(self) -> None:
+        self._owners: OrderedDict[tuple[ServerId, str], object] = OrderedDict()
+
+    def note(self, server: Server, grant: str, owner: object) -> None:
+        """Records a hold or handle.
+
+        Raises:
+            BackendError: if the server has granted it to another owner.
+        """
+        key = (server.server, grant)
+        if self._owners.setdefault(key, owner) != owner:
+            raise BackendError(f"server {server.server}: a second copy of an earlier answer")
+        if len(self._owners) > REMEMBERED_GRANTS:
+            self._owners.popitem(last=False)
+
+
 class HttpBackends:
     """Calls to backend servers; see ``Backends``."""
 
     def __init__(self, session: aiohttp.ClientSession) -> None:
         self._session = session
+        self._grants = _Grants()
 
     async def send(
         self, server: Server, request: ClientRequest, dispatch: Dispatch
@@ -203,6 +153,10 @@
         headers = names.encode_request(request, server.server, dispatch)
         response = await self._request(server, request, headers, dispatch.left_ms)
         _raise_if_rejected(response)
+        expected = headers.get(names.REQUEST_ID)
+        if response.ok and response.headers.get(names.REQUEST_ID) != expected:
+            response.close()
+            raise BackendError(f"server {server.server}: a success without the request's id")
         return HttpResponse(response)
 
     async def prefill(
@@ -214,12 +168,12 @@
         response = await self._request(server, request, headers, left_ms)
         _raise_if_rejected(response)
         try:
-            body = await response.read()
+            body = await read_body(response, MAX_CALL_BYTES)
             if response.status != 200:
                 raise BackendError(f"prefill returned status {response.status}")
-            return PrefillResult(
-                server, HandleId(msgspec.json.decode(body, type=_PrefillFields).kv_handle)
-            )
+            handle = HandleId(msgspec.json.decode(body, type=_PrefillFields).kv_handle)
+            self._grants.note(server, handle, request.request_id)
+            return PrefillResult(server, handle)
         except (*TRANSPORT_ERRORS, msgspec.MsgspecError) as error:
             raise BackendError(f"prefill failed: {error!r}") from error
         finally:
@@ -261,9 +215,11 @@
         if status != 200:
             return None
         try:
-            return HoldId(msgspec.json.decode(body, type=_HoldFields).hold)
+            hold = HoldId(msgspec.json.decode(body, type=_HoldFields).hold)
         except msgspec.MsgspecError as error:
             raise BackendError(f"invalid reservation response: {error}") from error
+        self._grants.note(server, hold, object())
+        return hold
 
     async def release_hold(self, server: Server, hold: HoldId) -> None:
         """Releases a reservation."""
@@ -275,7 +231,9 @@
 
     async def cached_parts(self, server: Server) -> dict[PromptPartId, int]:
         """Returns the number of tokens of each prompt part in an engine's cache."""
-        status, body = await self._call(server, "GET", "/kv-list", None, HOLD_TIMEOUT_MS)
+        status, body = await self._call(
+            server, "GET", "/kv-list", None, HOLD_TIMEOUT_MS, MAX_CACHE_LIST_BYTES
+        )
         if status != 200:
             raise BackendError(f"server {server.server}: cache list returned status {status}")
         try:
@@ -340,6 +298,7 @@
         path: str,
         body: Mapping[str, Any] | None,
         timeout_ms: int = CALL_TIMEOUT_MS,
+        max_bytes: int = MAX_CALL_BYTES,
     ) -> tuple[int, bytes]:
         url = URL(f"http://{server.address}{path}", encoded=True)
         headers: dict[str, str] = {names.EXPECTED_SERVER: server.server}
@@ -354,7 +313,7 @@
             async with self._session.request(
                 method, url, headers=headers, data=data, timeout=timeout
             ) as response:
-                return response.status, await response.read()
+                return response.status, await read_body(response, max_bytes)
         except TRANSPORT_ERRORS as error:
             raise BackendError(f"server {server.server}: {path}: {error!r}") from error
 
--- /dev/null
+++ b/src/medlarvale/platform/connections.py
@@ -0,0 +1,180 @@
+"""Connections to backend servers, with bounds on what a server may send."""
+
+from __future__ import annotations
+
+import asyncio
+import functools
+import socket
+from typing import Any
+
+import aiohttp
+from aiohttp.client_proto import ResponseHandler
+
+from medlarvale.forwarding.errors import BackendError
+from medlarvale.platform import headers as names
+
+# Ten round trips between failure domains. A machine without power never answers, so a connection
+# attempt needs its own limit.
+CONNECT_TIMEOUT_MS = 400
+# If data stays unacknowledged for this long, the machine or the network path has failed.
+UNACKNOWLEDGED_LIMIT_MS = 800
+KEEPALIVE_IDLE_S = 2
+KEEPALIVE_INTERVAL_S = 1
+KEEPALIVE_PROBES = 2
+# Close idle connections before the server does: a request that is sent while the server closes the
+# connection is lost.
+IDLE_CONNECTION_S = 4.0
+
+# Interim responses (RFC 9110, section 15.2) before the final one.
+MAX_INTERIM_RESPONSES = 8
+# Bytes on a connection without a part of a body for a reader: heads, chunk extensions, trailers and
+# what aiohttp buffers before it stops reading.
+MAX_BYTES_WITHOUT_BODY = 512 * 1024
+
+TRANSPORT_ERRORS = (TimeoutError, aiohttp.ClientError, OSError)
+
+
+class BackendConnection(ResponseHandler):
+    """Connection that records whether it was reset, and closes if the server sends too much.
+
+    aiohttp treats a reset as the regular end of a body that has no length. It also keeps a response
+    that arrives on an idle connection, as the response to the next request.
+    """
+
+    was_reset = False
+    _awaits_response = False
+    _interim_responses = 0
+    _bytes_without_body = 0
+
+    def set_response_params(self, **parameters: Any) -> None:
+        """Begins to wait for the response to a request."""
+        self._awaits_response = True
+        self._interim_responses = 0
+        self._bytes_without_body = 0
+        super().set_response_params(**parameters)
+
+    def feed_data(self, data: Any, size: int = 0) -> None:
+        """Passes on the head of a response, unless no request waits for one."""
+        message, _ = data
+        if not self._awaits_response:
+            self._close_with_error("a response without a request")
+            return
+        if 100 <= message.code < 200:
+            self._interim_responses += 1
+            if self._interim_responses > MAX_INTERIM_RESPONSES:
+                self._close_with_error("too many interim responses")
+                return
+        else:
+            self._awaits_response = False
+        super().feed_data(data, size)
+
+    def data_received(self, data: bytes) -> None:
+        """Counts the bytes of which no reader has received a part."""
+        self._bytes_without_body += len(data)
+        if self._bytes_without_body > MAX_BYTES_WITHOUT_BODY:
+            self._close_with_error("too many bytes that are no part of a body")
+            return
+        super().data_received(data)
+
+    def note_body(self) -> None:
+        """Records that a reader has received a part of the body."""
+        self._bytes_without_body = 0
+
+    def _close_with_error(self, reason: str) -> None:
+        error = aiohttp.ClientPayloadError(reason)
+        payload, transport = self._payload, self.transport
+        if payload is not None and not payload.is_eof():
+            payload.set_exception(error)
+        self.set_exception(error)
+        if transport is not None:
+            transport.abort()
+
+    def connection_lost(self, exc: BaseException | None) -> None:
+        """Records a reset before the reader of the body is notified of the end."""
+        self.was_reset = exc is not None
+        super().connection_lost(exc)
+
+
+class RelayedResponse(aiohttp.ClientResponse):
+    """Response that rejects a late answer to an earlier request on a reused connection."""
+
+    connection_in_use: BackendConnection
+
+    async def start(self, connection: Any) -> aiohttp.ClientResponse:
+        """Reads the head of the response.
+
+        Raises:
+            aiohttp.ClientPayloadError: if it carries the id of another request.
+        """
+        protocol = self.connection_in_use = connection.protocol
+        await super().start(connection)
+        expected = self.request_info.headers.get(names.REQUEST_ID)
+        received = self.headers.get(names.REQUEST_ID)
+        if received is not None and received != expected:
+            # Responses to calls that have no id carry none. The response to this request may still
+            # follow, so the connection can't be reused.
+            protocol.close()
+            raise aiohttp.ClientPayloadError("the response belongs to another request")
+        return self
+
+
+def _socket_factory(info: Any) -> socket.socket:
+    family, kind, protocol, _, _ = info
+    sock = socket.socket(family, kind, protocol)
+    sock.setblocking(False)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_LIMIT_MS)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES)
+    return sock
+
+
+def new_session() -> aiohttp.ClientSession:
+    """Returns a session that adds no headers of its own and never repeats a request."""
+    connector = aiohttp.TCPConnector(
+        limit=0,
+        keepalive_timeout=IDLE_CONNECTION_S,
+        socket_factory=_socket_factory,
+        use_dns_cache=False,
+    )
+    loop = asyncio.get_running_loop()
+    connector._factory = functools.partial(BackendConnection, loop=loop)  # type: ignore[assignment]
+    session = aiohttp.ClientSession(
+        connector=connector,
+        auto_decompress=False,
+        cookie_jar=aiohttp.DummyCookieJar(),
+        skip_auto_headers=("User-Agent", "Accept", "Accept-Encoding", "Content-Type"),
+        response_class=RelayedResponse,
+        timeout=aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_TIMEOUT_MS / 1000.0),
+    )
+    # By default, aiohttp repeats a GET request if a reused connection breaks.
+    session._retry_connection = False
+    return session
+
+
+async def read_body(response: aiohttp.ClientResponse, max_bytes: int) -> bytes:
+    """Returns the whole body of a response.
+
+    Raises:
+        BackendError: if the body is larger than allowed; the connection is closed.
+        aiohttp.ClientError: if the body ends early.
+    """
+    parts: list[bytes] = []
+    size = 0
+    async for part in response.content.iter_any():
+        note_body(response)
+        size += len(part)
+        if size > max_bytes:
+            response.close()
+            raise BackendError(f"the response body is larger than {max_bytes} bytes")
+        parts.append(part)
+    return b"".join(parts)
+
+
+def note_body(response: aiohttp.ClientResponse) -> None:
+    """Records that a reader has received a part of the body of a response."""
+    connection = getattr(response, "connection_in_use", None)
+    if connection is not None:
+        connection.note_body()
--- a/src/medlarvale/platform/store.py
+++ b/src/medlarvale/platform/store.py
@@ -8,7 +8,7 @@
 import msgspec
 from yarl import URL
 
-from medlarvale.forwarding.errors import HistoryGoneError, PublishedStateError
+from medlarvale.forwarding.errors import BackendError, HistoryGoneError, PublishedStateError
 from medlarvale.forwarding.messages import (
     PublishedState,
     RouteTable,
@@ -18,6 +18,7 @@
 )
 from medlarvale.ids import ServerId
 from medlarvale.logs import Event, log_warning
+from medlarvale.platform.connections import read_body
 from medlarvale.platform.entries import (
     CONFIG_KEY,
     SERVER_PREFIX,
@@ -33,6 +34,8 @@
 WATCH_SLACK_MS = 700
 CONNECT_TIMEOUT_MS = 500
 MAX_PAGES = 100
+# A page has up to 1 MB, and a value of up to 1 MiB takes a third more as base64 text.
+MAX_PAGE_BYTES = 8 * 1024 * 1024
 
 
 class _Item(msgspec.Struct, rename="pascal"):
@@ -128,7 +131,9 @@
                     )
                 if response.status != 200:
                     raise PublishedStateError(f"the store returned status {response.status}")
-                return await response.read()
+                return await read_body(response, MAX_PAGE_BYTES)
+        except BackendError as error:
+            raise PublishedStateError(f"the store sent too much: {error.message}") from error
         except (TimeoutError, aiohttp.ClientError, OSError) as error:
             raise PublishedStateError(f"the store did not answer: {error!r}") from error
 
--- a/tests/forwarding/test_host.py
+++ b/tests/forwarding/test_host.py
@@ -12,7 +12,8 @@
 from medlarvale.forwarding.host import ForwardingHost
 from medlarvale.forwarding.messages import HostParameters
 from medlarvale.ids import FailureDomain, HostId
-from medlarvale.platform.backends import HttpBackends, new_session
+from medlarvale.platform.backends import HttpBackends
+from medlarvale.platform.connections import new_session
 from medlarvale.platform.incoming import decode_incoming
 from medlarvale.platform.standin import StandinPlatform, stream_body
 from medlarvale.platform.store import PlatformStore
--- a/tests/forwarding/test_stream_run.py
+++ b/tests/forwarding/test_stream_run.py
@@ -156,6 +156,49 @@
         self.assertEqual(self.sink.data, events(1, 2))
         self.assertTrue(silent.closed, "only one run may be active")
 
+    async def test_bytes_that_are_no_event_do_not_keep_a_stalled_stream(self) -> None:
+        """Guards against a stalled stream that never ends because the server sends a byte now and
+        then."""
+        table = [
+            ("comments", b": ping\n\n"),
+            ("events without data", b"id: 9\n\n"),
+            ("half events", b"data: t"),
+        ]
+        for name, drip in table:
+            for resumable in (True, False):
+                with self.subTest(name, resumable=resumable):
+                    self.setUp()
+                    stalled = FakeAnswer([event(1), *[0.1, drip] * 100])
+                    self.answer(stalled, FakeAnswer([event(2)]))
+                    async with asyncio.timeout(4.5):
+                        if resumable:
+                            await self.forward()
+                        else:
+                            with self.assertRaises(StreamBrokenError):
+                                await self.forward(resumable=False)
+                    self.assertTrue(stalled.closed)
+
+    async def test_a_slow_but_sound_stream_is_not_cut(self) -> None:
+        """Guards against a stream that is cut or runs again because its engine is under load: its
+        gaps are ten times as long as usual."""
+        for resumable in (True, False):
+            with self.subTest(resumable=resumable):
+                self.setUp()
+                now_ms = self.context.clock.now_ms()
+                for _ in range(20):
+                    self.forwarder.meter(LLM).model.note_events(8, 8 * 60.0, now_ms)
+                self.answer(FakeAnswer([event(1), 0.6, event(2), 0.6, event(3)]))
+                await self.forward(resumable=resumable)
+                self.assertEqual(self.sink.data, events(1, 3))
+                self.assertEqual(self.backends.count("send"), 1)
+
+    async def test_an_endless_event_ends_the_run(self) -> None:
+        endless = FakeAnswer([event(1), *[b"data: " + b"x" * 65_536] * 100])
+        self.answer(endless, FakeAnswer([event(2)]))
+        await self.forward()
+        self.assertEqual(self.sink.data, events(1, 2))
+        self.assertTrue(endless.closed)
+
     async def test_memory_and_handle_are_released_when_the_caller_leaves(self) -> None:
         table = [("during prefill", 0.05, 0.5), ("during decode", 0.05, 0.0)]
         for name, after_s, prefill_s in table:
--- /dev/null
+++ b/tests/platform/test_endless_answers.py
@@ -0,0 +1,156 @@
+"""Guards against servers that send without end: a host would run out of memory or wait forever."""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+import tracemalloc
+import unittest
+from collections.abc import Awaitable, Callable, Iterable, Iterator
+from typing import Any
+
+from medlarvale.forwarding.errors import BackendError, MedlarvaleError, PublishedStateError
+from medlarvale.forwarding.events import EventSplitter
+from medlarvale.forwarding.messages import Dispatch, Server, ServerState
+from medlarvale.ids import FailureDomain, ServerId, ServiceName
+from medlarvale.platform.backends import HttpBackends
+from medlarvale.platform.connections import new_session
+from medlarvale.platform.store import PlatformStore
+from tests.platform.test_backends import SIGNED, make_request
+
+PART = b"x" * 65_536
+HEAD = b"HTTP/1.1 200 OK\r\n" + SIGNED
+STREAM_HEAD = HEAD + b"Content-Type: text/event-stream\r\n"
+CHUNKED = b"Transfer-Encoding: chunked\r\n\r\n"
+CHUNK = b"%x\r\n%s\r\n" % (len(PART), PART)
+# Each host has a few hundred MB, and several servers may be in trouble at the same time.
+SERVERS = 8
+MAX_MEMORY_BYTES = 40 * 1024 * 1024
+# No call may wait longer than its deadline, and each is ended by a bound on bytes before that.
+DEADLINE_MS = 20_000.0
+LIMIT_S = 10.0
+
+
+def forever(*parts: bytes) -> Callable[[], Iterator[bytes]]:
+    """Returns a sender of some bytes, the last of them without end."""
+    return lambda: itertools.chain(parts, itertools.repeat(parts[-1]))
+
+
+ENDLESS: dict[str, Callable[[], Iterator[bytes]]] = {
+    "body with a length": forever(HEAD + b"Content-Length: 99999999999\r\n\r\n", PART),
+    "body in chunks": forever(HEAD + CHUNKED, CHUNK),
+    "body without a length": forever(HEAD + b"\r\n", PART),
+    "event without an end": forever(STREAM_HEAD + CHUNKED, CHUNK),
+    "head line": forever(HEAD + b"X-Long: ", PART),
+    "head lines": forever(HEAD, b"X-More: y\r\n" * 500),
+    "interim responses": forever(b"HTTP/1.1 103 Early Hints\r\nLink: <x>\r\n\r\n" * 100),
+    "chunk extension": forever(HEAD + CHUNKED + b"4;x=", PART),
+    "trailers": forever(HEAD + CHUNKED + b"4\r\ndone\r\n0\r\n", b"X-More: y\r\n" * 500),
+    "no HTTP": forever(PART),
+}
+
+
+class EndlessServer:
+    """Sends the same endless bytes to each caller until the caller closes the connection."""
+
+    def __init__(self, parts: Callable[[], Iterable[bytes]]) -> None:
+        self._parts = parts
+        self.closed = asyncio.Event()
+
+    async def start(self) -> Server:
+        self.server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        port = self.server.sockets[0].getsockname()[1]
+        return Server(
+            ServerId("i-1"),
+            ServiceName("llm"),
+            f"127.0.0.1:{port}",
+            FailureDomain("a"),
+            4,
+            ServerState.READY,
+        )
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        try:
+            await reader.readuntil(b"\r\n\r\n")
+            for part in self._parts():
+                writer.write(part)
+                await writer.drain()
+        except (asyncio.IncompleteReadError, ConnectionError):
+            self.closed.set()
+        finally:
+            writer.close()
+
+
+class EndlessAnswersTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self) -> None:
+        self.session = new_session()
+        self.addAsyncCleanup(self.session.close)
+        self.backends = HttpBackends(self.session)
+
+    async def start(self, kind: str) -> tuple[EndlessServer, Server]:
+        endless = EndlessServer(ENDLESS[kind])
+        server = await endless.start()
+        self.addCleanup(endless.server.close)
+        return endless, server
+
+    async def read(self, server: Server) -> None:
+        answer = await self.backends.send(server, make_request(), Dispatch(DEADLINE_MS))
+        try:
+            await answer.read()
+        finally:
+            answer.close()
+
+    async def read_events(self, server: Server) -> None:
+        answer = await self.backends.send(server, make_request(), Dispatch(DEADLINE_MS))
+        splitter = EventSplitter()
+        try:
+            async for chunk in answer.chunks():
+                splitter.feed(chunk)
+        finally:
+            answer.close()
+
+    async def read_store(self, server: Server) -> None:
+        await PlatformStore(self.session, server.address).read()
+
+    async def test_every_call_ends_whatever_is_sent_without_end(self) -> None:
+        backends = self.backends
+        calls: dict[str, Callable[[Server], Awaitable[Any]]] = {
+            "plain answer": self.read,
+            "stream": self.read_events,
+            "prefill": lambda server: backends.prefill(server, make_request(), DEADLINE_MS),
+            "hold": lambda server: backends.acquire_hold(server, 100, 500.0),
+            "report": backends.report,
+            "cache list": backends.cached_parts,
+            "store": self.read_store,
+        }
+        for kind in ENDLESS:
+            for name, call in calls.items():
+                with self.subTest(kind=kind, call=name):
+                    endless, server = await self.start(kind)
+                    async with asyncio.timeout(LIMIT_S):
+                        with self.assertRaises((BackendError, PublishedStateError)):
+                            await call(server)
+                        await endless.closed.wait()
+
+    async def test_memory_is_bounded_while_several_servers_send_without_end(self) -> None:
+        """Guards against the loss of a host: one body without end took 7.8 GB in 4 s."""
+        tracemalloc.start()
+        self.addCleanup(tracemalloc.stop)
+
+        async def attempt(kind: str) -> None:
+            _, server = await self.start(kind)
+            for call in (self.read, self.read_events):
+                try:
+                    await call(server)
+                except MedlarvaleError:
+                    continue
+                self.fail("an endless answer was taken for a complete one")
+
+        for kind in ENDLESS:
+            with self.subTest(kind):
+                before, _ = tracemalloc.get_traced_memory()
+                tracemalloc.reset_peak()
+                async with asyncio.timeout(LIMIT_S):
+                    await asyncio.gather(*(attempt(kind) for _ in range(SERVERS)))
+                _, peak = tracemalloc.get_traced_memory()
+                self.assertLess(peak - before, MAX_MEMORY_BYTES)
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -12,7 +12,7 @@
 from medlarvale.forwarding.errors import HistoryGoneError, PublishedStateError
 from medlarvale.forwarding.messages import RouteTable, Server, StoreRevision
 from medlarvale.ids import ServerId
-from medlarvale.platform.backends import new_session
+from medlarvale.platform.connections import new_session
 from medlarvale.platform.store import PlatformStore
 from tests.platform.test_entries import CONFIG, SERVER, encoded
 
