Keep the hosts of the reader tests live by hellos

The mutation 'a reader that is behind is believed' stayed green because the peers of the test counted as silent after 1.5 s, so that each host read itself. It is red now.

--- a/tests/forwarding/test_domain_reader.py
+++ b/tests/forwarding/test_domain_reader.py
@@ -14,7 +14,7 @@
 from medlarvale.clock import SystemClock
 from medlarvale.forwarding import domain_reader
 from medlarvale.forwarding.domain_reader import MIN_DOMAIN_HOSTS, DomainReaderTask
-from medlarvale.forwarding.fleet import FleetView
+from medlarvale.forwarding.fleet import HELLO_PERIOD_MS, FleetView
 from medlarvale.forwarding.fleet_messages import FLEET_MESSAGES
 from medlarvale.forwarding.follower import StateFollower
 from medlarvale.forwarding.messages import (
@@ -146,14 +146,21 @@
         self.store = FakeStore()
         self.hosts = [Host(name, self.store, self.network) for name in NAMES]
         for host in self.hosts:
-            host.hear(*(name for name in NAMES if name != host.name))
             host.follower.start()
+        self.hearing = asyncio.create_task(self.exchange_hellos())
         await self.eventually(lambda: all(host.follower.index for host in self.hosts))
         for host in self.hosts:
             host.task.start()
         await self.eventually(lambda: all(host.task.reader == "a" for host in self.hosts[1:]))
 
+    async def exchange_hellos(self) -> None:
+        while True:
+            for host in self.hosts:
+                host.hear(*(name for name in NAMES if name != host.name))
+            await asyncio.sleep(HELLO_PERIOD_MS / 1000.0)
+
     async def asyncTearDown(self) -> None:
+        self.hearing.cancel()
         for host in self.hosts:
             await host.task.close()
             await host.follower.close()
@@ -216,6 +223,7 @@
 
     async def test_an_unreachable_store_makes_all_hosts_read_themselves(self) -> None:
         """Guards against hosts that rely on a reader whose own access to the store is cut."""
+        await self.hosts[0].task.close()
         self.hosts[0].follower.reachable = False
         self.hosts[0].follower.suspend(self.hosts[0].follower.revision)
         await self.eventually(lambda: all(host.task.reader != "a" for host in self.hosts[1:]))
