Keep the tasks of the store and the memory queue alive after unexpected errors

Cause: an unexpected error ended the task that follows the store, or that serves the memory queue, for good, while the process went on: it kept an old configuration, or all its streams waited until their deadline. The task that follows a reader would have left the host without any reading at all.

Change: each of the three logs the error (event 1006), abandons the unit of work and goes on.

Tests: one for each, with an error thrown into the unit.

--- a/src/medlarvale/forwarding/domain_reader.py
+++ b/src/medlarvale/forwarding/domain_reader.py
@@ -16,7 +16,7 @@
 from medlarvale.forwarding.follower import StateFollower
 from medlarvale.forwarding.servers import ServerTable
 from medlarvale.ids import FailureDomain, HostId, HostIdentity
-from medlarvale.logs import Event, log_info
+from medlarvale.logs import Event, log_info, log_warning
 from medlarvale.peers.errors import PeerError
 from medlarvale.peers.transport import Transport
 
@@ -92,10 +92,13 @@
 
     async def _run(self) -> None:
         while True:
-            reader = self.choose_reader(self._clock.now_ms())
-            if reader is not None and await self._follow(reader):
-                self._note_reader(reader)
-                continue
+            try:
+                reader = self.choose_reader(self._clock.now_ms())
+                if reader is not None and await self._follow(reader):
+                    self._note_reader(reader)
+                    continue
+            except Exception as error:  # This host would otherwise never read the store again.
+                log_warning(Event.TASK_FAILED, task="follow the reader", error=repr(error))
             self._note_reader(None)
             await self._clock.sleep_ms(RETRY_PERIOD_MS)
 
--- a/src/medlarvale/forwarding/follower.py
+++ b/src/medlarvale/forwarding/follower.py
@@ -140,6 +140,9 @@
                 # Entries that expire during an outage are registered again; a watch alone would
                 # miss them.
                 synchronized = False
+            except Exception as error:  # One unusable change must not end the task.
+                log_warning(Event.TASK_FAILED, task="follow the store", error=repr(error))
+                synchronized = False
             await self._clock.sleep_ms(retry_ms)
             retry_ms = min(RETRY_MAX_MS, retry_ms * 2)
 
--- a/src/medlarvale/forwarding/memory.py
+++ b/src/medlarvale/forwarding/memory.py
@@ -208,12 +208,12 @@
 
     async def _serve_queue(self) -> None:
         while self._waiting:
-            self._expire()
             served = False
-            for waiter in self._sorted_waiters()[: 1 + BACKFILL_REQUESTS]:
-                if await self._serve(waiter):
-                    served = True
-                    break
+            try:
+                self._expire()
+                served = await self._serve_first()
+            except Exception as error:  # All other requests would wait until their deadline.
+                log_warning(Event.TASK_FAILED, task="serve the memory queue", error=repr(error))
             if not served and self._waiting:
                 self._freed.clear()
                 try:
@@ -222,6 +222,13 @@
                 except TimeoutError:
                     continue
 
+    async def _serve_first(self) -> bool:
+        """Gives memory to one of the first requests; returns False if none fits."""
+        for waiter in self._sorted_waiters()[: 1 + BACKFILL_REQUESTS]:
+            if await self._serve(waiter):
+                return True
+        return False
+
     def _is_late(self, request: MemoryRequest, now_ms: float) -> bool:
         """Returns whether a request that gets memory now would miss its first event target."""
         delay_ms = self._meter.model.first_event_ms(now_ms, USUAL_SHARE) or 0.0
--- a/src/medlarvale/logs.py
+++ b/src/medlarvale/logs.py
@@ -19,6 +19,7 @@
     SETTINGS_REFUSED = (1101, "process settings refused")
     HOST_READY = (1004, "entry host ready")
     LOG_LINES_DROPPED = (1005, "log lines dropped")
+    TASK_FAILED = (1006, "unexpected error in a task, which goes on")
     FILE_RELOADED = (1102, "file reloaded")
     FILE_RELOAD_FAILED = (1103, "changed file could not be loaded")
     CONFIG_ACCEPTED = (2001, "configuration accepted")
--- a/tests/forwarding/test_domain_reader.py
+++ b/tests/forwarding/test_domain_reader.py
@@ -8,6 +8,7 @@
 import asyncio
 import random
 import unittest
+from unittest import mock
 
 import msgspec
 
@@ -227,3 +228,12 @@
         self.hosts[0].follower.reachable = False
         self.hosts[0].follower.suspend(self.hosts[0].follower.revision)
         await self.eventually(lambda: all(host.task.reader != "a" for host in self.hosts[1:]))
+
+    async def test_an_unexpected_error_makes_a_host_read_itself(self) -> None:
+        """Guards against a host that never reads the store again."""
+        host = self.hosts[1]
+        with mock.patch.object(host.servers, "replace_all", side_effect=RuntimeError("bug")):
+            self.store.put(make_server("s2", service=APP))
+            await self.eventually(lambda: host.task.reader is None)
+        self.store.put(make_server("s3", service=APP))
+        await self.eventually(lambda: host.state_of("s3") is ServerState.READY)
--- a/tests/forwarding/test_follower.py
+++ b/tests/forwarding/test_follower.py
@@ -95,6 +95,11 @@
                 self.assertEqual(self.version(), 2)
                 self.assertTrue(self.follower.reachable)
 
+    async def test_an_unexpected_error_does_not_end_the_task(self) -> None:
+        """Guards against a host that keeps an old configuration until it is restarted."""
+        await self.follow(published(1, "s1"), RuntimeError("bug"), published(2, "s1", revision=90))
+        self.assertEqual(self.version(), 2)
+
     async def test_a_host_started_during_an_outage_follows_afterwards(self) -> None:
         """Guards against a host that never gets a configuration if its first reads fail."""
         await self.follow(PublishedStateError("down"), PublishedStateError("down"), published(3))
--- a/tests/forwarding/test_memory.py
+++ b/tests/forwarding/test_memory.py
@@ -18,7 +18,7 @@
     in_blocks,
     patience_ms,
 )
-from medlarvale.forwarding.messages import EngineStage
+from medlarvale.forwarding.messages import EngineStage, HoldId, Server
 from medlarvale.ids import ServerId
 from tests.forwarding.fakes import (
     LLM,
@@ -212,6 +212,21 @@
         holds_at_d1 = self.backends.calls.count(("hold", D1))
         self.assertEqual(holds_at_d1, 1, "a paused engine gets no second call at once")
 
+    async def test_an_unexpected_error_does_not_end_the_queue(self) -> None:
+        """Guards against requests that wait until their deadline after a fault in one call."""
+        acquire_hold, failures = self.backends.acquire_hold, [RuntimeError("bug")]
+
+        async def failing_once(server: Server, tokens: int, ttl_ms: float) -> HoldId | None:
+            if failures:
+                raise failures.pop()
+            return await acquire_hold(server, tokens, ttl_ms)
+
+        self.backends.acquire_hold = failing_once  # type: ignore[method-assign]
+        async with asyncio.timeout(1.0):
+            await asyncio.gather(
+                *(self.queue.acquire(make_memory_request(1_000)) for _ in range(3))
+            )
+
     async def test_memory_is_released_if_the_caller_leaves(self) -> None:
         self.set_free_tokens(5_000, 0)
         first = await self.queue.acquire(make_memory_request(5_000))
