Split the figures of engines, memory requests and the end of silent streams into modules

No behaviour changes: engine_figures.py holds what hosts merge and exchange, memory_request.py what the queue is asked for, and events.py yields the events of an answer until it falls silent.

--- a/bench/forwarding/load.py
+++ b/bench/forwarding/load.py
@@ -13,7 +13,7 @@
 from bench.forwarding.virtual_time import VirtualClock, run_virtual
 from medlarvale.forwarding.context import ForwardingContext, RetryLimits
 from medlarvale.forwarding.errors import ForwardingError, OverloadedError
-from medlarvale.forwarding.memory import patience_ms
+from medlarvale.forwarding.memory_request import patience_ms
 from medlarvale.forwarding.messages import (
     ClientRequest,
     EngineStage,
--- a/src/medlarvale/forwarding/events.py
+++ b/src/medlarvale/forwarding/events.py
@@ -2,9 +2,13 @@
 
 from __future__ import annotations
 
+import asyncio
 import re
+from collections.abc import AsyncIterator, Callable
 
+from medlarvale.clock import Clock
 from medlarvale.forwarding.errors import BackendError
+from medlarvale.forwarding.interface import BackendAnswer
 
 # An event that is longer is no event of a model; hosts hold an incomplete event in memory.
 MAX_EVENT_BYTES = 256 * 1024
@@ -47,3 +51,35 @@
 def has_data(events: bytes) -> bool:
     """Returns whether some event has data; comments and events without data are no progress."""
     return _EVENT_DATA.search(events) is not None
+
+
+async def events_until_silent(
+    answer: BackendAnswer, splitter: EventSplitter, clock: Clock, limit_ms: Callable[[], float]
+) -> AsyncIterator[bytes]:
+    """Yields the whole events of an answer.
+
+    Args:
+        answer: the answer, whose body is an event stream.
+        splitter: keeps an incomplete event.
+        clock: time service.
+        limit_ms: returns the longest time without an event, whatever other bytes arrive.
+
+    Raises:
+        BackendError: if there is no event in time, or the body ends early.
+    """
+    chunks = aiter(answer.chunks())
+    silent_since_ms = clock.now_ms()
+    while True:
+        left_ms = silent_since_ms + limit_ms() - clock.now_ms()
+        try:
+            async with asyncio.timeout(max(0.0, left_ms) / 1000.0):
+                chunk = await anext(chunks)
+        except StopAsyncIteration:
+            return
+        except TimeoutError as error:
+            raise BackendError("no event of the stream in time") from error
+        events = splitter.feed(chunk)
+        if events:
+            yield events
+        if has_data(events):
+            silent_since_ms = clock.now_ms()
--- a/src/medlarvale/forwarding/memory.py
+++ b/src/medlarvale/forwarding/memory.py
@@ -6,28 +6,20 @@
 from collections import deque
 from collections.abc import Callable
 
-import msgspec
-
 from medlarvale.forwarding.context import ForwardingContext
 from medlarvale.forwarding.demand import DemandMeter
 from medlarvale.forwarding.errors import BackendError, OverloadedError
-from medlarvale.forwarding.messages import EngineStage, EngineTraits, HoldId, Route
+from medlarvale.forwarding.memory_request import MemoryRequest, Reservation
+from medlarvale.forwarding.messages import EngineStage, EngineTraits, HoldId
 from medlarvale.forwarding.servers import ERROR_PENALTY, ServerLoad
 from medlarvale.ids import ServerId, ServiceName
 from medlarvale.logs import Event, log_warning
 
-# KV cache memory is allocated in blocks of this many tokens.
-BLOCK_TOKENS = 16
 # Retry interval for an engine that refused a reservation, unless this host freed memory there. With
 # more than RETRYING_HOSTS hosts the interval grows, which keeps the total rate at an engine
 # constant.
 REFUSED_PAUSE_MS = 30.0
 RETRYING_HOSTS = 4
-# Callers abandon a stream after a gap of four times the target latency or eight times the target
-# gap, but at least 2 s.
-PATIENCE_TARGETS = 4.0
-PATIENCE_GAPS = 8.0
-MIN_PATIENCE_MS = 2_000.0
 # Window over which the rate of reservations is measured.
 RATE_MS = 2_000.0
 # Fraction of an equal share of the engines that a host can rely on: load is uneven across hosts.
@@ -55,56 +47,6 @@
 BACKFILL_REQUESTS = 2
 
 
-def patience_ms(route: Route) -> float:
-    """Returns how long a caller waits for the first or the next event of a stream."""
-    return max(
-        MIN_PATIENCE_MS,
-        PATIENCE_TARGETS * route.target_latency_ms,
-        PATIENCE_GAPS * route.gap_target_ms,
-    )
-
-
-class Reservation(msgspec.Struct):
-    """Memory reserved at a decode engine.
-
-    Attributes:
-        load: the engine.
-        tokens: size in tokens.
-        hold: None if engines don't support reservations; only this host's own load is known then.
-    """
-
-    load: ServerLoad
-    tokens: int
-    hold: HoldId | None
-
-
-class MemoryRequest(msgspec.Struct, frozen=True):
-    """Requirements of a request for decode memory.
-
-    Attributes:
-        tokens: size in tokens.
-        output_tokens: part of ``tokens`` that is expected to be generated.
-        first_event_target_ms: time by which the caller expects the first event.
-        end_ms: time at which the request is refused.
-        caller_end_ms: time until which the caller waits for the whole answer.
-        excluded: engines on which the request must not run.
-        preferred: engine that is tried first, because it holds the request's KV cache.
-        cached_tokens: part of ``tokens`` that the preferred engine has cached. Memory reserved for
-            it would evict the KV cache of other requests that are about to resume.
-        urgent: whether the caller has received part of the stream and waits for the next event.
-    """
-
-    tokens: int
-    output_tokens: int
-    first_event_target_ms: float
-    end_ms: float
-    caller_end_ms: float
-    excluded: frozenset[ServerId] = frozenset()
-    preferred: ServerId | None = None
-    cached_tokens: int = 0
-    urgent: bool = False
-
-
 class _Waiter:
     """A request that waits for memory."""
 
@@ -113,11 +55,6 @@
         self.future: asyncio.Future[Reservation] = asyncio.get_running_loop().create_future()
 
 
-def in_blocks(tokens: int) -> int:
-    """Returns a size in tokens rounded up to whole blocks."""
-    return -(-tokens // BLOCK_TOKENS) * BLOCK_TOKENS
-
-
 class MemoryQueue:
     """Queue for the decode memory of one service, ordered to serve most requests in time.
 
--- a/src/medlarvale/forwarding/stream_run.py
+++ b/src/medlarvale/forwarding/stream_run.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import AsyncIterator
 from typing import Protocol
 
 from multidict import CIMultiDict
@@ -21,10 +20,10 @@
     RequestTimeoutError,
     StreamBrokenError,
 )
-from medlarvale.forwarding.events import EventSplitter, has_data
+from medlarvale.forwarding.events import EventSplitter, events_until_silent
 from medlarvale.forwarding.interface import BackendAnswer
-from medlarvale.forwarding.memory import (
-    MemoryQueue,
+from medlarvale.forwarding.memory import MemoryQueue
+from medlarvale.forwarding.memory_request import (
     MemoryRequest,
     Reservation,
     in_blocks,
@@ -349,7 +348,8 @@
         self._measured_from = None
         first_of_request = not self._is_continuation()
         try:
-            async for events in self._events_until_silent(answer):
+            clock, limit_ms = self._context.clock, self._silence_limit_ms
+            async for events in events_until_silent(answer, self._events, clock, limit_ms):
                 await self._forward_events(answer, events)
         except BackendError:
             load.note_answer(failed=True)
@@ -377,26 +377,6 @@
         if first_of_request and self.times.first_event_ms is not None:
             model.note_first_event(self.times.first_event_ms - reserved_ms, now_ms)
 
-    async def _events_until_silent(self, answer: BackendAnswer) -> AsyncIterator[bytes]:
-        """Yields whole events; raises after a time without any, whatever bytes arrive."""
-        chunks = aiter(answer.chunks())
-        clock = self._context.clock
-        silent_since_ms = clock.now_ms()
-        while True:
-            left_ms = silent_since_ms + self._silence_limit_ms() - clock.now_ms()
-            try:
-                async with asyncio.timeout(max(0.0, left_ms) / 1000.0):
-                    chunk = await anext(chunks)
-            except StopAsyncIteration:
-                return
-            except TimeoutError as error:
-                raise BackendError("no event of the stream in time") from error
-            events = self._events.feed(chunk)
-            if events:
-                yield events
-            if has_data(events):
-                silent_since_ms = clock.now_ms()
-
     def _silence_limit_ms(self) -> float:
         """Returns the time without an event after which the stream is considered lost."""
         patience = patience_ms(self._route)
--- a/src/medlarvale/forwarding/streams.py
+++ b/src/medlarvale/forwarding/streams.py
@@ -7,7 +7,7 @@
 from medlarvale.forwarding.cache_holders import CacheHolderFinder
 from medlarvale.forwarding.context import ForwardingContext
 from medlarvale.forwarding.demand import DemandMeter
-from medlarvale.forwarding.engine_model import pack_figures, unpack_figures
+from medlarvale.forwarding.engine_figures import pack_figures, unpack_figures
 from medlarvale.forwarding.errors import FiguresError
 from medlarvale.forwarding.first_attempts import FirstAttemptEstimator
 from medlarvale.forwarding.fleet_messages import Demand
--- a/tests/forwarding/test_demand_and_stage_planner.py
+++ b/tests/forwarding/test_demand_and_stage_planner.py
@@ -13,7 +13,7 @@
 from hypothesis import strategies as st
 
 from medlarvale.forwarding.demand import DemandMeter
-from medlarvale.forwarding.engine_model import MIN_EVIDENCE
+from medlarvale.forwarding.engine_figures import MIN_EVIDENCE
 from medlarvale.forwarding.fleet_messages import Demand
 from medlarvale.forwarding.messages import EngineStage, Server, ServerState
 from medlarvale.forwarding.stage_planner import (
--- a/tests/forwarding/test_engine_model.py
+++ b/tests/forwarding/test_engine_model.py
@@ -10,12 +10,11 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from medlarvale.forwarding.engine_model import (
+from medlarvale.forwarding.engine_figures import (
     EVIDENCE_TIME_CONSTANT_MS,
     MAX_HOST_EVIDENCE,
     MIN_EVIDENCE,
     EngineFigures,
-    EngineModel,
     FastestSpeed,
     LogMoments,
     decayed,
@@ -23,6 +22,7 @@
     pack_figures,
     unpack_figures,
 )
+from medlarvale.forwarding.engine_model import EngineModel
 from medlarvale.forwarding.errors import FiguresError
 from medlarvale.forwarding.messages import TokenCounts
 from medlarvale.ids import HostId
--- a/tests/forwarding/test_memory.py
+++ b/tests/forwarding/test_memory.py
@@ -10,9 +10,9 @@
 from medlarvale.clock import SystemClock
 from medlarvale.forwarding.demand import DemandMeter
 from medlarvale.forwarding.errors import BackendError, OverloadedError
-from medlarvale.forwarding.memory import (
+from medlarvale.forwarding.memory import MemoryQueue
+from medlarvale.forwarding.memory_request import (
     BLOCK_TOKENS,
-    MemoryQueue,
     MemoryRequest,
     Reservation,
     in_blocks,
--- a/tests/platform/test_endless_answers.py
+++ b/tests/platform/test_endless_answers.py
@@ -11,12 +11,11 @@
 
 from medlarvale.forwarding.errors import BackendError, MedlarvaleError, PublishedStateError
 from medlarvale.forwarding.events import EventSplitter
-from medlarvale.forwarding.messages import Dispatch, Server, ServerState
-from medlarvale.ids import FailureDomain, ServerId, ServiceName
+from medlarvale.forwarding.messages import Dispatch, Server
 from medlarvale.platform.backends import HttpBackends
 from medlarvale.platform.connections import new_session
 from medlarvale.platform.store import PlatformStore
-from tests.platform.test_backends import SIGNED, make_request
+from tests.platform.test_backends import SIGNED, RawServer, make_request
 
 PART = b"x" * 65_536
 HEAD = b"HTTP/1.1 200 OK\r\n" + SIGNED
@@ -50,25 +49,14 @@
 }
 
 
-class EndlessServer:
+class EndlessServer(RawServer):
     """Sends the same endless bytes to each caller until the caller closes the connection."""
 
     def __init__(self, parts: Callable[[], Iterable[bytes]]) -> None:
+        super().__init__()
         self._parts = parts
         self.closed = asyncio.Event()
 
-    async def start(self) -> Server:
-        self.server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
-        port = self.server.sockets[0].getsockname()[1]
-        return Server(
-            ServerId("i-1"),
-            ServiceName("llm"),
-            f"127.0.0.1:{port}",
-            FailureDomain("a"),
-            4,
-            ServerState.READY,
-        )
-
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         try:
             await reader.readuntil(b"\r\n\r\n")
