Judge a prefill at a decode engine by its gaps again, unless an event contains all chunks

The prefill speed includes the fixed part of a prefill, so that the delay of other streams was overestimated, and prompts queued at prefill engines although decode engines could take them.

Change: five gaps, as before, for engines whose events have fewer steps than twice the chunks of the prompt; for the others the gap and the whole prefill, since all chunks fall between two events.

The mutation of the fast engines' rule is a limit of 0 tokens now, with which the rule never applies.

--- a/src/medlarvale/forwarding/prefill.py
+++ b/src/medlarvale/forwarding/prefill.py
@@ -19,13 +19,10 @@
 # Added to the wait at prefill engines in other failure domains, because fetching the KV cache
 # within a failure domain costs a third.
 REMOTE_PENALTY_MS = 60.0
-# Part of a prompt that a decode engine prefills between two decode steps. Engines don't publish it;
-# the gaps between events are overestimated for engines with smaller chunks.
+# A decode engine prefills a chunk of a prompt between two steps, which takes as long as four steps.
+LOCAL_PREFILL_STRETCH = 5.0
+# Largest such chunk. An event of many steps contains all chunks of a prompt.
 LOCAL_CHUNK_TOKENS = 512
-# Share of the gaps between events that are at most as long as those of an engine at full speed.
-FULL_SPEED_SHARE = 0.25
-# Share of the gap target that a prefill may use; prompts of other hosts may take the rest.
-GAP_TARGET_SHARE = 0.85
 # Wait for a prefill engine, beyond the slower prefill of the decode engine, up to which the prefill
 # engine is preferred. The first value holds if the streams of the decode engine stay within the gap
 # target during prefill, the second if they don't. In bursts in bench.forwarding 300 ms made 9% of
@@ -129,25 +126,21 @@
         if best is None:
             return None
         slower_ms = self._tokens / speed * (1.0 / DECODE_PREFILL_SPEED - 1.0)
-        gap_ms = decode.event_gap_ms + self._local_delay_ms(decode, speed, now_ms)
-        within_gap_target = not gap_target_ms or gap_ms <= GAP_TARGET_SHARE * gap_target_ms
+        within_gap_target = not gap_target_ms or (
+            self._local_gap_ms(decode, speed, now_ms) <= gap_target_ms
+        )
         allowed_ms = OVERFLOW_WAIT_MS if within_gap_target else SLOW_OVERFLOW_WAIT_MS
         return best if wait_ms(best) <= allowed_ms + slower_ms else None
 
-    def _local_delay_ms(self, decode: ServerLoad, tokens_per_ms: float, now_ms: float) -> float:
-        """Returns the longest delay between two events of the decode engine's other streams.
-
-        Each decode step of an event is delayed by the prefill of one chunk at most. An engine whose
-        events are slower is assumed to prefill as much more slowly.
-        """
-        fast_gap_ms = self._meter.model.event_ms(now_ms, FULL_SPEED_SHARE) or decode.event_gap_ms
-        slowness = max(1.0, decode.event_gap_ms / max(1.0, fast_gap_ms))
-        local_tokens_per_ms = tokens_per_ms * DECODE_PREFILL_SPEED / slowness
-        delayed_tokens = float(self._tokens)
+    def _local_gap_ms(self, decode: ServerLoad, tokens_per_ms: float, now_ms: float) -> float:
+        """Returns the gap between events of the decode engine's streams during a prefill there."""
+        stretched_ms = decode.event_gap_ms * LOCAL_PREFILL_STRETCH
         steps_per_event = self._meter.model.tokens_per_event(now_ms)
-        if steps_per_event is not None:
-            delayed_tokens = min(delayed_tokens, steps_per_event * LOCAL_CHUNK_TOKENS)
-        return delayed_tokens / local_tokens_per_ms
+        if steps_per_event is None or 2.0 * self._tokens > steps_per_event * LOCAL_CHUNK_TOKENS:
+            return stretched_ms
+        # All chunks fall between two events.
+        whole_ms = self._tokens / (tokens_per_ms * DECODE_PREFILL_SPEED)
+        return max(stretched_ms, decode.event_gap_ms + whole_ms)
 
     def _note_success(self, load: ServerLoad, took_ms: float) -> None:
         self._context.servers.note_success(load, self._context.clock.now_ms())
--- a/tests/forwarding/test_load_patterns.py
+++ b/tests/forwarding/test_load_patterns.py
@@ -130,6 +130,6 @@
         def long_gaps() -> int:
             return sum(run_pattern(pattern, seed).pauses for seed in SEEDS)
 
-        with mock.patch.object(prefill, "LOCAL_CHUNK_TOKENS", 10):
+        with mock.patch.object(prefill, "LOCAL_CHUNK_TOKENS", 0):
             without_limit = long_gaps()
         self.assertLess(long_gaps(), 0.8 * without_limit)
