Log the request, its shared prompt parts and its events with each lost server

The logs of the incident could not tell which parts of prompts the requests on a crashed server had in common, nor whether their answers had begun. Event 7002 now has both. Event 6006 is logged once per pause: 1,349 of 2,098 collected lines were repeats of it, and pushed the beginning out of the collected output. Decisions are unchanged.

--- a/bench/forwarding/load.py
+++ b/bench/forwarding/load.py
@@ -18,6 +18,7 @@
     ClientRequest,
     EngineStage,
     EngineTraits,
+    RequestIdentity,
     Route,
     RouteKind,
     Server,
@@ -127,11 +128,11 @@
 class _PermissiveGuard:
     """Guard that admits every request."""
 
-    def check(self, request: ClientRequest, service: ServiceName) -> int:
+    def check(self, request: ClientRequest, service: ServiceName) -> RequestIdentity:
         """Returns the same fingerprint for every request."""
-        return 0
+        return RequestIdentity(request.request_id, 0)
 
-    def note_broken_run(self, fingerprint: int, server: Server) -> None:
+    def note_broken_run(self, identity: RequestIdentity, server: Server, events: int) -> None:
         """Ignores broken runs."""
 
 
--- a/src/medlarvale/forwarding/context.py
+++ b/src/medlarvale/forwarding/context.py
@@ -11,7 +11,7 @@
 
 from medlarvale.clock import Clock
 from medlarvale.forwarding.interface import Backends
-from medlarvale.forwarding.messages import ClientRequest, Route, Server
+from medlarvale.forwarding.messages import ClientRequest, RequestIdentity, Route, Server
 from medlarvale.forwarding.servers import ServerTable
 from medlarvale.ids import ServiceName
 from medlarvale.scheduling.retry_budget import RetryBudget
@@ -56,15 +56,21 @@
 class RunGuard(Protocol):
     """Decides which requests may run; implemented by ``CrashGuard``."""
 
-    def check(self, request: ClientRequest, service: ServiceName) -> int:
-        """Returns the fingerprint of a request that may run.
+    def check(self, request: ClientRequest, service: ServiceName) -> RequestIdentity:
+        """Returns the identity of a request that may run.
 
         Raises:
             CrashingRequestError: if it has crashed too many servers.
         """
 
-    def note_broken_run(self, fingerprint: int, server: Server) -> None:
-        """Checks whether a server crashed when its connection broke before the answer ended."""
+    def note_broken_run(self, identity: RequestIdentity, server: Server, events: int) -> None:
+        """Checks whether a server crashed when its connection broke before the answer ended.
+
+        Args:
+            identity: the request that was running.
+            server: the server.
+            events: number of parts of the answer that had arrived.
+        """
 
 
 class ForwardingContext:
--- a/src/medlarvale/forwarding/crash_guard.py
+++ b/src/medlarvale/forwarding/crash_guard.py
@@ -8,7 +8,7 @@
 from medlarvale.forwarding.context import BackgroundTasks
 from medlarvale.forwarding.errors import BackendError, CrashingRequestError, NotSentError
 from medlarvale.forwarding.interface import Backends
-from medlarvale.forwarding.messages import ClientRequest, Server
+from medlarvale.forwarding.messages import ClientRequest, RequestIdentity, Server
 from medlarvale.ids import HostId, HostIdentity, ServiceName, WorkspaceId
 from medlarvale.logs import Event, log_warning
 from medlarvale.peers.errors import PeerError
@@ -57,8 +57,8 @@
         """Starts the periodic expiry of evidence."""
         self._clock.every_ms(EXPIRE_PERIOD_MS, lambda: self._suspects.expire(self._clock.wall_ms()))
 
-    def check(self, request: ClientRequest, service: ServiceName) -> int:
-        """Returns the fingerprint of a request that may run.
+    def check(self, request: ClientRequest, service: ServiceName) -> RequestIdentity:
+        """Returns the identity of a request that may run.
 
         Raises:
             CrashingRequestError: if it has crashed too many servers.
@@ -71,23 +71,24 @@
             raise CrashingRequestError(
                 "the request has crashed several backend servers", retry_after_ms=left_ms
             )
-        return fingerprint
+        return RequestIdentity(request.request_id, fingerprint, request.shared_parts)
 
-    def note_broken_run(self, fingerprint: int, server: Server) -> None:
+    def note_broken_run(self, identity: RequestIdentity, server: Server, events: int) -> None:
         """Checks whether a server crashed when its connection broke before the answer ended."""
-        self._background.start(self._probe_server(fingerprint, server))
+        self._background.start(self._probe_server(identity, server, events))
 
-    async def _probe_server(self, fingerprint: int, server: Server) -> None:
+    async def _probe_server(self, identity: RequestIdentity, server: Server, events: int) -> None:
         await self._clock.sleep_ms(PROBE_DELAY_MS)
         try:
             await self._backends.probe(server)
         except NotSentError:
-            self._record(fingerprint, server)
+            self._record(identity, server, events)
         except BackendError:
             # The server still accepts connections, so it did not crash.
             return
 
-    def _record(self, fingerprint: int, server: Server) -> None:
+    def _record(self, identity: RequestIdentity, server: Server, events: int) -> None:
+        fingerprint = identity.fingerprint
         event = LossEvent(server.server, server.born_ms, 0)
         if not self._suspects.record_loss(fingerprint, Loss(self._clock.wall_ms(), event)):
             return
@@ -95,6 +96,9 @@
         log_warning(
             Event.SERVER_LOST,
             server=server.server,
+            request=identity.request_id,
+            shared_parts=identity.shared_parts,
+            events=events,
             fingerprint=f"{fingerprint:016x}",
             losses=len(evidence.losses),
         )
--- a/src/medlarvale/forwarding/messages.py
+++ b/src/medlarvale/forwarding/messages.py
@@ -179,6 +179,7 @@
             sets.
         deadline_ms: time that the caller waits, from ``received_ms``.
         prompt_part: last part of the prompt, which is unique to the request and its session.
+        shared_parts: the parts before the last, in order, which requests may share.
         resume_after: number of the last event that the caller has received.
     """
 
@@ -192,9 +193,23 @@
     deadline_ms: float
     tokens: TokenCounts | None = None
     prompt_part: PromptPartId | None = None
+    shared_parts: tuple[PromptPartId, ...] = ()
     resume_after: int | None = None
 
 
+class RequestIdentity(msgspec.Struct, frozen=True):
+    """What identifies a request among those that may crash servers.
+
+    Attributes:
+        fingerprint: hash of its caller, service, path and body, equal for its repeats.
+        shared_parts: parts of its prompt that other requests may share.
+    """
+
+    request_id: RequestId
+    fingerprint: int
+    shared_parts: tuple[PromptPartId, ...] = ()
+
+
 class PrefillResult(msgspec.Struct, frozen=True):
     """A prefilled prompt whose KV cache is available at a prefill engine."""
 
--- a/src/medlarvale/forwarding/plain.py
+++ b/src/medlarvale/forwarding/plain.py
@@ -74,7 +74,7 @@
         self._end_ms = end_ms(request, route)
         self._budget = context.budget(service)
         self._budget.record_request()
-        self._fingerprint = context.guard.check(request, service)
+        self._identity = context.guard.check(request, service)
         self._tried: set[ServerId] = set()
         self._sends = 0
         self._not_run = 0
@@ -200,7 +200,7 @@
         else:
             self._may_have_run = True
             load.note_answer(failed=True)
-            self._context.guard.note_broken_run(self._fingerprint, load.server)
+            self._context.guard.note_broken_run(self._identity, load.server, events=0)
             self._context.servers.note_failure(load, now_ms, error.message)
             if self._is_retryable():
                 self._start_another()
--- a/src/medlarvale/forwarding/servers.py
+++ b/src/medlarvale/forwarding/servers.py
@@ -280,7 +280,11 @@
         if self.is_remote(load):
             self.isolation.note_failure(load.server.server)
         load.suspect = True
+        paused = load.paused_until_ms > now_ms
         pause_ms = load.pause_after_failure(now_ms)
+        if paused:
+            # If all servers of a service are paused, requests still try them, many times a second.
+            return
         log_warning(
             Event.SERVER_PAUSED,
             server=load.server.server,
--- a/src/medlarvale/forwarding/stream_run.py
+++ b/src/medlarvale/forwarding/stream_run.py
@@ -119,7 +119,7 @@
         self._end_ms = end_ms(request, route)
         self._budget = self._context.budget(service)
         self._budget.record_request()
-        self._fingerprint = context.guard.check(request, service)
+        self._identity = context.guard.check(request, service)
         self._first_event_target_ms = (
             request.received_ms - first_attempt_age_ms + route.target_latency_ms
         )
@@ -139,6 +139,8 @@
         self._may_have_run = False
         self.runs = 0
         self.engine: ServerId | None = None
+        # Number of times that events of the present run were forwarded.
+        self._run_events = 0
         # Engine whose stream broke, but which may still hold the KV cache of this request.
         self._cache_holder: ServerId | None = None
         self._cached_tokens = 0
@@ -321,7 +323,7 @@
 
     def _note_failure(self, load: ServerLoad, error: BackendError) -> None:
         if not isinstance(error, NotSentError):
-            self._context.guard.note_broken_run(self._fingerprint, load.server)
+            self._context.guard.note_broken_run(self._identity, load.server, events=0)
         self._excluded.add(load.server.server)
         self._context.servers.note_failure(load, self._context.clock.now_ms(), error.message)
 
@@ -346,6 +348,7 @@
             return Reply(answer.status, answer.headers, body, load.server.server)
         self._events.rest = b""
         self._measured_from = None
+        self._run_events = 0
         first_of_request = not self._is_continuation()
         try:
             clock, limit_ms = self._context.clock, self._silence_limit_ms()
@@ -353,7 +356,7 @@
                 await self._forward_events(answer, events)
         except BackendError:
             load.note_answer(failed=True)
-            self._context.guard.note_broken_run(self._fingerprint, load.server)
+            self._context.guard.note_broken_run(self._identity, load.server, self._run_events)
             self._cache_holder = load.server.server
             raise
         load.note_answer(failed=False)
@@ -396,6 +399,7 @@
         if not self._started:
             self._started = True
             await self._sink.start(answer.status, answer.headers)
+        self._run_events += 1
         now_ms = self._context.clock.now_ms()
         self.times.note_event(now_ms)
         self._measure_speed(now_ms)
--- a/src/medlarvale/platform/headers.py
+++ b/src/medlarvale/platform/headers.py
@@ -96,10 +96,15 @@
     return TokenCounts(prompt_tokens, max_output, _parse_unsigned(headers.get(LENGTH_HINT)))
 
 
-def _last_part(headers: CIMultiDictProxy[str]) -> PromptPartId | None:
-    last = headers.get(PROMPT_PARTS, "").rpartition(",")[2]
-    part = last.partition(":")[0].strip().lower()
-    return PromptPartId(part) if part else None
+def _prompt_parts(
+    headers: CIMultiDictProxy[str],
+) -> tuple[PromptPartId | None, tuple[PromptPartId, ...]]:
+    """Returns the last part of the prompt and the parts before it."""
+    *shared, last = (
+        PromptPartId(entry.partition(":")[0].strip().lower())
+        for entry in headers.get(PROMPT_PARTS, "").split(",")
+    )
+    return last or None, tuple(part for part in shared if part)
 
 
 def decode_request(
@@ -111,6 +116,7 @@
 ) -> ClientRequest:
     """Returns the request of a caller; an invalid optional header is treated as absent."""
     deadline_ms = _parse_unsigned(headers.get(DEADLINE))
+    last_part, shared_parts = _prompt_parts(headers)
     return ClientRequest(
         request_id=RequestId(headers.get(REQUEST_ID, "")),
         method=method,
@@ -121,7 +127,8 @@
         received_ms=received_ms,
         deadline_ms=DEFAULT_DEADLINE_MS if deadline_ms is None else float(deadline_ms),
         tokens=_token_counts(headers),
-        prompt_part=_last_part(headers),
+        prompt_part=last_part,
+        shared_parts=shared_parts,
         resume_after=_parse_unsigned(headers.get(RESUME_AFTER)),
     )
 
--- a/tests/forwarding/fakes.py
+++ b/tests/forwarding/fakes.py
@@ -23,6 +23,7 @@
     HoldId,
     PrefillResult,
     PromptPartId,
+    RequestIdentity,
     RequestLimits,
     Route,
     RouteKind,
@@ -260,10 +261,10 @@
     def __init__(self) -> None:
         self.breaks: list[ServerId] = []
 
-    def check(self, request: ClientRequest, service: ServiceName) -> int:
-        return 1
+    def check(self, request: ClientRequest, service: ServiceName) -> RequestIdentity:
+        return RequestIdentity(request.request_id, 1)
 
-    def note_broken_run(self, fingerprint: int, server: Server) -> None:
+    def note_broken_run(self, identity: RequestIdentity, server: Server, events: int) -> None:
         self.breaks.append(server.server)
 
 
--- a/tests/forwarding/test_crash_guard.py
+++ b/tests/forwarding/test_crash_guard.py
@@ -28,9 +28,9 @@
         )
 
     async def break_runs(self, guard: CrashGuard, *servers: str) -> None:
-        fingerprint = guard.check(make_request(body=b"poison"), APP)
+        identity = guard.check(make_request(body=b"poison"), APP)
         for name in servers:
-            guard.note_broken_run(fingerprint, make_server(name, service=APP))
+            guard.note_broken_run(identity, make_server(name, service=APP), events=0)
         await asyncio.sleep(PROBE_DELAY_MS / 1000.0 + 0.05)
 
     async def test_a_request_is_refused_after_crashes_of_several_servers(self) -> None:
--- a/tests/forwarding/test_servers.py
+++ b/tests/forwarding/test_servers.py
@@ -5,6 +5,8 @@
 import random
 import unittest
 
+from structlog.testing import capture_logs
+
 from medlarvale.forwarding.messages import EngineStage, ServerState
 from medlarvale.forwarding.servers import (
     FIRST_PAUSE_MS,
@@ -51,6 +53,18 @@
         self.table.replace_all([], 9_000.0, after_outage=False)
         self.assertEqual(self.names(), [])
 
+    def test_each_pause_is_logged_once(self) -> None:
+        """Guards against logs in which thousands of retries at servers that are all down hide the
+        events before them."""
+        self.table.upsert(make_server("s", service=APP))
+        load = self.table.get(ServerId("s"))
+        assert load is not None
+        with capture_logs() as lines:
+            for now_ms in range(0, 1_000, 20):
+                self.table.note_failure(load, float(now_ms), "refused")
+            self.table.note_failure(load, 1_000.0 + MAX_PAUSE_MS, "refused")
+        self.assertEqual([line["failures"] for line in lines], [1, 51])
+
     def test_a_new_incarnation_starts_without_the_load_of_the_old_one(self) -> None:
         self.table.upsert(make_server("s", service=APP, born_ms=1))
         old = self.table.get(ServerId("s"))
--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -77,15 +77,18 @@
         self.assertEqual(decoded(Last_Event_Id="12").resume_after, 12)
 
     def test_prompt_part_is_the_last_one_listed(self) -> None:
-        table = [
-            ("5c1e07a2:800,91BD3f06:410", "91bd3f06"),
-            ("5c1e07a2:800", "5c1e07a2"),
-            ("", None),
-            ("5c1e07a2:800,", None),
+        table: list[tuple[str, str | None, tuple[str, ...]]] = [
+            ("5c1e07a2:800,91BD3f06:410", "91bd3f06", ("5c1e07a2",)),
+            ("5c1e07a2:800, E4402B7d:250,91bd3f06:410", "91bd3f06", ("5c1e07a2", "e4402b7d")),
+            ("5c1e07a2:800", "5c1e07a2", ()),
+            ("", None, ()),
+            ("5c1e07a2:800,", None, ("5c1e07a2",)),
+            ("5c1e07a2:800,,91bd3f06:410", "91bd3f06", ("5c1e07a2",)),
         ]
-        for value, expected in table:
+        for value, last, shared in table:
             with self.subTest(value):
-                self.assertEqual(decoded(X_Prompt_Prefix=value).prompt_part, expected)
+                request = decoded(X_Prompt_Prefix=value)
+                self.assertEqual((request.prompt_part, request.shared_parts), (last, shared))
 
     def test_forwarded_request_has_remaining_time_and_expected_server(self) -> None:
         """Guards against a server that keeps working after the caller's deadline."""
