Blame the parts of prompts for lost servers, not only whole requests

Cause: crash evidence was counted by the hash of host, path and body. Requests that differ in all but the part that crashes engines each had a count of their own, and none reached the limit. Why it works: a loss blames each shared part of the prompts that were running. A part that most requests have is cleared by a clean run within the last 30 s; a part is not held against a request that lacks another one that has the same losses, so sound requests with the other parts run on.

--- a/src/medlarvale/forwarding/crash_evidence.py
+++ b/src/medlarvale/forwarding/crash_evidence.py
@@ -1,12 +1,24 @@
-"""Decides which requests crash servers, from the servers lost while requests ran; without I/O."""
+"""Decides which requests crash servers, from the servers lost while requests ran; without I/O.
+
+A server is lost with all requests that were running on it, so each loss blames all of them, and
+everything that they have in common with other requests. What crashes servers is what stays blamed:
+it has no clean run, and what other requests have does not explain its losses.
+"""
 
 from __future__ import annotations
 
+from collections import OrderedDict
 from collections.abc import Iterable
 
-from medlarvale.forwarding.messages import RequestIdentity
+from medlarvale.forwarding.messages import ClientRequest, PromptPartId, RequestIdentity
+from medlarvale.ids import ServiceName, WorkspaceId
 from medlarvale.quarantine.messages import Evidence, Loss, LossEvent
-from medlarvale.quarantine.suspects import QuarantineLimits, SuspectTable
+from medlarvale.quarantine.suspects import (
+    QuarantineLimits,
+    SuspectTable,
+    counted_losses,
+    fingerprint_of,
+)
 
 # An answer that has gone on for this long after its first event shows that the request does not
 # crash the server on which it runs.
@@ -14,6 +26,22 @@
 # A request is not blamed for losses up to this long after such an answer. Longer than the restart
 # of all servers of a service, so that the requests that wait for it are not blamed together.
 CLEAN_WINDOW_MS = 30_000
+# Number of fingerprints whose last clean run is remembered; about 100 bytes each.
+REMEMBERED_RUNS = 16_384
+# Prompt parts are the same for all callers and services.
+_NO_WORKSPACE, _NO_SERVICE = WorkspaceId(""), ServiceName("")
+
+
+def fingerprint_of_request(request: ClientRequest, service: ServiceName) -> int:
+    """Returns the fingerprint of a whole request, an even number."""
+    # The platform does not pass a workspace; the host name identifies the caller's service.
+    body = request.path.encode() + b"\0" + request.body
+    return fingerprint_of(WorkspaceId(request.host), service, body) & ~1
+
+
+def fingerprint_of_part(part: PromptPartId) -> int:
+    """Returns the fingerprint of a part of a prompt, an odd number."""
+    return fingerprint_of(_NO_WORKSPACE, _NO_SERVICE, part.encode()) | 1
 
 
 class CrashEvidence:
@@ -21,11 +49,18 @@
 
     def __init__(self) -> None:
         self._suspects = SuspectTable(QuarantineLimits())
+        self._condemned: set[int] = set()
+        # Wall-clock time of the last clean run by fingerprint, the oldest first.
+        self._clean_ms: OrderedDict[int, int] = OrderedDict()
 
     def evidence_of(self, fingerprint: int) -> Evidence:
         """Returns the evidence about a fingerprint, which is empty for an unknown one."""
         return self._suspects.evidence_of(fingerprint)
 
+    def loss_count(self, fingerprint: int) -> int:
+        """Returns the number of losses that count against a fingerprint."""
+        return len(self._losses(fingerprint))
+
     def record_loss(self, identity: RequestIdentity, event: LossEvent, wall_ms: int) -> list[int]:
         """Records that a server was lost while a request ran on it.
 
@@ -36,7 +71,7 @@
         return [
             fingerprint
             for fingerprint in identity.fingerprints
-            if self._suspects.record_loss(fingerprint, loss)
+            if self._merge(Evidence(fingerprint, (loss,), self._cleared_at_ms(fingerprint)))
         ]
 
     def record_clean_run(self, identity: RequestIdentity, wall_ms: int) -> list[int]:
@@ -45,25 +80,80 @@
         Returns:
             The fingerprints about which this is new evidence.
         """
+        for fingerprint in identity.fingerprints:
+            self._clean_ms[fingerprint] = wall_ms
+            self._clean_ms.move_to_end(fingerprint)
+        while len(self._clean_ms) > REMEMBERED_RUNS:
+            self._clean_ms.popitem(last=False)
         return [
             fingerprint
             for fingerprint in identity.fingerprints
             if self._suspects.crash_count(fingerprint, wall_ms)
-            and self._suspects.merge(Evidence(fingerprint, (), wall_ms + CLEAN_WINDOW_MS))
+            and self._merge(Evidence(fingerprint, (), wall_ms + CLEAN_WINDOW_MS))
         ]
 
-    def merge(self, evidence: Iterable[Evidence]) -> None:
-        """Merges evidence of a peer."""
+    def merge(self, evidence: Iterable[Evidence]) -> list[int]:
+        """Merges evidence of a peer.
+
+        Returns:
+            The fingerprints about which this host knows a later clean run than the peer.
+        """
+        cleared = []
         for entry in evidence:
-            self._suspects.merge(entry)
+            self._merge(entry)
+            cleared_at_ms = self._cleared_at_ms(entry.fingerprint)
+            if cleared_at_ms > entry.cleared_at_ms and counted_losses(entry):
+                self._merge(Evidence(entry.fingerprint, (), cleared_at_ms))
+                cleared.append(entry.fingerprint)
+        return cleared
 
     def quarantine_left_ms(self, identity: RequestIdentity, wall_ms: int) -> int:
         """Returns the remaining time for which a request is refused; 0 if it may run."""
+        condemned = self._condemned.intersection(identity.fingerprints)
         return max(
-            self._suspects.quarantine_left_ms(fingerprint, wall_ms)
-            for fingerprint in identity.fingerprints
+            (
+                self._suspects.quarantine_left_ms(fingerprint, wall_ms)
+                for fingerprint in condemned
+                if not self._is_explained(fingerprint, identity)
+            ),
+            default=0,
         )
 
     def expire(self, wall_ms: int) -> None:
         """Removes old evidence."""
         self._suspects.expire(wall_ms)
+        self._condemned.intersection_update(self._suspects.fingerprints())
+
+    def _cleared_at_ms(self, fingerprint: int) -> int:
+        clean_ms = self._clean_ms.get(fingerprint)
+        return 0 if clean_ms is None else clean_ms + CLEAN_WINDOW_MS
+
+    def _merge(self, evidence: Evidence) -> bool:
+        changed = self._suspects.merge(evidence)
+        if changed:
+            losses = self._losses(evidence.fingerprint)
+            if len(losses) >= self._suspects.limits.crash_limit:
+                self._condemned.add(evidence.fingerprint)
+            else:
+                self._condemned.discard(evidence.fingerprint)
+        return changed
+
+    def _losses(self, fingerprint: int) -> frozenset[LossEvent]:
+        """Returns the losses that count against a fingerprint."""
+        return frozenset(loss.event for loss in counted_losses(self.evidence_of(fingerprint)))
+
+    def _is_explained(self, fingerprint: int, identity: RequestIdentity) -> bool:
+        """Returns whether what the request does not have explains all losses of a fingerprint.
+
+        Requests that crash servers have other parts in common with sound ones.
+        """
+        losses = self._losses(fingerprint)
+        explained: frozenset[LossEvent] = frozenset()
+        for other in self._condemned.difference(identity.fingerprints):
+            other_losses = self._losses(other)
+            if losses <= other_losses:
+                return True
+            # Several repeated requests together explain nothing: they may share this part.
+            if other & 1:
+                explained |= other_losses
+        return losses <= explained
--- a/src/medlarvale/forwarding/crash_guard.py
+++ b/src/medlarvale/forwarding/crash_guard.py
@@ -6,11 +6,15 @@
 
 from medlarvale.clock import Clock
 from medlarvale.forwarding.context import BackgroundTasks
-from medlarvale.forwarding.crash_evidence import CrashEvidence
+from medlarvale.forwarding.crash_evidence import (
+    CrashEvidence,
+    fingerprint_of_part,
+    fingerprint_of_request,
+)
 from medlarvale.forwarding.errors import BackendError, CrashingRequestError, NotSentError
 from medlarvale.forwarding.interface import Backends
 from medlarvale.forwarding.messages import ClientRequest, RequestIdentity, Server
-from medlarvale.ids import HostId, HostIdentity, ServiceName, WorkspaceId
+from medlarvale.ids import HostId, HostIdentity, ServiceName
 from medlarvale.logs import Event, log_warning
 from medlarvale.peers.errors import PeerError
 from medlarvale.peers.transport import Transport
@@ -20,7 +24,6 @@
     QuarantineAccepted,
     ShareEvidence,
 )
-from medlarvale.quarantine.suspects import fingerprint_of
 
 # A crashed server refuses connections until it has restarted, which takes some seconds.
 PROBE_DELAY_MS = 100.0
@@ -66,10 +69,12 @@
         Raises:
             CrashingRequestError: if it has crashed too many servers.
         """
-        # The platform does not pass a workspace; the host name identifies the caller's service.
-        body = request.path.encode() + b"\0" + request.body
-        fingerprint = fingerprint_of(WorkspaceId(request.host), service, body)
-        identity = RequestIdentity(request.request_id, (fingerprint,), request.shared_parts)
+        parts = (fingerprint_of_part(part) for part in request.shared_parts)
+        identity = RequestIdentity(
+            request.request_id,
+            (fingerprint_of_request(request, service), *parts),
+            request.shared_parts,
+        )
         left_ms = self._evidence.quarantine_left_ms(identity, self._clock.wall_ms())
         if left_ms > 0:
             raise CrashingRequestError(
@@ -98,15 +103,17 @@
     def _record(self, identity: RequestIdentity, server: Server, events: int) -> None:
         event = LossEvent(server.server, server.born_ms, 0)
         changed = self._evidence.record_loss(identity, event, self._clock.wall_ms())
-        for fingerprint in changed:
+        if changed:
             log_warning(
                 Event.SERVER_LOST,
                 server=server.server,
                 request=identity.request_id,
                 shared_parts=identity.shared_parts,
                 events=events,
-                fingerprint=f"{fingerprint:016x}",
-                losses=len(self._evidence.evidence_of(fingerprint).losses),
+                losses={
+                    f"{fingerprint:016x}": self._evidence.loss_count(fingerprint)
+                    for fingerprint in identity.fingerprints
+                },
             )
         self._share_soon(changed)
 
@@ -133,5 +140,5 @@
     async def _merge_evidence(
         self, sender: HostIdentity, message: ShareEvidence
     ) -> QuarantineAccepted:
-        self._evidence.merge(message.evidence)
+        self._share_soon(self._evidence.merge(message.evidence))
         return QuarantineAccepted()
--- a/src/medlarvale/forwarding/messages.py
+++ b/src/medlarvale/forwarding/messages.py
@@ -202,7 +202,7 @@
 
     Attributes:
         fingerprints: hashes of what it has in common with other requests: the first one of its
-            caller, service, path and body, equal for its repeats.
+            caller, service, path and body, equal for its repeats, then those of its shared parts.
         shared_parts: parts of its prompt that other requests may share.
     """
 
--- a/tests/forwarding/test_crashing_parts.py
+++ b/tests/forwarding/test_crashing_parts.py
@@ -93,6 +93,7 @@
         parts: shared parts of such a request.
         replaced_host_ms: when a host is replaced by one without any state.
         unreachable_ms: time until which a host can't exchange messages with the others.
+        other_crashes_ms: times at which a decode engine crashes for another reason.
     """
 
     name: str
@@ -102,6 +103,7 @@
     hosts: int = 5
     replaced_host_ms: int | None = None
     unreachable_ms: int | None = None
+    other_crashes_ms: tuple[int, ...] = ()
     duration_ms: int = 30_000
 
 
@@ -133,7 +135,7 @@
     """Hosts, engines and the requests of one pattern.
 
     Attributes:
-        crashes_ms: times at which engines crashed.
+        crashes_ms: times at which the part crashed an engine.
         crashing_sends_ms: times at which a request with the crashing part was sent to an engine.
         sound: for each sound request with the first part, its time and whether it began.
     """
@@ -166,6 +168,8 @@
         if self.pattern.replaced_host_ms is not None:
             at_s = self.pattern.replaced_host_ms / 1000.0
             asyncio.get_running_loop().call_later(at_s, self._start_host, 0)
+        for at_ms in self.pattern.other_crashes_ms:
+            asyncio.get_running_loop().call_later(at_ms / 1000.0, self._crash_busiest)
         await asyncio.gather(self._send_sound(), self._send_crashing())
 
     def _start_host(self, number: int) -> None:
@@ -210,6 +214,15 @@
         if not engine.alive:
             return
         self.crashes_ms.append(self._clock.now_ms())
+        self._crash(engine)
+
+    def _crash_busiest(self) -> None:
+        alive = [engine for engine in self.engines.values() if engine.alive]
+        if not alive:
+            return
+        self._crash(max(alive, key=lambda engine: len(engine.running)))
+
+    def _crash(self, engine: EmulatedEngine) -> None:
         engine.crash()
         asyncio.get_running_loop().call_later(RESTART_S, self._replace, engine)
 
@@ -294,6 +307,11 @@
             Pattern("many at once", every_ms=100),
             Pattern("seldom", every_ms=1_500),
             Pattern("many hosts", hosts=30),
+            Pattern(
+                "all engines crash at once before",
+                first_ms=14_000,
+                other_crashes_ms=(9_000, 9_001, 9_002, 9_003),
+            ),
         ):
             self.play(pattern)
 
