Check requests again before each send whether they crash servers

Callers saw: after a kind of request had been found to crash engines, more of them were still sent, one by one, as memory became free: those that had been accepted before and waited for it. Cause: the evidence was looked up once, when a request arrived. Why it works: the lookup is repeated before the prefill, before the run and before each attempt of a plain call. A request that has run before is reported as such, not as not run.

--- a/bench/forwarding/load.py
+++ b/bench/forwarding/load.py
@@ -128,10 +128,13 @@
 class _PermissiveGuard:
     """Guard that admits every request."""
 
-    def check(self, request: ClientRequest, service: ServiceName) -> RequestIdentity:
+    def identify(self, request: ClientRequest, service: ServiceName) -> RequestIdentity:
         """Returns the same fingerprint for every request."""
         return RequestIdentity(request.request_id, (0,))
 
+    def check(self, identity: RequestIdentity) -> None:
+        """Permits the request."""
+
     def note_broken_run(self, identity: RequestIdentity, server: Server, events: int) -> None:
         """Ignores broken runs."""
 
--- a/src/medlarvale/forwarding/context.py
+++ b/src/medlarvale/forwarding/context.py
@@ -56,8 +56,11 @@
 class RunGuard(Protocol):
     """Decides which requests may run; implemented by ``CrashGuard``."""
 
-    def check(self, request: ClientRequest, service: ServiceName) -> RequestIdentity:
-        """Returns the identity of a request that may run.
+    def identify(self, request: ClientRequest, service: ServiceName) -> RequestIdentity:
+        """Returns what identifies a request among those that may crash servers."""
+
+    def check(self, identity: RequestIdentity) -> None:
+        """Checks that a request may run now.
 
         Raises:
             CrashingRequestError: if it has crashed too many servers.
--- a/src/medlarvale/forwarding/crash_guard.py
+++ b/src/medlarvale/forwarding/crash_guard.py
@@ -63,24 +63,26 @@
         """Starts the periodic expiry of evidence."""
         self._clock.every_ms(EXPIRE_PERIOD_MS, lambda: self._evidence.expire(self._clock.wall_ms()))
 
-    def check(self, request: ClientRequest, service: ServiceName) -> RequestIdentity:
-        """Returns the identity of a request that may run.
-
-        Raises:
-            CrashingRequestError: if it has crashed too many servers.
-        """
+    def identify(self, request: ClientRequest, service: ServiceName) -> RequestIdentity:
+        """Returns what identifies a request among those that may crash servers."""
         parts = (fingerprint_of_part(part) for part in request.shared_parts)
-        identity = RequestIdentity(
+        return RequestIdentity(
             request.request_id,
             (fingerprint_of_request(request, service), *parts),
             request.shared_parts,
         )
+
+    def check(self, identity: RequestIdentity) -> None:
+        """Checks that a request may run now.
+
+        Raises:
+            CrashingRequestError: if it has crashed too many servers.
+        """
         left_ms = self._evidence.quarantine_left_ms(identity, self._clock.wall_ms())
         if left_ms > 0:
             raise CrashingRequestError(
                 "the request has crashed several backend servers", retry_after_ms=left_ms
             )
-        return identity
 
     def note_broken_run(self, identity: RequestIdentity, server: Server, events: int) -> None:
         """Checks whether a server crashed when its connection broke before the answer ended."""
--- a/src/medlarvale/forwarding/plain.py
+++ b/src/medlarvale/forwarding/plain.py
@@ -10,6 +10,7 @@
 from medlarvale.forwarding.context import ForwardingContext, end_ms
 from medlarvale.forwarding.errors import (
     BackendError,
+    CrashingRequestError,
     NotSentError,
     OutcomeUnknownError,
     OverloadedError,
@@ -74,7 +75,8 @@
         self._end_ms = end_ms(request, route)
         self._budget = context.budget(service)
         self._budget.record_request()
-        self._identity = context.guard.check(request, service)
+        self._identity = context.guard.identify(request, service)
+        context.guard.check(self._identity)
         self._tried: set[ServerId] = set()
         self._sends = 0
         self._not_run = 0
@@ -132,6 +134,11 @@
     def _start_attempt(self) -> bool:
         """Sends the call to the least loaded untried server; returns False if there is none."""
         context = self._context
+        try:
+            context.guard.check(self._identity)
+        except CrashingRequestError as error:
+            log_warning(Event.ATTEMPT_FAILED, request=self._request.request_id, error=error.message)
+            return False
         candidates = context.servers.candidates(
             self._service, context.clock.now_ms(), excluded=self._tried
         )
--- a/src/medlarvale/forwarding/stream_run.py
+++ b/src/medlarvale/forwarding/stream_run.py
@@ -14,6 +14,7 @@
 from medlarvale.forwarding.engine_model import FASTEST_SHARE
 from medlarvale.forwarding.errors import (
     BackendError,
+    CrashingRequestError,
     NotSentError,
     OutcomeUnknownError,
     OverloadedError,
@@ -120,7 +121,8 @@
         self._end_ms = end_ms(request, route)
         self._budget = self._context.budget(service)
         self._budget.record_request()
-        self._identity = context.guard.check(request, service)
+        self._identity = context.guard.identify(request, service)
+        context.guard.check(self._identity)
         self._first_event_target_ms = (
             request.received_ms - first_attempt_age_ms + route.target_latency_ms
         )
@@ -195,7 +197,7 @@
             except BackendError as error:
                 if not self._may_retry(error):
                     raise self._final_error(error.message) from error
-            except OverloadedError as error:
+            except (OverloadedError, CrashingRequestError) as error:
                 if self._may_have_run:
                     raise self._final_error(error.message) from error
                 raise
@@ -225,16 +227,20 @@
         reserved_ms = self.times.note_reserved(self._context.clock.now_ms())
         unused = True
         try:
+            # Other hosts may have found out in the meantime that the request crashes servers.
+            self._context.guard.check(self._identity)
             source = await self._prefill(reservation)
             self.times.note_prefilled(self._context.clock.now_ms())
             try:
+                self._context.guard.check(self._identity)
                 if not self._context.servers.takes_work(reservation.load):
                     raise RejectedError("the engine started to drain", full=False)
                 answer = await self._send(reservation, source)
                 unused = False
             except BaseException as error:
                 if source is not None and isinstance(
-                    error, NotSentError | RejectedError | asyncio.CancelledError
+                    error,
+                    NotSentError | RejectedError | CrashingRequestError | asyncio.CancelledError,
                 ):
                     self._start_handle_release(source)
                 raise
--- a/tests/forwarding/fakes.py
+++ b/tests/forwarding/fakes.py
@@ -219,6 +219,11 @@
         if held is not None and server.server in self.free_tokens:
             self.free_tokens[server.server] += held[1]
 
+    @property
+    def held(self) -> int:
+        """Number of reservations that were neither used nor released."""
+        return len(self._holds)
+
     async def release_handle(self, server: Server, handle: HandleId) -> None:
         self.calls.append(("release handle", server.server))
 
@@ -261,9 +266,12 @@
     def __init__(self) -> None:
         self.breaks: list[ServerId] = []
 
-    def check(self, request: ClientRequest, service: ServiceName) -> RequestIdentity:
+    def identify(self, request: ClientRequest, service: ServiceName) -> RequestIdentity:
         return RequestIdentity(request.request_id, (1,))
 
+    def check(self, identity: RequestIdentity) -> None:
+        """Permits the request."""
+
     def note_broken_run(self, identity: RequestIdentity, server: Server, events: int) -> None:
         self.breaks.append(server.server)
 
--- a/tests/forwarding/test_crash_guard.py
+++ b/tests/forwarding/test_crash_guard.py
@@ -28,7 +28,7 @@
         )
 
     async def break_runs(self, guard: CrashGuard, *servers: str) -> None:
-        identity = guard.check(make_request(body=b"poison"), APP)
+        identity = guard.identify(make_request(body=b"poison"), APP)
         for name in servers:
             guard.note_broken_run(identity, make_server(name, service=APP), events=0)
         await asyncio.sleep(PROBE_DELAY_MS / 1000.0 + 0.05)
@@ -50,9 +50,9 @@
                     self.backends.probe_errors = {ServerId(server): probe for server in servers}
                 await self.break_runs(self.guards["a"], *servers)
                 for guard in self.guards.values():
-                    guard.check(make_request(body=b"other"), APP)
+                    guard.check(guard.identify(make_request(body=b"other"), APP))
                     if refused:
                         with self.assertRaises(CrashingRequestError):
-                            guard.check(make_request(body=b"poison"), APP)
+                            guard.check(guard.identify(make_request(body=b"poison"), APP))
                     else:
-                        guard.check(make_request(body=b"poison"), APP)
+                        guard.check(guard.identify(make_request(body=b"poison"), APP))
--- a/tests/forwarding/test_crashing_parts.py
+++ b/tests/forwarding/test_crashing_parts.py
@@ -345,7 +345,7 @@
 
     async def lose(self, request: ClientRequest, *servers: str) -> None:
         """Records servers that were lost while they ran a request."""
-        identity = self.guard.check(request, LLM)
+        identity = self.guard.identify(request, LLM)
         for name in servers:
             self.backends.probe_errors[ServerId(name)] = NotSentError()
             self.guard.note_broken_run(identity, make_server(name), events=0)
@@ -372,7 +372,10 @@
                     await task
                 await self.context.background.finish(500.0)
                 self.assertEqual(self.backends.count("send"), 0)
-                self.assertEqual(self.backends.count("hold"), self.backends.count("release hold"))
+                self.assertEqual(self.backends.held, 0)
+                self.assertEqual(
+                    self.backends.count("prefill"), self.backends.count("release handle")
+                )
 
     async def test_a_request_that_crashed_its_own_engine_is_not_reported_as_not_run(self) -> None:
         """Guards against a refusal as not run after a run that crashed its engine."""
