Compare crash evidence between hosts, so that replaced hosts get it

Callers saw: a host that had restarted sent requests again that its peers refused, and crashed more engines until it had evidence of its own. Cause: evidence was sent to each peer once, when it was new. Why it works: while a host refuses something, it sends a hash of that evidence to two random peers each second; those that know something else answer with theirs and get the sender's. Without evidence nothing is sent. A host of an earlier build drops the new message and goes without.

--- a/src/medlarvale/forwarding/crash_evidence.py
+++ b/src/medlarvale/forwarding/crash_evidence.py
@@ -10,6 +10,9 @@
 from collections import OrderedDict
 from collections.abc import Iterable
 
+import msgspec
+import xxhash
+
 from medlarvale.forwarding.messages import ClientRequest, PromptPartId, RequestIdentity
 from medlarvale.ids import ServiceName, WorkspaceId
 from medlarvale.quarantine.messages import Evidence, Loss, LossEvent
@@ -119,6 +122,16 @@
             default=0,
         )
 
+    def condemned_evidence(self) -> tuple[Evidence, ...]:
+        """Returns the evidence about everything that is refused."""
+        return tuple(self.evidence_of(known) for known in sorted(self._condemned))
+
+    def digest(self) -> int:
+        """Returns a hash of the evidence about everything that is refused; 0 if nothing is."""
+        if not self._condemned:
+            return 0
+        return xxhash.xxh3_64_intdigest(msgspec.msgpack.encode(self.condemned_evidence()))
+
     def expire(self, wall_ms: int) -> None:
         """Removes old evidence."""
         self._suspects.expire(wall_ms)
--- a/src/medlarvale/forwarding/crash_guard.py
+++ b/src/medlarvale/forwarding/crash_guard.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import random
 from collections.abc import Callable, Iterable
 
 from medlarvale.clock import Clock
@@ -20,6 +21,7 @@
 from medlarvale.peers.transport import Transport
 from medlarvale.quarantine.messages import (
     Evidence,
+    EvidenceDigest,
     LossEvent,
     QuarantineAccepted,
     ShareEvidence,
@@ -31,6 +33,10 @@
 # The losses of all requests that ran on a server are shared in one message.
 SHARE_DELAY_MS = 10.0
 EXPIRE_PERIOD_MS = 10_000.0
+# While requests are refused, each host compares its evidence with that of some peers at random once
+# per period: a host that was replaced, or that missed a message, knows all of it within about 3 s.
+COMPARE_PERIOD_MS = 1_000.0
+COMPARE_PEERS = 2
 
 
 class CrashGuard:
@@ -41,6 +47,7 @@
         transport: used to share evidence with the peers.
         peers: returns the live peers.
         clock: time service.
+        rng: selects the peers with which evidence is compared.
     """
 
     def __init__(
@@ -49,7 +56,9 @@
         transport: Transport,
         peers: Callable[[], Iterable[HostId]],
         clock: Clock,
+        rng: random.Random | None = None,
     ) -> None:
+        self._rng = rng or random.Random(0)
         self._backends = backends
         self._transport = transport
         self._peers = peers
@@ -58,9 +67,11 @@
         self._unshared: set[int] = set()
         self._background = BackgroundTasks()
         transport.register(ShareEvidence, self._merge_evidence)
+        transport.register(EvidenceDigest, self._compare_evidence)
 
     def start(self) -> None:
-        """Starts the periodic expiry of evidence."""
+        """Starts the periodic expiry and comparison of evidence."""
+        self._clock.every_ms(COMPARE_PERIOD_MS, self._compare_with_peers)
         self._clock.every_ms(EXPIRE_PERIOD_MS, lambda: self._evidence.expire(self._clock.wall_ms()))
 
     def identify(self, request: ClientRequest, service: ServiceName) -> RequestIdentity:
@@ -139,6 +150,32 @@
         except PeerError as error:
             log_warning(Event.EVIDENCE_NOT_SHARED, peer=host, error=error.message)
 
+    def _compare_with_peers(self) -> None:
+        digest = self._evidence.digest()
+        if not digest:
+            return
+        peers = list(self._peers())
+        for host in self._rng.sample(peers, min(COMPARE_PEERS, len(peers))):
+            self._background.start(self._compare(host, digest))
+
+    async def _compare(self, host: HostId, digest: int) -> None:
+        """Exchanges evidence with a peer whose evidence differs."""
+        try:
+            reply = await self._transport.request(host, EvidenceDigest(digest), SHARE_TIMEOUT_MS)
+        except PeerError as error:
+            log_warning(Event.EVIDENCE_NOT_SHARED, peer=host, error=error.message)
+            return
+        if isinstance(reply, ShareEvidence):
+            self._share_soon(self._evidence.merge(reply.evidence))
+            await self._share(host, self._evidence.condemned_evidence())
+
+    async def _compare_evidence(
+        self, sender: HostIdentity, message: EvidenceDigest
+    ) -> ShareEvidence | QuarantineAccepted:
+        if message.digest == self._evidence.digest():
+            return QuarantineAccepted()
+        return ShareEvidence(self._evidence.condemned_evidence())
+
     async def _merge_evidence(
         self, sender: HostIdentity, message: ShareEvidence
     ) -> QuarantineAccepted:
--- a/src/medlarvale/forwarding/host.py
+++ b/src/medlarvale/forwarding/host.py
@@ -31,7 +31,7 @@
 from medlarvale.peers.auth import FrameGuard, SharedKeys
 from medlarvale.peers.pynng_transport import PynngTransport
 from medlarvale.peers.transport import MessageCodec
-from medlarvale.quarantine.messages import QuarantineAccepted, ShareEvidence
+from medlarvale.quarantine.messages import EvidenceDigest, QuarantineAccepted, ShareEvidence
 
 # For streams of a service without engines: nothing is reserved, because its servers reject excess
 # requests.
@@ -86,7 +86,7 @@
         self.follower = StateFollower(source, self.servers, self.clock, self._log_ready)
         self.follower.on_contact(lambda: self.servers.isolation.note_contact(self.clock.now_ms()))
         self._build_peers(parameters)
-        self._guard = CrashGuard(backends, self._transport, self._live_peers, self.clock)
+        self._guard = CrashGuard(backends, self._transport, self._live_peers, self.clock, rng)
         self._context = context = ForwardingContext(
             backends,
             self.servers,
@@ -136,7 +136,7 @@
             identity,
             f"tcp://{parameters.listen_control}",
             guard,
-            MessageCodec((*FLEET_MESSAGES, ShareEvidence, QuarantineAccepted)),
+            MessageCodec((*FLEET_MESSAGES, ShareEvidence, EvidenceDigest, QuarantineAccepted)),
             self.clock,
         )
         view = FleetView(identity, parameters.listen_control, parameters.seed_addresses, self._rng)
--- a/src/medlarvale/quarantine/messages.py
+++ b/src/medlarvale/quarantine/messages.py
@@ -63,6 +63,16 @@
     evidence: tuple[Evidence, ...]
 
 
+class EvidenceDigest(msgspec.Struct, tag="evidence_digest", frozen=True):
+    """Compares what two hosts refuse; the reply is the receiver's evidence if it differs.
+
+    Attributes:
+        digest: hash of the sender's evidence about everything that it refuses.
+    """
+
+    digest: int
+
+
 class AcquirePermit(msgspec.Struct, tag="acquire_permit", frozen=True):
     """Requests permission to run a copy now from the fingerprint's owner."""
 
@@ -96,6 +106,7 @@
 
 QUARANTINE_MESSAGES: tuple[type[msgspec.Struct], ...] = (
     ShareEvidence,
+    EvidenceDigest,
     AcquirePermit,
     PermitAnswer,
     RenewPermits,
