Blame requests only for servers that refuse connections

Looked for while tracing the crashing requests; not seen by callers. A server behind a partition is silent, and each request that had been running on it counted as one that may have crashed it. Three such servers were enough to refuse what these requests had in common for ten minutes.

--- a/bench/forwarding/engines.py
+++ b/bench/forwarding/engines.py
@@ -12,7 +12,12 @@
 
 from multidict import CIMultiDict
 
-from medlarvale.forwarding.errors import BackendError, NotSentError, RejectedError
+from medlarvale.forwarding.errors import (
+    BackendError,
+    NotSentError,
+    RejectedError,
+    ServerDownError,
+)
 from medlarvale.forwarding.messages import (
     ClientRequest,
     Dispatch,
@@ -395,7 +400,7 @@
     async def probe(self, server: Server) -> None:
         """Opens a connection to check that the engine is alive."""
         if not (await self._reach(server)).alive:
-            raise NotSentError("no connection")
+            raise ServerDownError("connection refused")
 
     async def report(self, server: Server) -> EngineReport:
         """Returns the load report of an engine."""
--- a/src/medlarvale/forwarding/crash_guard.py
+++ b/src/medlarvale/forwarding/crash_guard.py
@@ -12,11 +12,11 @@
     fingerprint_of_part,
     fingerprint_of_request,
 )
-from medlarvale.forwarding.errors import BackendError, CrashingRequestError, NotSentError
+from medlarvale.forwarding.errors import BackendError, CrashingRequestError, ServerDownError
 from medlarvale.forwarding.interface import Backends
 from medlarvale.forwarding.messages import ClientRequest, RequestIdentity, Server
 from medlarvale.ids import HostId, HostIdentity, ServiceName
-from medlarvale.logs import Event, log_warning
+from medlarvale.logs import Event, log_info, log_warning
 from medlarvale.peers.errors import PeerError
 from medlarvale.peers.transport import Transport
 from medlarvale.quarantine.messages import (
@@ -107,11 +107,16 @@
         await self._clock.sleep_ms(PROBE_DELAY_MS)
         try:
             await self._backends.probe(server)
-        except NotSentError:
+        except ServerDownError:
             self._record(identity, server, events)
-        except BackendError:
-            # The server still accepts connections, so it did not crash.
-            return
+        except BackendError as error:
+            # Behind a partition, a server is silent, whatever ran on it.
+            log_info(
+                Event.LOSS_UNKNOWN,
+                server=server.server,
+                request=identity.request_id,
+                error=error.message,
+            )
 
     def _record(self, identity: RequestIdentity, server: Server, events: int) -> None:
         event = LossEvent(server.server, server.born_ms, 0)
--- a/src/medlarvale/forwarding/errors.py
+++ b/src/medlarvale/forwarding/errors.py
@@ -85,6 +85,12 @@
     outcome = Outcome.NOT_RUN
 
 
+class ServerDownError(NotSentError):
+    """The server's host answers, but no process accepts connections at its address."""
+
+    code = "backend_down"
+
+
 class RejectedError(BackendError):
     """The backend server reports that it has not run the request.
 
--- a/src/medlarvale/forwarding/interface.py
+++ b/src/medlarvale/forwarding/interface.py
@@ -113,7 +113,8 @@
         """Opens and closes a connection.
 
         Raises:
-            NotSentError: the server accepts no connection.
+            ServerDownError: the connection was refused.
+            NotSentError: the server can't be reached.
         """
 
     async def report(self, server: Server) -> EngineReport:
--- a/src/medlarvale/logs.py
+++ b/src/medlarvale/logs.py
@@ -64,6 +64,7 @@
     ORDER_REFUSED = (6005, "order to an engine refused or lost")
     REQUEST_QUARANTINED = (7001, "request quarantined")
     SERVER_LOST = (7002, "backend server lost")
+    LOSS_UNKNOWN = (7003, "backend server unreachable after a broken run")
 
     @property
     def number(self) -> int:
--- a/src/medlarvale/platform/backends.py
+++ b/src/medlarvale/platform/backends.py
@@ -12,7 +12,12 @@
 from multidict import CIMultiDict
 from yarl import URL
 
-from medlarvale.forwarding.errors import BackendError, NotSentError, RejectedError
+from medlarvale.forwarding.errors import (
+    BackendError,
+    NotSentError,
+    RejectedError,
+    ServerDownError,
+)
 from medlarvale.forwarding.messages import (
     ClientRequest,
     Dispatch,
@@ -248,6 +253,8 @@
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_MS / 1000.0):
                 _, writer = await asyncio.open_connection(ip, int(port))
+        except ConnectionRefusedError as error:
+            raise ServerDownError(f"server {server.server}: {error!r}") from error
         except (OSError, TimeoutError) as error:
             raise NotSentError(f"server {server.server}: {error!r}") from error
         writer.close()
