--- a/bench/forwarding/engines.py
+++ b/bench/forwarding/engines.py
@@ -18,6 +18,7 @@
     RejectedError,
     ServerDownError,
 )
+from medlarvale.forwarding.interface import LimitCallback
 from medlarvale.forwarding.messages import (
     ClientRequest,
     Dispatch,
@@ -353,6 +354,9 @@
         self._domain = domain
         self._outputs = outputs
 
+    def on_limit(self, callback: LimitCallback) -> None:
+        """Does nothing: emulated engines name no limit."""
+
     def _delay_s(self, server: Server) -> float:
         near = server.failure_domain == self._domain
         return (self.IN_DOMAIN_MS if near else self.ACROSS_MS) / 1000.0
--- a/src/medlarvale/forwarding/host.py
+++ b/src/medlarvale/forwarding/host.py
@@ -83,6 +83,7 @@
         self.clock = SystemClock()
         rng = self._rng = random.Random(secrets.randbits(64))
         self.servers = ServerTable(parameters.failure_domain, rng)
+        backends.on_limit(self.servers.limits.note)
         self.follower = StateFollower(source, self.servers, self.clock, self._log_ready)
         self.follower.on_contact(lambda: self.servers.isolation.note_contact(self.clock.now_ms()))
         self._build_peers(parameters)
--- a/src/medlarvale/forwarding/interface.py
+++ b/src/medlarvale/forwarding/interface.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from typing import Protocol
 
 from multidict import CIMultiDict
@@ -56,9 +56,16 @@
         """Closes the connection unless the body was read to its end."""
 
 
+# Gets a server and the requests per second that it takes from all hosts; None without a limit.
+LimitCallback = Callable[[Server, float | None], None]
+
+
 class Backends(Protocol):
     """Calls to backend servers."""
 
+    def on_limit(self, callback: LimitCallback) -> None:
+        """Registers a callback for the limit, or its absence, in each answer to a request."""
+
     async def send(
         self, server: Server, request: ClientRequest, dispatch: Dispatch
     ) -> BackendAnswer:
--- a/src/medlarvale/forwarding/servers.py
+++ b/src/medlarvale/forwarding/servers.py
@@ -10,6 +10,7 @@
 from medlarvale.forwarding.backlog import PrefillBacklog
 from medlarvale.forwarding.isolation import IsolationDetector
 from medlarvale.forwarding.messages import EngineStage, Server, ServerState
+from medlarvale.forwarding.server_limits import ServerLimits
 from medlarvale.ids import FailureDomain, ServerId, ServiceName
 from medlarvale.logs import Event, log_info, log_warning
 
@@ -97,6 +98,7 @@
         self._loads: dict[ServerId, ServerLoad] = {}
         self._changing: frozenset[ServerId] = frozenset()
         self.isolation = IsolationDetector()
+        self.limits = ServerLimits()
         # Number of changes of the list, without changes of ``cold_left_ms``.
         self.generation = 0
         self._change_callbacks: list[Callable[[], None]] = []
--- a/src/medlarvale/logs.py
+++ b/src/medlarvale/logs.py
@@ -60,6 +60,8 @@
     ENGINE_READMITTED = (6002, "engine readmitted")
     ORPHAN_CANCELLED = (6003, "orphaned engine request cancelled")
     SERVER_PAUSED = (6006, "backend server paused after a failure")
+    LIMIT_CHANGED = (6007, "limit of a backend server changed")
+    LIMIT_INVALID = (6008, "limit of a backend server can't be read")
     STAGE_ORDERED = (6004, "engine ordered to change stage")
     ORDER_REFUSED = (6005, "order to an engine refused or lost")
     REQUEST_QUARANTINED = (7001, "request quarantined")
--- a/src/medlarvale/platform/backends.py
+++ b/src/medlarvale/platform/backends.py
@@ -18,6 +18,7 @@
     RejectedError,
     ServerDownError,
 )
+from medlarvale.forwarding.interface import LimitCallback
 from medlarvale.forwarding.messages import (
     ClientRequest,
     Dispatch,
@@ -30,6 +31,7 @@
     Server,
 )
 from medlarvale.ids import ServerId
+from medlarvale.logs import Event, log_warning
 from medlarvale.platform import headers as names
 from medlarvale.platform.connections import (
     CONNECT_TIMEOUT_MS,
@@ -50,6 +52,8 @@
 MAX_ANSWER_BYTES = 4 * 1024 * 1024
 MAX_CALL_BYTES = 256 * 1024
 MAX_CACHE_LIST_BYTES = 1024 * 1024
+# Status of a server that is not the one that was expected.
+WRONG_SERVER_STATUS = 421
 # Number of holds and handles that are remembered, to detect a second copy of an answer.
 REMEMBERED_GRANTS = 4_096
 
@@ -150,6 +154,22 @@
     def __init__(self, session: aiohttp.ClientSession) -> None:
         self._session = session
         self._grants = _Grants()
+        self._limit_callbacks: list[LimitCallback] = []
+
+    def on_limit(self, callback: LimitCallback) -> None:
+        """Registers a callback for the limit, or its absence, in each answer to a request."""
+        self._limit_callbacks.append(callback)
+
+    def _note_limit(self, server: Server, response: aiohttp.ClientResponse) -> None:
+        if response.status == WRONG_SERVER_STATUS:
+            return
+        try:
+            limit_per_s = names.server_limit_per_s(response.headers)
+        except ValueError as error:
+            log_warning(Event.LIMIT_INVALID, server=server.server, error=str(error))
+            return
+        for callback in self._limit_callbacks:
+            callback(server, limit_per_s)
 
     async def send(
         self, server: Server, request: ClientRequest, dispatch: Dispatch
@@ -206,6 +226,7 @@
         except TRANSPORT_ERRORS as error:
             raise BackendError(f"server {server.server}: {error!r}") from error
         assert isinstance(response, RelayedResponse)
+        self._note_limit(server, response)
         return response
 
     async def acquire_hold(self, server: Server, tokens: int, ttl_ms: float) -> HoldId | None:
@@ -327,7 +348,7 @@
 
 def _raise_if_rejected(response: aiohttp.ClientResponse) -> None:
     """Raises RejectedError if the response states that the request was not executed."""
-    wrong_server = response.status == 421
+    wrong_server = response.status == WRONG_SERVER_STATUS
     if wrong_server or names.NOT_RUN in response.headers:
         status = response.status
         # The short body may not have arrived yet; closing the connection costs less than waiting.
--- a/src/medlarvale/platform/headers.py
+++ b/src/medlarvale/platform/headers.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import math
+
 from multidict import CIMultiDict, CIMultiDictProxy
 
 from medlarvale.forwarding.messages import ClientRequest, Dispatch, PromptPartId, TokenCounts
@@ -13,6 +15,8 @@
 SERVER_ID = "X-Instance-Id"
 SIGNATURE = "X-Response-Signature"
 NOT_RUN = "X-Not-Executed"
+# Requests per second, a decimal number, that the server takes from all hosts together.
+SERVER_LIMIT = "Server-Limit"
 STAGE = "X-Serving-Stage"
 # "IP:PORT/HANDLE" of the engine that ran the prefill.
 KV_SOURCE = "X-Kv-Source"
@@ -88,6 +92,21 @@
     return int(text)
 
 
+def server_limit_per_s(headers: CIMultiDictProxy[str]) -> float | None:
+    """Returns the limit that a server names; None if it names none.
+
+    Raises:
+        ValueError: if it is no number of requests.
+    """
+    text = headers.get(SERVER_LIMIT)
+    if text is None:
+        return None
+    limit_per_s = float(text)
+    if not 0.0 <= limit_per_s < math.inf:
+        raise ValueError(f"{SERVER_LIMIT} is {text!r}")
+    return limit_per_s
+
+
 def _token_counts(headers: CIMultiDictProxy[str]) -> TokenCounts | None:
     prompt, _, output = headers.get(TOKEN_COUNTS, "").partition(",")
     prompt_tokens, max_output = _parse_unsigned(prompt), _parse_unsigned(output)
--- a/src/medlarvale/platform/standin.py
+++ b/src/medlarvale/platform/standin.py
@@ -109,6 +109,8 @@
         cancelled: ids of the requests whose stream was cancelled.
         break_after: number of events after which the next stream is reset; None for no reset.
         delay_s: duration of a plain call, or time between two events of a stream.
+        limit: limit in the answers; None to name none.
+        arrived: times in s at which requests arrived, on the clock of the loop.
     """
 
     def __init__(self, name: str, service: str, stage: str | None, domain: str = "a") -> None:
@@ -121,6 +123,8 @@
         self.handles: set[str] = set()
         self.break_after: int | None = None
         self.delay_s = 0.0
+        self.limit: str | None = None
+        self.arrived: list[float] = []
         self.address = ""
         self._numbers = itertools.count(1)
         self.servers_by_address: dict[str, StandinServer] = {}
@@ -170,6 +174,7 @@
         if request.headers.get("X-Expected-Instance") != self.name:
             return web.Response(status=421, headers={"X-Instance-Id": self.name})
         request_id = request.headers["X-Request-Id"]
+        self.arrived.append(asyncio.get_running_loop().time())
         if self.stage is None:
             return await self._plain(request, request_id)
         if request.headers.get("X-Serving-Stage") == "prefill":
@@ -185,13 +190,19 @@
         return web.Response(body=b"ok:" + body, headers=self._signed(request_id))
 
     def _signed(self, request_id: str) -> dict[str, str]:
-        return {"X-Request-Id": request_id, "X-Response-Signature": f"{self.name}.{request_id}"}
+        signed = {"X-Request-Id": request_id, "X-Response-Signature": f"{self.name}.{request_id}"}
+        return signed | self._limited()
+
+    def _limited(self) -> dict[str, str]:
+        return {} if self.limit is None else {"Server-Limit": self.limit}
 
     async def _prefill(self) -> web.Response:
         self.prefills += 1
         handle = f"kv-{self.name}-{next(self._numbers)}"
         self.handles.add(handle)
-        return web.json_response({"KvHandle": handle, "Tokens": 10, "Version": 1})
+        return web.json_response(
+            {"KvHandle": handle, "Tokens": 10, "Version": 1}, headers=self._limited()
+        )
 
     async def _decode(self, request: web.Request, request_id: str) -> web.StreamResponse:
         source = request.headers.get("X-Kv-Source", "")
--- a/tests/forwarding/fakes.py
+++ b/tests/forwarding/fakes.py
@@ -13,6 +13,7 @@
 from medlarvale.forwarding.context import ForwardingContext, RetryLimits
 from medlarvale.forwarding.demand import DemandMeter
 from medlarvale.forwarding.errors import BackendError
+from medlarvale.forwarding.interface import LimitCallback
 from medlarvale.forwarding.messages import (
     ClientRequest,
     Dispatch,
@@ -179,8 +180,12 @@
         self.calls: list[tuple[str, str]] = []
         self.dispatches: list[tuple[ServerId, Dispatch]] = []
         self.orders: list[tuple[ServerId, EngineStage, str, int, int]] = []
+        self.limit_callbacks: list[LimitCallback] = []
         self._holds: dict[HoldId, tuple[ServerId, int]] = {}
 
+    def on_limit(self, callback: LimitCallback) -> None:
+        self.limit_callbacks.append(callback)
+
     async def send(self, server: Server, request: ClientRequest, dispatch: Dispatch) -> FakeAnswer:
         self.calls.append(("send", server.server))
         self.dispatches.append((server.server, dispatch))
--- a/tests/platform/test_backends.py
+++ b/tests/platform/test_backends.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import socket
 import struct
 import unittest
@@ -174,6 +175,28 @@
         raw_server = RawServer(answer(length=False), close=True)
         self.assertEqual(await self.send(await self.start(raw_server)), b"done")
 
+    async def test_limits_of_servers_are_read_from_each_answer(self) -> None:
+        """Guards against a limit that is ignored, that outlives the trouble, or that a header that
+        can't be read or another server at the address lifts."""
+        noted: list[float | None] = []
+        self.backends.on_limit(lambda server, limit_per_s: noted.append(limit_per_s))
+        table: list[tuple[bytes, str, list[float | None]]] = [
+            (b"Server-Limit: 1.3\r\n", "200 OK", [1.3]),
+            (b"server-limit: 20\r\n", "503 Full", [20.0]),
+            (b"", "200 OK", [None]),
+            (b"Server-Limit: soon\r\n", "200 OK", []),
+            (b"Server-Limit: -1\r\n", "200 OK", []),
+            (b"Server-Limit: nan\r\n", "200 OK", []),
+            (b"", "421 Misdirected", []),
+        ]
+        for header, status, expected in table:
+            with self.subTest(header=header, status=status):
+                noted.clear()
+                server = await self.start(RawServer(answer(status, SIGNED + header)))
+                with contextlib.suppress(RejectedError):
+                    await self.send(server)
+                self.assertEqual(noted, expected)
+
     async def test_http_client_repeats_no_request(self) -> None:
         """Guards against a GET request that runs twice without being counted as a retry."""
         raw_server = RawServer(answer(), None, answer())
