--- a/tests/forwarding/test_host.py
+++ b/tests/forwarding/test_host.py
@@ -36,19 +36,20 @@
         await self.platform.start()
         self.addAsyncCleanup(self.platform.close)
         self.servers = self.platform.servers
+        self.hosts: list[ForwardingHost] = []
         self.host = await self.start_host()
         self.client = aiohttp.ClientSession()
         self.addAsyncCleanup(self.client.close)
 
-    async def start_host(self) -> ForwardingHost:
+    async def start_host(self, name: str = "a1", seeds: tuple[str, ...] = ()) -> ForwardingHost:
         self.caller_port, self.ready_port = free_port(), free_port()
         self.parameters = HostParameters(
-            host=HostId("a1"),
+            host=HostId(name),
             failure_domain=FailureDomain("a"),
             listen_caller=f"{IP}:{self.caller_port}",
             listen_ready=f"{IP}:{self.ready_port}",
             listen_control=f"{IP}:{free_port()}",
-            seed_addresses=(),
+            seed_addresses=seeds,
             platform_address=self.platform.address,
             grace_ms=4_000.0,
             retry_share=0.2,
@@ -63,6 +64,7 @@
         await host.start()
         self.addAsyncCleanup(session.close)
         self.addAsyncCleanup(host.close)
+        self.hosts.append(host)
         return host
 
     async def configure(self, version: int = 1, **routes: str) -> None:
