Keep the limits that servers name, by all hosts together

Cause: no host read the header. The class of fault: a bound on the sum of what all hosts send, of which each host sees only its own part. Change: a host sends to such a server at its share of the limit. Four hosts share it, or one for each request per second, those of the server's failure domain first; hellos pass on what servers have named, so that the hosts that were not told keep the limit too. Plain calls, runs and prefills count.

--- a/src/medlarvale/forwarding/fleet_messages.py
+++ b/src/medlarvale/forwarding/fleet_messages.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from medlarvale.forwarding.messages import RouteTable, Server, StoreRevision
+from medlarvale.forwarding.server_limits import NamedLimit
 from medlarvale.ids import (
     ConfigVersion,
     FailureDomain,
@@ -46,6 +47,7 @@
             their stage and that have not changed yet.
         figures: packed ``EngineFigures`` of the sender by service; absent from most hellos.
         heard: digests of the hosts that the sender has heard from in the last period.
+        limits: what servers have said about their limits.
     """
 
     sender: HostIdentity
@@ -58,6 +60,7 @@
     changing_engines: tuple[ServerId, ...] = ()
     figures: dict[ServiceName, bytes] = {}
     heard: tuple[int, ...] = ()
+    limits: dict[ServerId, NamedLimit] = {}
 
 
 class StateRequest(msgspec.Struct, frozen=True, tag="state?"):
--- a/src/medlarvale/forwarding/host.py
+++ b/src/medlarvale/forwarding/host.py
@@ -18,7 +18,7 @@
 from medlarvale.forwarding.fleet_messages import FLEET_MESSAGES, Hello
 from medlarvale.forwarding.follower import StateFollower
 from medlarvale.forwarding.interface import Backends, StateSource
-from medlarvale.forwarding.messages import EngineStage, EngineTraits, HostParameters
+from medlarvale.forwarding.messages import EngineStage, EngineTraits, HostParameters, Server
 from medlarvale.forwarding.metrics import ForwardingMetrics
 from medlarvale.forwarding.orders import OrderTask
 from medlarvale.forwarding.peer_state import PeerStateTask
@@ -26,7 +26,7 @@
 from medlarvale.forwarding.rechecks import RecheckTask
 from medlarvale.forwarding.servers import ServerTable
 from medlarvale.forwarding.streams import StreamForwarder
-from medlarvale.ids import HostId, HostIdentity, ServiceName, new_incarnation
+from medlarvale.ids import FailureDomain, HostId, HostIdentity, ServiceName, new_incarnation
 from medlarvale.logs import Event, log_info
 from medlarvale.peers.auth import FrameGuard, SharedKeys
 from medlarvale.peers.pynng_transport import PynngTransport
@@ -82,11 +82,12 @@
         self._metrics_address = f"{parameters.listen_control.rpartition(':')[0]}:{metrics_port}"
         self.clock = SystemClock()
         rng = self._rng = random.Random(secrets.randbits(64))
-        self.servers = ServerTable(parameters.failure_domain, rng)
-        backends.on_limit(self.servers.limits.note)
+        self.servers = ServerTable(parameters.failure_domain, rng, parameters.host)
+        backends.on_limit(self._note_limit)
         self.follower = StateFollower(source, self.servers, self.clock, self._log_ready)
         self.follower.on_contact(lambda: self.servers.isolation.note_contact(self.clock.now_ms()))
         self._build_peers(parameters)
+        self.servers.limits.share_with(self._live_domains)
         self._guard = CrashGuard(backends, self._transport, self._live_peers, self.clock, rng)
         self._context = context = ForwardingContext(
             backends,
@@ -158,6 +159,15 @@
     def _live_peers(self) -> list[HostId]:
         return list(self.fleet.view.live(self.clock.now_ms()))
 
+    def _live_domains(self) -> dict[HostId, FailureDomain]:
+        live = self.fleet.view.live(self.clock.now_ms())
+        return {host: hello.failure_domain for host, hello in live.items()}
+
+    def _note_limit(self, server: Server, limit_per_s: float | None) -> None:
+        # An answer may come from a server that is no longer listed.
+        if self.servers.get(server.server) is not None:
+            self.servers.limits.note(server.server, limit_per_s, self.clock.now_ms())
+
     def _retry_limits(self) -> RetryLimits:
         # Hosts that are not known yet, or no longer known, use the same budget.
         hosts = max(ASSUMED_HOSTS, self.fleet.view.host_count())
@@ -189,6 +199,7 @@
             self.orders.changing_engines,
             self._figures_to_send(),
             view.heard(self.clock.now_ms()),
+            self.servers.limits.known(self.clock.now_ms()),
         )
 
     def _figures_to_send(self) -> dict[ServiceName, bytes]:
@@ -213,6 +224,9 @@
 
     def _note_peer(self, hello: Hello) -> None:
         self.streams.note_peer(hello.sender.host, hello.figures)
+        for server, named in hello.limits.items():
+            if self.servers.get(server) is not None:
+                self.servers.limits.merge(server, named, self.clock.now_ms())
         if hello.failure_domain != self._parameters.failure_domain:
             self.servers.isolation.note_contact(self.clock.now_ms())
 
--- a/src/medlarvale/forwarding/memory.py
+++ b/src/medlarvale/forwarding/memory.py
@@ -322,9 +322,12 @@
         self._context.servers.note_success(load, now_ms())
         return hold
 
-    @staticmethod
-    def _record_reservation(load: ServerLoad, tokens: int, hold: HoldId | None) -> Reservation:
+    def _record_reservation(
+        self, load: ServerLoad, tokens: int, hold: HoldId | None
+    ) -> Reservation:
         load.tokens += tokens
+        # The request follows the reservation.
+        self._context.servers.limits.take(load.server)
         load.in_flight += 1
         return Reservation(load, tokens, hold)
 
--- a/src/medlarvale/forwarding/plain.py
+++ b/src/medlarvale/forwarding/plain.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 
 import msgspec
 from multidict import CIMultiDict
@@ -91,7 +92,8 @@
 
     async def run(self) -> Reply:
         """Returns the first acceptable answer; see ``PlainForwarder.forward``."""
-        self._start_attempt()
+        while not self._start_attempt() and await self._wait_for_limit():
+            pass
         while self._in_progress:
             done = await self._wait()
             if not done and self._left_ms() <= 0:
@@ -109,7 +111,9 @@
     def _error(self, unknown: Exception) -> Exception:
         if self._may_have_run or self._in_progress:
             return unknown
-        return OverloadedError("no backend server accepted the call", retry_after_ms=RETRY_AFTER_MS)
+        wait_ms = self._limit_wait_ms()
+        retry_after_ms = max(RETRY_AFTER_MS, int(wait_ms)) if wait_ms < math.inf else RETRY_AFTER_MS
+        return OverloadedError("no backend server accepted the call", retry_after_ms=retry_after_ms)
 
     def _left_ms(self) -> float:
         return self._end_ms - self._context.clock.now_ms()
@@ -148,10 +152,26 @@
         self._tried.add(load.server.server)
         self._sends += 1
         load.in_flight += 1
+        context.servers.limits.take(load.server)
         task = asyncio.get_running_loop().create_task(self._attempt(load))
         self._in_progress[task] = load
         return True
 
+    async def _wait_for_limit(self) -> bool:
+        """Waits until the limit of a server may admit the call; returns False if that is late."""
+        clock = self._context.clock
+        wait_ms = self._limit_wait_ms()
+        elapsed_ms = clock.now_ms() - self._request.received_ms
+        if not 0.0 < wait_ms < self._route.target_latency_ms - elapsed_ms:
+            return False
+        await clock.sleep_ms(wait_ms)
+        return True
+
+    def _limit_wait_ms(self) -> float:
+        return self._context.servers.limit_wait_ms(
+            self._service, self._context.clock.now_ms(), self._tried
+        )
+
     def _start_another(self) -> bool:
         """Retries the call if the attempts, the time left and the retry budget permit."""
         return (
--- a/src/medlarvale/forwarding/prefill.py
+++ b/src/medlarvale/forwarding/prefill.py
@@ -76,6 +76,7 @@
                 break
             tried.add(load.server.server)
             self._calls += 1
+            self._context.servers.limits.take(load.server)
             load.tokens += self._tokens
             sent_ms = clock.now_ms()
             speed = self._meter.model.prefill_tokens_per_ms(sent_ms)
--- a/src/medlarvale/forwarding/servers.py
+++ b/src/medlarvale/forwarding/servers.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import random
 from collections.abc import Callable, Iterable
 
@@ -11,9 +12,11 @@
 from medlarvale.forwarding.isolation import IsolationDetector
 from medlarvale.forwarding.messages import EngineStage, Server, ServerState
 from medlarvale.forwarding.server_limits import ServerLimits
-from medlarvale.ids import FailureDomain, ServerId, ServiceName
+from medlarvale.ids import FailureDomain, HostId, ServerId, ServiceName
 from medlarvale.logs import Event, log_info, log_warning
 
+# Name of a host without peers.
+UNNAMED_HOST = HostId("")
 # Live backend servers are listed again within about 2 s of the store's recovery.
 MISSING_GRACE_MS = 2_200.0
 # Added to the load of servers in other failure domains, because traffic to them costs more.
@@ -90,15 +93,18 @@
     Args:
         failure_domain: failure domain of this host.
         rng: breaks ties.
+        host: this host.
     """
 
-    def __init__(self, failure_domain: FailureDomain, rng: random.Random) -> None:
+    def __init__(
+        self, failure_domain: FailureDomain, rng: random.Random, host: HostId = UNNAMED_HOST
+    ) -> None:
         self._failure_domain = failure_domain
         self._rng = rng
         self._loads: dict[ServerId, ServerLoad] = {}
         self._changing: frozenset[ServerId] = frozenset()
         self.isolation = IsolationDetector()
-        self.limits = ServerLimits()
+        self.limits = ServerLimits(host, failure_domain)
         # Number of changes of the list, without changes of ``cold_left_ms``.
         self.generation = 0
         self._change_callbacks: list[Callable[[], None]] = []
@@ -124,6 +130,7 @@
         known = self._loads.get(server.server)
         if known is None or (server.born_ms and known.server.born_ms != server.born_ms):
             self._loads[server.server] = ServerLoad(server)
+            self.limits.forget(server.server)
             self._note_change()
             log_info(
                 Event.SERVER_LEARNED,
@@ -148,6 +155,7 @@
     def remove(self, server: ServerId) -> None:
         """Removes a server whose entry was deleted."""
         if self._loads.pop(server, None) is not None:
+            self.limits.forget(server)
             self._note_change()
             log_info(Event.SERVER_REMOVED, server=server)
 
@@ -195,8 +203,20 @@
             excluded: servers to leave out.
             healthy_only: whether to return an empty list rather than paused or suspect servers.
         """
-        excluded = set(excluded)
         listed = [
+            load
+            for load in self._listed(service, stage, excluded)
+            if not self.limits.wait_ms(load.server, now_ms)
+        ]
+        unpaused = [load for load in listed if load.paused_until_ms <= now_ms]
+        healthy = [load for load in unpaused if not load.suspect]
+        return healthy if healthy or healthy_only else unpaused or listed
+
+    def _listed(
+        self, service: ServiceName, stage: EngineStage | None, excluded: Iterable[ServerId]
+    ) -> list[ServerLoad]:
+        excluded = set(excluded)
+        return [
             load
             for load in self._loads.values()
             if load.server.service == service
@@ -205,9 +225,19 @@
             and load.server.server not in self._changing
             and load.server.server not in excluded
         ]
-        unpaused = [load for load in listed if load.paused_until_ms <= now_ms]
-        healthy = [load for load in unpaused if not load.suspect]
-        return healthy if healthy or healthy_only else unpaused or listed
+
+    def limit_wait_ms(
+        self, service: ServiceName, now_ms: float, excluded: Iterable[ServerId] = ()
+    ) -> float:
+        """Returns the time until the limit of some server of a plain service admits a request.
+
+        Infinite if there is no server, or none whose limit this host shares.
+        """
+        waits_ms = (
+            self.limits.wait_ms(load.server, now_ms)
+            for load in self._listed(service, None, excluded)
+        )
+        return min(waits_ms, default=math.inf)
 
     def due_for_recheck(self, now_ms: float) -> list[ServerLoad]:
         """Returns the suspect servers whose pause is over."""
