Take a stream that ends inside an event as broken

Callers would see an answer that ends in the middle of an event and looks complete: where a server sends neither a length nor chunks, the end of its connection ends the answer, and a rest after the last whole event was passed on as its end. A rest other than line ends now breaks the run, which resumes elsewhere if the route allows it; otherwise the caller's connection is closed without an end of the body. test_a_stream_that_ends_inside_an_event_is_broken failed before in four of six cases.

--- a/src/medlarvale/forwarding/events.py
+++ b/src/medlarvale/forwarding/events.py
@@ -65,7 +65,7 @@
         limit_ms: longest time without an event, whatever other bytes arrive.
 
     Raises:
-        BackendError: if there is no event in time, or the body ends early.
+        BackendError: if there is no event in time, or the body ends early or inside an event.
     """
     chunks = aiter(answer.chunks())
     silent_since_ms = clock.now_ms()
@@ -75,6 +75,8 @@
             async with asyncio.timeout(max(0.0, left_ms) / 1000.0):
                 chunk = await anext(chunks)
         except StopAsyncIteration:
+            if splitter.rest.strip(b"\r\n"):
+                raise BackendError("the stream ended inside an event") from None
             return
         except TimeoutError as error:
             raise BackendError("no event of the stream in time") from error
--- a/tests/forwarding/test_stream_run.py
+++ b/tests/forwarding/test_stream_run.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import unittest
 from typing import Any
 
@@ -108,6 +109,38 @@
         self.assertEqual(second[1].resume_after, 3)
         self.assert_nothing_held()
 
+    async def test_a_stream_that_ends_inside_an_event_is_broken(self) -> None:
+        """Guards against an answer without a length that broke off in the middle of an event and
+        reaches the caller as a complete success."""
+        half = b"id: 4\ndata: to"
+        table: list[tuple[str, bool, list[FakeAnswer | Exception], bytes, bool]] = [
+            (
+                "resumes",
+                True,
+                [FakeAnswer([events(1, 3) + half]), FakeAnswer([events(4, 6)])],
+                events(1, 6),
+                True,
+            ),
+            ("can't resume", False, [FakeAnswer([events(1, 3), half])], events(1, 3), False),
+            ("no whole event", False, [FakeAnswer([half])], b"", False),
+            ("no blank line", False, [FakeAnswer([event(1)[:-1]])], b"", False),
+            ("whole", False, [FakeAnswer([events(1, 3)])], events(1, 3), True),
+            (
+                "newlines at the end",
+                False,
+                [FakeAnswer([events(1, 3) + b"\n"])],
+                events(1, 3) + b"\n",
+                True,
+            ),
+        ]
+        for name, resumable, outcomes, received, complete in table:
+            with self.subTest(name):
+                self.setUp()
+                self.answer(*outcomes)
+                with contextlib.suppress(StreamBrokenError, OutcomeUnknownError):
+                    await self.forward(resumable=resumable)
+                self.assertEqual((self.sink.data, self.sink.finished), (received, complete))
+
     async def test_a_stream_resumes_after_the_loss_of_its_engine(self) -> None:
         self.answer(FakeAnswer([events(1, 2), RESET]), FakeAnswer([events(3, 4)]))
         task = asyncio.create_task(self.forward())
