Blame prompts for prefill engines lost while they read them

Looked for as the same cause elsewhere; not seen by callers. A call that lost its prefill engine was recorded as a failure of the engine only, so prompts that crash prefill engines were never refused. test_prompts_that_crash_prefill_engines_are_refused fails without the change.

--- a/src/medlarvale/forwarding/prefill.py
+++ b/src/medlarvale/forwarding/prefill.py
@@ -4,7 +4,8 @@
 
 from medlarvale.forwarding.context import ForwardingContext
 from medlarvale.forwarding.demand import DemandMeter
-from medlarvale.forwarding.errors import BackendError, RejectedError
+from medlarvale.forwarding.errors import BackendError, NotSentError, RejectedError
+from medlarvale.forwarding.guarded_run import GuardedRun
 from medlarvale.forwarding.messages import ClientRequest, EngineStage, PrefillResult
 from medlarvale.forwarding.servers import ServerLoad
 from medlarvale.ids import ServerId, ServiceName
@@ -40,6 +41,7 @@
         service: its service.
         tokens: prompt tokens.
         meter: load and prefill speed of the service.
+        guarded: reports engines that are lost during a prefill.
     """
 
     def __init__(
@@ -49,7 +51,9 @@
         service: ServiceName,
         tokens: int,
         meter: DemandMeter,
+        guarded: GuardedRun,
     ) -> None:
+        self._guarded = guarded
         self._context = context
         self._request = request
         self._service = service
@@ -159,5 +163,7 @@
         )
         if isinstance(error, RejectedError):
             load.paused_until_ms = now_ms + REJECTED_PAUSE_MS
-        else:
-            self._context.servers.note_failure(load, now_ms, error.message)
+            return
+        if not isinstance(error, NotSentError):
+            self._guarded.note_broken(load.server)
+        self._context.servers.note_failure(load, now_ms, error.message)
--- a/src/medlarvale/forwarding/stream_run.py
+++ b/src/medlarvale/forwarding/stream_run.py
@@ -131,7 +131,7 @@
             self._tokens.prompt + meter.model.reserved_output(self._tokens, now_ms)
         )
         self._prefill_dispatcher = PrefillDispatcher(
-            context, request, service, self._tokens.prompt, meter
+            context, request, service, self._tokens.prompt, meter, self._guarded
         )
         meter.note_arrival(self._tokens.prompt, self._memory_tokens, now_ms)
         self.times = StreamTimes(now_ms)
--- a/tests/forwarding/test_crashing_parts.py
+++ b/tests/forwarding/test_crashing_parts.py
@@ -395,6 +395,30 @@
             await self.streams.forward(request, make_route(), LLM, self.sink)
         self.assertEqual(self.backends.count("send"), 1)
 
+    async def test_prompts_that_crash_prefill_engines_are_refused(self) -> None:
+        """Guards against prompts with a common part that crash one prefill engine after the other:
+        their requests run on a decode engine instead, and nobody is blamed."""
+        self.backends.prefill_script = lambda server: BackendError("reset")
+        for number in range(3):
+            name = f"p{number + 2}"
+            self.context.servers.replace_all(
+                [
+                    make_server(name, stage=EngineStage.PREFILL),
+                    make_server("d1", stage=EngineStage.DECODE),
+                ],
+                self.context.clock.now_ms(),
+                after_outage=False,
+            )
+            self.backends.probe_errors[ServerId(name)] = ServerDownError()
+            self.backends.script = lambda *call: BackendError("reset")
+            request = make_request(f"q{number}", body=b"%d" % number, shared_parts=(CRASHING,))
+            with self.assertRaises(OutcomeUnknownError):
+                await self.streams.forward(request, make_route(max_attempts=1), LLM, self.sink)
+            await asyncio.sleep(PROBE_DELAY_MS / 1000.0 + 0.05)
+        with self.assertRaises(CrashingRequestError):
+            request = make_request("q9", body=b"9", shared_parts=(CRASHING,))
+            await self.streams.forward(request, make_route(), LLM, self.sink)
+
     async def test_a_call_that_servers_answer_is_not_blamed_for_their_crashes(self) -> None:
         """Guards against refusals of a call that all callers send alike, because it was running on
         servers that crashed for another reason."""
