Repeat the probe of a server that may have crashed if it gets no answer

Looked for as a weakness of counting refused connections only: a lost packet delays the connection beyond its timeout, and the crash counted for nothing. test_a_probe_that_gets_no_answer_is_repeated failed before. Three probes within 1.5 s end before a server that has crashed is back.

--- a/src/medlarvale/forwarding/crash_guard.py
+++ b/src/medlarvale/forwarding/crash_guard.py
@@ -12,7 +12,12 @@
     fingerprint_of_part,
     fingerprint_of_request,
 )
-from medlarvale.forwarding.errors import BackendError, CrashingRequestError, ServerDownError
+from medlarvale.forwarding.errors import (
+    BackendError,
+    CrashingRequestError,
+    NotSentError,
+    ServerDownError,
+)
 from medlarvale.forwarding.interface import Backends
 from medlarvale.forwarding.messages import ClientRequest, RequestIdentity, Server
 from medlarvale.ids import HostId, HostIdentity, ServiceName
@@ -29,6 +34,9 @@
 
 # A crashed server refuses connections until it has restarted, which takes some seconds.
 PROBE_DELAY_MS = 100.0
+# A probe is repeated if it gets no answer, because packets may have been lost. All of them end
+# before the server has restarted.
+PROBES = 3
 SHARE_TIMEOUT_MS = 500.0
 # The losses of all requests that ran on a server are shared in one message.
 SHARE_DELAY_MS = 10.0
@@ -104,19 +112,25 @@
         self._share_soon(self._evidence.record_clean_run(identity, self._clock.wall_ms()))
 
     async def _probe_server(self, identity: RequestIdentity, server: Server, events: int) -> None:
-        await self._clock.sleep_ms(PROBE_DELAY_MS)
-        try:
-            await self._backends.probe(server)
-        except ServerDownError:
-            self._record(identity, server, events)
-        except BackendError as error:
-            # Behind a partition, a server is silent, whatever ran on it.
-            log_info(
-                Event.LOSS_UNKNOWN,
-                server=server.server,
-                request=identity.request_id,
-                error=error.message,
-            )
+        reason = ""
+        for _ in range(PROBES):
+            await self._clock.sleep_ms(PROBE_DELAY_MS)
+            try:
+                await self._backends.probe(server)
+            except ServerDownError:
+                self._record(identity, server, events)
+                return
+            except NotSentError as error:
+                reason = error.message
+            except BackendError:
+                # The server still accepts connections, so it did not crash.
+                return
+            else:
+                return
+        # Behind a partition, a server is silent, whatever ran on it.
+        log_info(
+            Event.LOSS_UNKNOWN, server=server.server, request=identity.request_id, error=reason
+        )
 
     def _record(self, identity: RequestIdentity, server: Server, events: int) -> None:
         event = LossEvent(server.server, server.born_ms, 0)
--- a/tests/forwarding/test_crash_guard.py
+++ b/tests/forwarding/test_crash_guard.py
@@ -63,6 +63,24 @@
                     else:
                         guard.check(guard.identify(make_request(body=b"poison"), APP))
 
+    async def test_a_probe_that_gets_no_answer_is_repeated(self) -> None:
+        """Guards against a crash that counts for nothing because packets of the probe were lost."""
+        guard = self.guards["a"]
+        for name in ("s1", "s2", "s3"):
+            self.backends.probe_errors[ServerId(name)] = NotSentError("lost")
+            guard.note_broken_run(
+                guard.identify(make_request(body=b"poison"), APP),
+                make_server(name, service=APP),
+                events=0,
+            )
+        await asyncio.sleep(1.5 * PROBE_DELAY_MS / 1000.0)
+        self.backends.probe_errors = {
+            ServerId(name): ServerDownError() for name in ("s1", "s2", "s3")
+        }
+        await asyncio.sleep(2.0 * PROBE_DELAY_MS / 1000.0)
+        with self.assertRaises(CrashingRequestError):
+            guard.check(guard.identify(make_request(body=b"poison"), APP))
+
     async def test_a_replaced_host_learns_what_its_peers_refuse(self) -> None:
         """Guards against a restarted host that crashes three more servers to learn what its peers
         have refused all along."""
