Let hosts that start ask their peers what crashes servers

With the peers asking at random, a restarted host could be passed over for some seconds. For its first 10 s it now asks two peers a second itself. test_a_replaced_host_learns_what_its_peers_refuse has a case in which no peer asks, which failed before.

--- a/src/medlarvale/forwarding/crash_guard.py
+++ b/src/medlarvale/forwarding/crash_guard.py
@@ -45,6 +45,8 @@
 # per period: a host that was replaced, or that missed a message, knows all of it within about 3 s.
 COMPARE_PERIOD_MS = 1_000.0
 COMPARE_PEERS = 2
+# A host that has just started asks its peers although it refuses nothing.
+JOIN_MS = 10_000.0
 
 
 class CrashGuard:
@@ -73,12 +75,14 @@
         self._clock = clock
         self._evidence = CrashEvidence()
         self._unshared: set[int] = set()
+        self._started_ms = 0.0
         self._background = BackgroundTasks()
         transport.register(ShareEvidence, self._merge_evidence)
         transport.register(EvidenceDigest, self._compare_evidence)
 
     def start(self) -> None:
         """Starts the periodic expiry and comparison of evidence."""
+        self._started_ms = self._clock.now_ms()
         self._clock.every_ms(COMPARE_PERIOD_MS, self._compare_with_peers)
         self._clock.every_ms(EXPIRE_PERIOD_MS, lambda: self._evidence.expire(self._clock.wall_ms()))
 
@@ -171,7 +175,7 @@
 
     def _compare_with_peers(self) -> None:
         digest = self._evidence.digest()
-        if not digest:
+        if not digest and self._clock.now_ms() - self._started_ms > JOIN_MS:
             return
         peers = list(self._peers())
         for host in self._rng.sample(peers, min(COMPARE_PEERS, len(peers))):
--- a/tests/forwarding/test_crash_guard.py
+++ b/tests/forwarding/test_crash_guard.py
@@ -88,8 +88,14 @@
             ServerId(name): ServerDownError() for name in ("s1", "s2", "s3")
         }
         await self.break_runs(self.guards["a"], "s1", "s2", "s3")
-        self.guards["a"].start()
-        replaced = self.make_guard("b")
+        # The first host has not started its comparisons while the second one asks.
+        for asks in ("b", "a"):
+            with self.subTest(asks=asks):
+                replaced = self.make_guard("b")
+                (self.guards["a"] if asks == "a" else replaced).start()
+                await self.wait_until_refused(replaced)
+
+    async def wait_until_refused(self, replaced: CrashGuard) -> None:
         async with asyncio.timeout(5.0):
             while True:
                 try:
