Refuse for a minute at first what seems to crash servers

Callers would have seen: three servers lost at once for another reason, while all of them ran requests with a part that had not run clean anywhere yet, made every request with that part refused for ten minutes, with no run left to clear it. A refusal now lasts one minute after the third loss and twice as long with each further one, up to ten minutes. test_refusals_last_longer_with_each_loss failed before. The check of the expiry now names the retention itself instead of three times the refusal, which it equalled or exceeded before.

--- a/src/medlarvale/forwarding/crash_evidence.py
+++ b/src/medlarvale/forwarding/crash_evidence.py
@@ -29,6 +29,9 @@
 # A request is not blamed for losses up to this long after such an answer. Longer than the restart
 # of all servers of a service, so that the requests that wait for it are not blamed together.
 CLEAN_WINDOW_MS = 30_000
+# What has crashed as many servers as the limit is refused for this time, twice as long with each
+# further loss, up to the time of the quarantine.
+FIRST_REFUSAL_MS = 60_000
 # Number of fingerprints whose last clean run is remembered; about 100 bytes each.
 REMEMBERED_RUNS = 16_384
 # Prompt parts are the same for all callers and services.
@@ -115,13 +118,21 @@
         condemned = self._condemned.intersection(identity.fingerprints)
         return max(
             (
-                self._suspects.quarantine_left_ms(fingerprint, wall_ms)
+                self._refused_for_ms(fingerprint, wall_ms)
                 for fingerprint in condemned
                 if not self._is_explained(fingerprint, identity)
             ),
             default=0,
         )
 
+    def _refused_for_ms(self, fingerprint: int, wall_ms: int) -> int:
+        """Returns the remaining time for which a fingerprint is refused."""
+        limits = self._suspects.limits
+        left_ms = self._suspects.quarantine_left_ms(fingerprint, wall_ms)
+        further = self.loss_count(fingerprint) - limits.crash_limit
+        lasts_ms = min(limits.quarantine_ms, FIRST_REFUSAL_MS << max(0, further))
+        return max(0, left_ms - limits.quarantine_ms + lasts_ms)
+
     def condemned_evidence(self) -> tuple[Evidence, ...]:
         """Returns the evidence about everything that is refused."""
         return tuple(self.evidence_of(known) for known in sorted(self._condemned))
--- a/tests/forwarding/test_crash_evidence.py
+++ b/tests/forwarding/test_crash_evidence.py
@@ -8,6 +8,7 @@
 from medlarvale.forwarding.messages import RequestIdentity
 from medlarvale.ids import RequestId, ServerId
 from medlarvale.quarantine.messages import LossEvent
+from medlarvale.quarantine.suspects import RETENTION_PER_QUARANTINE, QuarantineLimits
 
 NOW_MS = 1_750_000_000_000
 
@@ -110,13 +111,25 @@
         for known in (old, new):
             self.assertEqual(known.quarantine_left_ms(identity(12, 1), NOW_MS), 0)
 
+    def test_refusals_last_longer_with_each_loss(self) -> None:
+        """Guards against ten minutes of refusals of a sound part, because servers that were lost
+        together for another reason all ran it before it had run clean anywhere."""
+        evidence = CrashEvidence()
+        lasted_s = []
+        for number, name in enumerate("abcdefgh"):
+            evidence.record_loss(
+                identity(10 + 2 * number, 1), LossEvent(ServerId(name), 1, 0), NOW_MS
+            )
+            lasted_s.append(evidence.quarantine_left_ms(identity(98, 1), NOW_MS) // 1000)
+        self.assertEqual(lasted_s, [0, 0, 60, 120, 240, 480, 600, 600])
+
     def test_old_evidence_expires(self) -> None:
         evidence = CrashEvidence()
         for name in "abc":
             evidence.record_loss(identity(10, 1), LossEvent(ServerId(name), 1, 0), NOW_MS)
         left_ms = evidence.quarantine_left_ms(identity(10, 1), NOW_MS)
         self.assertEqual(evidence.quarantine_left_ms(identity(10, 1), NOW_MS + left_ms), 0)
-        evidence.expire(NOW_MS + 3 * left_ms)
+        evidence.expire(NOW_MS + RETENTION_PER_QUARANTINE * QuarantineLimits().quarantine_ms)
         self.assertEqual(evidence.loss_count(1), 0)
 
 
