Compare crash evidence with a message that hosts of earlier builds know

Looked for while reading the change: hosts of two builds run in one deployment during an upgrade, and those of the earlier one rejected the new message that each host sends in its first 10 s. The digest is now an optional field of the message that shares evidence, which they ignore.

--- a/src/medlarvale/forwarding/crash_guard.py
+++ b/src/medlarvale/forwarding/crash_guard.py
@@ -26,7 +26,6 @@
 from medlarvale.peers.transport import Transport
 from medlarvale.quarantine.messages import (
     Evidence,
-    EvidenceDigest,
     LossEvent,
     QuarantineAccepted,
     ShareEvidence,
@@ -78,7 +77,6 @@
         self._started_ms = 0.0
         self._background = BackgroundTasks()
         transport.register(ShareEvidence, self._merge_evidence)
-        transport.register(EvidenceDigest, self._compare_evidence)
 
     def start(self) -> None:
         """Starts the periodic expiry and comparison of evidence."""
@@ -184,7 +182,7 @@
     async def _compare(self, host: HostId, digest: int) -> None:
         """Exchanges evidence with a peer whose evidence differs."""
         try:
-            reply = await self._transport.request(host, EvidenceDigest(digest), SHARE_TIMEOUT_MS)
+            reply = await self._transport.request(host, ShareEvidence((), digest), SHARE_TIMEOUT_MS)
         except PeerError as error:
             log_warning(Event.EVIDENCE_NOT_SHARED, peer=host, error=error.message)
             return
@@ -192,15 +190,10 @@
             self._share_soon(self._evidence.merge(reply.evidence))
             await self._share(host, self._evidence.condemned_evidence())
 
-    async def _compare_evidence(
-        self, sender: HostIdentity, message: EvidenceDigest
-    ) -> ShareEvidence | QuarantineAccepted:
-        if message.digest == self._evidence.digest():
-            return QuarantineAccepted()
-        return ShareEvidence(self._evidence.condemned_evidence())
-
     async def _merge_evidence(
         self, sender: HostIdentity, message: ShareEvidence
-    ) -> QuarantineAccepted:
+    ) -> ShareEvidence | QuarantineAccepted:
         self._share_soon(self._evidence.merge(message.evidence))
-        return QuarantineAccepted()
+        if message.digest is None or message.digest == self._evidence.digest():
+            return QuarantineAccepted()
+        return ShareEvidence(self._evidence.condemned_evidence())
--- a/src/medlarvale/forwarding/host.py
+++ b/src/medlarvale/forwarding/host.py
@@ -31,7 +31,7 @@
 from medlarvale.peers.auth import FrameGuard, SharedKeys
 from medlarvale.peers.pynng_transport import PynngTransport
 from medlarvale.peers.transport import MessageCodec
-from medlarvale.quarantine.messages import EvidenceDigest, QuarantineAccepted, ShareEvidence
+from medlarvale.quarantine.messages import QuarantineAccepted, ShareEvidence
 
 # For streams of a service without engines: nothing is reserved, because its servers reject excess
 # requests.
@@ -138,7 +138,7 @@
             identity,
             f"tcp://{parameters.listen_control}",
             guard,
-            MessageCodec((*FLEET_MESSAGES, ShareEvidence, EvidenceDigest, QuarantineAccepted)),
+            MessageCodec((*FLEET_MESSAGES, ShareEvidence, QuarantineAccepted)),
             self.clock,
         )
         view = FleetView(identity, parameters.listen_control, parameters.seed_addresses, self._rng)
--- a/src/medlarvale/quarantine/messages.py
+++ b/src/medlarvale/quarantine/messages.py
@@ -58,19 +58,15 @@
 
 
 class ShareEvidence(msgspec.Struct, tag="share_evidence", frozen=True):
-    """Sends the sender's evidence to a peer; may be repeated and reordered."""
-
-    evidence: tuple[Evidence, ...]
-
-
-class EvidenceDigest(msgspec.Struct, tag="evidence_digest", frozen=True):
-    """Compares what two hosts refuse; the reply is the receiver's evidence if it differs.
+    """Sends the sender's evidence to a peer; may be repeated and reordered.
 
     Attributes:
-        digest: hash of the sender's evidence about everything that it refuses.
+        digest: hash of the sender's evidence about everything that it refuses, or None. If it
+            differs from that of the receiver, the reply is the receiver's evidence.
     """
 
-    digest: int
+    evidence: tuple[Evidence, ...]
+    digest: int | None = None
 
 
 class AcquirePermit(msgspec.Struct, tag="acquire_permit", frozen=True):
@@ -106,7 +102,6 @@
 
 QUARANTINE_MESSAGES: tuple[type[msgspec.Struct], ...] = (
     ShareEvidence,
-    EvidenceDigest,
     AcquirePermit,
     PermitAnswer,
     RenewPermits,
