--- a/src/medlarvale/platform/backends.py
+++ b/src/medlarvale/platform/backends.py
@@ -341,6 +341,9 @@
             async with self._session.request(
                 method, url, headers=headers, data=data, timeout=timeout
             ) as response:
+                if names.SERVER_LIMIT in response.headers:
+                    # The absence of a limit counts only in answers to requests.
+                    self._note_limit(server, response)
                 return response.status, await read_body(response, max_bytes)
         except TRANSPORT_ERRORS as error:
             raise BackendError(f"server {server.server}: {path}: {error!r}") from error
--- a/tests/platform/test_backends.py
+++ b/tests/platform/test_backends.py
@@ -197,6 +197,17 @@
                     await self.send(server)
                 self.assertEqual(noted, expected)
 
+    async def test_short_calls_name_limits_but_do_not_lift_them(self) -> None:
+        """Guards against a limit that is lifted by an answer which never names one."""
+        noted: list[float | None] = []
+        self.backends.on_limit(lambda server, limit_per_s: noted.append(limit_per_s))
+        for header, expected in ((b"Server-Limit: 2\r\n", [2.0]), (b"", [])):
+            with self.subTest(header=header):
+                noted.clear()
+                server = await self.start(RawServer(answer("503 Full", header)))
+                self.assertIsNone(await self.backends.acquire_hold(server, 100, 1_000.0))
+                self.assertEqual(noted, expected)
+
     async def test_http_client_repeats_no_request(self) -> None:
         """Guards against a GET request that runs twice without being counted as a retry."""
         raw_server = RawServer(answer(), None, answer())
