--- a/src/medlarvale/forwarding/host.py
+++ b/src/medlarvale/forwarding/host.py
@@ -199,7 +199,7 @@
             self.orders.changing_engines,
             self._figures_to_send(),
             view.heard(self.clock.now_ms()),
-            self.servers.limits.known(self.clock.now_ms()),
+            self.servers.limits.to_announce(self.clock.now_ms()),
         )
 
     def _figures_to_send(self) -> dict[ServiceName, bytes]:
--- a/src/medlarvale/forwarding/server_limits.py
+++ b/src/medlarvale/forwarding/server_limits.py
@@ -103,8 +103,8 @@
         """Removes a server that has ended."""
         self._limits.pop(server, None)
 
-    def known(self, now_ms: float) -> dict[ServerId, NamedLimit]:
-        """Returns what is known of all servers, for the peers; removes what has expired."""
+    def to_announce(self, now_ms: float) -> dict[ServerId, NamedLimit]:
+        """Returns what the peers should know; removes limits that have expired."""
         for server, limit in list(self._limits.items()):
             if now_ms - limit.named_ms >= EXPIRE_MS:
                 del self._limits[server]
--- a/tests/forwarding/test_server_limits.py
+++ b/tests/forwarding/test_server_limits.py
@@ -90,12 +90,12 @@
         those that got none, and against old news that lift or restore a limit."""
         told, other = make_fleet(2)
         told.note(NAME, 0.5, 0.0)
-        other.merge(NAME, told.known(100.0)[NAME], 100.0)
+        other.merge(NAME, told.to_announce(100.0)[NAME], 100.0)
         self.assertGreater(other.wait_ms(SERVER, 100.0), 0.0)
-        old = told.known(200.0)[NAME]
+        old = told.to_announce(200.0)[NAME]
         told.note(NAME, None, 300.0)
         self.assertEqual(told.wait_ms(SERVER, 300.0), 0.0)
-        other.merge(NAME, told.known(400.0)[NAME], 400.0)
+        other.merge(NAME, told.to_announce(400.0)[NAME], 400.0)
         self.assertEqual(other.wait_ms(SERVER, 400.0), 0.0)
         # A message about the answer at 0 ms arrives late.
         late = NamedLimit(old.limit_per_s, old.age_ms + 300.0)
@@ -108,17 +108,17 @@
         limits.note(NAME, 0.0, 0.0)
         self.assertGreater(limits.wait_ms(SERVER, EXPIRE_MS - 1.0), 0.0)
         self.assertEqual(limits.wait_ms(SERVER, EXPIRE_MS), 0.0)
-        self.assertEqual(limits.known(EXPIRE_MS), {})
+        self.assertEqual(limits.to_announce(EXPIRE_MS), {})
         limits.merge(NAME, NamedLimit(0.0, EXPIRE_MS), EXPIRE_MS)
-        self.assertEqual(limits.known(EXPIRE_MS), {})
+        self.assertEqual(limits.to_announce(EXPIRE_MS), {})
 
     def test_servers_without_a_limit_are_not_remembered(self) -> None:
         limits = make_fleet(1)[0]
         limits.note(ServerId("calm"), None, 0.0)
-        self.assertEqual(limits.known(0.0), {})
+        self.assertEqual(limits.to_announce(0.0), {})
         limits.note(NAME, 2.0, 0.0)
         limits.forget(NAME)
-        self.assertEqual((limits.known(0.0), limits.wait_ms(SERVER, 0.0)), ({}, 0.0))
+        self.assertEqual((limits.to_announce(0.0), limits.wait_ms(SERVER, 0.0)), ({}, 0.0))
 
     def test_hosts_near_a_server_share_its_limit(self) -> None:
         """Guards against calls over the network between failure domains to a limited server while
