Log what marks the end of a stream's body

Events 5005 and 5008 name the framing now, so that complete streams that ended with their connection can be counted. How a response is framed is decided in one place, http_bodies.py; the decision itself is unchanged.

--- a/bench/forwarding/engines.py
+++ b/bench/forwarding/engines.py
@@ -30,6 +30,7 @@
     PromptPartId,
     Server,
 )
+from medlarvale.http_bodies import BodyFraming
 from medlarvale.ids import FailureDomain, ServerId
 
 # Decode steps that are simulated together, or parts into which an event of many steps is divided.
@@ -306,6 +307,7 @@
     status = 200
     signed = True
     event_stream = True
+    framing = BodyFraming.CHUNKED
 
     def __init__(self, engine: EmulatedEngine, run: _Run, delay_s: float) -> None:
         self.headers: CIMultiDict[str] = CIMultiDict()
--- a/src/medlarvale/forwarding/interface.py
+++ b/src/medlarvale/forwarding/interface.py
@@ -21,6 +21,7 @@
     StateChanges,
     StoreRevision,
 )
+from medlarvale.http_bodies import BodyFraming
 
 
 class BackendAnswer(Protocol):
@@ -31,12 +32,14 @@
         headers: headers to forward.
         signed: whether it has the signature header that only backend servers set.
         event_stream: whether the body is an event stream.
+        framing: what marks the end of the body.
     """
 
     status: int
     headers: CIMultiDict[str]
     signed: bool
     event_stream: bool
+    framing: BodyFraming
 
     async def read(self) -> bytes:
         """Returns the complete body.
--- a/src/medlarvale/forwarding/stream_run.py
+++ b/src/medlarvale/forwarding/stream_run.py
@@ -43,6 +43,7 @@
 from medlarvale.forwarding.prefill import REJECTED_PAUSE_MS, PrefillDispatcher
 from medlarvale.forwarding.servers import ServerLoad
 from medlarvale.forwarding.stream_times import StreamTimes
+from medlarvale.http_bodies import BodyFraming
 from medlarvale.ids import ServerId, ServiceName
 from medlarvale.logs import Event, log_warning
 
@@ -85,6 +86,7 @@
         times: breakdown of its duration.
         runs: number of sends that may have started a run.
         engine: engine of the last send.
+        framing: what marks the end of the last answer; None before the first.
 
     Args:
         context: shared dependencies.
@@ -141,6 +143,7 @@
         self._may_have_run = False
         self.runs = 0
         self.engine: ServerId | None = None
+        self.framing: BodyFraming | None = None
         # Engine whose stream broke, but which may still hold the KV cache of this request.
         self._cache_holder: ServerId | None = None
         self._cached_tokens = 0
@@ -210,6 +213,7 @@
             request=self._request.request_id,
             run=self.runs,
             passed_on=self._events.last_id,
+            framing=self.framing.value if self.framing is not None else None,
             error=str(error),
         )
         if isinstance(error, NotSentError | RejectedError):
@@ -298,6 +302,7 @@
         )
         self._fetch_from = None
         self.runs += 1
+        self.framing = None
         self._guarded.begin()
         self.engine = load.server.server
         try:
@@ -346,6 +351,7 @@
         self, answer: BackendAnswer, load: ServerLoad, reserved_ms: float
     ) -> Reply | None:
         """Forwards an answer; only whole events are sent, and none after a missing one."""
+        self.framing = answer.framing
         if answer.status != 200 or not answer.event_stream:
             body = await answer.read()
             self._guarded.note_clean()
--- a/src/medlarvale/forwarding/streams.py
+++ b/src/medlarvale/forwarding/streams.py
@@ -118,6 +118,7 @@
             last_event=run.last_event,
             prefills=times.prefills,
             runs=run.runs,
+            framing=run.framing.value if run.framing is not None else None,
             waited_ms=int(times.waited_ms),
             prefill_ms=int(times.prefill_ms),
             first_event_ms=None if first_ms is None else int(first_ms - request.received_ms),
--- a/src/medlarvale/platform/backends.py
+++ b/src/medlarvale/platform/backends.py
@@ -30,6 +30,7 @@
     PromptPartId,
     Server,
 )
+from medlarvale.http_bodies import BodyFraming, body_framing
 from medlarvale.ids import ServerId
 from medlarvale.logs import Event, log_warning
 from medlarvale.platform import headers as names
@@ -97,6 +98,7 @@
         self.headers: CIMultiDict[str] = names.forwardable(response.headers, frozenset())
         self.signed = names.SIGNATURE in response.headers
         self.event_stream = response.content_type == "text/event-stream"
+        self.framing = body_framing(response.headers)
 
     async def read(self) -> bytes:
         """Returns the whole body."""
@@ -118,10 +120,8 @@
         self._check_complete()
 
     def _check_complete(self) -> None:
-        """Raises BackendError if a body without a length ended with a reset."""
-        headers = self._response.headers
-        framed = "Content-Length" in headers or "Transfer-Encoding" in headers
-        if not framed and self._response.connection_in_use.was_reset:
+        """Raises BackendError if a body that ends with its connection ended with a reset."""
+        if self.framing is BodyFraming.CLOSE and self._response.connection_in_use.was_reset:
             raise BackendError("the response body ended early: the connection was reset")
 
     def close(self) -> None:
--- a/tests/forwarding/fakes.py
+++ b/tests/forwarding/fakes.py
@@ -36,6 +36,7 @@
     TokenCounts,
 )
 from medlarvale.forwarding.servers import ServerTable
+from medlarvale.http_bodies import BodyFraming
 from medlarvale.ids import ConfigVersion, FailureDomain, RequestId, ServerId, ServiceName
 
 LLM = ServiceName("llm")
@@ -131,11 +132,13 @@
         status: int = 200,
         signed: bool = True,
         event_stream: bool = True,
+        framing: BodyFraming = BodyFraming.CHUNKED,
     ) -> None:
         self.status = status
         self.headers: CIMultiDict[str] = CIMultiDict({"X-Mark": "worker"})
         self.signed = signed
         self.event_stream = event_stream
+        self.framing = framing
         self.closed = False
         self._chunks = chunks
 
