Take a reset as the end of no answer, whatever its transfer coding

Callers saw an answer that broke off as complete if its server had declared a transfer coding other than chunked (identity, an empty one, or one after chunked). Such a body ends with its connection (RFC 9112, section 6.3), but any Transfer-Encoding counted as framing, so that a reset was not looked for.

--- a/src/medlarvale/http_bodies.py
+++ b/src/medlarvale/http_bodies.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 import enum
-from collections.abc import Mapping
+
+from multidict import MultiMapping
 
 
 class BodyFraming(enum.Enum):
@@ -15,8 +16,12 @@
     CLOSE = "close"
 
 
-def body_framing(headers: Mapping[str, str]) -> BodyFraming:
-    """Returns the framing that the headers of a response declare."""
-    if "Transfer-Encoding" in headers:
+def body_framing(headers: MultiMapping[str]) -> BodyFraming:
+    """Returns the framing that the headers of a response declare.
+
+    A body with transfer codings is delimited by chunks only if "chunked" is the last one.
+    """
+    codings = ",".join(headers.getall("Transfer-Encoding", ())).lower().split(",")
+    if codings[-1].strip() == "chunked":
         return BodyFraming.CHUNKED
     return BodyFraming.LENGTH if "Content-Length" in headers else BodyFraming.CLOSE
