Take a stream whose connection ends before its first event as broken

Callers got an empty answer with status 200 that looked complete if an engine was lost after the head of a stream without a length. Only a rest after the last whole event counted as a sign that the stream had broken off. A generation has at least one event, so a stream that ends with its connection and had no event with data is broken now: it resumes elsewhere, or its caller gets an error. An empty stream with a length or a last chunk is still the server's answer. test_connections_that_end_before_the_first_event_break_a_stream failed before in both cases.

--- a/src/medlarvale/forwarding/events.py
+++ b/src/medlarvale/forwarding/events.py
@@ -9,6 +9,7 @@
 from medlarvale.clock import Clock
 from medlarvale.forwarding.errors import BackendError
 from medlarvale.forwarding.interface import BackendAnswer
+from medlarvale.http_bodies import BodyFraming
 
 # An event that is longer is no event of a model; hosts hold an incomplete event in memory.
 MAX_EVENT_BYTES = 256 * 1024
@@ -65,18 +66,19 @@
         limit_ms: longest time without an event, whatever other bytes arrive.
 
     Raises:
-        BackendError: if there is no event in time, or the body ends early or inside an event.
+        BackendError: if there is no event in time, or the body ends early, inside an event or, with
+            its connection, before the first event.
     """
     chunks = aiter(answer.chunks())
     silent_since_ms = clock.now_ms()
+    any_data = False
     while True:
         left_ms = silent_since_ms + limit_ms - clock.now_ms()
         try:
             async with asyncio.timeout(max(0.0, left_ms) / 1000.0):
                 chunk = await anext(chunks)
         except StopAsyncIteration:
-            if splitter.rest.strip(b"\r\n"):
-                raise BackendError("the stream ended inside an event") from None
+            _check_end(answer, splitter.rest, any_data)
             return
         except TimeoutError as error:
             raise BackendError("no event of the stream in time") from error
@@ -84,4 +86,19 @@
         if events:
             yield events
         if has_data(events):
+            any_data = True
             silent_since_ms = clock.now_ms()
+
+
+def _check_end(answer: BackendAnswer, rest: bytes, any_data: bool) -> None:
+    """Raises BackendError if the end of an event stream shows that it is incomplete.
+
+    Args:
+        answer: the answer, whose body has ended.
+        rest: bytes after its last whole event.
+        any_data: whether an event had data.
+    """
+    if rest.strip(b"\r\n"):
+        raise BackendError("the stream ended inside an event")
+    if not any_data and answer.framing is BodyFraming.CLOSE:
+        raise BackendError("the connection ended before the first event of the stream")
