Check the end of event streams on plain routes too

One test of plain calls gave its fake answers the type of an event stream although their bodies are none; they are plain now, and its assertions are the same.

--- a/src/medlarvale/forwarding/events.py
+++ b/src/medlarvale/forwarding/events.py
@@ -90,6 +90,20 @@
             silent_since_ms = clock.now_ms()
 
 
+async def read_answer(answer: BackendAnswer) -> bytes:
+    """Returns the complete body of an answer.
+
+    Raises:
+        BackendError: if it ends early, or is an event stream that is incomplete.
+    """
+    body = await answer.read()
+    if answer.event_stream and answer.status < 300:
+        splitter = EventSplitter()
+        any_data = has_data(splitter.feed(body))
+        _check_end(answer, splitter.rest, any_data)
+    return body
+
+
 def _check_end(answer: BackendAnswer, rest: bytes, any_data: bool) -> None:
     """Raises BackendError if the end of an event stream shows that it is incomplete.
 
--- a/src/medlarvale/forwarding/plain.py
+++ b/src/medlarvale/forwarding/plain.py
@@ -18,6 +18,7 @@
     RejectedError,
     RequestTimeoutError,
 )
+from medlarvale.forwarding.events import read_answer
 from medlarvale.forwarding.guarded_run import GuardedRun
 from medlarvale.forwarding.messages import ClientRequest, Dispatch, Route, RouteKind
 from medlarvale.forwarding.servers import ServerLoad
@@ -187,9 +188,8 @@
                 load.server, self._request, Dispatch(self._left_ms())
             )
             try:
-                reply = Reply(
-                    answer.status, answer.headers, await answer.read(), load.server.server
-                )
+                body = await read_answer(answer)
+                reply = Reply(answer.status, answer.headers, body, load.server.server)
             finally:
                 answer.close()
             if not answer.signed and answer.status < 300:
--- a/src/medlarvale/forwarding/stream_run.py
+++ b/src/medlarvale/forwarding/stream_run.py
@@ -21,7 +21,7 @@
     RequestTimeoutError,
     StreamBrokenError,
 )
-from medlarvale.forwarding.events import EventSplitter, events_until_silent
+from medlarvale.forwarding.events import EventSplitter, events_until_silent, read_answer
 from medlarvale.forwarding.guarded_run import GuardedRun
 from medlarvale.forwarding.interface import BackendAnswer
 from medlarvale.forwarding.memory import MemoryQueue
@@ -353,7 +353,7 @@
         """Forwards an answer; only whole events are sent, and none after a missing one."""
         self.framing = answer.framing
         if answer.status != 200 or not answer.event_stream:
-            body = await answer.read()
+            body = await read_answer(answer)
             self._guarded.note_clean()
             if self._started:
                 raise BackendError(f"status {answer.status} for the rest of a stream")
--- a/tests/forwarding/test_plain.py
+++ b/tests/forwarding/test_plain.py
@@ -133,7 +133,8 @@
         for name, delays, expected in table:
             with self.subTest(name):
                 self.setUp()
-                self.answer([FakeAnswer([d, b"%d" % i]) for i, d in enumerate(delays)])
+                chunks = [[delay_s, b"%d" % number] for number, delay_s in enumerate(delays)]
+                self.answer([FakeAnswer(part, event_stream=False) for part in chunks])
                 reply = await self.forward(RouteKind.SAFE, target_latency_ms=100.0)
                 self.assertEqual(reply.body, expected)
                 self.assertEqual(self.backends.count("send"), 2)
