Serve streams to callers with HTTP/1.0, and reset those that break off

Callers with HTTP/1.0 got status 500 for each stream, after an engine had begun to run it: chunks, which aiohttp refuses to send to them, were the only framing. Such a body ends with its connection, so a stream that broke off would look complete to them, also if the host were killed.

--- a/src/medlarvale/forwarding/caller_server.py
+++ b/src/medlarvale/forwarding/caller_server.py
@@ -4,9 +4,11 @@
 
 import asyncio
 import random
+import socket
+import struct
 from collections.abc import Callable
 
-from aiohttp import web
+from aiohttp import HttpVersion11, web
 from multidict import CIMultiDict
 
 from medlarvale.clock import Clock
@@ -50,7 +52,11 @@
     async def start(self, status: int, headers: CIMultiDict[str]) -> None:
         """Sends the head of a stream."""
         self.response = web.StreamResponse(status=status, headers=headers)
-        self.response.enable_chunked_encoding()
+        if self._request.version >= HttpVersion11:
+            self.response.enable_chunked_encoding()
+        else:
+            # Only the end of the connection ends this body, so anything but finish() resets it.
+            self._set_reset_on_close(True)
         if self._closing():
             self.response.force_close()
         await self.response.prepare(self._request)
@@ -64,6 +70,15 @@
         """Ends the body and marks it as complete."""
         assert self.response is not None
         await self.response.write_eof()
+        if self._request.version < HttpVersion11:
+            self._set_reset_on_close(False)
+
+    def _set_reset_on_close(self, reset: bool) -> None:
+        """Sets whether the connection ends with a reset, also if the process is killed."""
+        if self._request.transport is not None:
+            connection = self._request.transport.get_extra_info("socket")
+            linger = struct.pack("ii", int(reset), 0)
+            connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
 
 
 class CallerServer:
