Take a reset as the end of no answer in medlarvale serve

Callers of medlarvale serve got an answer that broke off as a complete success if its server had sent neither a length nor chunks and reset the connection: aiohttp ends such a body at a reset too. The forwarding hosts have checked for this since they exist, the plain client of serve never has. Both use the same connections and the same check now (http_bodies.py). test_a_reset_does_not_end_an_answer_without_a_length failed before in one of two cases.

--- a/src/medlarvale/plain/client.py
+++ b/src/medlarvale/plain/client.py
@@ -16,6 +16,7 @@
 from medlarvale.completions.fingerprint import fingerprint_of
 from medlarvale.completions.watchdog import deadline
 from medlarvale.errors import MedlarvaleError, Outcome
+from medlarvale.http_bodies import TrackedConnection, TrackedResponse, track_connections
 from medlarvale.ids import FailureDomain, RegionName, ServerId
 from medlarvale.membership.servers import BackendServer, ServerDirectory
 from medlarvale.plain.budget import RetryBudget
@@ -298,6 +299,9 @@
         if size > MAX_ANSWER_BYTES:
             raise PlainAnswerTooLargeError
         parts.append(part)
+    assert isinstance(answer, TrackedResponse)
+    if answer.broke_off():
+        raise aiohttp.ClientPayloadError("the connection was reset")
     return b"".join(parts)
 
 
@@ -359,8 +363,11 @@
     """
     trace = aiohttp.TraceConfig()
     trace.on_connection_create_end.append(_mark_connected)
+    connector = aiohttp.TCPConnector(limit=0, force_close=True, ssl=tls or True)
+    track_connections(connector, TrackedConnection)
     return aiohttp.ClientSession(
-        connector=aiohttp.TCPConnector(limit=0, force_close=True, ssl=tls or True),
+        connector=connector,
+        response_class=TrackedResponse,
         timeout=aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_TIMEOUT_S),
         auto_decompress=False,
         trace_configs=[trace],
--- a/src/medlarvale/platform/backends.py
+++ b/src/medlarvale/platform/backends.py
@@ -30,7 +30,7 @@
     PromptPartId,
     Server,
 )
-from medlarvale.http_bodies import BodyFraming, body_framing
+from medlarvale.http_bodies import body_framing
 from medlarvale.ids import ServerId
 from medlarvale.logs import Event, log_warning
 from medlarvale.platform import headers as names
@@ -121,7 +121,7 @@
 
     def _check_complete(self) -> None:
         """Raises BackendError if a body that ends with its connection ended with a reset."""
-        if self.framing is BodyFraming.CLOSE and self._response.connection_in_use.was_reset:
+        if self._response.broke_off():
             raise BackendError("the response body ended early: the connection was reset")
 
     def close(self) -> None:
--- a/src/medlarvale/platform/connections.py
+++ b/src/medlarvale/platform/connections.py
@@ -2,15 +2,13 @@
 
 from __future__ import annotations
 
-import asyncio
-import functools
 import socket
 from typing import Any
 
 import aiohttp
-from aiohttp.client_proto import ResponseHandler
 
 from medlarvale.forwarding.errors import BackendError
+from medlarvale.http_bodies import TrackedConnection, TrackedResponse, track_connections
 from medlarvale.platform import headers as names
 
 # Ten round trips between failure domains. A machine without power never answers, so a connection
@@ -34,14 +32,13 @@
 TRANSPORT_ERRORS = (TimeoutError, aiohttp.ClientError, OSError)
 
 
-class BackendConnection(ResponseHandler):
-    """Connection that records whether it was reset, and closes if the server sends too much.
+class BackendConnection(TrackedConnection):
+    """Connection that closes if the server sends too much.
 
-    aiohttp treats a reset as the regular end of a body that has no length. It also keeps a response
-    that arrives on an idle connection, as the response to the next request.
+    aiohttp keeps a response that arrives on an idle connection, as the response to the next
+    request.
     """
 
-    was_reset = False
     _awaits_response = False
     _interim_responses = 0
     _bytes_without_body = 0
@@ -89,13 +86,8 @@
         if transport is not None:
             transport.abort()
 
-    def connection_lost(self, exc: BaseException | None) -> None:
-        """Records a reset before the reader of the body is notified of the end."""
-        self.was_reset = exc is not None
-        super().connection_lost(exc)
 
-
-class RelayedResponse(aiohttp.ClientResponse):
+class RelayedResponse(TrackedResponse):
     """Response that rejects a late answer to an earlier request on a reused connection."""
 
     connection_in_use: BackendConnection
@@ -106,14 +98,13 @@
         Raises:
             aiohttp.ClientPayloadError: if it carries the id of another request.
         """
-        protocol = self.connection_in_use = connection.protocol
         await super().start(connection)
         expected = self.request_info.headers.get(names.REQUEST_ID)
         received = self.headers.get(names.REQUEST_ID)
         if received is not None and received != expected:
             # Responses to calls that have no id carry none. The response to this request may still
             # follow, so the connection can't be reused.
-            protocol.close()
+            self.connection_in_use.close()
             raise aiohttp.ClientPayloadError("the response belongs to another request")
         return self
 
@@ -139,8 +130,7 @@
         socket_factory=_socket_factory,
         use_dns_cache=False,
     )
-    loop = asyncio.get_running_loop()
-    connector._factory = functools.partial(BackendConnection, loop=loop)  # type: ignore[assignment]
+    track_connections(connector, BackendConnection)
     session = aiohttp.ClientSession(
         connector=connector,
         auto_decompress=False,
--- a/tests/plain/test_client.py
+++ b/tests/plain/test_client.py
@@ -1,6 +1,8 @@
 """Tests of calls to plain services; a call that may not be repeated reaches at most one server."""
 
 import asyncio
+import socket
+import struct
 import unittest
 
 import msgspec
@@ -20,17 +22,25 @@
 BUSY = b"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n"
 MOVED = b"HTTP/1.1 307 Moved\r\nLocation: /elsewhere\r\nContent-Length: 0\r\n\r\n"
 HALF = b"HTTP/1.1 200 OK\r\nContent-Length: 20\r\n\r\nhalf"
+UNTIL_CLOSE = b"HTTP/1.1 200 OK\r\n\r\nok"
 
 
 class RawServer:
     """Server on a plain socket that accepts, reads the head of one request, answers and closes.
 
     With ``answer`` None it sends no answer, with ``read`` False it closes without reading, and with
-    ``keep`` it keeps the connection open.
+    ``keep`` it keeps the connection open. With ``reset`` it closes with a reset.
     """
 
-    def __init__(self, answer: bytes | None = OK, *, read: bool = True, keep: bool = False) -> None:
-        self.answer, self.read, self.keep = answer, read, keep
+    def __init__(
+        self,
+        answer: bytes | None = OK,
+        *,
+        read: bool = True,
+        keep: bool = False,
+        reset: bool = False,
+    ) -> None:
+        self.answer, self.read, self.keep, self.reset = answer, read, keep, reset
         self.connections = 0
         self.heads: list[bytes] = []
 
@@ -53,6 +63,10 @@
         except (asyncio.IncompleteReadError, ConnectionError):
             pass
         finally:
+            if self.reset:
+                linger = struct.pack("ii", 1, 0)
+                connection = writer.get_extra_info("socket")
+                connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
             writer.close()
 
 
@@ -126,6 +140,18 @@
                     self.assertEqual(result, expected)
                     self.assertEqual(pair[0].connections + pair[1].connections, 1)
 
+    async def test_a_reset_does_not_end_an_answer_without_a_length(self) -> None:
+        """Guards against an answer that broke off and reaches the caller as a complete success."""
+        table = [
+            ("closes", False, (Outcome.ANSWERED, "200")),
+            ("resets", True, (Outcome.UNKNOWN, "plain_outcome_unknown")),
+        ]
+        for name, reset, expected in table:
+            with self.subTest(name):
+                await self.use(RawServer(UNTIL_CLOSE, reset=reset))
+                for work in (self.client.dispatch_once, self.client.dispatch_idempotent):
+                    self.assertEqual(await self.outcome(work(call("GET"))), expected)
+
     async def test_once_uses_a_new_connection_each_time(self) -> None:
         """Guards against a reused connection, whose failure does not show what was written."""
         raw = RawServer(OK, keep=True)
