Log when the store has come back from an older copy

The logs could not show that the store's history had changed, nor could entries be compared by age. The era of the store (header Store-Era) and the heartbeats that an entry counts are decoded, and event 2208 names a new era with the revision of the old one. No decision uses them yet.

--- a/src/medlarvale/forwarding/follower.py
+++ b/src/medlarvale/forwarding/follower.py
@@ -8,7 +8,7 @@
 from medlarvale.clock import Clock
 from medlarvale.forwarding.errors import HistoryGoneError, PublishedStateError
 from medlarvale.forwarding.interface import StateSource
-from medlarvale.forwarding.messages import RouteTable, Server, StoreRevision
+from medlarvale.forwarding.messages import RouteTable, Server, StoreEra, StoreRevision
 from medlarvale.forwarding.routes import RouteIndex
 from medlarvale.forwarding.servers import ServerTable
 from medlarvale.ids import ConfigVersion, ServerId
@@ -33,6 +33,7 @@
         index: routes of the newest configuration; None before the first.
         reachable: whether the last call to the source succeeded.
         revision: revision of the source up to which changes are known.
+        era: era of the source to which the revision belongs.
 
     Args:
         source: published state.
@@ -56,6 +57,7 @@
         self.reachable = True
         self.index: RouteIndex | None = None
         self.revision = StoreRevision(0)
+        self.era = StoreEra(0)
         self._contact_callbacks: list[Callable[[], None]] = []
         self._accept_callbacks: list[Callable[[], None]] = []
         self._reading = asyncio.Event()
@@ -148,6 +150,7 @@
 
     async def _read_all(self) -> None:
         published = await self._source.read()
+        self._note_era(published.era)
         if published.table is not None:
             self.accept(published.table)
         known = len(self._servers) > 0
@@ -156,6 +159,7 @@
 
     async def _watch(self) -> None:
         changes = await self._source.watch(self.revision, WATCH_WAIT_MS)
+        self._note_era(changes.era)
         if not self._reading.is_set():
             # The other host may have reported newer changes while this call was in progress.
             return
@@ -168,6 +172,11 @@
                 self._servers.remove(ServerId(item))
         self.revision = max(self.revision, changes.revision)
 
+    def _note_era(self, era: StoreEra) -> None:
+        if era != self.era and self.index is not None:
+            log_warning(Event.STORE_RESTORED, era=era, before=self.era, revision=self.revision)
+        self.era = era
+
     def _note_reachable(self, reachable: bool, reason: str) -> None:
         if reachable == self.reachable:
             return
--- a/src/medlarvale/forwarding/messages.py
+++ b/src/medlarvale/forwarding/messages.py
@@ -15,6 +15,8 @@
 HandleId = NewType("HandleId", str)
 PromptPartId = NewType("PromptPartId", str)
 StoreRevision = NewType("StoreRevision", int)
+# Number of times that the store has lost a part of its history and come back from an older copy.
+StoreEra = NewType("StoreEra", int)
 
 
 class RouteKind(enum.Enum):
@@ -122,6 +124,7 @@
         cold_left_ms: remaining time during which it is slow after its start.
         stage: None for a plain service.
         born_ms: Unix time of its start in ms; 0 if unknown.
+        heartbeats: number of heartbeats since its start when the entry was written; 0 if unknown.
     """
 
     server: ServerId
@@ -133,6 +136,7 @@
     stage: EngineStage | None = None
     cold_left_ms: float = 0.0
     born_ms: int = 0
+    heartbeats: int = 0
 
 
 class PublishedState(msgspec.Struct, frozen=True):
@@ -140,11 +144,13 @@
 
     Attributes:
         table: None while no configuration is published.
+        era: era of the store; revisions of different eras are not comparable.
     """
 
     table: RouteTable | None
     servers: tuple[Server, ...]
     revision: StoreRevision
+    era: StoreEra = StoreEra(0)
 
 
 class StateChanges(msgspec.Struct, frozen=True):
@@ -152,10 +158,12 @@
 
     Attributes:
         items: new tables and servers, and the ids of removed servers.
+        era: era of the store.
     """
 
     items: tuple[RouteTable | Server | ServerId, ...]
     revision: StoreRevision
+    era: StoreEra = StoreEra(0)
 
 
 class TokenCounts(msgspec.Struct, frozen=True):
--- a/src/medlarvale/forwarding/servers.py
+++ b/src/medlarvale/forwarding/servers.py
@@ -146,7 +146,9 @@
                 state=server.state.value,
                 stage=server.stage.value if server.stage else "",
             )
-        changed = msgspec.structs.replace(known.server, cold_left_ms=server.cold_left_ms) != server
+        changed = server != msgspec.structs.replace(
+            known.server, cold_left_ms=server.cold_left_ms, heartbeats=server.heartbeats
+        )
         known.server = server
         known.missing_since_ms = None
         if changed:
--- a/src/medlarvale/logs.py
+++ b/src/medlarvale/logs.py
@@ -33,6 +33,7 @@
     STORE_REGAINED = (2202, "published state readable again")
     STORE_ENTRY_UNUSABLE = (2203, "store entry invalid")
     STORE_READER_CHANGED = (2207, "host that reads the store for this one changed")
+    STORE_RESTORED = (2208, "store has come back from an older copy")
     SERVER_LEARNED = (2204, "backend server listed")
     SERVER_CHANGED = (2205, "backend server changed")
     SERVER_REMOVED = (2206, "backend server no longer listed")
--- a/src/medlarvale/platform/entries.py
+++ b/src/medlarvale/platform/entries.py
@@ -94,8 +94,9 @@
     state: ServerState
     stage: EngineStage | None = None
     cold_left_ms: float = 0.0
-    # Start time of the server; Sequence in the same entry only counts heartbeats.
+    # Start time of the server.
     born_ms: int = msgspec.field(name="born", default=0)
+    heartbeats: int = msgspec.field(name="Sequence", default=0)
 
 
 _config_decoder = msgspec.json.Decoder(_ConfigFields)
@@ -177,4 +178,5 @@
         fields.stage,
         fields.cold_left_ms,
         fields.born_ms,
+        fields.heartbeats,
     )
--- a/src/medlarvale/platform/store.py
+++ b/src/medlarvale/platform/store.py
@@ -14,6 +14,7 @@
     RouteTable,
     Server,
     StateChanges,
+    StoreEra,
     StoreRevision,
 )
 from medlarvale.ids import ServerId
@@ -36,6 +37,8 @@
 MAX_PAGES = 100
 # A page has up to 1 MB, and a value of up to 1 MiB takes a third more as base64 text.
 MAX_PAGE_BYTES = 8 * 1024 * 1024
+# Rises by one each time that the store comes back from an older copy.
+ERA_HEADER = "Store-Era"
 
 
 class _Item(msgspec.Struct, rename="pascal"):
@@ -78,10 +81,12 @@
         table: RouteTable | None = None
         servers: list[Server] = []
         revision: int | None = None
+        era = StoreEra(0)
         after = ""
         for _ in range(MAX_PAGES):
             query = {"PathPrefix": "", "after": after} if after else {"PathPrefix": ""}
-            page = self._decode_range(await self._get("/kv-range", query, READ_TIMEOUT_MS))
+            body, era = await self._get("/kv-range", query, READ_TIMEOUT_MS)
+            page = self._decode_range(body)
             # The pages are not one snapshot: the watch starts at the lowest revision, so that it
             # repeats the changes made while later pages were read.
             revision = page.current if revision is None else min(revision, page.current)
@@ -94,12 +99,12 @@
             if not page.has_more or not page.items:
                 break
             after = page.items[-1].key
-        return PublishedState(table, tuple(servers), StoreRevision(revision or 0))
+        return PublishedState(table, tuple(servers), StoreRevision(revision or 0), era)
 
     async def watch(self, after: StoreRevision, wait_ms: int) -> StateChanges:
         """Waits for changes; see ``StateSource.watch``."""
         query = {"PathPrefix": "", "after": str(after), "WaitMs": str(wait_ms)}
-        body = await self._get("/kv-watch", query, wait_ms + WATCH_SLACK_MS)
+        body, era = await self._get("/kv-watch", query, wait_ms + WATCH_SLACK_MS)
         try:
             watched = self._watch_decoder.decode(body)
         except msgspec.MsgspecError as error:
@@ -109,7 +114,7 @@
             record = _decode_item(event)
             if record is not None:
                 items.append(record)
-        return StateChanges(tuple(items), StoreRevision(watched.current))
+        return StateChanges(tuple(items), StoreRevision(watched.current), era)
 
     def _decode_range(self, body: bytes) -> _Range:
         try:
@@ -117,7 +122,10 @@
         except msgspec.MsgspecError as error:
             raise PublishedStateError(f"invalid response to a read: {error}") from error
 
-    async def _get(self, path: str, query: dict[str, str], timeout_ms: float) -> bytes:
+    async def _get(
+        self, path: str, query: dict[str, str], timeout_ms: float
+    ) -> tuple[bytes, StoreEra]:
+        """Returns the body of an answer and the era of the store."""
         self.calls += 1
         timeout = aiohttp.ClientTimeout(
             total=timeout_ms / 1000.0, sock_connect=CONNECT_TIMEOUT_MS / 1000.0
@@ -131,13 +139,22 @@
                     )
                 if response.status != 200:
                     raise PublishedStateError(f"the store returned status {response.status}")
-                return await read_body(response, MAX_PAGE_BYTES)
+                return await read_body(response, MAX_PAGE_BYTES), _era(response)
         except BackendError as error:
             raise PublishedStateError(f"the store sent too much: {error.message}") from error
         except (TimeoutError, aiohttp.ClientError, OSError) as error:
             raise PublishedStateError(f"the store did not answer: {error!r}") from error
 
 
+def _era(response: aiohttp.ClientResponse) -> StoreEra:
+    """Returns the era in an answer; 0 if there is none or it is invalid, which is logged."""
+    text = response.headers.get(ERA_HEADER, "0")
+    if text.isascii() and text.isdigit():
+        return StoreEra(int(text))
+    log_warning(Event.STORE_ENTRY_UNUSABLE, key=ERA_HEADER, revision=0, error=repr(text))
+    return StoreEra(0)
+
+
 def _decode_item(item: _Item) -> RouteTable | Server | ServerId | None:
     """Decodes an item; returns None for unrelated keys and for invalid values, which are logged."""
     if item.key.startswith(SERVER_PREFIX):
