--- a/src/medlarvale/forwarding/domain_reader.py
+++ b/src/medlarvale/forwarding/domain_reader.py
@@ -153,6 +153,7 @@
             self._follower.reachable and index is not None,
             index.table if changed and index is not None else None,
             self._servers.all_servers() if changed else (),
+            self._follower.era,
         )
 
     def _note_change(self) -> None:
--- a/src/medlarvale/forwarding/fleet_messages.py
+++ b/src/medlarvale/forwarding/fleet_messages.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from medlarvale.forwarding.messages import RouteTable, Server, StoreRevision
+from medlarvale.forwarding.messages import RouteTable, Server, StoreEra, StoreRevision
 from medlarvale.forwarding.server_limits import NamedLimit
 from medlarvale.ids import (
     ConfigVersion,
@@ -114,6 +114,7 @@
         store_reachable: whether the sender can read the store.
         table: the configuration; None if the receiver already has this state.
         servers: the servers; empty if the receiver already has this state.
+        era: era of the store to which the revision belongs.
     """
 
     mark: StateMark
@@ -121,6 +122,7 @@
     store_reachable: bool
     table: RouteTable | None = None
     servers: tuple[Server, ...] = ()
+    era: StoreEra = StoreEra(0)
 
 
 FLEET_MESSAGES = (Hello, StateRequest, StateReply, SharedStateRequest, SharedState)
