Keep positions in the store's history apart by era

After the store has come back from an older copy, it gives out its revisions again. A host that had no call in progress meanwhile went on watching from a revision of the lost history: it missed all changes up to that revision, so that callers got an older configuration or a server that was leaving. A neighbour that follows a reader compared revisions of two histories, believed a reader of the one before, and ignored one of the next. The cause: a position was the revision alone. It is the era (header Store-Era) and the revision now. A watch in another era leads to a new read, pages of two eras are not joined, and neighbours compare both.

--- a/src/medlarvale/forwarding/domain_reader.py
+++ b/src/medlarvale/forwarding/domain_reader.py
@@ -125,7 +125,7 @@
             return False
         if not isinstance(reply, SharedState) or not reply.store_reachable:
             return False
-        if reply.revision < self._follower.revision:
+        if self._follower.is_ahead_of(reply.era, reply.revision):
             # The reader was paused or has just started; what this host knows is newer.
             return False
         if reply.mark != self._mark:
@@ -133,7 +133,7 @@
                 self._follower.accept(reply.table)
             self._servers.replace_all(reply.servers, self._clock.now_ms(), after_outage=False)
         self._mark = reply.mark
-        self._follower.suspend(reply.revision)
+        self._follower.suspend(reply.era, reply.revision)
         return True
 
     async def _answer(self, sender: HostIdentity, message: SharedStateRequest) -> SharedState:
--- a/src/medlarvale/forwarding/follower.py
+++ b/src/medlarvale/forwarding/follower.py
@@ -83,13 +83,20 @@
             EXPIRY_PERIOD_MS, lambda: self._servers.expire_missing(self._clock.now_ms())
         )
 
-    def suspend(self, revision: StoreRevision) -> None:
+    def is_ahead_of(self, era: StoreEra, revision: StoreRevision) -> bool:
+        """Returns whether this host knows changes after a revision of an era."""
+        return (self.era, self.revision) > (era, revision)
+
+    def suspend(self, era: StoreEra, revision: StoreRevision) -> None:
         """Stops reading the source, because another host reports its changes.
 
         Args:
+            era: era of the source that the other host reads.
             revision: revision up to which the other host has reported them.
         """
-        self.revision = max(self.revision, revision)
+        if not self.is_ahead_of(era, revision):
+            self._note_era(era)
+            self.revision = revision
         self._reading.clear()
 
     def resume(self) -> None:
@@ -159,7 +166,9 @@
 
     async def _watch(self) -> None:
         changes = await self._source.watch(self.revision, WATCH_WAIT_MS)
-        self._note_era(changes.era)
+        if changes.era != self.era:
+            # The revisions have been given out again, so changes may be missing.
+            raise HistoryGoneError(f"the store is in era {changes.era}, not {self.era}")
         if not self._reading.is_set():
             # The other host may have reported newer changes while this call was in progress.
             return
--- a/src/medlarvale/platform/store.py
+++ b/src/medlarvale/platform/store.py
@@ -81,11 +81,14 @@
         table: RouteTable | None = None
         servers: list[Server] = []
         revision: int | None = None
-        era = StoreEra(0)
+        first_era: StoreEra | None = None
         after = ""
         for _ in range(MAX_PAGES):
             query = {"PathPrefix": "", "after": after} if after else {"PathPrefix": ""}
             body, era = await self._get("/kv-range", query, READ_TIMEOUT_MS)
+            if first_era is not None and era != first_era:
+                raise PublishedStateError("the store came back from a copy between two pages")
+            first_era = era
             page = self._decode_range(body)
             # The pages are not one snapshot: the watch starts at the lowest revision, so that it
             # repeats the changes made while later pages were read.
@@ -99,7 +102,9 @@
             if not page.has_more or not page.items:
                 break
             after = page.items[-1].key
-        return PublishedState(table, tuple(servers), StoreRevision(revision or 0), era)
+        return PublishedState(
+            table, tuple(servers), StoreRevision(revision or 0), first_era or StoreEra(0)
+        )
 
     async def watch(self, after: StoreRevision, wait_ms: int) -> StateChanges:
         """Waits for changes; see ``StateSource.watch``."""
--- a/tests/forwarding/test_domain_reader.py
+++ b/tests/forwarding/test_domain_reader.py
@@ -212,7 +212,7 @@
         from the store meanwhile."""
         await self.hosts[0].task.close()
         follower = self.hosts[0].follower
-        follower.suspend(follower.revision)
+        follower.suspend(follower.era, follower.revision)
         await asyncio.sleep(2 * WATCH_S)
         behind = self.hosts[1]
         behind.follower.revision = StoreRevision(self.store.revision + 5)
@@ -226,7 +226,8 @@
         """Guards against hosts that rely on a reader whose own access to the store is cut."""
         await self.hosts[0].task.close()
         self.hosts[0].follower.reachable = False
-        self.hosts[0].follower.suspend(self.hosts[0].follower.revision)
+        follower = self.hosts[0].follower
+        follower.suspend(follower.era, follower.revision)
         await self.eventually(lambda: all(host.task.reader != "a" for host in self.hosts[1:]))
 
     async def test_an_unexpected_error_makes_a_host_read_itself(self) -> None:
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -29,6 +29,7 @@
     async def asyncSetUp(self) -> None:
         self.answers: list[tuple[int, Any]] = []
         self.queries: list[dict[str, str]] = []
+        self.eras: list[str] = []
 
         async def handle(request: web.Request) -> web.StreamResponse:
             self.queries.append({"path": request.path, **request.query})
@@ -37,7 +38,9 @@
                 assert request.transport is not None
                 request.transport.abort()
                 return web.Response()
-            return web.json_response(body, status=status)
+            era = self.eras.pop(0) if self.eras else None
+            headers = {} if era is None else {"Store-Era": era}
+            return web.json_response(body, status=status, headers=headers)
 
         app = web.Application()
         app.router.add_get("/{call}", handle)
@@ -60,6 +63,25 @@
         self.assertEqual([server.server for server in published.servers], ["i-1"])
         self.assertEqual(self.queries[1]["after"], "op/config")
 
+    async def test_the_era_of_the_store_is_read(self) -> None:
+        """Guards against revisions of two histories that are taken for one."""
+        for header, expected in (("3", 3), ("soon", 0), ("-1", 0), ("", 0)):
+            with self.subTest(header):
+                self.answers, self.eras = [(200, page(revision=7))], [header]
+                self.assertEqual((await self.store.read()).era, expected)
+                self.answers, self.eras = [(200, {"events": [], "CurrentRev": 7})], [header]
+                self.assertEqual((await self.store.watch(StoreRevision(7), 10)).era, expected)
+
+    async def test_pages_of_two_eras_are_not_joined(self) -> None:
+        """Guards against a state that is half of before and half of after a restore."""
+        self.answers = [
+            (200, page(item("op/config", encoded(CONFIG)), revision=9, more=True)),
+            (200, page(item("servers/i-1", encoded(SERVER)), revision=7)),
+        ]
+        self.eras = ["1", "2"]
+        with self.assertRaises(PublishedStateError):
+            await self.store.read()
+
     async def test_invalid_entries_do_not_hide_valid_ones(self) -> None:
         self.answers = [
             (
