Hold back server entries that are older than what a host knows

After the store has come back from an older copy, servers that were draining or gone are listed as ready again until they write once more. Hosts took each entry as the newest and would send callers' work to servers that were leaving, which breaks it off. The cause: an entry has no age of its own in the table. Entries are compared by the start of the server and its heartbeats now, also for servers that are no longer listed. An older one is held back until the server has written again; if it is still listed after four heartbeats, by when that of a lost server has lapsed, it is used.

--- a/src/medlarvale/forwarding/host.py
+++ b/src/medlarvale/forwarding/host.py
@@ -24,7 +24,7 @@
 from medlarvale.forwarding.peer_state import PeerStateTask
 from medlarvale.forwarding.plain import PlainForwarder
 from medlarvale.forwarding.rechecks import RecheckTask
-from medlarvale.forwarding.servers import ServerTable
+from medlarvale.forwarding.servers import DEFAULT_HEARTBEAT_MS, ServerTable
 from medlarvale.forwarding.streams import StreamForwarder
 from medlarvale.ids import FailureDomain, HostId, HostIdentity, ServiceName, new_incarnation
 from medlarvale.logs import Event, log_info
@@ -82,7 +82,12 @@
         self._metrics_address = f"{parameters.listen_control.rpartition(':')[0]}:{metrics_port}"
         self.clock = SystemClock()
         rng = self._rng = random.Random(secrets.randbits(64))
-        self.servers = ServerTable(parameters.failure_domain, rng, parameters.host)
+        self.servers = ServerTable(
+            parameters.failure_domain,
+            rng,
+            parameters.host,
+            parameters.heartbeat_ms or DEFAULT_HEARTBEAT_MS,
+        )
         backends.on_limit(self._note_limit)
         self.follower = StateFollower(source, self.servers, self.clock, self._log_ready)
         self.follower.on_contact(lambda: self.servers.isolation.note_contact(self.clock.now_ms()))
--- a/src/medlarvale/forwarding/messages.py
+++ b/src/medlarvale/forwarding/messages.py
@@ -272,6 +272,7 @@
         retry_share: retries allowed per request, across all hosts.
         retry_reserve: retries allowed beyond the share in each window, across all hosts.
         lease_ms: minimum time between orders of two different hosts.
+        heartbeat_ms: time between two heartbeats of a backend server; None if unknown.
     """
 
     host: HostId
@@ -285,3 +286,4 @@
     retry_share: float
     retry_reserve: float
     lease_ms: float
+    heartbeat_ms: float | None = None
--- a/src/medlarvale/forwarding/servers.py
+++ b/src/medlarvale/forwarding/servers.py
@@ -11,6 +11,7 @@
 from medlarvale.forwarding.backlog import PrefillBacklog
 from medlarvale.forwarding.isolation import IsolationDetector
 from medlarvale.forwarding.messages import EngineStage, Server, ServerState
+from medlarvale.forwarding.outdated_entries import OutdatedEntries
 from medlarvale.forwarding.server_limits import ServerLimits
 from medlarvale.ids import FailureDomain, HostId, ServerId, ServiceName
 from medlarvale.logs import Event, log_info, log_warning
@@ -19,6 +20,10 @@
 UNNAMED_HOST = HostId("")
 # Live backend servers are listed again within about 2 s of the store's recovery.
 MISSING_GRACE_MS = 2_200.0
+# Time between two heartbeats of a backend server if the settings don't name it.
+DEFAULT_HEARTBEAT_MS = 1_200.0
+# The entry of a server lapses after three silent heartbeats; one more covers a late check.
+LAPSED_HEARTBEATS = 4
 # Added to the load of servers in other failure domains, because traffic to them costs more.
 REMOTE_PENALTY = 0.2
 # The first pause equals the retransmission time of one lost packet, about 200 ms. A server that
@@ -94,15 +99,21 @@
         failure_domain: failure domain of this host.
         rng: breaks ties.
         host: this host.
+        heartbeat_ms: time between two heartbeats of a backend server.
     """
 
     def __init__(
-        self, failure_domain: FailureDomain, rng: random.Random, host: HostId = UNNAMED_HOST
+        self,
+        failure_domain: FailureDomain,
+        rng: random.Random,
+        host: HostId = UNNAMED_HOST,
+        heartbeat_ms: float = DEFAULT_HEARTBEAT_MS,
     ) -> None:
         self._failure_domain = failure_domain
         self._rng = rng
         self._loads: dict[ServerId, ServerLoad] = {}
         self._changing: frozenset[ServerId] = frozenset()
+        self._outdated = OutdatedEntries(LAPSED_HEARTBEATS * heartbeat_ms)
         self.isolation = IsolationDetector()
         self.limits = ServerLimits(host, failure_domain)
         # Number of changes of the list, without changes of ``cold_left_ms``.
@@ -126,7 +137,17 @@
         return self._loads.get(server)
 
     def upsert(self, server: Server) -> None:
-        """Adds or updates a server; a new incarnation starts without load and failures."""
+        """Adds or updates a server; a new incarnation starts without load and failures.
+
+        An entry that is older than what is known is held back; see ``OutdatedEntries``.
+        """
+        known = self._loads.get(server.server)
+        if known is not None:
+            known.missing_since_ms = None
+        if self._outdated.admit(server, listed=known is not None):
+            self._use(server)
+
+    def _use(self, server: Server) -> None:
         known = self._loads.get(server.server)
         if known is None or (server.born_ms and known.server.born_ms != server.born_ms):
             self._loads[server.server] = ServerLoad(server)
@@ -150,12 +171,12 @@
             known.server, cold_left_ms=server.cold_left_ms, heartbeats=server.heartbeats
         )
         known.server = server
-        known.missing_since_ms = None
         if changed:
             self._note_change()
 
     def remove(self, server: ServerId) -> None:
         """Removes a server whose entry was deleted."""
+        self._outdated.forget(server)
         if self._loads.pop(server, None) is not None:
             self.limits.forget(server)
             self._note_change()
@@ -174,6 +195,7 @@
         for server in servers:
             listed.add(server.server)
             self.upsert(server)
+        self._outdated.keep_only(listed)
         for missing in [known for known in self._loads if known not in listed]:
             if not after_outage:
                 self.remove(missing)
@@ -181,7 +203,12 @@
                 self._loads[missing].missing_since_ms = now_ms
 
     def expire_missing(self, now_ms: float) -> None:
-        """Removes servers that were not listed again in time after an outage of the store."""
+        """Removes servers that were not listed again in time after an outage of the store.
+
+        Entries that were held back, and have not lapsed in time either, are used.
+        """
+        for valid in self._outdated.take_valid(now_ms):
+            self._use(valid)
         for server, load in list(self._loads.items()):
             missing_ms = load.missing_since_ms
             if missing_ms is not None and now_ms - missing_ms > MISSING_GRACE_MS:
--- a/src/medlarvale/logs.py
+++ b/src/medlarvale/logs.py
@@ -37,6 +37,7 @@
     SERVER_LEARNED = (2204, "backend server listed")
     SERVER_CHANGED = (2205, "backend server changed")
     SERVER_REMOVED = (2206, "backend server no longer listed")
+    SERVER_ENTRY_OUTDATED = (2209, "entry of a backend server is older than what is known")
     PEER_STATE_CHANGED = (3001, "peer state changed")
     PEER_FRAME_DROPPED = (3002, "peer frame dropped")
     PEER_HANDLER_FAILED = (3003, "peer message handler failed")
--- a/src/medlarvale/platform/boot.py
+++ b/src/medlarvale/platform/boot.py
@@ -83,6 +83,11 @@
         retry_share=_read_value(values, faults, "Bounds.RetryBudgetRatio", float, 0.0),
         retry_reserve=_read_value(values, faults, "Bounds.BudgetSlack", float, 0.0),
         lease_ms=_read_value(values, faults, "Bounds.LeaseMs", float, 0.0),
+        heartbeat_ms=(
+            _read_value(values, faults, "HeartbeatMs", float, 0.0)
+            if values.get("HeartbeatMs")
+            else None
+        ),
     )
     if faults:
         raise BootSettingsError("; ".join(faults))
--- a/tests/forwarding/test_restored_store.py
+++ b/tests/forwarding/test_restored_store.py
@@ -22,15 +22,14 @@
     StoreRevision,
 )
 from medlarvale.forwarding.peer_state import QUERY_PERIOD_MS, PeerStateTask
-from medlarvale.forwarding.servers import ServerTable
+from medlarvale.forwarding.servers import DEFAULT_HEARTBEAT_MS, LAPSED_HEARTBEATS, ServerTable
 from medlarvale.ids import ConfigVersion, HostId, Incarnation, ServerId
 from medlarvale.peers.transport import MemoryNetwork, MemoryTransport, MessageCodec
 from tests.forwarding.fakes import APP, HERE, make_route, make_server, make_table
 from tests.forwarding.test_fleet import hello, identity
 from tests.forwarding.test_follower import ScriptedSource, published
 
-# Four heartbeats of a backend server, after which the entry of one that is gone has lapsed.
-LAPSE_MS = 4 * 1_200.0
+LAPSE_MS = LAPSED_HEARTBEATS * DEFAULT_HEARTBEAT_MS
 READY, DRAINING = ServerState.READY, ServerState.DRAINING
 
 
