Get a newer configuration from a peer although the store answers

A host that starts while the store has come back from an older copy reads an older configuration and served it until the operator's changes were written again: callers of a route that had been added got 404, although all other hosts served it. Peers were asked only while the store could not be read.

--- a/src/medlarvale/forwarding/peer_state.py
+++ b/src/medlarvale/forwarding/peer_state.py
@@ -1,4 +1,8 @@
-"""Gets configuration and servers from a peer while this host can't read the store."""
+"""Gets from a peer what this host can't read from the store.
+
+That is the configuration and the servers while the store can't be read, and a newer configuration
+while the store has come back from an older copy.
+"""
 
 from __future__ import annotations
 
@@ -19,7 +23,7 @@
 
 
 class PeerStateTask:
-    """Queries a peer that can read the store while this host can't.
+    """Queries a peer that reads the store if this host can't, or if the peer's version is newer.
 
     Args:
         view: the peers.
@@ -50,16 +54,16 @@
         self._clock.every_ms(QUERY_PERIOD_MS, self._tick)
 
     def _tick(self) -> None:
-        if not self._needs_state():
-            return
         now_ms = self._clock.now_ms()
         readers = {
             host: hello.config_version
             for host, hello in self._view.live(now_ms).items()
             if hello.store_reachable and hello.config_version
         }
-        if readers:
-            newest = max(readers, key=lambda host: (readers[host], host))
+        newest = max(readers, key=lambda host: (readers[host], host), default=None)
+        if newest is None:
+            return
+        if self._needs_state() or readers[newest] > self._follower.version:
             self._background.start(self._query(newest))
 
     def _needs_state(self) -> bool:
@@ -71,13 +75,14 @@
         except PeerError as error:
             log_info(Event.PEER_STATE_FAILED, peer=host, error=error.message)
             return
-        # If the store has answered in the meantime, its state takes precedence.
         if not isinstance(reply, StateReply) or not reply.store_reachable:
             return
-        if not self._needs_state():
-            return
+        needs_state = self._needs_state()
         if reply.table is not None:
             self._follower.accept(reply.table)
+        if not needs_state:
+            # The store answers, or has answered in the meantime: its list takes precedence.
+            return
         self._servers.replace_all(reply.servers, self._clock.now_ms(), after_outage=True)
 
     async def _answer(self, sender: HostIdentity, message: StateRequest) -> StateReply:
