--- a/scripts/mixed_builds.py
+++ b/scripts/mixed_builds.py
@@ -65,6 +65,10 @@
 }
 
 
+# Characters of a traceback that a failed check shows.
+MAX_TRACEBACK_CHARS = 3_000
+
+
 class CheckFailedError(Exception):
     """A compatibility check between the builds failed."""
 
@@ -100,7 +104,8 @@
         and entry.get("reason") not in EXPECTED_DROP_REASONS
     ]
     require(not wrong, f"{len(wrong)} log lines of incompatible data, the first: {wrong[:1]}")
-    require("Traceback" not in text, "a process logged a traceback")
+    start = text.find("Traceback")
+    require(start < 0, f"a process logged a traceback: {text[start : start + MAX_TRACEBACK_CHARS]}")
     return Counter(entry.get("event_number", 0) for entry in entries)
 
 
