--- a/tests/processes/test_leaving.py
+++ b/tests/processes/test_leaving.py
@@ -164,5 +164,5 @@
             if a.outcome == "answered" and not runs[key]
         ]
         self.assertEqual(lost, [])
-        outcomes = [answers[0].outcome for answers in load.answers_by_key.values()]
-        self.assertEqual([outcome for outcome in outcomes if outcome != "answered"], [])
+        answers = [answer for (answer,) in load.answers_by_key.values()]
+        self.assertEqual([answer for answer in answers if answer.outcome != "answered"], [])
