Refuse requests that arrive after the last check of a planned stop

Callers whose request arrived on an open connection in the last moments of a planned stop were cut off without an answer, although a server ran it: a booking ran and its caller never knew. Once no request was in flight, the host went on to close, but connections that had been opened meanwhile could still send, and their requests were passed on until the process ended. Now the host refuses new requests as not run after that check, and waits for those that it had accepted. test_requests_at_the_end_of_a_planned_stop_are_refused_or_answered failed before (the booking ran).

--- a/src/medlarvale/forwarding/caller_server.py
+++ b/src/medlarvale/forwarding/caller_server.py
@@ -115,6 +115,7 @@
         self._busy: set[web.RequestHandler] = set()
         self._server: web.Server | None = None
         self._closing_since_ms: float | None = None
+        self._refuses_all = False
 
     def on_finished(self, callback: Callable[[str, str, float], None]) -> None:
         """Registers a callback for the route kind, outcome and duration in ms of each request."""
@@ -168,6 +169,10 @@
                 # connection.close() would leave an idle connection open without a reader.
                 connection.transport.close()
 
+    def refuse_new(self) -> None:
+        """Refuses all requests from now on; those in flight go on."""
+        self._refuses_all = True
+
     def abort(self) -> None:
         """Aborts the connections of requests in flight; their tasks are cancelled and clean up."""
         for connection in list(self._busy):
@@ -219,6 +224,8 @@
         return self._response(reply.status, reply.headers, reply.body)
 
     async def _forward(self, request: ClientRequest, sink: _CallerSink) -> Reply | None:
+        if self._refuses_all:
+            raise OverloadedError("this host has stopped", retry_after_ms=STOPPING_RETRY_MS)
         index = self._follower.index
         if index is None:
             raise NotReadyError(
--- a/src/medlarvale/forwarding/host.py
+++ b/src/medlarvale/forwarding/host.py
@@ -294,12 +294,18 @@
             Event.HOST_DRAINING, host=self._parameters.host, in_flight=self.caller_server.in_flight
         )
         end_ms = started_ms + self._parameters.grace_ms - STOP_MARGIN_MS
+        await self._wait_until_idle(started_ms + MIN_DRAIN_MS, end_ms)
+        # The end of the process would cut off a request that is accepted after the last check.
+        self.caller_server.refuse_new()
+        await self._wait_until_idle(0.0, end_ms)
+
+    async def _wait_until_idle(self, earliest_ms: float, end_ms: float) -> None:
+        """Waits until no request is in flight, at least until ``earliest_ms``."""
         while True:
             now_ms = self.clock.now_ms()
-            if now_ms >= end_ms:
-                break
-            if now_ms - started_ms >= MIN_DRAIN_MS and not self.caller_server.in_flight:
-                break
+            idle = now_ms >= earliest_ms and not self.caller_server.in_flight
+            if idle or now_ms >= end_ms:
+                return
             await self.clock.sleep_ms(STOP_POLL_MS)
 
     async def close(self) -> None:
--- a/tests/forwarding/test_host.py
+++ b/tests/forwarding/test_host.py
@@ -242,6 +242,28 @@
         self.assertEqual(await under_way, stream_body("q6"))
         await drain
 
+    async def test_requests_at_the_end_of_a_planned_stop_are_refused_or_answered(self) -> None:
+        """Guards against a request that is accepted after the last check for work in progress: it
+        ran, and the end of the process cut it off without an answer."""
+        await self.configure()
+        self.servers["s1"].delay_s = self.servers["s2"].delay_s = 0.3
+        draining = asyncio.create_task(self.host.drain())
+        await asyncio.sleep(0.1)
+        reader, writer = await asyncio.open_connection(IP, self.caller_port)
+        await draining
+        writer.write(
+            b"POST /book/1 HTTP/1.1\r\nHost: callers.example\r\nX-Request-Id: q1\r\n"
+            b"X-Deadline-Ms: 3000\r\nContent-Length: 0\r\n\r\n"
+        )
+        await asyncio.sleep(0.05)
+        await self.host.close()
+        async with asyncio.timeout(WAIT_S):
+            answer = await reader.read()
+        self.assertEqual(self.servers["s1"].runs + self.servers["s2"].runs, [])
+        self.assertTrue(answer.startswith(b"HTTP/1.1 503"), answer)
+        self.assertIn(b"Retry-After", answer)
+        writer.close()
+
     async def test_engine_memory_is_released_at_the_end_of_the_grace_period(self) -> None:
         """Guards against calls on a closed session, which resulted in a 500, and against engine
         memory that stays reserved for callers of a stopped host."""
