Remember the age of a server's newest entry beside entries without one

The list of a peer of an earlier build carries no heartbeats; taking it reset the remembered age, so that an older entry of the store counted as new afterwards. Found on reading the change; the new test failed.

--- a/src/medlarvale/forwarding/outdated_entries.py
+++ b/src/medlarvale/forwarding/outdated_entries.py
@@ -50,9 +50,13 @@
             listed: whether the server is listed; if its entry was removed, the same one is
                 outdated too.
         """
+        if not server.heartbeats:
+            # The list of a peer of an earlier build does not tell the age of its entries.
+            self._held.pop(server.server, None)
+            return True
         age = (server.born_ms, server.heartbeats)
         newest = self._newest.get(server.server)
-        if newest is None or not server.heartbeats or age > newest or (age == newest and listed):
+        if newest is None or age > newest or (age == newest and listed):
             self._record(server)
             return True
         held = self._held.setdefault(server.server, _Held(server))
--- a/src/medlarvale/forwarding/servers.py
+++ b/src/medlarvale/forwarding/servers.py
@@ -148,6 +148,7 @@
             self._use(server)
 
     def _use(self, server: Server) -> None:
+        """Takes an entry as the newest of its server."""
         known = self._loads.get(server.server)
         if known is None or (server.born_ms and known.server.born_ms != server.born_ms):
             self._loads[server.server] = ServerLoad(server)
--- a/tests/forwarding/test_restored_store.py
+++ b/tests/forwarding/test_restored_store.py
@@ -128,6 +128,16 @@
                         self.read(restored)
                     self.assertIs(self.state(), expected)
 
+    def test_an_entry_without_an_age_does_not_make_older_ones_valid(self) -> None:
+        """Guards against a peer of an earlier build whose list hides the age of the newest
+        entry."""
+        for entries in ([entry(20, DRAINING), entry(0, DRAINING)], [entry(20, DRAINING)]):
+            self.setUp()
+            for listed in entries:
+                self.table.upsert(listed)
+            self.table.upsert(entry(1))
+            self.assertIs(self.state(), DRAINING)
+
     def test_an_older_entry_that_does_not_lapse_is_used(self) -> None:
         """Guards against a live server that never gets work again, because its entry in the copy
         needs no change and so is not written again."""
