--- a/tests/platform/test_imports.py
+++ b/tests/platform/test_imports.py
@@ -12,8 +12,8 @@
 )
 # The adapter may import the interfaces and types that it translates to, and general utilities.
 ALLOWED_IMPORTS = re.compile(
-    r"^from medlarvale\.(platform|errors|ids|logs|forwarding\.(messages|errors|interface)"
-    r"|standins\.serving)\b"
+    r"^from medlarvale\.(platform|errors|ids|logs|http_bodies"
+    r"|forwarding\.(messages|errors|interface)|standins\.serving)\b"
 )
 
 
@@ -32,3 +32,7 @@
                 if line.startswith("from medlarvale"):
                     with self.subTest(path=path.name, line=line):
                         self.assertRegex(line, ALLOWED_IMPORTS)
+
+    def test_the_http_utility_imports_no_module_of_the_product(self) -> None:
+        """Guards against decisions that reach the adapter through a utility."""
+        self.assertNotIn("from medlarvale", (SOURCE / "http_bodies.py").read_text())
