Log the software version of servers and the attempt that a stream continues

The logs could not tell a stream that its host continued at another version from one that its caller took up at another host: neither the version of a server nor the attempt that began a stream was decoded.

--- a/src/medlarvale/forwarding/messages.py
+++ b/src/medlarvale/forwarding/messages.py
@@ -9,7 +9,15 @@
 import msgspec
 from multidict import CIMultiDict
 
-from medlarvale.ids import ConfigVersion, FailureDomain, HostId, RequestId, ServerId, ServiceName
+from medlarvale.ids import (
+    ConfigVersion,
+    FailureDomain,
+    HostId,
+    RequestId,
+    ServerId,
+    ServiceName,
+    SoftwareVersion,
+)
 
 HoldId = NewType("HoldId", str)
 HandleId = NewType("HandleId", str)
@@ -125,6 +133,8 @@
         stage: None for a plain service.
         born_ms: Unix time of its start in ms; 0 if unknown.
         heartbeats: number of heartbeats since its start when the entry was written; 0 if unknown.
+        software: version of its software, which is the same until it starts again; empty if
+            unknown.
     """
 
     server: ServerId
@@ -137,6 +147,7 @@
     cold_left_ms: float = 0.0
     born_ms: int = 0
     heartbeats: int = 0
+    software: SoftwareVersion = SoftwareVersion("")
 
 
 class PublishedState(msgspec.Struct, frozen=True):
@@ -189,6 +200,8 @@
         prompt_part: last part of the prompt, which is unique to the request and its session.
         shared_parts: the parts before the last, in order, which requests may share.
         resume_after: number of the last event that the caller has received.
+        began_as: id of the caller's attempt that received the first event of a stream that this
+            request continues; None if it names none.
     """
 
     request_id: RequestId
@@ -203,6 +216,7 @@
     prompt_part: PromptPartId | None = None
     shared_parts: tuple[PromptPartId, ...] = ()
     resume_after: int | None = None
+    began_as: RequestId | None = None
 
 
 class RequestIdentity(msgspec.Struct, frozen=True):
--- a/src/medlarvale/forwarding/servers.py
+++ b/src/medlarvale/forwarding/servers.py
@@ -159,6 +159,7 @@
                 server=server.server,
                 service=server.service,
                 state=server.state.value,
+                software=server.software,
             )
             return
         if known.server.state is not server.state or known.server.stage is not server.stage:
--- a/src/medlarvale/forwarding/stream_run.py
+++ b/src/medlarvale/forwarding/stream_run.py
@@ -44,7 +44,7 @@
 from medlarvale.forwarding.servers import ServerLoad
 from medlarvale.forwarding.stream_times import StreamTimes
 from medlarvale.http_bodies import BodyFraming
-from medlarvale.ids import ServerId, ServiceName
+from medlarvale.ids import ServerId, ServiceName, SoftwareVersion
 from medlarvale.logs import Event, log_warning
 
 # Assumed size of a request without token counts.
@@ -86,6 +86,7 @@
         times: breakdown of its duration.
         runs: number of sends that may have started a run.
         engine: engine of the last send.
+        software: version of the software of that engine.
         framing: what marks the end of the last answer; None before the first.
 
     Args:
@@ -143,6 +144,7 @@
         self._may_have_run = False
         self.runs = 0
         self.engine: ServerId | None = None
+        self.software: SoftwareVersion | None = None
         self.framing: BodyFraming | None = None
         # Engine whose stream broke, but which may still hold the KV cache of this request.
         self._cache_holder: ServerId | None = None
@@ -304,7 +306,7 @@
         self.runs += 1
         self.framing = None
         self._guarded.begin()
-        self.engine = load.server.server
+        self.engine, self.software = load.server.server, load.server.software
         try:
             answer = await self._context.backends.send(load.server, self._request, dispatch)
         except (NotSentError, RejectedError) as error:
--- a/src/medlarvale/ids.py
+++ b/src/medlarvale/ids.py
@@ -15,6 +15,8 @@
 RegionName = NewType("RegionName", str)
 FailureDomain = NewType("FailureDomain", str)
 ServiceName = NewType("ServiceName", str)
+# Version of the software of a backend server; versions have no order.
+SoftwareVersion = NewType("SoftwareVersion", str)
 PoolName = NewType("PoolName", str)
 WorkspaceId = NewType("WorkspaceId", str)
 ShardId = NewType("ShardId", int)
--- a/src/medlarvale/platform/entries.py
+++ b/src/medlarvale/platform/entries.py
@@ -17,7 +17,7 @@
     Service,
     Target,
 )
-from medlarvale.ids import ConfigVersion, FailureDomain, ServerId, ServiceName
+from medlarvale.ids import ConfigVersion, FailureDomain, ServerId, ServiceName, SoftwareVersion
 
 CONFIG_KEY = "op/config"
 SERVER_PREFIX = "servers/"
@@ -94,6 +94,8 @@
     state: ServerState
     stage: EngineStage | None = None
     cold_left_ms: float = 0.0
+    # Version of the software; the versions of the weights are in Models.
+    software: str = msgspec.field(name="Version", default="")
     # Start time of the server.
     born_ms: int = msgspec.field(name="born", default=0)
     heartbeats: int = msgspec.field(name="Sequence", default=0)
@@ -179,4 +181,5 @@
         fields.cold_left_ms,
         fields.born_ms,
         fields.heartbeats,
+        SoftwareVersion(fields.software),
     )
--- a/src/medlarvale/platform/headers.py
+++ b/src/medlarvale/platform/headers.py
@@ -29,6 +29,8 @@
 PROMPT_PARTS = "X-Prompt-Prefix"
 LENGTH_HINT = "X-Length-Hint"
 RESUME_AFTER = "Last-Event-Id"
+# Id of the caller's attempt that received the first event of the stream.
+BEGAN_AS = "Resumes"
 
 # Removed from callers' requests: with them, a caller could act on the engine memory and the servers
 # of other callers.
@@ -136,6 +138,7 @@
     """Returns the request of a caller; an invalid optional header is treated as absent."""
     deadline_ms = _parse_unsigned(headers.get(DEADLINE))
     last_part, shared_parts = _prompt_parts(headers)
+    began_as = headers.get(BEGAN_AS, "").strip()
     return ClientRequest(
         request_id=RequestId(headers.get(REQUEST_ID, "")),
         method=method,
@@ -149,6 +152,7 @@
         prompt_part=last_part,
         shared_parts=shared_parts,
         resume_after=_parse_unsigned(headers.get(RESUME_AFTER)),
+        began_as=RequestId(began_as) if began_as else None,
     )
 
 
--- a/tests/platform/test_entries.py
+++ b/tests/platform/test_entries.py
@@ -70,6 +70,7 @@
         self.assertIs(server.state, ServerState.READY)
         self.assertIs(server.stage, EngineStage.DECODE)
         self.assertEqual(server.born_ms, 1_700_000_000_000)
+        self.assertEqual(server.software, "v1")
 
     def test_invalid_entries_are_rejected(self) -> None:
         """Guards against requests sent to an address that no backend server registered."""
@@ -80,6 +81,7 @@
             ("no address", encoded({k: v for k, v in SERVER.items() if k != "Address"})),
             ("address without a port", encoded(SERVER | {"Address": "10.0.0.1"})),
             ("born is no number", encoded(SERVER | {"born": "yesterday"})),
+            ("version of another type", encoded(SERVER | {"Version": 2})),
             ("not JSON", b"\xff\xfe{"),
             ("a list", b"[]"),
         ]
--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -76,6 +76,17 @@
         self.assertGreater(decoded(X_Deadline_Ms="soon").deadline_ms, 0.0)
         self.assertEqual(decoded(Last_Event_Id="12").resume_after, 12)
 
+    def test_the_attempt_that_began_a_stream_is_decoded(self) -> None:
+        """Guards against the rest of a stream from another version than its beginning."""
+        for headers, expected in (
+            ({"Resumes": " 4b95 "}, "4b95"),
+            ({"Resumes": ""}, None),
+            ({}, None),
+        ):
+            with self.subTest(headers):
+                self.assertEqual(decoded(**headers).began_as, expected)
+        self.assertEqual(decoded(Resumes="4b95").headers["Resumes"], "4b95")
+
     def test_prompt_part_is_the_last_one_listed(self) -> None:
         table: list[tuple[str, str | None, tuple[str, ...]]] = [
             ("5c1e07a2:800,91BD3f06:410", "91bd3f06", ("5c1e07a2",)),
