Reproduce streams that go on at another software version

The stand-in of the platform plays releases: servers have a software version, which their events show, list the prompts that they have cached, and write heartbeats; its store can lose its history.

--- a/src/medlarvale/platform/standin.py
+++ b/src/medlarvale/platform/standin.py
@@ -1,7 +1,8 @@
 """Stand-in for the users' platform on loopback: store, plain servers and engines.
 
 It implements the part of the published protocol that the forwarding path uses. The events of a
-stream depend only on the request id, so that tests can check complete responses.
+stream depend only on the id of the attempt that began it and on the engine's software version, so
+that tests can check complete responses.
 """
 
 from __future__ import annotations
@@ -21,12 +22,17 @@
 # Port 0 lets the operating system choose a port.
 LOOPBACK = Address("127.0.0.1", 0)
 EVENT_COUNT = 8
+FIRST_SOFTWARE = "v1"
+# Time between two heartbeats of a server, once ``start_heartbeats`` was called.
+HEARTBEAT_S = 0.1
 
 
-def stream_body(request_id: str, first: int = 1, last: int = EVENT_COUNT) -> bytes:
+def stream_body(
+    request_id: str, first: int = 1, last: int = EVENT_COUNT, software: str = FIRST_SOFTWARE
+) -> bytes:
     """Returns the encoded events ``first`` to ``last`` of a request's stream."""
     return b"".join(
-        b"id: %d\ndata: %s %d\n\n" % (number, request_id.encode(), number)
+        b"id: %d\ndata: %s %d %s\n\n" % (number, request_id.encode(), number, software.encode())
         for number in range(first, last + 1)
     )
 
@@ -39,6 +45,8 @@
         self.history: list[dict[str, Any]] = []
         self.revision = 1
         self.down = False
+        # Changes up to this revision are no longer available to watches.
+        self.forgotten = 0
         self.address = ""
         self._changed = asyncio.Condition()
 
@@ -86,6 +94,8 @@
     async def watch(self, request: web.Request) -> web.Response:
         """Waits for changes after a revision and returns them, or none after the wait time."""
         after = int(request.query["after"])
+        if after < self.forgotten and not self.down:
+            return web.Response(status=410)
 
         def events() -> list[dict[str, Any]]:
             return [event for event in self.history if event["Revision"] > after]
@@ -110,11 +120,24 @@
         break_after: number of events after which the next stream is reset; None for no reset.
         delay_s: duration of a plain call, or time between two events of a stream.
         limit: limit in the answers; None to name none.
+        software: version of its software.
+        heartbeats: number of times that its entry was written.
+        cached: tokens of the prompt parts in its KV cache, by id.
         arrived: times in s at which requests arrived, on the clock of the loop.
     """
 
-    def __init__(self, name: str, service: str, stage: str | None, domain: str = "a") -> None:
+    def __init__(
+        self,
+        name: str,
+        service: str,
+        stage: str | None,
+        domain: str = "a",
+        software: str = FIRST_SOFTWARE,
+    ) -> None:
         self.name, self.service, self.stage, self.domain = name, service, stage, domain
+        self.software = software
+        self.heartbeats = 0
+        self.cached: dict[str, int] = {}
         self.state = "ready"
         self.runs: list[str] = []
         self.cancelled: list[str] = []
@@ -145,11 +168,11 @@
             "Service": self.service,
             "Address": self.address,
             "Zone": self.domain,
-            "Version": "v1",
+            "Version": self.software,
             "Slots": 8,
             "State": self.state,
             "ColdLeftMs": 0,
-            "Sequence": 1,
+            "Sequence": self.heartbeats,
             "born": 1,
         }
         return entry | ({"Stage": self.stage} if self.stage else {})
@@ -160,7 +183,8 @@
         return web.json_response({"Hold": hold})
 
     async def _list_cached(self, request: web.Request) -> web.Response:
-        return web.json_response({"epoch": 1, "Next": 0, "held": []})
+        held = [["", part, tokens, "m"] for part, tokens in self.cached.items()]
+        return web.json_response({"epoch": 1, "Next": 0, "held": held})
 
     async def _release_hold(self, request: web.Request) -> web.Response:
         self.holds.discard(request.match_info["hold"])
@@ -214,6 +238,12 @@
             peer.handles.discard(handle)
         self.holds.discard(request.headers.get("X-Kv-Hold", ""))
         self.runs.append(request_id)
+        part, _, tokens = (
+            request.headers.get("X-Prompt-Prefix", "").rpartition(",")[2].partition(":")
+        )
+        if part:
+            self.cached[part] = int(tokens)
+        began_as = request.headers.get("Resumes", request_id)
         first = int(request.headers.get("Last-Event-Id", "0")) + 1
         response = web.StreamResponse(
             headers=self._signed(request_id) | {"Content-Type": "text/event-stream"}
@@ -223,24 +253,33 @@
         try:
             for number in range(first, EVENT_COUNT + 1):
                 if cut_after is not None and number > cut_after:
-                    await response.write(stream_body(request_id, number, number)[:9])
+                    await response.write(self._event(began_as, number)[:9])
                     assert request.transport is not None
                     request.transport.abort()
                     break
-                await response.write(stream_body(request_id, number, number))
+                await response.write(self._event(began_as, number))
                 await asyncio.sleep(self.delay_s)
         except asyncio.CancelledError:
             self.cancelled.append(request_id)
             raise
         return response
 
+    def _event(self, request_id: str, number: int) -> bytes:
+        return stream_body(request_id, number, number, self.software)
+
 
 class StandinPlatform:
-    """Store and backend servers of a plain service ``app`` and a model service ``llm``."""
+    """Store and backend servers of a plain service ``app`` and a model service ``llm``.
+
+    Attributes:
+        timeout_ms: timeout of all routes.
+    """
 
     def __init__(self) -> None:
+        self.timeout_ms = 3_000
         self.store = StandinStore()
         self._stack = AsyncExitStack()
+        self._by_address: dict[str, StandinServer] = {}
         self.servers = {
             name: StandinServer(name, service, stage)
             for name, service, stage in (
@@ -259,21 +298,52 @@
 
     async def start(self) -> None:
         """Starts the store and the servers, and publishes the servers in the store."""
-        components: list[StandinStore | StandinServer] = [self.store, *self.servers.values()]
-        for component in components:
-            bound = await self._stack.enter_async_context(serve(component.application(), LOOPBACK))
-            component.address = str(bound)
-        by_address = {server.address: server for server in self.servers.values()}
+        bound = await self._stack.enter_async_context(serve(self.store.application(), LOOPBACK))
+        self.store.address = str(bound)
         for server in self.servers.values():
-            server.servers_by_address = by_address
-            await self.publish(server)
+            await self._start_server(server)
+
+    async def _start_server(self, server: StandinServer) -> None:
+        bound = await self._stack.enter_async_context(serve(server.application(), LOOPBACK))
+        server.address = str(bound)
+        server.servers_by_address = self._by_address
+        self._by_address[server.address] = server
+        await self.publish(server)
+
+    async def start_heartbeats(self) -> None:
+        """Writes the entries of the servers again and again, until ``close``."""
+
+        async def write() -> None:
+            while True:
+                await asyncio.sleep(HEARTBEAT_S)
+                for server in list(self.servers.values()):
+                    await self.publish(server)
+
+        task = asyncio.get_running_loop().create_task(write())
+        self._stack.callback(task.cancel)
+
+    async def release(self, name: str, service: str, stage: str | None, software: str) -> None:
+        """Adds a server with another software version."""
+        server = self.servers[name] = StandinServer(name, service, stage, software=software)
+        await self._start_server(server)
+
+    async def drain(self, name: str) -> None:
+        """Announces that a server leaves."""
+        self.servers[name].state = "draining"
+        await self.publish(self.servers[name])
+
+    async def remove(self, name: str) -> None:
+        """Removes a server that has left."""
+        del self.servers[name]
+        await self.store.delete(f"servers/{name}")
 
     def runs(self) -> Counter[str]:
         """Returns how many times each request ran."""
         return Counter(run for server in self.servers.values() for run in server.runs)
 
     async def publish(self, server: StandinServer) -> None:
-        """Writes the current entry of a server to the store."""
+        """Writes the current entry of a server to the store, as with each heartbeat."""
+        server.heartbeats += 1
         await self.store.put(f"servers/{server.name}", server.entry())
 
     async def close(self) -> None:
@@ -296,7 +366,7 @@
                     "Host": "callers.example",
                     "PathPrefix": f"/{name}/",
                     "Kind": kind,
-                    "TimeoutMs": 3000,
+                    "TimeoutMs": self.timeout_ms,
                     "TargetLatencyMs": 500,
                     "Service": service,
                     "MaxAttempts": 2,
--- a/tests/forwarding/fakes.py
+++ b/tests/forwarding/fakes.py
@@ -37,7 +37,14 @@
 )
 from medlarvale.forwarding.servers import ServerTable
 from medlarvale.http_bodies import BodyFraming
-from medlarvale.ids import ConfigVersion, FailureDomain, RequestId, ServerId, ServiceName
+from medlarvale.ids import (
+    ConfigVersion,
+    FailureDomain,
+    RequestId,
+    ServerId,
+    ServiceName,
+    SoftwareVersion,
+)
 
 LLM = ServiceName("llm")
 APP = ServiceName("app")
@@ -94,6 +101,7 @@
     state: ServerState = ServerState.READY,
     born_ms: int = 1,
     slots: int = 6,
+    software: str = "v1",
 ) -> Server:
     return Server(
         ServerId(name),
@@ -104,6 +112,7 @@
         state,
         stage,
         born_ms=born_ms,
+        software=SoftwareVersion(software),
     )
 
 
@@ -184,12 +193,19 @@
         self.dispatches: list[tuple[ServerId, Dispatch]] = []
         self.orders: list[tuple[ServerId, EngineStage, str, int, int]] = []
         self.limit_callbacks: list[LimitCallback] = []
+        self._send_callbacks: list[Callable[[ServerId], None]] = []
         self._holds: dict[HoldId, tuple[ServerId, int]] = {}
 
     def on_limit(self, callback: LimitCallback) -> None:
         self.limit_callbacks.append(callback)
 
+    def on_send(self, callback: Callable[[ServerId], None]) -> None:
+        """Registers a callback for the server of each send."""
+        self._send_callbacks.append(callback)
+
     async def send(self, server: Server, request: ClientRequest, dispatch: Dispatch) -> FakeAnswer:
+        for callback in self._send_callbacks:
+            callback(server.server)
         self.calls.append(("send", server.server))
         self.dispatches.append((server.server, dispatch))
         answer = self.script(server, request, dispatch)
--- a/tests/forwarding/test_host.py
+++ b/tests/forwarding/test_host.py
@@ -15,7 +15,7 @@
 from medlarvale.platform.backends import HttpBackends
 from medlarvale.platform.connections import new_session
 from medlarvale.platform.incoming import decode_incoming
-from medlarvale.platform.standin import StandinPlatform, stream_body
+from medlarvale.platform.standin import HEARTBEAT_S, StandinPlatform, stream_body
 from medlarvale.platform.store import PlatformStore
 
 IP = "127.0.0.1"
@@ -55,6 +55,7 @@
             retry_share=0.2,
             retry_reserve=54.0,
             lease_ms=3_000.0,
+            heartbeat_ms=HEARTBEAT_S * 1000.0,
         )
         session = new_session()
         store = PlatformStore(session, self.parameters.platform_address)
--- a/tests/forwarding/test_stream_run.py
+++ b/tests/forwarding/test_stream_run.py
@@ -109,6 +109,36 @@
         self.assertEqual(second[1].resume_after, 3)
         self.assert_nothing_held()
 
+    async def test_a_broken_stream_resumes_at_its_version(self) -> None:
+        """Guards against a stream that holds events of two versions of its engines' software."""
+        table = [
+            (
+                "another engine of the version",
+                {"d1": "v1", "d2": "v1", "d3": "v2", "d4": "v2"},
+                True,
+            ),
+            ("only another version is left", {"d1": "v1", "d3": "v2"}, False),
+        ]
+        for name, software, goes_on in table:
+            with self.subTest(name):
+                self.backends, self.sink = FakeBackends(), FakeSink()
+                self.context = make_context(
+                    self.backends,
+                    *(
+                        make_server(engine, stage=EngineStage.DECODE, software=version)
+                        for engine, version in software.items()
+                    ),
+                )
+                self.forwarder = StreamForwarder(self.context, lambda service: TRAITS)
+                self.answer(FakeAnswer([events(1, 3), RESET]), FakeAnswer([events(4, 6)]))
+                self.backends.on_send(lambda server: self.context.servers.remove(server))
+                with contextlib.suppress(StreamBrokenError):
+                    await self.forward()
+                versions = [software[engine] for engine, _ in self.backends.dispatches]
+                self.assertEqual(len(versions), 2 if goes_on else 1)
+                self.assertEqual(len(set(versions)), 1)
+                self.assertEqual(self.sink.finished, goes_on)
+
     async def test_a_stream_that_ends_inside_an_event_is_broken(self) -> None:
         """Guards against an answer without a length that broke off in the middle of an event and
         reaches the caller as a complete success."""
--- /dev/null
+++ b/tests/forwarding/test_taken_up_streams.py
@@ -0,0 +1,178 @@
+"""Tests that streams that callers take up go on at the version that began them."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import NamedTuple
+
+import aiohttp
+
+from medlarvale.platform.standin import HEARTBEAT_S, StandinStore, stream_body
+from tests.forwarding.test_host import HostTestCase
+
+STREAMS = 24
+ROUTE_TIMEOUT_MS = 1_500
+# Versions that a host may still confuse: it learns of a new server a moment after the others.
+SETTLE_S = 2.6
+EVENT_S = 0.08
+
+
+class Loss(NamedTuple):
+    """What is lost while streams are under way.
+
+    Attributes:
+        all_hosts: whether no host of the fleet survives.
+        old_leaves: whether the servers of the earlier version leave just before.
+        caches: whether engines still list the prompts that they have read.
+        history: whether the store still has its history.
+        goes_on: whether streams of a version that still serves have to go on.
+    """
+
+    all_hosts: bool
+    old_leaves: bool = False
+    caches: bool = False
+    history: bool = True
+    goes_on: bool = True
+
+
+LOSSES = {
+    "one host": Loss(all_hosts=False),
+    "one host, the earlier version has left": Loss(all_hosts=False, old_leaves=True),
+    "all hosts": Loss(all_hosts=True),
+    "all hosts, without a history": Loss(all_hosts=True, history=False, goes_on=False),
+    "all hosts, with caches": Loss(all_hosts=True, history=False, caches=True),
+    "all hosts, the earlier version has left": Loss(all_hosts=True, old_leaves=True),
+    "all hosts, the earlier version has left, without a history": Loss(
+        all_hosts=True, old_leaves=True, history=False, goes_on=False
+    ),
+}
+
+
+class Taken(NamedTuple):
+    """A stream in two attempts: what the first received, and the answer to the second."""
+
+    request_id: str
+    begun: bytes
+    status: int
+    rest: bytes
+
+    def versions(self) -> set[str]:
+        """Returns the versions of the software that wrote its events."""
+        lines = (self.begun + self.rest).decode().splitlines()
+        return {line.rpartition(" ")[2] for line in lines if line.startswith("data: ")}
+
+    def is_whole(self, software: str) -> bool:
+        """Returns whether both parts are the whole stream, written by one version."""
+        return self.begun + self.rest == stream_body(self.request_id, software=software)
+
+
+class TakenUpStreamsTest(HostTestCase):
+    async def test_a_stream_goes_on_at_the_version_that_began_it(self) -> None:
+        """Guards against text that is joined from two versions after the loss of hosts, and against
+        refusals of all streams although their version still serves."""
+        for name, loss in LOSSES.items():
+            with self.subTest(name):
+                await self.asyncSetUp()
+                taken = await self.take_up(loss)
+                joined = [stream for stream in taken if len(stream.versions()) > 1]
+                self.assertEqual(joined, [])
+                for stream in taken:
+                    self.assertIn(stream.status, (200, 503))
+                    self.assertTrue(
+                        stream.status != 200 or stream.is_whole("v1") or stream.is_whole("v2")
+                    )
+                serving = {"v2"} if loss.old_leaves else {"v1", "v2"}
+                owed = [stream for stream in taken if stream.versions() <= serving]
+                went_on = sum(stream.status == 200 for stream in owed)
+                self.assertGreater(len(owed), 0)
+                if loss.goes_on:
+                    self.assertGreaterEqual(2 * went_on, len(owed))
+
+    async def take_up(self, loss: Loss) -> list[Taken]:
+        """Begins streams at two versions, loses hosts, and takes the streams up at another host."""
+        platform = self.platform
+        first, other = self.host, await self.start_host("a2")
+        other_port = self.caller_port
+        self.caller_port = int(first._parameters.listen_caller.rpartition(":")[2])
+        platform.timeout_ms = ROUTE_TIMEOUT_MS
+        await self.configure()
+        await platform.start_heartbeats()
+        for name in ("d3", "d4"):
+            await platform.release(name, "llm", "decode", "v2")
+        if not loss.caches:
+            for server in platform.servers.values():
+                server.cached = _Nothing()
+        for server in platform.servers.values():
+            server.delay_s = EVENT_S
+        await asyncio.sleep(SETTLE_S)
+        begun = [asyncio.create_task(self.begin(f"q{number}")) for number in range(STREAMS)]
+        if loss.old_leaves:
+            await asyncio.sleep(2.0 * EVENT_S)
+            for name in ("d1", "d2"):
+                await platform.drain(name)
+                await platform.remove(name)
+        await asyncio.sleep(3.0 * EVENT_S)
+        if not loss.history:
+            forget(platform.store)
+        lost = [first, other] if loss.all_hosts else [first]
+        for host in lost:
+            await host.close()
+        parts = dict(await asyncio.gather(*begun))
+        if loss.all_hosts:
+            if not loss.history:
+                forget(platform.store)
+            self.host = await self.start_host("a1")
+            await self.wait_until(lambda: self.version() == 1)
+            await self.wait_until(lambda: len(self.host.servers) == len(platform.servers))
+            await asyncio.sleep(2.0 * HEARTBEAT_S)
+        else:
+            self.caller_port = other_port
+        return await asyncio.gather(
+            *(self.go_on(request_id, part) for request_id, part in parts.items() if part)
+        )
+
+    async def begin(self, request_id: str) -> tuple[str, bytes]:
+        """Returns the whole events that arrive until the connection breaks."""
+        body = b""
+        try:
+            async with self.call(
+                "/chat/1", request_id, headers=self.stream_headers(request_id)
+            ) as response:
+                async for chunk in response.content.iter_any():
+                    body += chunk
+        except aiohttp.ClientError:
+            pass
+        return request_id, body[: body.rfind(b"\n\n") + 2]
+
+    async def go_on(self, request_id: str, begun: bytes) -> Taken:
+        """Takes a stream up after its last event."""
+        last = begun.count(b"\n\n")
+        headers = self.stream_headers(request_id) | {
+            "Last-Event-Id": str(last),
+            "Resumes": request_id,
+            "X-Deadline-Ms": "1000",
+        }
+        async with self.call("/chat/1", f"{request_id}-again", headers=headers) as response:
+            return Taken(request_id, begun, response.status, await self.rest(response))
+
+    async def rest(self, response: aiohttp.ClientResponse) -> bytes:
+        body = await response.read()
+        return body if response.status == 200 else b""
+
+    def stream_headers(self, request_id: str) -> dict[str, str]:
+        return {
+            "X-Prompt-Prefix": f"{request_id.encode().hex()}:80",
+            "X-Deadline-Ms": str(ROUTE_TIMEOUT_MS),
+        }
+
+
+class _Nothing(dict[str, int]):
+    """The cache of an engine whose prompts have all been evicted."""
+
+    def __setitem__(self, part: str, tokens: int) -> None:
+        """Evicts the part at once."""
+
+
+def forget(store: StandinStore) -> None:
+    """Drops the history of a store."""
+    store.forgotten = store.revision
