Continue a stream only at the software version that began it

Callers saw streams whose text was joined from two versions, with nothing in the answer to show it. Cause: a host took all engines of a service for equal and sent the rest of a broken stream to any of them. The version of the engine that wrote the first event that was passed on now binds all further runs. If its last engine has left, the stream breaks at once instead of at its timeout.

--- a/src/medlarvale/forwarding/errors.py
+++ b/src/medlarvale/forwarding/errors.py
@@ -43,6 +43,12 @@
     http_status = 503
 
 
+class VersionGoneError(OverloadedError):
+    """No backend server runs the software version that began the stream; nothing has run."""
+
+    code = "version_gone"
+
+
 class CrashingRequestError(ForwardingError):
     """The request was running on several servers when they crashed; it has not run again."""
 
--- a/src/medlarvale/forwarding/memory.py
+++ b/src/medlarvale/forwarding/memory.py
@@ -3,16 +3,16 @@
 from __future__ import annotations
 
 import asyncio
-from collections import deque
+from collections import Counter, deque
 from collections.abc import Callable
 
 from medlarvale.forwarding.context import ForwardingContext
 from medlarvale.forwarding.demand import DemandMeter
-from medlarvale.forwarding.errors import BackendError, OverloadedError
+from medlarvale.forwarding.errors import BackendError, OverloadedError, VersionGoneError
 from medlarvale.forwarding.memory_request import MemoryRequest, Reservation
 from medlarvale.forwarding.messages import EngineStage, EngineTraits, HoldId
 from medlarvale.forwarding.servers import ERROR_PENALTY, ServerLoad
-from medlarvale.ids import ServerId, ServiceName
+from medlarvale.ids import ServerId, ServiceName, SoftwareVersion
 from medlarvale.logs import Event, log_warning
 
 # Retry interval for an engine that refused a reservation, unless this host freed memory there. With
@@ -95,7 +95,10 @@
 
         Raises:
             OverloadedError: no memory is expected to be free in time.
+            VersionGoneError: no engine runs the software version that the request needs.
         """
+        if request.software not in (None, *self._versions()):
+            raise VersionGoneError("no engine runs the version that began the stream")
         if request.tokens > self._traits().memory_tokens:
             raise OverloadedError("the request exceeds the memory of an engine")
         now_ms = self._context.clock.now_ms()
@@ -160,12 +163,22 @@
                     continue
 
     async def _serve_first(self) -> bool:
-        """Gives memory to one of the first requests; returns False if none fits."""
-        for waiter in self._sorted_waiters()[: 1 + BACKFILL_REQUESTS]:
-            if await self._serve(waiter):
+        """Gives memory to one of the first requests; returns False if none fits.
+
+        Requests that need different software versions don't wait for each other.
+        """
+        tried: Counter[SoftwareVersion | None] = Counter()
+        for waiter in self._sorted_waiters():
+            software = waiter.request.software
+            tried[software] += 1
+            if tried[software] <= 1 + BACKFILL_REQUESTS and await self._serve(waiter):
                 return True
         return False
 
+    def _versions(self) -> set[SoftwareVersion]:
+        engines = self._context.servers.decode_engines(self._service)
+        return {engine.software for engine in engines}
+
     def _is_late(self, request: MemoryRequest, now_ms: float) -> bool:
         """Returns whether a request that gets memory now would miss its first event target."""
         delay_ms = self._meter.model.first_event_ms(now_ms, USUAL_SHARE) or 0.0
@@ -209,6 +222,12 @@
         now_ms = self._context.clock.now_ms()
         for waiter in [waiting for waiting in self._waiting if waiting.request.end_ms <= now_ms]:
             self._refuse(waiter, "no engine had free memory in time", now_ms)
+        served = {None, *self._versions()}
+        for waiter in [other for other in self._waiting if other.request.software not in served]:
+            self._waiting.remove(waiter)
+            if not waiter.future.done():
+                gone = VersionGoneError("the last engine of the version has left")
+                waiter.future.set_exception(gone)
         if self._waiting:
             last = self._sorted_waiters()[-1]
             if self._expected_wait_ms(last.request, now_ms) > last.request.end_ms - now_ms:
@@ -246,7 +265,11 @@
         pause_ms = REFUSED_PAUSE_MS * max(1.0, context.host_count() / RETRYING_HOSTS)
         needed_free_tokens = self._free_memory_needed(request, now_ms)
         candidates = context.servers.candidates(
-            self._service, now_ms, stage=EngineStage.DECODE, excluded=request.excluded
+            self._service,
+            now_ms,
+            stage=EngineStage.DECODE,
+            excluded=request.excluded,
+            software=request.software,
         )
         for load in self._sort_engines(candidates, request.preferred):
             refused_ms, refused_tokens = self._refused.get(load.server.server, (-1e9, 0))
--- a/src/medlarvale/forwarding/memory_request.py
+++ b/src/medlarvale/forwarding/memory_request.py
@@ -6,7 +6,7 @@
 
 from medlarvale.forwarding.messages import HoldId, Route
 from medlarvale.forwarding.servers import ServerLoad
-from medlarvale.ids import ServerId
+from medlarvale.ids import ServerId, SoftwareVersion
 
 # KV cache memory is allocated in blocks of this many tokens.
 BLOCK_TOKENS = 16
@@ -59,6 +59,7 @@
         cached_tokens: part of ``tokens`` that the preferred engine has cached. Memory reserved for
             it would evict the KV cache of other requests that are about to resume.
         urgent: whether the caller has received part of the stream and waits for the next event.
+        software: version of the software that the engine must run; None for any.
     """
 
     tokens: int
@@ -70,3 +71,4 @@
     preferred: ServerId | None = None
     cached_tokens: int = 0
     urgent: bool = False
+    software: SoftwareVersion | None = None
--- a/src/medlarvale/forwarding/servers.py
+++ b/src/medlarvale/forwarding/servers.py
@@ -13,7 +13,7 @@
 from medlarvale.forwarding.messages import EngineStage, Server, ServerState
 from medlarvale.forwarding.outdated_entries import OutdatedEntries
 from medlarvale.forwarding.server_limits import ServerLimits
-from medlarvale.ids import FailureDomain, HostId, ServerId, ServiceName
+from medlarvale.ids import FailureDomain, HostId, ServerId, ServiceName, SoftwareVersion
 from medlarvale.logs import Event, log_info, log_warning
 
 # Name of a host without peers.
@@ -223,6 +223,7 @@
         *,
         stage: EngineStage | None = None,
         excluded: Iterable[ServerId] = (),
+        software: SoftwareVersion | None = None,
         healthy_only: bool = False,
     ) -> list[ServerLoad]:
         """Returns the servers that may get new work.
@@ -232,12 +233,14 @@
             now_ms: monotonic time.
             stage: stage that they must serve.
             excluded: servers to leave out.
+            software: version of the software that they must run; None for any.
             healthy_only: whether to return an empty list rather than paused or suspect servers.
         """
         listed = [
             load
             for load in self._listed(service, stage, excluded)
-            if not self.limits.wait_ms(load.server, now_ms)
+            if software in (None, load.server.software)
+            and not self.limits.wait_ms(load.server, now_ms)
         ]
         unpaused = [load for load in listed if load.paused_until_ms <= now_ms]
         healthy = [load for load in unpaused if not load.suspect]
@@ -304,6 +307,10 @@
         """Returns the entries of all listed servers."""
         return tuple(load.server for load in self._loads.values())
 
+    def decode_engines(self, service: ServiceName) -> list[Server]:
+        """Returns the ready servers of a service that can run streams, also failing ones."""
+        return [load.server for load in self._listed(service, EngineStage.DECODE, ())]
+
     def service_size(self, service: ServiceName) -> int:
         """Returns the number of listed servers of a service."""
         return len(self.of_service(service))
--- a/src/medlarvale/forwarding/stream_run.py
+++ b/src/medlarvale/forwarding/stream_run.py
@@ -140,6 +140,8 @@
         self.times = StreamTimes(now_ms)
         self._events = EventSplitter(request.resume_after)
         self._excluded: set[ServerId] = set()
+        # Version of the software that began the stream; None before the first event.
+        self._began_at: SoftwareVersion | None = None
         self._started = False
         self._may_have_run = False
         self.runs = 0
@@ -269,13 +271,22 @@
                 self._first_event_target_ms,
                 min(self._end_ms - self._min_duration_ms(now_ms), last_start_ms),
                 self._end_ms,
-                frozenset(self._excluded),
+                self._excluded_engines(),
                 self._cache_holder,
                 min(self._cached_tokens, self._tokens.prompt),
                 urgent=self._is_continuation(),
+                software=self._began_at,
             )
         )
 
+    def _excluded_engines(self) -> frozenset[ServerId]:
+        """Returns the engines that failed, unless no other engine could continue the stream."""
+        engines = self._context.servers.decode_engines(self._service)
+        others = {
+            engine.server for engine in engines if self._began_at in (None, engine.software)
+        } - self._excluded
+        return frozenset(self._excluded) if others or self._began_at is None else frozenset()
+
     def _is_continuation(self) -> bool:
         """Returns whether the caller has already received part of the stream."""
         return self._started or self._request.resume_after is not None
@@ -412,6 +423,7 @@
             return
         if not self._started:
             self._started = True
+            self._began_at = self.software
             await self._sink.start(answer.status, answer.headers)
         now_ms = self._context.clock.now_ms()
         self._guarded.note_events()
