Continue streams that callers take up at the version that began them

Callers took streams up at another host, or after the loss of all hosts, and got the rest from another version. While several versions serve, the version of a new stream now follows from the id of its attempt and the time of the caller's first attempt, by rendezvous hashing over the engines. Any host that knows which engines served at that time computes it again, so nothing has to be stored or sent: neither the loss of a host nor that of all of them loses it. Hosts remember the engines of the last minute; one that has started since reads them from the store's history, whose changes are dated by the start and the heartbeats of the servers. Where the time spans a change that matters, the engines' lists of cached prompts decide; where nothing tells, the rest is refused as not run at once.

--- a/bench/forwarding/load.py
+++ b/bench/forwarding/load.py
@@ -27,6 +27,7 @@
     TokenCounts,
 )
 from medlarvale.forwarding.servers import ServerTable
+from medlarvale.forwarding.stream_versions import versions_without_history
 from medlarvale.forwarding.streams import StreamForwarder
 from medlarvale.ids import FailureDomain, HostId, RequestId, ServerId, ServiceName
 
@@ -236,14 +237,16 @@
             table = ServerTable(domain, random.Random(self._rng.random()))
             for engine in self._engines.values():
                 table.upsert(_server_entry(engine))
+            backends = EmulatedBackends(self._engines, domain, self._outputs)
             context = ForwardingContext(
-                EmulatedBackends(self._engines, domain, self._outputs),
+                backends,
                 table,
                 clock,
                 random.Random(self._rng.random()),
                 lambda: RetryLimits(0.2, 54.0 / pattern.hosts),
                 _PermissiveGuard(),
                 lambda: pattern.hosts,
+                versions_without_history(backends, table, clock),
             )
             self._tables.append(table)
             self._hosts.append(StreamForwarder(context, lambda service: traits))
--- a/src/medlarvale/forwarding/cache_holders.py
+++ b/src/medlarvale/forwarding/cache_holders.py
@@ -8,7 +8,7 @@
 from medlarvale.forwarding.interface import Backends
 from medlarvale.forwarding.messages import EngineStage, PromptPartId
 from medlarvale.forwarding.servers import ServerLoad, ServerTable
-from medlarvale.ids import ServerId, ServiceName
+from medlarvale.ids import ServerId, ServiceName, SoftwareVersion
 from medlarvale.logs import Event, log_info, log_warning
 
 # Callers of a lost host reconnect within a few seconds, and one list serves many of them.
@@ -29,18 +29,41 @@
         self._lists: dict[ServerId, tuple[float, asyncio.Task[dict[PromptPartId, int]]]] = {}
 
     async def find(
-        self, service: ServiceName, part: PromptPartId, now_ms: float
+        self,
+        service: ServiceName,
+        part: PromptPartId,
+        now_ms: float,
+        software: SoftwareVersion | None = None,
     ) -> tuple[int, ServerId | None]:
-        """Returns the most cached tokens of a prompt part, and the decode engine that has them."""
+        """Returns the most cached tokens of a prompt part, and the decode engine that has them.
+
+        Args:
+            service: its service.
+            part: the part.
+            now_ms: monotonic time.
+            software: version of the engines to consider; None for all.
+        """
+        holders = [
+            (tokens, load.server.server)
+            for load, tokens in await self.holders(service, part, now_ms, software)
+        ]
+        tokens, engine = max(holders, default=(0, None))
+        log_info(Event.KEEPER_SOUGHT, part=part, server=engine, tokens=tokens)
+        return tokens, engine
+
+    async def holders(
+        self,
+        service: ServiceName,
+        part: PromptPartId,
+        now_ms: float,
+        software: SoftwareVersion | None = None,
+    ) -> list[tuple[ServerLoad, int]]:
+        """Returns the decode engines that have a prompt part cached, and how many tokens."""
         loads = self._servers.candidates(
-            service, now_ms, stage=EngineStage.DECODE, healthy_only=True
+            service, now_ms, stage=EngineStage.DECODE, software=software, healthy_only=True
         )
         cached = await asyncio.gather(*(self._cached_tokens(load, part, now_ms) for load in loads))
-        tokens, engine = max(
-            zip(cached, (load.server.server for load in loads), strict=True), default=(0, None)
-        )
-        log_info(Event.KEEPER_SOUGHT, part=part, server=engine, tokens=tokens, asked=len(loads))
-        return (tokens, engine) if tokens else (0, None)
+        return [(load, tokens) for load, tokens in zip(loads, cached, strict=True) if tokens]
 
     async def _cached_tokens(self, load: ServerLoad, part: PromptPartId, now_ms: float) -> int:
         server = load.server.server
--- a/src/medlarvale/forwarding/context.py
+++ b/src/medlarvale/forwarding/context.py
@@ -13,6 +13,7 @@
 from medlarvale.forwarding.interface import Backends
 from medlarvale.forwarding.messages import ClientRequest, RequestIdentity, Route, Server
 from medlarvale.forwarding.servers import ServerTable
+from medlarvale.forwarding.stream_versions import StreamVersions
 from medlarvale.ids import ServiceName
 from medlarvale.scheduling.retry_budget import RetryBudget
 
@@ -90,6 +91,7 @@
         retry_limits: returns the current retry limits per service.
         guard: refuses requests that crash servers.
         host_count: returns the number of hosts that share the backend servers.
+        versions: software versions of streams.
     """
 
     def __init__(
@@ -101,8 +103,10 @@
         retry_limits: Callable[[], RetryLimits],
         guard: RunGuard,
         host_count: Callable[[], int],
+        versions: StreamVersions,
     ) -> None:
         self.host_count = host_count
+        self.versions = versions
         self.backends = backends
         self.servers = servers
         self.clock = clock
--- a/src/medlarvale/forwarding/errors.py
+++ b/src/medlarvale/forwarding/errors.py
@@ -49,6 +49,12 @@
     code = "version_gone"
 
 
+class VersionUnknownError(OverloadedError):
+    """More than one software version may have begun the stream; the rest has not run."""
+
+    code = "version_unknown"
+
+
 class CrashingRequestError(ForwardingError):
     """The request was running on several servers when they crashed; it has not run again."""
 
--- a/src/medlarvale/forwarding/first_attempts.py
+++ b/src/medlarvale/forwarding/first_attempts.py
@@ -8,6 +8,8 @@
 # same deadline for it to be the usual one.
 WINDOW_REQUESTS = 64
 MIN_SHARE = 0.25
+# Number of requests after which a usual deadline is known.
+MIN_REQUESTS = 4
 # Deadlines are rounded to this resolution, because a request may be delayed on its way.
 RESOLUTION_MS = 100.0
 
@@ -23,6 +25,19 @@
         self._recent: deque[int] = deque(maxlen=WINDOW_REQUESTS)
         self._counts: Counter[int] = Counter()
 
+    def usual_deadline_ms(self, timeout_ms: float) -> float | None:
+        """Returns the usual deadline of first attempts; None if it is not known.
+
+        Args:
+            timeout_ms: timeout of the route. Callers usually wait for that long, so a longer
+                deadline is that of a first attempt.
+        """
+        if len(self._recent) < MIN_REQUESTS:
+            longest_ms = max(self._recent, default=0) * RESOLUTION_MS
+            return longest_ms if longest_ms >= timeout_ms - RESOLUTION_MS else None
+        usual, count = self._counts.most_common(1)[0]
+        return usual * RESOLUTION_MS if count >= MIN_SHARE * len(self._recent) else None
+
     def first_attempt_age_ms(self, deadline_ms: float) -> float:
         """Records the deadline of a request; returns the time since the first attempt, or 0."""
         step = round(deadline_ms / RESOLUTION_MS)
--- a/src/medlarvale/forwarding/follower.py
+++ b/src/medlarvale/forwarding/follower.py
@@ -8,9 +8,16 @@
 from medlarvale.clock import Clock
 from medlarvale.forwarding.errors import HistoryGoneError, PublishedStateError
 from medlarvale.forwarding.interface import StateSource
-from medlarvale.forwarding.messages import RouteTable, Server, StoreEra, StoreRevision
+from medlarvale.forwarding.messages import (
+    RouteTable,
+    Server,
+    StateChanges,
+    StoreEra,
+    StoreRevision,
+)
 from medlarvale.forwarding.routes import RouteIndex
 from medlarvale.forwarding.servers import ServerTable
+from medlarvale.forwarding.version_history import RecentHistory
 from medlarvale.ids import ConfigVersion, ServerId
 from medlarvale.logs import Event, log_info, log_warning
 
@@ -21,6 +28,8 @@
 RETRY_FIRST_MS = 50.0
 RETRY_MAX_MS = 500.0
 EXPIRY_PERIOD_MS = 100.0
+# Shortest wait of a watch, for changes that have already been made.
+NO_WAIT_MS = 1
 
 
 class StateFollower:
@@ -181,6 +190,28 @@
                 self._servers.remove(ServerId(item))
         self.revision = max(self.revision, changes.revision)
 
+    async def recent_history(self) -> RecentHistory:
+        """Reads the published state with the changes that the source still has.
+
+        Raises:
+            PublishedStateError: if they can't be read.
+        """
+        state = await self._source.read()
+        changes = StateChanges((), state.revision, state.era)
+        available, gone, step = int(state.revision), -1, 1
+        while available - gone > 1:
+            # Goes back in growing steps, and then halves the gap to what is no longer available.
+            after = max(available - step, 0) if gone < 0 else (available + gone) // 2
+            try:
+                changes = await self._source.watch(StoreRevision(after), NO_WAIT_MS)
+            except HistoryGoneError:
+                gone = after
+                continue
+            if changes.era != state.era:
+                raise PublishedStateError("the store came back from a copy while it was read")
+            available, step = after, step * 2
+        return RecentHistory(state, changes, StoreRevision(available))
+
     def _note_era(self, era: StoreEra) -> None:
         if era != self.era and self.index is not None:
             log_warning(Event.STORE_RESTORED, era=era, before=self.era, revision=self.revision)
--- a/src/medlarvale/forwarding/host.py
+++ b/src/medlarvale/forwarding/host.py
@@ -10,6 +10,7 @@
 from aiohttp import web
 
 from medlarvale.clock import SystemClock
+from medlarvale.forwarding.cache_holders import CacheHolderFinder
 from medlarvale.forwarding.caller_server import CallerServer, RequestDecoder, build_readiness_server
 from medlarvale.forwarding.context import ForwardingContext, RetryLimits
 from medlarvale.forwarding.crash_guard import CrashGuard
@@ -18,13 +19,19 @@
 from medlarvale.forwarding.fleet_messages import FLEET_MESSAGES, Hello
 from medlarvale.forwarding.follower import StateFollower
 from medlarvale.forwarding.interface import Backends, StateSource
-from medlarvale.forwarding.messages import EngineStage, EngineTraits, HostParameters, Server
+from medlarvale.forwarding.messages import (
+    EngineStage,
+    EngineTraits,
+    HostParameters,
+    Server,
+)
 from medlarvale.forwarding.metrics import ForwardingMetrics
 from medlarvale.forwarding.orders import OrderTask
 from medlarvale.forwarding.peer_state import PeerStateTask
 from medlarvale.forwarding.plain import PlainForwarder
 from medlarvale.forwarding.rechecks import RecheckTask
 from medlarvale.forwarding.servers import DEFAULT_HEARTBEAT_MS, ServerTable
+from medlarvale.forwarding.stream_versions import StreamVersions
 from medlarvale.forwarding.streams import StreamForwarder
 from medlarvale.ids import FailureDomain, HostId, HostIdentity, ServiceName, new_incarnation
 from medlarvale.logs import Event, log_info
@@ -79,6 +86,7 @@
     ) -> None:
         self._parameters = parameters
         self._extra_gauges = extra_gauges
+        self._heartbeat_ms = parameters.heartbeat_ms or DEFAULT_HEARTBEAT_MS
         self._metrics_address = f"{parameters.listen_control.rpartition(':')[0]}:{metrics_port}"
         self.clock = SystemClock()
         rng = self._rng = random.Random(secrets.randbits(64))
@@ -86,7 +94,7 @@
             parameters.failure_domain,
             rng,
             parameters.host,
-            parameters.heartbeat_ms or DEFAULT_HEARTBEAT_MS,
+            self._heartbeat_ms,
         )
         backends.on_limit(self._note_limit)
         self.follower = StateFollower(source, self.servers, self.clock, self._log_ready)
@@ -102,6 +110,14 @@
             self._retry_limits,
             self._guard,
             self.fleet.view.host_count,
+            StreamVersions(
+                self.servers,
+                self.clock,
+                CacheHolderFinder(backends, self.servers),
+                self.follower.recent_history,
+                self._heartbeat_ms,
+                parameters.history_ms,
+            ),
         )
         self._rechecks = RecheckTask(self.servers, backends, self.clock)
         self.streams = StreamForwarder(context, self._traits)
--- a/src/medlarvale/forwarding/messages.py
+++ b/src/medlarvale/forwarding/messages.py
@@ -156,12 +156,16 @@
     Attributes:
         table: None while no configuration is published.
         era: era of the store; revisions of different eras are not comparable.
+        server_revisions: revision at which the entry of each server was written last.
+        other_revisions: revisions at which all other items were written last.
     """
 
     table: RouteTable | None
     servers: tuple[Server, ...]
     revision: StoreRevision
     era: StoreEra = StoreEra(0)
+    server_revisions: Mapping[ServerId, StoreRevision] = {}
+    other_revisions: frozenset[StoreRevision] = frozenset()
 
 
 class StateChanges(msgspec.Struct, frozen=True):
@@ -218,6 +222,11 @@
     resume_after: int | None = None
     began_as: RequestId | None = None
 
+    @property
+    def is_continuation(self) -> bool:
+        """Whether the caller has received a part of the stream in an earlier attempt."""
+        return self.resume_after is not None or self.began_as is not None
+
 
 class RequestIdentity(msgspec.Struct, frozen=True):
     """What identifies a request among those that may crash servers.
@@ -287,6 +296,7 @@
         retry_reserve: retries allowed beyond the share in each window, across all hosts.
         lease_ms: minimum time between orders of two different hosts.
         heartbeat_ms: time between two heartbeats of a backend server; None if unknown.
+        history_ms: time for which the platform's store keeps its changes; None if unknown.
     """
 
     host: HostId
@@ -301,3 +311,4 @@
     retry_reserve: float
     lease_ms: float
     heartbeat_ms: float | None = None
+    history_ms: float | None = None
--- a/src/medlarvale/forwarding/servers.py
+++ b/src/medlarvale/forwarding/servers.py
@@ -92,6 +92,18 @@
     return server.stage is stage or (server.stage is None and stage is EngineStage.DECODE)
 
 
+def _is_restarted(known: Server, entry: Server) -> bool:
+    """Returns whether an entry is from another incarnation of a server than the known one."""
+    if entry.born_ms and known.born_ms != entry.born_ms:
+        return True
+    return known.software != entry.software
+
+
+def can_begin_streams(server: Server) -> bool:
+    """Returns whether new streams may be sent to a server."""
+    return server.state is ServerState.READY and _serves(server, EngineStage.DECODE)
+
+
 class ServerTable:
     """All backend servers by id.
 
@@ -150,7 +162,10 @@
     def _use(self, server: Server) -> None:
         """Takes an entry as the newest of its server."""
         known = self._loads.get(server.server)
-        if known is None or (server.born_ms and known.server.born_ms != server.born_ms):
+        if known is not None and not server.software:
+            # The list of a peer of an earlier build does not name versions.
+            server = msgspec.structs.replace(server, software=known.server.software)
+        if known is None or _is_restarted(known.server, server):
             self._loads[server.server] = ServerLoad(server)
             self.limits.forget(server.server)
             self._note_change()
@@ -307,6 +322,10 @@
         """Returns the entries of all listed servers."""
         return tuple(load.server for load in self._loads.values())
 
+    def stream_engines(self) -> list[Server]:
+        """Returns the servers of all services that new streams may be sent to."""
+        return [load.server for load in self._loads.values() if can_begin_streams(load.server)]
+
     def decode_engines(self, service: ServiceName) -> list[Server]:
         """Returns the ready servers of a service that can run streams, also failing ones."""
         return [load.server for load in self._listed(service, EngineStage.DECODE, ())]
--- a/src/medlarvale/forwarding/stream_run.py
+++ b/src/medlarvale/forwarding/stream_run.py
@@ -7,7 +7,6 @@
 
 from multidict import CIMultiDict
 
-from medlarvale.forwarding.cache_holders import CacheHolderFinder
 from medlarvale.forwarding.context import ForwardingContext, end_ms
 from medlarvale.forwarding.demand import DemandMeter
 from medlarvale.forwarding.engine_model import FASTEST_SHARE
@@ -20,6 +19,7 @@
     RejectedError,
     RequestTimeoutError,
     StreamBrokenError,
+    VersionGoneError,
 )
 from medlarvale.forwarding.events import EventSplitter, events_until_silent, read_answer
 from medlarvale.forwarding.guarded_run import GuardedRun
@@ -43,6 +43,7 @@
 from medlarvale.forwarding.prefill import REJECTED_PAUSE_MS, PrefillDispatcher
 from medlarvale.forwarding.servers import ServerLoad
 from medlarvale.forwarding.stream_times import StreamTimes
+from medlarvale.forwarding.stream_versions import StreamOrigin
 from medlarvale.http_bodies import BodyFraming
 from medlarvale.ids import ServerId, ServiceName, SoftwareVersion
 from medlarvale.logs import Event, log_warning
@@ -93,12 +94,12 @@
         context: shared dependencies.
         queue: decode memory of the service.
         meter: load of the service.
-        cache_holders: finds the engine that holds the KV cache of a stream.
         request: the request.
         route: its route.
         service: its service.
         sink: receives the stream.
         first_attempt_age_ms: time between the caller's first attempt and this one.
+        origin: where the stream was begun that the request continues; None for a new stream.
     """
 
     def __init__(
@@ -106,17 +107,16 @@
         context: ForwardingContext,
         queue: MemoryQueue,
         meter: DemandMeter,
-        cache_holders: CacheHolderFinder,
         request: ClientRequest,
         route: Route,
         service: ServiceName,
         sink: StreamSink,
         first_attempt_age_ms: float = 0.0,
+        origin: StreamOrigin | None = None,
     ) -> None:
         self._context = context
         self._queue = queue
         self._meter = meter
-        self._cache_holders = cache_holders
         self._service = service
         self._request = request
         self._route = route
@@ -125,9 +125,9 @@
         self._budget = self._context.budget(service)
         self._budget.record_request()
         self._guarded = GuardedRun(context.guard, context.clock, request, service)
-        self._first_event_target_ms = (
-            request.received_ms - first_attempt_age_ms + route.target_latency_ms
-        )
+        self._first_attempt_ms = request.received_ms - first_attempt_age_ms
+        self._first_event_target_ms = self._first_attempt_ms + route.target_latency_ms
+        self._origin = origin
         self._tokens = request.tokens or DEFAULT_TOKENS
         now_ms = context.clock.now_ms()
         self._memory_tokens = in_blocks(
@@ -175,19 +175,20 @@
         """Forwards the stream; see ``StreamForwarder.forward``."""
         try:
             async with asyncio.timeout(max(0.0, self._left_ms()) / 1000.0):
-                await self._find_cache_holder()
+                await self._find_origin()
                 return await self._run_until_complete()
         except TimeoutError as error:
             raise self._final_error("the route timeout has expired", timeout=True) from error
 
-    async def _find_cache_holder(self) -> None:
-        """Finds the engine that generated the part of the stream that the caller already has."""
-        part = self._request.prompt_part
-        if self._request.resume_after is not None and part is not None:
-            now_ms = self._context.clock.now_ms()
-            self._cached_tokens, self._cache_holder = await self._cache_holders.find(
-                self._service, part, now_ms
-            )
+    async def _find_origin(self) -> None:
+        """Finds the version and engine that generated what the caller has of the stream."""
+        if self._origin is None:
+            return
+        versions = self._context.versions
+        self._began_at = await versions.find(self._service, self._request, self._origin)
+        self._cached_tokens, self._cache_holder = await versions.find_cache_holder(
+            self._service, self._request, self._began_at
+        )
 
     def _left_ms(self) -> float:
         return self._end_ms - self._context.clock.now_ms()
@@ -200,6 +201,9 @@
                 if not self._may_retry(error):
                     raise self._final_error(error.message) from error
             except (OverloadedError, CrashingRequestError) as error:
+                if isinstance(error, VersionGoneError) and self._began_at is None:
+                    # Nothing has been passed on yet, so another version can begin the stream.
+                    continue
                 if self._may_have_run:
                     raise self._final_error(error.message) from error
                 raise
@@ -275,10 +279,18 @@
                 self._cache_holder,
                 min(self._cached_tokens, self._tokens.prompt),
                 urgent=self._is_continuation(),
-                software=self._began_at,
+                software=self._version(),
             )
         )
 
+    def _version(self) -> SoftwareVersion | None:
+        """Returns the software version that engines must have; None if the service has none."""
+        if self._began_at is not None:
+            return self._began_at
+        return self._context.versions.choose(
+            self._service, self._request.request_id, self._first_attempt_ms
+        )
+
     def _excluded_engines(self) -> frozenset[ServerId]:
         """Returns the engines that failed, unless no other engine could continue the stream."""
         engines = self._context.servers.decode_engines(self._service)
@@ -289,7 +301,7 @@
 
     def _is_continuation(self) -> bool:
         """Returns whether the caller has already received part of the stream."""
-        return self._started or self._request.resume_after is not None
+        return self._started or self._origin is not None
 
     def _min_duration_ms(self, now_ms: float) -> float:
         """Returns the duration below which the stream can't end; 0 if unknown."""
@@ -423,7 +435,9 @@
             return
         if not self._started:
             self._started = True
-            self._began_at = self.software
+            if self._origin is None and self.software is not None:
+                self._began_at = self.software
+                self._context.versions.note_began(self._request.request_id, self.software)
             await self._sink.start(answer.status, answer.headers)
         now_ms = self._context.clock.now_ms()
         self._guarded.note_events()
--- /dev/null
+++ b/src/medlarvale/forwarding/stream_versions.py
@@ -0,0 +1,237 @@
+"""Decides which software version begins a stream, and finds out which one began an earlier one."""
+
+from __future__ import annotations
+
+import asyncio
+import math
+from collections import OrderedDict
+from collections.abc import Awaitable, Callable
+
+import msgspec
+
+from medlarvale.clock import Clock
+from medlarvale.forwarding.cache_holders import CacheHolderFinder
+from medlarvale.forwarding.errors import (
+    HistoryGoneError,
+    PublishedStateError,
+    VersionUnknownError,
+)
+from medlarvale.forwarding.interface import Backends
+from medlarvale.forwarding.messages import ClientRequest
+from medlarvale.forwarding.servers import DEFAULT_HEARTBEAT_MS, ServerTable
+from medlarvale.forwarding.version_history import (
+    ReadingTime,
+    RecentHistory,
+    known_since_ms,
+    spells,
+)
+from medlarvale.forwarding.version_timeline import UNKNOWN_VERSION, VersionTimeline
+from medlarvale.ids import RequestId, ServerId, ServiceName, SoftwareVersion
+from medlarvale.logs import Event, log_info, log_warning
+
+# Engines that have left are remembered for the life of the longest streams and some margin.
+RETAIN_MS = 60_000.0
+# Time within which hosts learn of the same change: two of their watches and a slow store's answer.
+VIEW_LAG_MS = 600.0
+# Delay before a caller whose stream may be known later should try again.
+RETRY_AFTER_MS = 1_000
+# Number of attempts whose version is remembered.
+REMEMBERED_ATTEMPTS = 8_192
+
+# Time between two reads of the history, if one does not reach back far enough.
+HISTORY_PERIOD_MS = 1_000.0
+
+HistoryReader = Callable[[], Awaitable[RecentHistory]]
+
+
+class StreamOrigin(msgspec.Struct, frozen=True):
+    """When and by which attempt a stream was begun.
+
+    Attributes:
+        attempt: the attempt that received its first event; None if the caller doesn't name it.
+        from_ms: earliest monotonic time at which its version was chosen.
+        to_ms: latest such time.
+    """
+
+    attempt: RequestId | None
+    from_ms: float
+    to_ms: float
+
+
+class StreamVersions:
+    """Software versions of the streams of one host.
+
+    Args:
+        servers: published engines.
+        clock: time service.
+        cache_holders: finds engines that have prompts cached.
+        read_history: reads the history of the published state.
+        heartbeat_ms: time between two heartbeats of an engine.
+        history_ms: time for which the published state keeps its history; None if unknown.
+    """
+
+    def __init__(
+        self,
+        servers: ServerTable,
+        clock: Clock,
+        cache_holders: CacheHolderFinder,
+        read_history: HistoryReader,
+        heartbeat_ms: float,
+        history_ms: float | None,
+    ) -> None:
+        self._servers = servers
+        self._clock = clock
+        self._cache_holders = cache_holders
+        self._read_history = read_history
+        self._heartbeat_ms = heartbeat_ms
+        self._history_ms = history_ms
+        self._timeline = VersionTimeline(RETAIN_MS)
+        self._known: OrderedDict[RequestId, SoftwareVersion] = OrderedDict()
+        self._history: asyncio.Task[None] | None = None
+        self._history_read_ms = -math.inf
+        # Time from which this host has followed the engines itself.
+        self._own_since_ms = math.inf
+        self._update()
+        servers.on_change(self._update)
+
+    def _update(self) -> None:
+        engines = self._servers.stream_engines()
+        if engines or self._timeline.known_since_ms < math.inf:
+            self._timeline.update(engines, self._clock.now_ms())
+            self._own_since_ms = min(self._own_since_ms, self._clock.now_ms())
+
+    def choose(
+        self, service: ServiceName, attempt: RequestId, first_attempt_ms: float
+    ) -> SoftwareVersion | None:
+        """Returns the version that begins a stream.
+
+        All attempts of a request get the version that its first attempt would have got, so that
+        the time of the choice can be told from the deadline of any of them.
+
+        Args:
+            service: its service.
+            attempt: id of the caller's attempt.
+            first_attempt_ms: monotonic time of the caller's first attempt.
+
+        Returns:
+            The version; None if the service has no engine.
+        """
+        chosen = self._timeline.choose(service, attempt, first_attempt_ms)
+        served = {engine.software for engine in self._servers.decode_engines(service)}
+        if chosen is not None and chosen in served:
+            return chosen
+        present = self._timeline.choose(service, attempt, self._clock.now_ms())
+        return present if present in served else min(served, default=None)
+
+    async def find_cache_holder(
+        self, service: ServiceName, request: ClientRequest, software: SoftwareVersion
+    ) -> tuple[int, ServerId | None]:
+        """Returns the most cached tokens of a prompt at engines of a version, and the engine."""
+        if request.prompt_part is None:
+            return 0, None
+        now_ms = self._clock.now_ms()
+        return await self._cache_holders.find(service, request.prompt_part, now_ms, software)
+
+    def note_began(self, attempt: RequestId, software: SoftwareVersion) -> None:
+        """Records which version wrote the first event of a stream."""
+        self._known[attempt] = software
+        self._known.move_to_end(attempt)
+        if len(self._known) > REMEMBERED_ATTEMPTS:
+            self._known.popitem(last=False)
+
+    async def find(
+        self, service: ServiceName, request: ClientRequest, origin: StreamOrigin
+    ) -> SoftwareVersion:
+        """Returns the version that began the stream that a request continues.
+
+        Raises:
+            VersionUnknownError: if more than one version may have begun it.
+        """
+        known = self._known.get(origin.attempt) if origin.attempt is not None else None
+        if known is not None:
+            return known
+        possible = await self._possible(service, origin)
+        software = None
+        if possible is not None and len(possible) == 1 and UNKNOWN_VERSION not in possible:
+            software = next(iter(possible))
+        else:
+            software = await self._find_in_caches(service, request, possible)
+        log_info(
+            Event.STREAM_VERSION_SOUGHT,
+            request=request.request_id,
+            began_as=origin.attempt,
+            possible=sorted(possible) if possible is not None else None,
+            software=software,
+            age_ms=int(self._clock.now_ms() - origin.to_ms),
+        )
+        if software is None:
+            raise VersionUnknownError(
+                "more than one version may have begun the stream",
+                retry_after_ms=RETRY_AFTER_MS if possible is None else None,
+            )
+        return software
+
+    async def _possible(
+        self, service: ServiceName, origin: StreamOrigin
+    ) -> set[SoftwareVersion] | None:
+        from_ms, to_ms = origin.from_ms - VIEW_LAG_MS, origin.to_ms + VIEW_LAG_MS
+        if from_ms < self._own_since_ms:
+            await self._extend(from_ms)
+        return self._timeline.possible(service, origin.attempt, from_ms, to_ms)
+
+    async def _extend(self, from_ms: float) -> None:
+        """Reads the history of the published state if more of it is needed."""
+        now_ms = self._clock.now_ms()
+        if self._history is None or self._history.done():
+            recently = now_ms - self._history_read_ms < HISTORY_PERIOD_MS
+            if recently or from_ms >= self._timeline.known_since_ms:
+                return
+            self._history_read_ms = now_ms
+            self._history = asyncio.get_running_loop().create_task(self._read())
+        await asyncio.shield(self._history)
+
+    async def _read(self) -> None:
+        try:
+            history = await self._read_history()
+        except PublishedStateError as error:
+            log_warning(Event.SERVER_HISTORY_FAILED, error=error.message)
+            return
+        now_ms = self._clock.now_ms()
+        read = ReadingTime(now_ms, self._clock.wall_ms(), self._heartbeat_ms, self._history_ms)
+        since_ms = known_since_ms(history, read)
+        self._timeline.extend(spells(history, read), since_ms)
+        log_info(
+            Event.SERVER_HISTORY_READ,
+            changes=len(history.changes.items),
+            floor=history.floor,
+            known_ms=int(now_ms - since_ms) if math.isfinite(since_ms) else str(since_ms),
+        )
+
+    async def _find_in_caches(
+        self,
+        service: ServiceName,
+        request: ClientRequest,
+        possible: set[SoftwareVersion] | None,
+    ) -> SoftwareVersion | None:
+        """Returns the only version whose engines have the prompt cached; None if there is none."""
+        if request.prompt_part is None:
+            return None
+        holders = await self._cache_holders.holders(
+            service, request.prompt_part, self._clock.now_ms()
+        )
+        versions = {load.server.software for load, _ in holders}
+        if possible is not None and UNKNOWN_VERSION not in possible:
+            versions &= possible
+        return next(iter(versions)) if len(versions) == 1 else None
+
+
+def versions_without_history(
+    backends: Backends, servers: ServerTable, clock: Clock
+) -> StreamVersions:
+    """Returns the versions of a host that has no store whose history it could read."""
+
+    async def read_history() -> RecentHistory:
+        raise HistoryGoneError("there is no store")
+
+    cache_holders = CacheHolderFinder(backends, servers)
+    return StreamVersions(servers, clock, cache_holders, read_history, DEFAULT_HEARTBEAT_MS, None)
--- a/src/medlarvale/forwarding/streams.py
+++ b/src/medlarvale/forwarding/streams.py
@@ -4,7 +4,6 @@
 
 from collections.abc import Callable, Mapping
 
-from medlarvale.forwarding.cache_holders import CacheHolderFinder
 from medlarvale.forwarding.context import ForwardingContext
 from medlarvale.forwarding.demand import DemandMeter
 from medlarvale.forwarding.engine_figures import pack_figures, unpack_figures
@@ -15,6 +14,7 @@
 from medlarvale.forwarding.messages import ClientRequest, EngineTraits, Route
 from medlarvale.forwarding.plain import Reply
 from medlarvale.forwarding.stream_run import StreamRun, StreamSink
+from medlarvale.forwarding.stream_versions import StreamOrigin
 from medlarvale.ids import HostId, ServiceName
 from medlarvale.logs import Event, log_info, log_warning
 
@@ -37,7 +37,6 @@
         self._queues: dict[ServiceName, MemoryQueue] = {}
         self._meters: dict[ServiceName, DemandMeter] = {}
         self._first_attempts: dict[str, FirstAttemptEstimator] = {}
-        self._cache_holders = CacheHolderFinder(context.backends, context.servers)
 
     def queue(self, service: ServiceName) -> MemoryQueue:
         """Returns the decode memory queue of a service."""
@@ -89,16 +88,21 @@
             StreamBrokenError: a part was forwarded and the rest can't be.
         """
         estimator = self._first_attempts.setdefault(route.name, FirstAttemptEstimator())
+        origin, age_ms = None, 0.0
+        if request.is_continuation:
+            origin = _origin(request, route, estimator.usual_deadline_ms(route.timeout_ms))
+        else:
+            age_ms = estimator.first_attempt_age_ms(request.deadline_ms)
         run = StreamRun(
             self.context,
             self.queue(service),
             self.meter(service),
-            self._cache_holders,
             request,
             route,
             service,
             sink,
-            estimator.first_attempt_age_ms(request.deadline_ms),
+            age_ms,
+            origin,
         )
         try:
             return await run.run()
@@ -127,3 +131,13 @@
             longest_pause_ms=int(times.longest_gap_ms),
             took_ms=int(self.context.clock.now_ms() - times.arrived_ms),
         )
+
+
+def _origin(request: ClientRequest, route: Route, usual_deadline_ms: float | None) -> StreamOrigin:
+    """Returns when and by which attempt the stream that a request continues was begun."""
+    to_ms = request.received_ms
+    if usual_deadline_ms is not None and usual_deadline_ms >= request.deadline_ms:
+        from_ms = to_ms = to_ms - (usual_deadline_ms - request.deadline_ms)
+    else:
+        from_ms = to_ms - max(0.0, route.timeout_ms - request.deadline_ms)
+    return StreamOrigin(request.began_as, from_ms, to_ms)
--- /dev/null
+++ b/src/medlarvale/forwarding/version_timeline.py
@@ -0,0 +1,163 @@
+"""Which software version begins a stream, and which could have begun an earlier one, without I/O.
+
+While engines of several versions serve a service, the version of a new stream follows from the id
+of the attempt by rendezvous hashing over the engines. Any host that knows which engines served at
+that time computes the same version again, also after the host that began the stream is lost.
+"""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Iterable
+
+import msgspec
+
+from medlarvale.forwarding.messages import Server
+from medlarvale.hashing import weight
+from medlarvale.ids import RequestId, ServerId, ServiceName, SoftwareVersion
+
+
+class EngineKey(msgspec.Struct, frozen=True):
+    """One incarnation of an engine; its software never changes."""
+
+    server: ServerId
+    born_ms: int
+    service: ServiceName
+    software: SoftwareVersion
+
+
+class Spell(msgspec.Struct):
+    """A time during which an engine could begin streams, in monotonic ms.
+
+    Attributes:
+        certain: whether it served all the time; otherwise it left at some time of the spell.
+    """
+
+    engine: EngineKey
+    since_ms: float
+    until_ms: float = math.inf
+    certain: bool = True
+
+
+# Version of an engine of which only the id is known.
+UNKNOWN_VERSION = SoftwareVersion("?")
+ANY_SERVICE = ServiceName("")
+
+
+def unknown_engine(server: ServerId) -> EngineKey:
+    """Returns the key of an engine of which only the id is known."""
+    return EngineKey(server, 0, ANY_SERVICE, UNKNOWN_VERSION)
+
+
+def engine_key(server: Server) -> EngineKey:
+    """Returns the key of the incarnation that a server entry describes."""
+    return EngineKey(server.server, server.born_ms, server.service, server.software)
+
+
+class VersionTimeline:
+    """The engines that could begin streams, now and in the recent past.
+
+    Attributes:
+        known_since_ms: time from which all engines are known; infinite before the first update.
+
+    Args:
+        retain_ms: time for which engines that have left are remembered.
+    """
+
+    def __init__(self, retain_ms: float) -> None:
+        self._retain_ms = retain_ms
+        self._open: dict[EngineKey, Spell] = {}
+        self._closed: list[Spell] = []
+        self.known_since_ms = math.inf
+
+    def update(self, engines: Iterable[Server], now_ms: float) -> None:
+        """Records the engines that can begin streams from now on."""
+        self.known_since_ms = min(self.known_since_ms, now_ms)
+        present = {engine_key(engine) for engine in engines}
+        for key in [known for known in self._open if known not in present]:
+            spell = self._open.pop(key)
+            spell.until_ms = now_ms
+            self._closed.append(spell)
+        for key in present - self._open.keys():
+            self._open[key] = Spell(key, now_ms)
+        horizon_ms = now_ms - self._retain_ms
+        self._closed = [spell for spell in self._closed if spell.until_ms >= horizon_ms]
+
+    def extend(self, spells: Iterable[Spell], known_since_ms: float) -> None:
+        """Adds what was read about the time before the first update.
+
+        Args:
+            spells: the engines of that time.
+            known_since_ms: time from which the spells are complete.
+        """
+        if known_since_ms >= self.known_since_ms:
+            return
+        observed_since_ms = self.known_since_ms
+        for earlier in spells:
+            known = self._open.get(earlier.engine)
+            if known is not None and earlier.until_ms == math.inf:
+                known.since_ms = min(known.since_ms, earlier.since_ms)
+            elif earlier.since_ms < observed_since_ms:
+                earlier.until_ms = min(earlier.until_ms, observed_since_ms)
+                self._closed.append(earlier)
+        self.known_since_ms = known_since_ms
+
+    def choose(
+        self, service: ServiceName, attempt: RequestId, at_ms: float
+    ) -> SoftwareVersion | None:
+        """Returns the version that begins the stream of an attempt; None without engines."""
+        at_ms = max(at_ms, self.known_since_ms)
+        serving = [
+            spell.engine
+            for spell in self._spells(service)
+            if spell.since_ms <= at_ms < spell.until_ms
+        ]
+        first = max(serving, key=lambda engine: weight(attempt, engine.server), default=None)
+        return first.software if first is not None else None
+
+    def possible(
+        self, service: ServiceName, attempt: RequestId | None, from_ms: float, to_ms: float
+    ) -> set[SoftwareVersion] | None:
+        """Returns the versions that ``choose`` may have returned at some time of a span.
+
+        Args:
+            service: the service.
+            attempt: the attempt that began the stream; None if it is unknown.
+            from_ms: begin of the span.
+            to_ms: end of the span.
+
+        Returns:
+            The versions, with ``UNKNOWN_VERSION`` for engines of which only the id is known; None
+            if the engines of the whole span are not known.
+        """
+        if from_ms < self.known_since_ms:
+            return None
+        overlapping = [
+            spell
+            for spell in (*self._spells(service), *self._spells(ANY_SERVICE))
+            if spell.since_ms <= to_ms and spell.until_ms > from_ms
+        ]
+        if attempt is None:
+            return {spell.engine.software for spell in overlapping}
+
+        def rank(spell: Spell) -> int:
+            return weight(attempt, spell.engine.server)
+
+        always = [
+            spell
+            for spell in overlapping
+            if spell.certain and spell.since_ms <= from_ms and spell.until_ms > to_ms
+        ]
+        first = max(always, key=rank, default=None)
+        if first is None:
+            return {spell.engine.software for spell in overlapping}
+        return {
+            spell.engine.software
+            for spell in overlapping
+            if spell is first or rank(spell) > rank(first)
+        }
+
+    def _spells(self, service: ServiceName) -> Iterable[Spell]:
+        for spell in (*self._open.values(), *self._closed):
+            if spell.engine.service == service:
+                yield spell
--- a/src/medlarvale/platform/boot.py
+++ b/src/medlarvale/platform/boot.py
@@ -88,6 +88,11 @@
             if values.get("HeartbeatMs")
             else None
         ),
+        history_ms=(
+            _read_value(values, faults, "Platform.HistoryS", _seconds_as_ms, 0.0)
+            if values.get("Platform.HistoryS")
+            else None
+        ),
     )
     if faults:
         raise BootSettingsError("; ".join(faults))
--- a/src/medlarvale/platform/standin.py
+++ b/src/medlarvale/platform/standin.py
@@ -10,6 +10,7 @@
 import asyncio
 import itertools
 import json
+import time
 from base64 import b64encode
 from collections import Counter
 from contextlib import AsyncExitStack
@@ -23,7 +24,7 @@
 LOOPBACK = Address("127.0.0.1", 0)
 EVENT_COUNT = 8
 FIRST_SOFTWARE = "v1"
-# Time between two heartbeats of a server, once ``start_heartbeats`` was called.
+# Time between two heartbeats of a server. They are counted in its entry, but don't change it.
 HEARTBEAT_S = 0.1
 
 
@@ -121,7 +122,7 @@
         delay_s: duration of a plain call, or time between two events of a stream.
         limit: limit in the answers; None to name none.
         software: version of its software.
-        heartbeats: number of times that its entry was written.
+        born_ms: Unix time of its start in ms.
         cached: tokens of the prompt parts in its KV cache, by id.
         arrived: times in s at which requests arrived, on the clock of the loop.
     """
@@ -136,7 +137,7 @@
     ) -> None:
         self.name, self.service, self.stage, self.domain = name, service, stage, domain
         self.software = software
-        self.heartbeats = 0
+        self.born_ms = time.time_ns() // 1_000_000
         self.cached: dict[str, int] = {}
         self.state = "ready"
         self.runs: list[str] = []
@@ -164,6 +165,7 @@
 
     def entry(self) -> dict[str, Any]:
         """Returns the server's entry in the store."""
+        age_s = time.time() - self.born_ms / 1000.0
         entry = {
             "Service": self.service,
             "Address": self.address,
@@ -172,8 +174,8 @@
             "Slots": 8,
             "State": self.state,
             "ColdLeftMs": 0,
-            "Sequence": self.heartbeats,
-            "born": 1,
+            "Sequence": 1 + int(max(0.0, age_s) / HEARTBEAT_S),
+            "born": self.born_ms,
         }
         return entry | ({"Stage": self.stage} if self.stage else {})
 
@@ -310,18 +312,6 @@
         self._by_address[server.address] = server
         await self.publish(server)
 
-    async def start_heartbeats(self) -> None:
-        """Writes the entries of the servers again and again, until ``close``."""
-
-        async def write() -> None:
-            while True:
-                await asyncio.sleep(HEARTBEAT_S)
-                for server in list(self.servers.values()):
-                    await self.publish(server)
-
-        task = asyncio.get_running_loop().create_task(write())
-        self._stack.callback(task.cancel)
-
     async def release(self, name: str, service: str, stage: str | None, software: str) -> None:
         """Adds a server with another software version."""
         server = self.servers[name] = StandinServer(name, service, stage, software=software)
@@ -342,8 +332,7 @@
         return Counter(run for server in self.servers.values() for run in server.runs)
 
     async def publish(self, server: StandinServer) -> None:
-        """Writes the current entry of a server to the store, as with each heartbeat."""
-        server.heartbeats += 1
+        """Writes the current entry of a server to the store."""
         await self.store.put(f"servers/{server.name}", server.entry())
 
     async def close(self) -> None:
--- a/src/medlarvale/platform/store.py
+++ b/src/medlarvale/platform/store.py
@@ -80,6 +80,8 @@
         """Returns the configuration and all servers; see ``StateSource.read``."""
         table: RouteTable | None = None
         servers: list[Server] = []
+        server_revisions: dict[ServerId, StoreRevision] = {}
+        other_revisions: set[StoreRevision] = set()
         revision: int | None = None
         first_era: StoreEra | None = None
         after = ""
@@ -97,13 +99,21 @@
                 record = _decode_item(item)
                 if isinstance(record, RouteTable):
                     table = record
-                elif isinstance(record, Server):
+                if isinstance(record, Server):
                     servers.append(record)
+                    server_revisions[record.server] = StoreRevision(item.revision)
+                else:
+                    other_revisions.add(StoreRevision(item.revision))
             if not page.has_more or not page.items:
                 break
             after = page.items[-1].key
         return PublishedState(
-            table, tuple(servers), StoreRevision(revision or 0), first_era or StoreEra(0)
+            table,
+            tuple(servers),
+            StoreRevision(revision or 0),
+            first_era or StoreEra(0),
+            server_revisions,
+            frozenset(other_revisions),
         )
 
     async def watch(self, after: StoreRevision, wait_ms: int) -> StateChanges:
--- a/tests/forwarding/fakes.py
+++ b/tests/forwarding/fakes.py
@@ -36,6 +36,7 @@
     TokenCounts,
 )
 from medlarvale.forwarding.servers import ServerTable
+from medlarvale.forwarding.stream_versions import versions_without_history
 from medlarvale.http_bodies import BodyFraming
 from medlarvale.ids import (
     ConfigVersion,
@@ -309,14 +310,16 @@
     table = ServerTable(HERE, random.Random(1))
     for server in servers:
         table.upsert(server)
+    clock = SystemClock()
     return ForwardingContext(
         backends,
         table,
-        SystemClock(),
+        clock,
         random.Random(2),
         lambda: RetryLimits(0.2, reserve),
         FakeGuard(),
         lambda: 1,
+        versions_without_history(backends, table, clock),
     )
 
 
--- a/tests/forwarding/test_crashing_parts.py
+++ b/tests/forwarding/test_crashing_parts.py
@@ -40,6 +40,7 @@
 )
 from medlarvale.forwarding.plain import PlainForwarder
 from medlarvale.forwarding.servers import ServerTable
+from medlarvale.forwarding.stream_versions import versions_without_history
 from medlarvale.forwarding.streams import StreamForwarder
 from medlarvale.ids import FailureDomain, HostId, HostIdentity, Incarnation, RequestId, ServerId
 from medlarvale.peers.transport import MemoryNetwork, MemoryTransport, MessageCodec
@@ -198,6 +199,7 @@
             lambda: RetryLimits(0.2, 10.0),
             guard,
             lambda: self.pattern.hosts,
+            versions_without_history(backends, table, self._clock),
         )
         self._forwarders[number] = StreamForwarder(context, lambda service: TRAITS)
 
--- a/tests/forwarding/test_host.py
+++ b/tests/forwarding/test_host.py
@@ -20,6 +20,8 @@
 
 IP = "127.0.0.1"
 WAIT_S = 5.0
+# Time for which the store keeps its history.
+HISTORY_MS = 20_000.0
 
 
 def free_port() -> int:
@@ -56,6 +58,7 @@
             retry_reserve=54.0,
             lease_ms=3_000.0,
             heartbeat_ms=HEARTBEAT_S * 1000.0,
+            history_ms=HISTORY_MS,
         )
         session = new_session()
         store = PlatformStore(session, self.parameters.platform_address)
--- a/tests/forwarding/test_stream_properties.py
+++ b/tests/forwarding/test_stream_properties.py
@@ -21,6 +21,7 @@
 from medlarvale.forwarding.errors import ForwardingError, OverloadedError
 from medlarvale.forwarding.messages import ClientRequest, EngineStage, EngineTraits, TokenCounts
 from medlarvale.forwarding.servers import ServerTable
+from medlarvale.forwarding.stream_versions import versions_without_history
 from medlarvale.forwarding.streams import StreamForwarder
 from medlarvale.ids import FailureDomain, RequestId, ServerId
 from tests.forwarding.fakes import HERE, LLM, FakeGuard, FakeSink, make_route, make_server
@@ -117,14 +118,17 @@
         table = ServerTable(HERE, random.Random(number))
         for engine in self.engines.values():
             table.upsert(make_server(engine.name, stage=engine.stage))
+        backends = EmulatedBackends(self.engines, FailureDomain("a"), self.outputs)
+        clock = VirtualClock()
         context = ForwardingContext(
-            EmulatedBackends(self.engines, FailureDomain("a"), self.outputs),
+            backends,
             table,
-            VirtualClock(),
+            clock,
             random.Random(number),
             lambda: RetryLimits(RETRY_SHARE, RETRY_RESERVE),
             FakeGuard(),
             lambda: HOSTS,
+            versions_without_history(backends, table, clock),
         )
         return StreamForwarder(context, lambda service: TRAITS)
 
--- a/tests/forwarding/test_stream_run.py
+++ b/tests/forwarding/test_stream_run.py
@@ -15,7 +15,14 @@
     RejectedError,
     StreamBrokenError,
 )
-from medlarvale.forwarding.messages import ClientRequest, Dispatch, EngineStage, Server, TokenCounts
+from medlarvale.forwarding.messages import (
+    ClientRequest,
+    Dispatch,
+    EngineStage,
+    PromptPartId,
+    Server,
+    TokenCounts,
+)
 from medlarvale.forwarding.streams import StreamForwarder
 from medlarvale.ids import ServerId
 from tests.forwarding.fakes import (
@@ -77,7 +84,11 @@
         caller only needs the last events."""
         self.answer(FakeAnswer([events(159, 160)]))
         tokens = TokenCounts(5_000, 1_760, 1_700)
-        request = make_request(tokens=tokens, deadline_ms=3_900.0, resume_after=158)
+        part = PromptPartId("a1")
+        self.backends.cached = {ServerId("d1"): {part: 5_000}}
+        request = make_request(
+            tokens=tokens, deadline_ms=3_900.0, resume_after=158, prompt_part=part
+        )
         await self.forwarder.forward(request, make_route(), LLM, self.sink)
         await self.context.background.finish(500.0)
         self.assertEqual(self.sink.data, events(159, 160))
--- a/tests/forwarding/test_taken_up_streams.py
+++ b/tests/forwarding/test_taken_up_streams.py
@@ -96,7 +96,6 @@
         self.caller_port = int(first._parameters.listen_caller.rpartition(":")[2])
         platform.timeout_ms = ROUTE_TIMEOUT_MS
         await self.configure()
-        await platform.start_heartbeats()
         for name in ("d3", "d4"):
             await platform.release(name, "llm", "decode", "v2")
         if not loss.caches:
