Leave the last decode engine of a software version at its stage

A stream can go on only at an engine of its version that decodes. The planner could order the only one of a version to prefill during a release, which ends the streams that callers take up and those that break off. The planner now passes over such engines. test_the_last_decode_engine_of_a_version_keeps_its_stage failed before.

--- a/src/medlarvale/forwarding/stage_planner.py
+++ b/src/medlarvale/forwarding/stage_planner.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import math
+from collections import Counter
 from collections.abc import Sequence
 
 import msgspec
@@ -194,14 +195,23 @@
         if engine.state is ServerState.READY and engine.stage is not None
     ]
     donors = [engine for engine in ready if engine.stage is not change.stage]
+    decoding = Counter(engine.software for engine in ready if engine.stage is EngineStage.DECODE)
     # Per failure domain: donors minus engines that already serve the new stage.
     surplus = {engine.failure_domain: 0 for engine in ready}
     for engine in ready:
         surplus[engine.failure_domain] += 1 if engine.stage is not change.stage else -1
     chosen: list[Server] = []
-    while donors and len(chosen) < change.count:
+    while len(chosen) < change.count:
+        # Streams that a version has begun can go on only while one of its engines decodes.
+        movable = [
+            donor
+            for donor in donors
+            if donor.stage is EngineStage.PREFILL or decoding[donor.software] > 1
+        ]
+        if not movable:
+            break
         donor = min(
-            donors,
+            movable,
             key=lambda engine: (
                 -surplus[engine.failure_domain],
                 in_flight.get(engine.server, 0),
@@ -209,6 +219,8 @@
             ),
         )
         donors.remove(donor)
+        if donor.stage is EngineStage.DECODE:
+            decoding[donor.software] -= 1
         surplus[donor.failure_domain] -= 2
         chosen.append(donor)
     return chosen
--- a/tests/forwarding/test_demand_and_stage_planner.py
+++ b/tests/forwarding/test_demand_and_stage_planner.py
@@ -176,6 +176,24 @@
         leaving = [make_server("p1", stage=PREFILL, state=ServerState.DRAINING), *engines(0, 1)]
         self.assertEqual(choose_donors(leaving, StageChange(DECODE, 1), {}), [])
 
+    def test_the_last_decode_engine_of_a_version_keeps_its_stage(self) -> None:
+        """Guards against streams that can't go on because the only engine of their version was
+        ordered to prefill."""
+        table: list[tuple[dict[str, str], int, list[str]]] = [
+            ({"d0": "v1", "d1": "v1", "d2": "v2"}, 1, ["d0"]),
+            ({"d0": "v1", "d1": "v1", "d2": "v2"}, 3, ["d0"]),
+            ({"d0": "v1", "d1": "v2"}, 1, []),
+            ({"d0": "v1"}, 1, []),
+        ]
+        for software, count, expected in table:
+            with self.subTest(software=software, count=count):
+                fleet = [
+                    make_server(name, stage=DECODE, software=version)
+                    for name, version in software.items()
+                ]
+                donors = choose_donors(fleet, StageChange(PREFILL, count), {})
+                self.assertEqual([donor.server for donor in donors], expected)
+
     def test_engines_are_chosen_from_several_failure_domains(self) -> None:
         """Guards against a failure domain without an engine of some stage during a partition."""
         fleet = [
