Take no second copy of a refusal for the answer to a later request

Callers could be told 'not run, try again' for requests that a server was running, or such a request ran twice. Cause: a refusal without an id, or with the id of the same request, that arrived once the next request had been sent on the kept connection counted as the answer to that request. Refusals of short calls, which have no id, shared the connections too. A connection for requests is now closed as soon as the head of a refusal arrives on it. Short calls have connections of their own. On a kept connection, a refusal without the request's id is no promise.

--- a/src/medlarvale/forward_command.py
+++ b/src/medlarvale/forward_command.py
@@ -19,7 +19,7 @@
 from medlarvale.logs import Event, configure_logging, log_info, log_warning
 from medlarvale.platform.backends import HttpBackends
 from medlarvale.platform.boot import BootSettingsError, read_boot_settings
-from medlarvale.platform.connections import new_session
+from medlarvale.platform.connections import BackendConnection, new_session
 from medlarvale.platform.incoming import decode_incoming
 from medlarvale.platform.store import PlatformStore
 
@@ -64,11 +64,11 @@
 async def _serve(
     parameters: HostParameters, options: argparse.Namespace, writer: BoundedLineWriter
 ) -> None:
-    session = new_session()
+    session, calls = new_session(), new_session(BackendConnection)
     host = ForwardingHost(
         parameters,
         PlatformStore(session, parameters.platform_address),
-        HttpBackends(session),
+        HttpBackends(session, calls),
         decode_incoming,
         options.metrics_port,
         lambda: {"log_lines_dropped": writer.dropped},
@@ -83,6 +83,7 @@
         await run_until_stopped(stop, host)
     finally:
         await session.close()
+        await calls.close()
 
 
 class _DropReport:
--- a/src/medlarvale/platform/backends.py
+++ b/src/medlarvale/platform/backends.py
@@ -53,8 +53,6 @@
 MAX_ANSWER_BYTES = 4 * 1024 * 1024
 MAX_CALL_BYTES = 256 * 1024
 MAX_CACHE_LIST_BYTES = 1024 * 1024
-# Status of a server that is not the one that was expected.
-WRONG_SERVER_STATUS = 421
 # Number of holds and handles that are remembered, to detect a second copy of an answer.
 REMEMBERED_GRANTS = 4_096
 
@@ -149,10 +147,19 @@
 
 
 class HttpBackends:
-    """Calls to backend servers; see ``Backends``."""
+    """Calls to backend servers; see ``Backends``.
 
-    def __init__(self, session: aiohttp.ClientSession) -> None:
-        self._session = session
+    A server in trouble may write an answer once more. The answers to short calls carry no id, so
+    these calls share no connection with requests of callers.
+
+    Args:
+        requests: connections for requests of callers.
+        calls: connections for all other calls.
+    """
+
+    def __init__(self, requests: aiohttp.ClientSession, calls: aiohttp.ClientSession) -> None:
+        self._requests = requests
+        self._calls = calls
         self._grants = _Grants()
         self._limit_callbacks: list[LimitCallback] = []
 
@@ -161,7 +168,7 @@
         self._limit_callbacks.append(callback)
 
     def _note_limit(self, server: Server, response: aiohttp.ClientResponse) -> None:
-        if response.status == WRONG_SERVER_STATUS:
+        if response.status == names.WRONG_SERVER_STATUS:
             return
         try:
             limit_per_s = names.server_limit_per_s(response.headers)
@@ -214,7 +221,7 @@
         url = URL(f"http://{server.address}{request.path}", encoded=True)
         try:
             async with asyncio.timeout(left_ms / 1000.0):
-                response = await self._session.request(
+                response = await self._requests.request(
                     request.method,
                     url,
                     headers=headers,
@@ -338,7 +345,7 @@
             total=timeout_ms / 1000.0, sock_connect=CONNECT_TIMEOUT_MS / 1000.0
         )
         try:
-            async with self._session.request(
+            async with self._calls.request(
                 method, url, headers=headers, data=data, timeout=timeout
             ) as response:
                 if names.SERVER_LIMIT in response.headers:
@@ -349,11 +356,16 @@
             raise BackendError(f"server {server.server}: {path}: {error!r}") from error
 
 
-def _raise_if_rejected(response: aiohttp.ClientResponse) -> None:
-    """Raises RejectedError if the response states that the request was not executed."""
-    wrong_server = response.status == WRONG_SERVER_STATUS
-    if wrong_server or names.NOT_RUN in response.headers:
-        status = response.status
-        # The short body may not have arrived yet; closing the connection costs less than waiting.
-        response.release()
-        raise RejectedError(f"rejected with status {status}", full=not wrong_server)
+def _raise_if_rejected(response: RelayedResponse) -> None:
+    """Raises RejectedError if the response states that the request was not executed.
+
+    Raises:
+        BackendError: if the refusal may be that of an earlier request on the connection.
+    """
+    status = response.status
+    if not names.is_refusal(status, response.headers):
+        return
+    response.close()
+    if response.connection_in_use.requests > 1 and names.REQUEST_ID not in response.headers:
+        raise BackendError(f"status {status} without the request's id on a kept connection")
+    raise RejectedError(f"rejected with status {status}", full=status != names.WRONG_SERVER_STATUS)
--- a/src/medlarvale/platform/connections.py
+++ b/src/medlarvale/platform/connections.py
@@ -39,12 +39,15 @@
     request.
     """
 
+    # Number of requests that were sent on this connection.
+    requests = 0
     _awaits_response = False
     _interim_responses = 0
     _bytes_without_body = 0
 
     def set_response_params(self, **parameters: Any) -> None:
         """Begins to wait for the response to a request."""
+        self.requests += 1
         self._awaits_response = True
         self._interim_responses = 0
         self._bytes_without_body = 0
@@ -87,6 +90,20 @@
             transport.abort()
 
 
+class RequestConnection(BackendConnection):
+    """Connection for requests of callers; it is closed after a refusal.
+
+    A second copy of the refusal would otherwise be taken for the response to the next request.
+    """
+
+    def feed_data(self, data: Any, size: int = 0) -> None:
+        """Passes on the head of a response."""
+        message, _ = data
+        if names.is_refusal(message.code, message.headers):
+            self.force_close()
+        super().feed_data(data, size)
+
+
 class RelayedResponse(TrackedResponse):
     """Response that rejects a late answer to an earlier request on a reused connection."""
 
@@ -122,15 +139,21 @@
     return sock
 
 
-def new_session() -> aiohttp.ClientSession:
-    """Returns a session that adds no headers of its own and never repeats a request."""
+def new_session(
+    connection: type[BackendConnection] = RequestConnection,
+) -> aiohttp.ClientSession:
+    """Returns a session that adds no headers of its own and never repeats a request.
+
+    Args:
+        connection: class of its connections.
+    """
     connector = aiohttp.TCPConnector(
         limit=0,
         keepalive_timeout=IDLE_CONNECTION_S,
         socket_factory=_socket_factory,
         use_dns_cache=False,
     )
-    track_connections(connector, BackendConnection)
+    track_connections(connector, connection)
     session = aiohttp.ClientSession(
         connector=connector,
         auto_decompress=False,
--- a/src/medlarvale/platform/headers.py
+++ b/src/medlarvale/platform/headers.py
@@ -4,7 +4,7 @@
 
 import math
 
-from multidict import CIMultiDict, CIMultiDictProxy
+from multidict import CIMultiDict, CIMultiDictProxy, MultiMapping
 
 from medlarvale.forwarding.messages import ClientRequest, Dispatch, PromptPartId, TokenCounts
 from medlarvale.ids import RequestId, ServerId
@@ -15,6 +15,8 @@
 SERVER_ID = "X-Instance-Id"
 SIGNATURE = "X-Response-Signature"
 NOT_RUN = "X-Not-Executed"
+# Status of a server that is not the one that was expected.
+WRONG_SERVER_STATUS = 421
 # Requests per second, a decimal number, that the server takes from all hosts together.
 SERVER_LIMIT = "Server-Limit"
 STAGE = "X-Serving-Stage"
@@ -94,6 +96,11 @@
     return int(text)
 
 
+def is_refusal(status: int, headers: MultiMapping[str]) -> bool:
+    """Returns whether a response states that the server has not run the request."""
+    return status == WRONG_SERVER_STATUS or NOT_RUN in headers
+
+
 def server_limit_per_s(headers: CIMultiDictProxy[str]) -> float | None:
     """Returns the limit that a server names; None if it names none.
 
--- a/tests/forwarding/test_host.py
+++ b/tests/forwarding/test_host.py
@@ -13,7 +13,7 @@
 from medlarvale.forwarding.messages import HostParameters
 from medlarvale.ids import FailureDomain, HostId
 from medlarvale.platform.backends import HttpBackends
-from medlarvale.platform.connections import new_session
+from medlarvale.platform.connections import BackendConnection, new_session
 from medlarvale.platform.incoming import decode_incoming
 from medlarvale.platform.standin import HEARTBEAT_S, StandinPlatform, stream_body
 from medlarvale.platform.store import PlatformStore
@@ -60,13 +60,14 @@
             heartbeat_ms=HEARTBEAT_S * 1000.0,
             history_ms=HISTORY_MS,
         )
-        session = new_session()
+        session, calls = new_session(), new_session(BackendConnection)
         store = PlatformStore(session, self.parameters.platform_address)
         host = ForwardingHost(
-            self.parameters, store, HttpBackends(session), decode_incoming, free_port(), dict
+            self.parameters, store, HttpBackends(session, calls), decode_incoming, free_port(), dict
         )
         await host.start()
         self.addAsyncCleanup(session.close)
+        self.addAsyncCleanup(calls.close)
         self.addAsyncCleanup(host.close)
         self.hosts.append(host)
         return host
--- a/tests/platform/test_backends.py
+++ b/tests/platform/test_backends.py
@@ -41,6 +41,18 @@
     return b"HTTP/1.1 " + status.encode() + b"\r\n" + headers + framing + b"\r\n" + body
 
 
+def server_at(port: int) -> Server:
+    """Returns the entry of a server on a port of this machine."""
+    return Server(
+        ServerId("i-1"),
+        ServiceName("llm"),
+        f"127.0.0.1:{port}",
+        FailureDomain("a"),
+        4,
+        ServerState.READY,
+    )
+
+
 class RawServer:
     """Server that sends the next of the given byte strings for each request.
 
@@ -60,15 +72,7 @@
 
     async def start(self) -> Server:
         self.server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
-        port = self.server.sockets[0].getsockname()[1]
-        return Server(
-            ServerId("i-1"),
-            ServiceName("llm"),
-            f"127.0.0.1:{port}",
-            FailureDomain("a"),
-            4,
-            ServerState.READY,
-        )
+        return server_at(self.server.sockets[0].getsockname()[1])
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         self.connections += 1
@@ -121,7 +125,7 @@
     async def asyncSetUp(self) -> None:
         self.session = new_session()
         self.addAsyncCleanup(self.session.close)
-        self.backends = HttpBackends(self.session)
+        self.backends = HttpBackends(self.session, self.session)
 
     async def start(self, raw_server: RawServer) -> Server:
         server = await raw_server.start()
--- a/tests/platform/test_broken_answers.py
+++ b/tests/platform/test_broken_answers.py
@@ -146,7 +146,7 @@
         target = await raw_server.start()
         self.addCleanup(raw_server.server.close)
         context = make_context(
-            _Backends(HttpBackends(self.session), target),
+            _Backends(HttpBackends(self.session, self.session), target),
             make_server("p1", stage=EngineStage.PREFILL),
             make_server("d1", stage=EngineStage.DECODE),
             make_server("s1", service=APP),
--- a/tests/platform/test_endless_answers.py
+++ b/tests/platform/test_endless_answers.py
@@ -73,7 +73,7 @@
     async def asyncSetUp(self) -> None:
         self.session = new_session()
         self.addAsyncCleanup(self.session.close)
-        self.backends = HttpBackends(self.session)
+        self.backends = HttpBackends(self.session, self.session)
 
     async def start(self, kind: str) -> tuple[EndlessServer, Server]:
         endless = EndlessServer(ENDLESS[kind])
