Pass on only events that follow the last one in a stream

Callers could find an error text, the head of another response or events that they already had in the middle of their stream, and the stream could end as if it were complete. Neither its form nor its number was looked at, on the first run of a stream and on each that continued it. A part without data may now only have comments and the fields that need none; each line of an event has to be a field or a comment, and its number has to be greater than the one before. What comes before the first fault is passed on, and the run is broken, so the stream continues elsewhere or ends with a broken connection.

--- a/src/medlarvale/forwarding/events.py
+++ b/src/medlarvale/forwarding/events.py
@@ -15,8 +15,42 @@
 MAX_EVENT_BYTES = 256 * 1024
 
 _EVENT_END = re.compile(rb"\r\n\r\n|\n\n|\r\r")
+_LINE_END = re.compile(rb"\r\n|\n|\r")
 _EVENT_DATA = re.compile(rb"^data:", re.MULTILINE)
-_EVENT_ID = re.compile(rb"^id: ?(\d+)\r?$", re.MULTILINE)
+_EVENT_ID = re.compile(rb"id: ?(\d+)")
+# Servers may add fields of their own to an event. Lines of other text, and header names, which
+# usually have capitals, are none.
+_FIELD = re.compile(rb"[a-z][a-z0-9-]*:")
+# Lines of a part without data.
+_NO_DATA = re.compile(rb":|retry:|event:")
+
+
+def _event_id(part: bytes, last_id: int | None) -> int | None:
+    """Returns the number of an event; ``last_id`` for comments and events without numbers.
+
+    Args:
+        part: the event, or comments.
+        last_id: number of the event before; None if no event had a number so far.
+
+    Raises:
+        BackendError: if it is no event that may follow.
+    """
+    lines = [line for line in _LINE_END.split(part) if line]
+    if not has_data(part):
+        if all(_NO_DATA.match(line) for line in lines):
+            return last_id
+        raise BackendError("the stream contains something else than events")
+    if not all(line.startswith(b":") or _FIELD.match(line) for line in lines):
+        raise BackendError("the stream contains something else than events")
+    ids = [line for line in lines if line.startswith(b"id:")]
+    if not ids and last_id is None:
+        return None
+    number = _EVENT_ID.fullmatch(ids[0]) if len(ids) == 1 else None
+    if number is None:
+        raise BackendError("an event of the stream has no number, or several")
+    if last_id is not None and int(number.group(1)) <= last_id:
+        raise BackendError(f"an event of the stream does not come after event {last_id}")
+    return int(number.group(1))
 
 
 class EventSplitter:
@@ -25,27 +59,38 @@
     Attributes:
         last_id: number of the last whole event; None before the first event with a number.
         rest: bytes after the last whole event.
+        fault: why the bytes after the last returned event are no event; None while they may be.
     """
 
     def __init__(self, last_id: int | None = None) -> None:
         self.last_id = last_id
         self.rest = b""
+        self.fault: BackendError | None = None
+
+    def begin_run(self) -> None:
+        """Drops what is left of the run before; the next one continues after the last event."""
+        self.rest, self.fault = b"", None
 
     def feed(self, chunk: bytes) -> bytes:
-        """Returns the events that a chunk completes; empty if there is none.
+        """Returns the events that a chunk completes, up to the first fault; empty if there is none.
 
         Raises:
-            BackendError: if an event is too long.
+            BackendError: if an event is too long, or after a fault.
         """
+        if self.fault is not None:
+            raise self.fault
         data = self.rest + chunk
         end = 0
         for match in _EVENT_END.finditer(data):
+            try:
+                self.last_id = _event_id(data[end : match.end()], self.last_id)
+            except BackendError as error:
+                self.fault = error
+                break
             end = match.end()
         whole, self.rest = data[:end], data[end:]
-        if len(self.rest) > MAX_EVENT_BYTES:
+        if len(self.rest) > MAX_EVENT_BYTES and self.fault is None:
             raise BackendError(f"an event is longer than {MAX_EVENT_BYTES} bytes")
-        for match in _EVENT_ID.finditer(whole):
-            self.last_id = int(match.group(1))
         return whole
 
 
@@ -66,8 +111,8 @@
         limit_ms: longest time without an event, whatever other bytes arrive.
 
     Raises:
-        BackendError: if there is no event in time, or the body ends early, inside an event or, with
-            its connection, before the first event.
+        BackendError: if there is no event in time, something else than an event, or the body ends
+            early, inside an event or, with its connection, before the first event.
     """
     chunks = aiter(answer.chunks())
     silent_since_ms = clock.now_ms()
@@ -85,6 +130,8 @@
         events = splitter.feed(chunk)
         if events:
             yield events
+        if splitter.fault is not None:
+            raise splitter.fault
         if has_data(events):
             any_data = True
             silent_since_ms = clock.now_ms()
@@ -100,6 +147,8 @@
     if answer.event_stream and answer.status < 300:
         splitter = EventSplitter()
         any_data = has_data(splitter.feed(body))
+        if splitter.fault is not None:
+            raise splitter.fault
         _check_end(answer, splitter.rest, any_data)
     return body
 
--- a/src/medlarvale/forwarding/stream_run.py
+++ b/src/medlarvale/forwarding/stream_run.py
@@ -383,7 +383,7 @@
             if self._started:
                 raise BackendError(f"status {answer.status} for the rest of a stream")
             return Reply(answer.status, answer.headers, body, load.server.server)
-        self._events.rest = b""
+        self._events.begin_run()
         self._measured_from = None
         first_of_request = not self._is_continuation()
         try:
