Remember the version of streams that were taken up, and the versions that serve

The version that was found for a stream is kept for the caller's next attempt. The set of versions of a service is kept until the list of servers changes: a queue asked for it every 30 ms, over all servers. A test shows that refused reservations keep their connection, so that calls that share the connections of requests turn it red.

--- a/src/medlarvale/forwarding/memory.py
+++ b/src/medlarvale/forwarding/memory.py
@@ -97,7 +97,7 @@
             OverloadedError: no memory is expected to be free in time.
             VersionGoneError: no engine runs the software version that the request needs.
         """
-        if request.software not in (None, *self._versions()):
+        if not self._has_version(request):
             raise VersionGoneError("no engine runs the version that began the stream")
         if request.tokens > self._traits().memory_tokens:
             raise OverloadedError("the request exceeds the memory of an engine")
@@ -175,9 +175,10 @@
                 return True
         return False
 
-    def _versions(self) -> set[SoftwareVersion]:
-        engines = self._context.servers.decode_engines(self._service)
-        return {engine.software for engine in engines}
+    def _has_version(self, request: MemoryRequest) -> bool:
+        """Returns whether an engine of the version that a request needs is listed."""
+        versions = self._context.servers.stream_versions(self._service)
+        return request.software is None or request.software in versions
 
     def _is_late(self, request: MemoryRequest, now_ms: float) -> bool:
         """Returns whether a request that gets memory now would miss its first event target."""
@@ -222,8 +223,7 @@
         now_ms = self._context.clock.now_ms()
         for waiter in [waiting for waiting in self._waiting if waiting.request.end_ms <= now_ms]:
             self._refuse(waiter, "no engine had free memory in time", now_ms)
-        served = {None, *self._versions()}
-        for waiter in [other for other in self._waiting if other.request.software not in served]:
+        for waiter in [other for other in self._waiting if not self._has_version(other.request)]:
             self._waiting.remove(waiter)
             if not waiter.future.done():
                 gone = VersionGoneError("the last engine of the version has left")
--- a/src/medlarvale/forwarding/servers.py
+++ b/src/medlarvale/forwarding/servers.py
@@ -125,6 +125,8 @@
         self._rng = rng
         self._loads: dict[ServerId, ServerLoad] = {}
         self._changing: frozenset[ServerId] = frozenset()
+        # Cleared by each change of the list.
+        self._stream_versions: dict[ServiceName, frozenset[SoftwareVersion]] = {}
         self._outdated = OutdatedEntries(LAPSED_HEARTBEATS * heartbeat_ms)
         self.isolation = IsolationDetector()
         self.limits = ServerLimits(host, failure_domain)
@@ -141,6 +143,7 @@
 
     def _note_change(self) -> None:
         self.generation += 1
+        self._stream_versions.clear()
         for callback in self._change_callbacks:
             callback()
 
@@ -303,7 +306,10 @@
 
         Such an engine still grants holds, but rejects the requests that use them.
         """
-        self._changing = frozenset(servers)
+        changing = frozenset(servers)
+        if changing != self._changing:
+            self._changing = changing
+            self._stream_versions.clear()
 
     def is_remote(self, load: ServerLoad) -> bool:
         """Returns whether a server is in another failure domain."""
@@ -330,6 +336,14 @@
         """Returns the ready servers of a service that can run streams, also failing ones."""
         return [load.server for load in self._listed(service, EngineStage.DECODE, ())]
 
+    def stream_versions(self, service: ServiceName) -> frozenset[SoftwareVersion]:
+        """Returns the software versions of the servers that can run streams of a service."""
+        versions = self._stream_versions.get(service)
+        if versions is None:
+            versions = frozenset(engine.software for engine in self.decode_engines(service))
+            self._stream_versions[service] = versions
+        return versions
+
     def service_size(self, service: ServiceName) -> int:
         """Returns the number of listed servers of a service."""
         return len(self.of_service(service))
--- a/src/medlarvale/forwarding/stream_versions.py
+++ b/src/medlarvale/forwarding/stream_versions.py
@@ -117,7 +117,7 @@
             The version; None if the service has no engine.
         """
         chosen = self._timeline.choose(service, attempt, first_attempt_ms)
-        served = {engine.software for engine in self._servers.decode_engines(service)}
+        served = self._servers.stream_versions(service)
         if chosen is not None and chosen in served:
             return chosen
         present = self._timeline.choose(service, attempt, self._clock.now_ms())
@@ -169,6 +169,8 @@
                 "more than one version may have begun the stream",
                 retry_after_ms=RETRY_AFTER_MS if possible is None else None,
             )
+        if origin.attempt is not None:
+            self.note_began(origin.attempt, software)
         return software
 
     async def _possible(
--- a/tests/platform/test_repeated_refusals.py
+++ b/tests/platform/test_repeated_refusals.py
@@ -20,7 +20,7 @@
 from medlarvale.platform.backends import HttpBackends
 from medlarvale.platform.connections import BackendConnection, new_session
 from medlarvale.platform.headers import decode_request
-from tests.platform.test_backends import server_at
+from tests.platform.test_backends import RawServer, answer, server_at
 
 IDLE_S = 0.02
 LIMIT_MS = 1_000.0
@@ -151,6 +151,15 @@
                 )
                 await self.assert_not_refused(refusing, server)
 
+    async def test_refused_reservations_keep_their_connection(self) -> None:
+        """Guards against a new connection for each reservation that a full engine refuses."""
+        full = RawServer(*[answer("503 Full", b"X-Not-Executed: 1\r\n", b"")] * 5)
+        server = await full.start()
+        self.addCleanup(full.server.close)
+        for _ in range(5):
+            self.assertIsNone(await self.backends.acquire_hold(server, 100, LIMIT_MS))
+        self.assertEqual(full.connections, 1)
+
     async def assert_not_refused(self, refusing: RefusingServer, server: Server) -> None:
         """Sends a request that the server runs, and checks that it is not told as not run."""
         try:
