--- /dev/null
+++ b/tests/forwarding/test_version_losses.py
@@ -0,0 +1,177 @@
+"""Load pattern: releases, while hosts with views of different age are lost and callers come back.
+
+Random fleets in virtual time, without a network: the decision modules of several hosts see the same
+changes of the store at different times, hosts start anew and read the store's history, and each
+take-up is checked against the version that began its stream.
+"""
+
+from __future__ import annotations
+
+import random
+import unittest
+
+import msgspec
+
+from medlarvale.forwarding.messages import (
+    EngineStage,
+    PublishedState,
+    Server,
+    ServerState,
+    StateChanges,
+    StoreRevision,
+)
+from medlarvale.forwarding.stream_versions import VIEW_LAG_MS
+from medlarvale.forwarding.version_history import (
+    ReadingTime,
+    RecentHistory,
+    known_since_ms,
+    spells,
+)
+from medlarvale.forwarding.version_timeline import UNKNOWN_VERSION, VersionTimeline
+from medlarvale.ids import RequestId, ServerId
+from tests.forwarding.fakes import LLM, make_server
+
+SEEDS = 60
+HEARTBEAT_MS = 1_200.0
+HISTORY_MS = 20_000.0
+DAY_MS = 60_000.0
+# Oldest stream that a caller takes up.
+LIFE_MS = 10_000.0
+# Share of the time between heartbeats by which they are early or late.
+JITTER = 0.05
+EPOCH_MS = 1_700_000_000_000
+STREAMS = 400
+
+
+class Change(msgspec.Struct, frozen=True):
+    """A change of the store."""
+
+    at_ms: float
+    item: Server | ServerId
+
+
+def _entry(name: str, software: str, born_ms: float, at_ms: float, state: ServerState) -> Server:
+    """Returns an entry as its server writes it."""
+    entry = make_server(
+        name,
+        stage=EngineStage.DECODE,
+        software=software,
+        state=state,
+        born_ms=EPOCH_MS + int(born_ms),
+    )
+    return msgspec.structs.replace(entry, heartbeats=1 + int((at_ms - born_ms) / HEARTBEAT_MS))
+
+
+def _day(rng: random.Random) -> list[Change]:
+    """Returns the changes of a day with releases of several sizes and speeds."""
+    changes: list[Change] = []
+    serving: dict[str, tuple[str, float]] = {}
+    for number in range(rng.randint(3, 8)):
+        name, born_ms = f"a{number}", -rng.uniform(30_000.0, 60_000.0)
+        serving[name] = ("v0", born_ms)
+        changes.append(Change(born_ms, _entry(name, "v0", born_ms, born_ms, ServerState.READY)))
+    at_ms = 0.0
+    for release in range(1, 4):
+        at_ms += rng.uniform(4_000.0, 15_000.0)
+        pause_ms = rng.choice([0.0, 400.0, 3_000.0])
+        leaving = rng.sample(sorted(serving), rng.randint(1, len(serving)))
+        for number, name in enumerate(leaving):
+            at_ms += pause_ms
+            software, born_ms = serving.pop(name)
+            fresh = f"r{release}n{number}"
+            serving[fresh] = (f"v{release}", at_ms)
+            entry = _entry(fresh, f"v{release}", at_ms, at_ms, ServerState.READY)
+            changes.append(Change(at_ms, entry))
+            left_ms = at_ms + 1_000.0
+            if rng.random() < 0.7:
+                # The heartbeats of a server are early or late by a share of their number.
+                counted_ms = born_ms + (left_ms - born_ms) * rng.uniform(1.0 - JITTER, 1.0)
+                entry = _entry(name, software, born_ms, counted_ms, ServerState.DRAINING)
+                changes.append(Change(left_ms, entry))
+                left_ms += 2_500.0
+            changes.append(Change(left_ms, ServerId(name)))
+    return sorted(changes, key=lambda change: change.at_ms)
+
+
+class _Store:
+    """The store's state and history at any time of a day."""
+
+    def __init__(self, changes: list[Change]) -> None:
+        self.changes = changes
+
+    def engines(self, at_ms: float) -> list[Server]:
+        listed: dict[ServerId, Server] = {}
+        for change in self.changes:
+            if change.at_ms <= at_ms:
+                if isinstance(change.item, Server):
+                    listed[change.item.server] = change.item
+                else:
+                    listed.pop(change.item, None)
+        return [entry for entry in listed.values() if entry.state is ServerState.READY]
+
+    def history(self, at_ms: float) -> RecentHistory:
+        past = [change for change in self.changes if change.at_ms <= at_ms]
+        floor = sum(change.at_ms < at_ms - HISTORY_MS for change in past)
+        revisions: dict[ServerId, StoreRevision] = {}
+        listed: dict[ServerId, Server] = {}
+        for revision, change in enumerate(past, start=1):
+            if isinstance(change.item, Server):
+                listed[change.item.server] = change.item
+                revisions[change.item.server] = StoreRevision(revision)
+            else:
+                listed.pop(change.item, None)
+        revision = StoreRevision(len(past))
+        state = PublishedState(None, tuple(listed.values()), revision, server_revisions=revisions)
+        items = tuple(change.item for change in past[floor:])
+        return RecentHistory(state, StateChanges(items, revision), StoreRevision(floor))
+
+
+def _follow(store: _Store, lag_ms: float, from_ms: float, to_ms: float) -> VersionTimeline:
+    """Returns the timeline of a host that has followed the store with a lag."""
+    timeline = VersionTimeline(DAY_MS)
+    timeline.update(store.engines(from_ms - lag_ms), from_ms)
+    for change in store.changes:
+        if from_ms < change.at_ms + lag_ms <= to_ms:
+            timeline.update(store.engines(change.at_ms), change.at_ms + lag_ms)
+    return timeline
+
+
+def _start(store: _Store, at_ms: float) -> VersionTimeline:
+    """Returns the timeline of a host that starts and reads the history."""
+    timeline = VersionTimeline(DAY_MS)
+    timeline.update(store.engines(at_ms), at_ms)
+    history = store.history(at_ms)
+    read = ReadingTime(at_ms, EPOCH_MS + at_ms, HEARTBEAT_MS, HISTORY_MS)
+    timeline.extend(spells(history, read), known_since_ms(history, read))
+    return timeline
+
+
+class VersionLossesTest(unittest.TestCase):
+    def test_a_take_up_never_goes_to_another_version(self) -> None:
+        """Guards against joined versions after any loss, and against refusals of most streams
+        although a survivor knows the engines of their time."""
+        for restarted in (False, True):
+            known = total = 0
+            for seed in range(SEEDS):
+                rng = random.Random(seed)
+                store = _Store(_day(rng))
+                at_ms = rng.uniform(20_000.0, DAY_MS)
+                lag_ms = rng.uniform(0.0, VIEW_LAG_MS / 2.0)
+                beginner = _follow(store, rng.uniform(0.0, VIEW_LAG_MS / 2.0), -1_000.0, at_ms)
+                other = (
+                    _start(store, at_ms) if restarted else _follow(store, lag_ms, -1_000.0, at_ms)
+                )
+                for number in range(STREAMS):
+                    begun_ms = rng.uniform(at_ms - LIFE_MS, at_ms)
+                    attempt = RequestId(f"{seed}-{number}")
+                    software = beginner.choose(LLM, attempt, begun_ms)
+                    possible = other.possible(
+                        LLM, attempt, begun_ms - VIEW_LAG_MS, begun_ms + VIEW_LAG_MS
+                    )
+                    assert possible is not None
+                    with self.subTest(restarted=restarted, seed=seed, attempt=attempt):
+                        self.assertTrue(possible & {software, UNKNOWN_VERSION}, possible)
+                    known += len(possible) == 1
+                    total += 1
+            if not restarted:
+                self.assertGreaterEqual(2 * known, total)
