Log unexpected errors in reading the history, and date unchanged entries by bounds

An unexpected error in reading the store's history would have failed each request that continues a stream. It is logged now, and the caches still tell the version.

--- a/src/medlarvale/forwarding/stream_versions.py
+++ b/src/medlarvale/forwarding/stream_versions.py
@@ -194,10 +194,14 @@
 
     async def _read(self) -> None:
         try:
-            history = await self._read_history()
+            self._add(await self._read_history())
         except PublishedStateError as error:
             log_warning(Event.SERVER_HISTORY_FAILED, error=error.message)
-            return
+        except Exception as error:  # The caches may still tell the version.
+            log_warning(Event.TASK_FAILED, task="read the store's history", error=repr(error))
+
+    def _add(self, history: RecentHistory) -> None:
+        """Adds to the timeline what a history tells about the time before this host started."""
         now_ms = self._clock.now_ms()
         read = ReadingTime(now_ms, self._clock.wall_ms(), self._heartbeat_ms, self._history_ms)
         since_ms = known_since_ms(history, read)
--- a/src/medlarvale/forwarding/version_history.py
+++ b/src/medlarvale/forwarding/version_history.py
@@ -107,11 +107,13 @@
         for change in history.changes.items
         if not isinstance(change, RouteTable)
     }
-    open_spells = {
-        server.server: Spell(engine_key(server), read.written_ms(server)[1])
-        for server in history.state.servers
-        if server.server not in changed and can_begin_streams(server)
-    }
+    open_spells: dict[ServerId, Spell] = {}
+    for entry in history.state.servers:
+        if entry.server not in changed and can_begin_streams(entry):
+            earliest_ms, latest_ms = read.written_ms(entry)
+            open_spells[entry.server] = Spell(engine_key(entry), latest_ms)
+            if earliest_ms < latest_ms:
+                yield Spell(engine_key(entry), earliest_ms, latest_ms, certain=False)
     seen: set[ServerId] = set()
     for change, (earliest_ms, latest_ms) in zip(
         history.changes.items, _dates(history.changes.items, read), strict=True
--- /dev/null
+++ b/tests/forwarding/test_stream_versions.py
@@ -0,0 +1,133 @@
+"""Tests of how a host finds out which software version began a stream that a caller takes up."""
+
+from __future__ import annotations
+
+import random
+import unittest
+
+from medlarvale.clock import ManualClock
+from medlarvale.forwarding.cache_holders import CacheHolderFinder
+from medlarvale.forwarding.errors import PublishedStateError, VersionUnknownError
+from medlarvale.forwarding.messages import (
+    EngineStage,
+    PromptPartId,
+    PublishedState,
+    Server,
+    StateChanges,
+    StoreRevision,
+)
+from medlarvale.forwarding.servers import ServerTable
+from medlarvale.forwarding.stream_versions import (
+    HISTORY_PERIOD_MS,
+    VIEW_LAG_MS,
+    StreamOrigin,
+    StreamVersions,
+)
+from medlarvale.forwarding.version_history import RecentHistory
+from medlarvale.ids import RequestId, ServerId, SoftwareVersion
+from tests.forwarding.fakes import HERE, LLM, FakeBackends, make_request, make_server
+
+PART = PromptPartId("a1")
+BEGAN_AS = RequestId("q0")
+V1, V2 = SoftwareVersion("v1"), SoftwareVersion("v2")
+HEARTBEAT_MS = 1_200.0
+HISTORY_MS = 20_000.0
+STREAM_MS = 3_000.0
+
+
+# Unix time in ms of a start long before that of the host.
+LONG_AGO_MS = ManualClock().wall_ms()
+
+
+def engine(name: str, software: str, born_ms: int = LONG_AGO_MS) -> Server:
+    return make_server(name, stage=EngineStage.DECODE, software=software, born_ms=born_ms)
+
+
+def history(*servers: Server, floor: int, changes: tuple[Server | ServerId, ...]) -> RecentHistory:
+    revision = StoreRevision(floor + len(changes))
+    state = PublishedState(None, servers, revision)
+    return RecentHistory(state, StateChanges(changes, revision), StoreRevision(floor))
+
+
+class StreamVersionsTest(unittest.IsolatedAsyncioTestCase):
+    def setUp(self) -> None:
+        self.clock = ManualClock()
+        self.backends = FakeBackends()
+        self.table = ServerTable(HERE, random.Random(1))
+        self.reads = 0
+        self.history: RecentHistory | Exception = PublishedStateError("down")
+
+    def start(self, *engines: Server) -> StreamVersions:
+        """Returns the versions of a host that has just read the list of servers."""
+        self.clock.advance_ms(100_000.0)
+        self.table.replace_all(engines, self.clock.now_ms(), after_outage=False)
+
+        async def read_history() -> RecentHistory:
+            self.reads += 1
+            if isinstance(self.history, Exception):
+                raise self.history
+            return self.history
+
+        cache_holders = CacheHolderFinder(self.backends, self.table)
+        return StreamVersions(
+            self.table, self.clock, cache_holders, read_history, HEARTBEAT_MS, HISTORY_MS
+        )
+
+    async def find(self, versions: StreamVersions, age_ms: float = STREAM_MS) -> str | None:
+        """Returns the version of a stream of some age; None if it is refused."""
+        at_ms = self.clock.now_ms() - age_ms
+        request = make_request(prompt_part=PART, resume_after=3, began_as=BEGAN_AS)
+        try:
+            return await versions.find(LLM, request, StreamOrigin(BEGAN_AS, at_ms, at_ms))
+        except VersionUnknownError:
+            return None
+
+    async def test_what_a_host_knows_after_it_has_started(self) -> None:
+        """Guards against a take-up that is guessed, and against one that is refused although the
+        history or an engine tells its version."""
+        one, two, undated = engine("d1", "v1"), engine("d2", "v2"), engine("d1", "v1", 0)
+        quiet = history(one, two, floor=9, changes=())
+        replaced = history(two, floor=8, changes=(two, ServerId("d1")))
+        table: list[tuple[str, tuple[Server, ...], RecentHistory | Exception, str, str | None]] = [
+            ("one version all the time", (one,), history(one, floor=9, changes=()), "", "v1"),
+            ("its start is unknown", (undated,), history(undated, floor=9, changes=()), "", "v1"),
+            ("no history", (one,), PublishedStateError("down"), "", None),
+            ("no history, cached at one", (one, two), PublishedStateError("down"), "d2", "v2"),
+            ("an unexpected error", (one,), RuntimeError("bug"), "", None),
+            ("an unexpected error, cached", (one,), RuntimeError("bug"), "d1", "v1"),
+            ("one has left, cached at the other", (two,), replaced, "d2", "v2"),
+        ]
+        for name, engines, read, cached_at, expected in table:
+            with self.subTest(name):
+                self.setUp()
+                self.history = read
+                self.backends.cached = {ServerId(cached_at): {PART: 900}}
+                self.assertEqual(await self.find(self.start(*engines)), expected)
+        self.setUp()
+        self.history = quiet
+        self.assertIn(await self.find(self.start(one, two)), (V1, V2))
+
+    async def test_a_host_that_has_followed_the_engines_reads_no_history(self) -> None:
+        """Guards against calls to the store for each stream that is taken up."""
+        versions = self.start(engine("d1", "v1"))
+        self.clock.advance_ms(STREAM_MS + 2.0 * VIEW_LAG_MS)
+        self.assertEqual(await self.find(versions), "v1")
+        self.assertEqual(self.reads, 0)
+
+    async def test_the_history_is_read_again_only_after_a_pause(self) -> None:
+        """Guards against a read of the history for each of many callers while the store is down."""
+        versions = self.start(engine("d1", "v1"))
+        for _ in range(3):
+            self.assertIsNone(await self.find(versions))
+        self.assertEqual(self.reads, 1)
+        self.clock.advance_ms(HISTORY_PERIOD_MS)
+        self.history = history(engine("d1", "v1"), floor=9, changes=())
+        self.assertEqual(await self.find(versions), "v1")
+        self.assertEqual(self.reads, 2)
+
+    async def test_what_was_seen_goes_before_what_is_computed(self) -> None:
+        """Guards against another version than the one whose events were passed on."""
+        versions = self.start(engine("d1", "v1"))
+        self.clock.advance_ms(STREAM_MS + 2.0 * VIEW_LAG_MS)
+        versions.note_began(BEGAN_AS, V2)
+        self.assertEqual(await self.find(versions), V2)
