Look at all times at which a stream may have been begun

The time of a caller's first attempt follows from its usual deadline. A host that had just started took the longest deadline that it had seen, or the timeout of the route, for it: wrong by the time that a retry had used already, or by what callers wait beyond the timeout, and then computed the version for a time at which no stream was begun.

--- a/src/medlarvale/forwarding/first_attempts.py
+++ b/src/medlarvale/forwarding/first_attempts.py
@@ -25,16 +25,14 @@
         self._recent: deque[int] = deque(maxlen=WINDOW_REQUESTS)
         self._counts: Counter[int] = Counter()
 
-    def usual_deadline_ms(self, timeout_ms: float) -> float | None:
-        """Returns the usual deadline of first attempts; None if it is not known.
+    def longest_deadline_ms(self) -> float:
+        """Returns the longest recent deadline: that of first attempts is not shorter."""
+        return max(self._recent, default=0) * RESOLUTION_MS
 
-        Args:
-            timeout_ms: timeout of the route. Callers usually wait for that long, so a longer
-                deadline is that of a first attempt.
-        """
+    def usual_deadline_ms(self) -> float | None:
+        """Returns the usual deadline of first attempts; None if it is not known."""
         if len(self._recent) < MIN_REQUESTS:
-            longest_ms = max(self._recent, default=0) * RESOLUTION_MS
-            return longest_ms if longest_ms >= timeout_ms - RESOLUTION_MS else None
+            return None
         usual, count = self._counts.most_common(1)[0]
         return usual * RESOLUTION_MS if count >= MIN_SHARE * len(self._recent) else None
 
--- a/src/medlarvale/forwarding/streams.py
+++ b/src/medlarvale/forwarding/streams.py
@@ -18,6 +18,10 @@
 from medlarvale.ids import HostId, ServiceName
 from medlarvale.logs import Event, log_info, log_warning
 
+# While the callers' usual deadline is not known, they are taken to wait at most for this multiple
+# of the timeout of their route.
+LONGEST_DEADLINE_TIMEOUTS = 1.25
+
 
 class StreamForwarder:
     """Forwards streams of all model services.
@@ -90,7 +94,7 @@
         estimator = self._first_attempts.setdefault(route.name, FirstAttemptEstimator())
         origin, age_ms = None, 0.0
         if request.is_continuation:
-            origin = _origin(request, route, estimator.usual_deadline_ms(route.timeout_ms))
+            origin = stream_origin(request, route, estimator)
         else:
             age_ms = estimator.first_attempt_age_ms(request.deadline_ms)
         run = StreamRun(
@@ -133,11 +137,20 @@
         )
 
 
-def _origin(request: ClientRequest, route: Route, usual_deadline_ms: float | None) -> StreamOrigin:
+def stream_origin(
+    request: ClientRequest, route: Route, deadlines: FirstAttemptEstimator
+) -> StreamOrigin:
     """Returns when and by which attempt the stream that a request continues was begun."""
-    to_ms = request.received_ms
-    if usual_deadline_ms is not None and usual_deadline_ms >= request.deadline_ms:
-        from_ms = to_ms = to_ms - (usual_deadline_ms - request.deadline_ms)
-    else:
-        from_ms = to_ms - max(0.0, route.timeout_ms - request.deadline_ms)
-    return StreamOrigin(request.began_as, from_ms, to_ms)
+    left_ms, now_ms = request.deadline_ms, request.received_ms
+    usual_ms = deadlines.usual_deadline_ms()
+    if usual_ms is not None and usual_ms >= left_ms:
+        begun_ms = now_ms - (usual_ms - left_ms)
+        return StreamOrigin(request.began_as, begun_ms, begun_ms)
+    shortest_ms = max(left_ms, deadlines.longest_deadline_ms())
+    longest_ms = LONGEST_DEADLINE_TIMEOUTS * route.timeout_ms
+    if left_ms >= route.timeout_ms:
+        longest_ms = left_ms + route.timeout_ms
+    longest_ms = max(longest_ms, shortest_ms)
+    return StreamOrigin(
+        request.began_as, now_ms - (longest_ms - left_ms), now_ms - (shortest_ms - left_ms)
+    )
--- a/tests/forwarding/test_first_attempts.py
+++ b/tests/forwarding/test_first_attempts.py
@@ -5,6 +5,38 @@
 import unittest
 
 from medlarvale.forwarding.first_attempts import WINDOW_REQUESTS, FirstAttemptEstimator
+from medlarvale.forwarding.streams import stream_origin
+from medlarvale.ids import RequestId
+from tests.forwarding.fakes import make_request, make_route
+
+
+class StreamOriginTest(unittest.TestCase):
+    def test_the_time_of_the_first_attempt_lies_in_the_span(self) -> None:
+        """Guards against a version that is computed for a time at which no stream was begun."""
+        table: list[tuple[str, list[float], float, float]] = [
+            ("usual deadline known", [14_000.0] * 5, 14_000.0, 8_000.0),
+            ("a retry was seen only", [13_000.0], 14_000.0, 8_000.0),
+            ("nothing was seen", [], 14_000.0, 8_000.0),
+            ("the timeout was shortened", [], 15_000.0, 8_000.0),
+            ("much time is left", [], 20_000.0, 15_000.0),
+            ("all time is left", [], 14_000.0, 14_000.0),
+            ("longer than usual", [14_000.0] * 5, 20_000.0, 16_000.0),
+        ]
+        for name, seen_ms, deadline_ms, left_ms in table:
+            with self.subTest(name):
+                deadlines = FirstAttemptEstimator()
+                for seen in seen_ms:
+                    deadlines.first_attempt_age_ms(seen)
+                request = make_request(
+                    deadline_ms=left_ms, received_ms=100_000.0, began_as=RequestId("q0")
+                )
+                origin = stream_origin(request, make_route(timeout_ms=13_500.0), deadlines)
+                begun_ms = 100_000.0 - (deadline_ms - left_ms)
+                self.assertLessEqual(origin.from_ms, begun_ms)
+                self.assertGreaterEqual(origin.to_ms, begun_ms)
+                self.assertLessEqual(origin.to_ms, 100_000.0)
+                if len(seen_ms) == 5 and deadline_ms == seen_ms[0]:
+                    self.assertEqual(origin.from_ms, origin.to_ms)
 
 
 class FirstAttemptEstimatorTest(unittest.TestCase):
