--- a/src/medlarvale/forwarding/stream_versions.py
+++ b/src/medlarvale/forwarding/stream_versions.py
@@ -116,12 +116,14 @@
         Returns:
             The version; None if the service has no engine.
         """
-        chosen = self._timeline.choose(service, attempt, first_attempt_ms)
         served = self._servers.stream_versions(service)
+        if len(served) <= 1:
+            return next(iter(served), None)
+        chosen = self._timeline.choose(service, attempt, first_attempt_ms)
         if chosen is not None and chosen in served:
             return chosen
         present = self._timeline.choose(service, attempt, self._clock.now_ms())
-        return present if present in served else min(served, default=None)
+        return present if present in served else min(served)
 
     async def find_cache_holder(
         self, service: ServiceName, request: ClientRequest, software: SoftwareVersion
