--- a/tests/forwarding/test_follower.py
+++ b/tests/forwarding/test_follower.py
@@ -44,6 +44,24 @@
         return await self._next()
 
 
+class HistorySource:
+    """A source whose last change has a revision, and that has dropped the changes up to a floor."""
+
+    def __init__(self, revision: int, floor: int) -> None:
+        self.revision, self.floor = revision, floor
+        self.calls = 0
+
+    async def read(self) -> PublishedState:
+        return PublishedState(None, (), StoreRevision(self.revision))
+
+    async def watch(self, after: StoreRevision, wait_ms: int) -> StateChanges:
+        self.calls += 1
+        if after < self.floor:
+            raise HistoryGoneError("dropped")
+        items = tuple(ServerId(str(number)) for number in range(after + 1, self.revision + 1))
+        return StateChanges(items, StoreRevision(self.revision))
+
+
 def published(version: int, *servers: str, revision: int = 10) -> PublishedState:
     entries = tuple(make_server(name, service=APP) for name in servers)
     return PublishedState(
@@ -120,3 +138,18 @@
             index = follower.index
             assert index is not None and isinstance(index.table, RouteTable)
             self.assertEqual(index.table.version, newest)
+
+
+class RecentHistoryTest(unittest.IsolatedAsyncioTestCase):
+    async def test_all_changes_that_are_left_are_read(self) -> None:
+        """Guards against servers that have left and are not read, and against many calls."""
+        table = [(0, 0), (1, 0), (1, 1), (24, 0), (24, 11), (24, 24), (5_000, 4_321), (5_000, 0)]
+        for revision, floor in table:
+            with self.subTest(revision=revision, floor=floor):
+                source = HistorySource(revision, floor)
+                servers = ServerTable(HERE, random.Random(1))
+                follower = StateFollower(source, servers, SystemClock(), lambda: None)
+                history = await follower.recent_history()
+                self.assertEqual(history.floor, floor)
+                self.assertEqual(len(history.changes.items), revision - floor)
+                self.assertLessEqual(source.calls, 2 * revision.bit_length())
