Log how long a server had been silent when an attempt fails

An attempt at a silent server and one at a lost server left the same line (5005), so the hypotheses on the lost requests could not be told apart.

--- a/src/medlarvale/forwarding/plain.py
+++ b/src/medlarvale/forwarding/plain.py
@@ -211,6 +211,7 @@
             request=self._request.request_id,
             server=load.server.server,
             attempt=self._sends,
+            after_ms=int(self._context.clock.now_ms() - self._request.received_ms),
             error=str(error),
         )
         now_ms = self._context.clock.now_ms()
--- a/src/medlarvale/forwarding/stream_run.py
+++ b/src/medlarvale/forwarding/stream_run.py
@@ -153,6 +153,7 @@
         self._cached_tokens = 0
         self._fetch_from: Server | None = None
         self._rejections = 0
+        self._sent_ms: float | None = None
         # Number and time of the event from which the speed of the present run is measured.
         self._measured_from: tuple[int, float] | None = None
 
@@ -193,6 +194,13 @@
     def _left_ms(self) -> float:
         return self._end_ms - self._context.clock.now_ms()
 
+    def _silent_ms(self) -> int | None:
+        """Returns the time since the last send or event; None before the first send."""
+        if self._sent_ms is None:
+            return None
+        heard_ms = max(self._sent_ms, self.times.last_event_ms or 0.0)
+        return int(self._context.clock.now_ms() - heard_ms)
+
     async def _run_until_complete(self) -> Reply | None:
         while True:
             try:
@@ -222,6 +230,7 @@
             run=self.runs,
             passed_on=self._events.last_id,
             framing=self.framing.value if self.framing is not None else None,
+            silent_ms=self._silent_ms(),
             error=str(error),
         )
         if isinstance(error, NotSentError | RejectedError):
@@ -330,6 +339,7 @@
         self.framing = None
         self._guarded.begin()
         self.engine, self.software = load.server.server, load.server.software
+        self._sent_ms = self._context.clock.now_ms()
         try:
             answer = await self._context.backends.send(load.server, self._request, dispatch)
         except (NotSentError, RejectedError) as error:
