End no run because its server is silent, unless another one takes over

Callers: a request that had been passed on to a sound server that was silent for about a second ended with a cut connection or an error, although the server went on (LOST).

Cause: three limits ended the connection to a server before the caller's own. TCP_USER_TIMEOUT of 800 ms; the same option with keep-alive, which ends a connection after a single unanswered probe; and a third of the callers' patience without an event of a stream. A stream was closed first, and only then did its host look for memory, a retry budget and an engine of the version.

The transport has no limit on silence any more. A silent run ends only when another engine has granted memory and the retry budget has paid for it; until then it may go on, and the search ends with its next event. What the transport told before, that a server is unreachable, comes from a check with a new connection after 400 ms of waiting, so that a dead server still gets no new work after about 0.8 s. A prefill, which nobody else sees, is given up when its engine can't be reached.

Evidence: test_silent_servers.py failed before in 12 of 19 cases (streams cut with 'no event of the stream in time' after 1.2 s, TCP_USER_TIMEOUT 800, a dead server not suspected) and passes now.

--- a/src/medlarvale/forwarding/errors.py
+++ b/src/medlarvale/forwarding/errors.py
@@ -103,6 +103,12 @@
     code = "backend_down"
 
 
+class SilentEngineError(BackendError):
+    """An engine was silent for too long, and another one takes over."""
+
+    code = "engine_silent"
+
+
 class RejectedError(BackendError):
     """The backend server reports that it has not run the request.
 
--- a/src/medlarvale/forwarding/plain.py
+++ b/src/medlarvale/forwarding/plain.py
@@ -30,8 +30,8 @@
 # Number of servers that could not be reached or rejected a call after which it is refused as not
 # run.
 MAX_NOT_RUN = 3
-# A safe call without an answer is also sent to another server after this share of the target
-# latency.
+# After this share of the target latency, a server that has not answered is checked, and a safe call
+# is also sent to another server.
 HEDGE_SHARE = 0.8
 
 
@@ -100,7 +100,9 @@
             if not done and self._left_ms() <= 0:
                 raise self._error(RequestTimeoutError("no answer within the route timeout"))
             if not done:
-                self._start_another()
+                self._check_servers()
+                if self._is_retryable():
+                    self._start_another()
             for task in done:
                 reply = self._finish(task)
                 if reply is not None:
@@ -124,11 +126,10 @@
 
     async def _wait(self) -> set[asyncio.Task[Reply]]:
         wait_ms = self._left_ms()
-        if self._is_retryable() and self._sends < self._route.max_attempts:
-            elapsed_ms = self._context.clock.now_ms() - self._request.received_ms
-            hedge_ms = HEDGE_SHARE * self._route.target_latency_ms - elapsed_ms
-            if hedge_ms > 0:
-                wait_ms = min(wait_ms, hedge_ms)
+        elapsed_ms = self._context.clock.now_ms() - self._request.received_ms
+        hedge_ms = HEDGE_SHARE * self._route.target_latency_ms - elapsed_ms
+        if hedge_ms > 0:
+            wait_ms = min(wait_ms, hedge_ms)
         done, _ = await asyncio.wait(
             self._in_progress,
             timeout=max(0.0, wait_ms) / 1000.0,
@@ -136,6 +137,11 @@
         )
         return done
 
+    def _check_servers(self) -> None:
+        """Asks for a check of the servers that have not answered yet."""
+        for load in self._in_progress.values():
+            self._context.servers.request_check(load, self._context.clock.now_ms())
+
     def _start_attempt(self) -> bool:
         """Sends the call to the least loaded untried server; returns False if there is none."""
         context = self._context
--- a/src/medlarvale/forwarding/prefill.py
+++ b/src/medlarvale/forwarding/prefill.py
@@ -2,17 +2,22 @@
 
 from __future__ import annotations
 
+import asyncio
+
 from medlarvale.forwarding.context import ForwardingContext
 from medlarvale.forwarding.demand import DemandMeter
 from medlarvale.forwarding.errors import BackendError, NotSentError, RejectedError
 from medlarvale.forwarding.guarded_run import GuardedRun
 from medlarvale.forwarding.messages import ClientRequest, EngineStage, PrefillResult
 from medlarvale.forwarding.servers import ServerLoad
+from medlarvale.forwarding.silence import CHECK_AFTER_MS
 from medlarvale.ids import ServerId, ServiceName
 from medlarvale.logs import Event, log_warning
 
 # Maximum prefill calls for one prompt.
 MAX_PREFILLS = 2
+# Time between two looks at whether an engine that runs a prefill can still be reached.
+CHECK_PERIOD_MS = 200.0
 # An engine that rejects a prompt is switching its stage or gone; the server list soon shows it.
 REJECTED_PAUSE_MS = 1_000.0
 # Prefill speed of a decode engine relative to that of a prefill engine.
@@ -88,9 +93,7 @@
             load.backlog.begin(due_ms)
             prefilled = False
             try:
-                result = await self._context.backends.prefill(
-                    load.server, self._request, end_ms - sent_ms
-                )
+                result = await self._prefill_at(load, due_ms, end_ms - sent_ms)
                 prefilled = True
                 self._note_success(load, clock.now_ms() - sent_ms)
                 if speed is not None:
@@ -105,6 +108,22 @@
                 load.backlog.end(due_ms, clock.now_ms(), prefilled=measured)
         return None
 
+    async def _prefill_at(self, load: ServerLoad, due_ms: float, left_ms: float) -> PrefillResult:
+        """Runs the prefill at an engine, as long as it can be reached."""
+        servers, clock = self._context.servers, self._context.clock
+        call = asyncio.ensure_future(
+            self._context.backends.prefill(load.server, self._request, left_ms)
+        )
+        try:
+            while not (await asyncio.wait({call}, timeout=CHECK_PERIOD_MS / 1000.0))[0]:
+                if clock.now_ms() >= due_ms + CHECK_AFTER_MS:
+                    servers.request_check(load, clock.now_ms())
+                if load.suspect:
+                    raise BackendError("the engine can't be reached any more")
+            return call.result()
+        finally:
+            call.cancel()
+
     def _choose(
         self, decode: ServerLoad, gap_target_ms: float, tried: set[ServerId]
     ) -> ServerLoad | None:
--- a/src/medlarvale/forwarding/rechecks.py
+++ b/src/medlarvale/forwarding/rechecks.py
@@ -16,6 +16,8 @@
 class RecheckTask:
     """Opens a connection to each suspect server when its pause is over.
 
+    It also checks the servers that requests have been waiting for.
+
     Args:
         servers: the servers and their failures.
         backends: opens the connections.
@@ -36,6 +38,7 @@
     def _tick(self) -> None:
         for load in self._servers.due_for_recheck(self._clock.now_ms()):
             if load.server.server not in self._in_progress:
+                load.check_due = False
                 self._in_progress.add(load.server.server)
                 self._background.start(self._recheck(load))
 
@@ -45,7 +48,7 @@
         except BackendError as error:
             self._servers.note_failure(load, self._clock.now_ms(), error.message)
         else:
-            self._servers.note_reachable(load)
+            self._servers.note_reachable(load, self._clock.now_ms())
         finally:
             self._in_progress.discard(load.server.server)
 
--- a/src/medlarvale/forwarding/servers.py
+++ b/src/medlarvale/forwarding/servers.py
@@ -38,6 +38,8 @@
 GAP_SMOOTHING = 0.2
 # Load that is added per unit by which the error share exceeds that of the best server.
 ERROR_PENALTY = 3.0
+# Shortest time between two checks of a server that is asked for by requests that wait for it.
+CHECK_INTERVAL_MS = 400.0
 
 
 class ServerLoad:
@@ -54,6 +56,8 @@
         failures: failures since the last success.
         suspect: whether it failed and has not been reached since; it gets new work only if no
             healthy server is left.
+        check_due: whether to check that it accepts connections, because a request waits for it.
+        contact_ms: when it was last heard of, or checked.
         missing_since_ms: when its entry was first found missing; None while it is listed.
     """
 
@@ -66,6 +70,8 @@
         self.paused_until_ms = 0.0
         self.failures = 0
         self.suspect = False
+        self.check_due = False
+        self.contact_ms = -math.inf
         self.event_gap_ms = 0.0
         self.backlog = PrefillBacklog()
 
@@ -292,14 +298,25 @@
         return min(waits_ms, default=math.inf)
 
     def due_for_recheck(self, now_ms: float) -> list[ServerLoad]:
-        """Returns the suspect servers whose pause is over."""
+        """Returns the suspect servers whose pause is over, and those that a request waits for."""
         return [
-            load for load in self._loads.values() if load.suspect and load.paused_until_ms <= now_ms
+            load
+            for load in self._loads.values()
+            if load.check_due or (load.suspect and load.paused_until_ms <= now_ms)
         ]
 
-    def note_reachable(self, load: ServerLoad) -> None:
+    def request_check(self, load: ServerLoad, now_ms: float) -> None:
+        """Asks for a check of a server that a request has been waiting for.
+
+        Unless it fails, the server goes on getting work.
+        """
+        if not load.suspect and now_ms - load.contact_ms >= CHECK_INTERVAL_MS:
+            load.check_due = True
+
+    def note_reachable(self, load: ServerLoad, now_ms: float) -> None:
         """Marks a server as healthy; its next failure still causes a longer pause."""
         load.suspect = False
+        load.contact_ms = now_ms
 
     def set_changing(self, servers: Iterable[ServerId]) -> None:
         """Sets the engines that are about to change their stage; they get no new work.
@@ -364,6 +381,7 @@
     def note_success(self, load: ServerLoad, now_ms: float) -> None:
         """Resets the failures of a server."""
         load.failures = 0
+        load.contact_ms = now_ms
         load.suspect = False
         if self.is_remote(load):
             self.isolation.note_contact(now_ms)
--- a/src/medlarvale/forwarding/stream_run.py
+++ b/src/medlarvale/forwarding/stream_run.py
@@ -18,10 +18,11 @@
     OverloadedError,
     RejectedError,
     RequestTimeoutError,
+    SilentEngineError,
     StreamBrokenError,
     VersionGoneError,
 )
-from medlarvale.forwarding.events import EventSplitter, events_until_silent, read_answer
+from medlarvale.forwarding.events import EventSplitter, events_until_silent, has_data, read_answer
 from medlarvale.forwarding.guarded_run import GuardedRun
 from medlarvale.forwarding.interface import BackendAnswer
 from medlarvale.forwarding.memory import MemoryQueue
@@ -42,6 +43,7 @@
 from medlarvale.forwarding.plain import Reply
 from medlarvale.forwarding.prefill import REJECTED_PAUSE_MS, PrefillDispatcher
 from medlarvale.forwarding.servers import ServerLoad
+from medlarvale.forwarding.silence import SilenceWatch
 from medlarvale.forwarding.stream_times import StreamTimes
 from medlarvale.forwarding.stream_versions import StreamOrigin
 from medlarvale.http_bodies import BodyFraming
@@ -57,9 +59,9 @@
 MEDIAN_SHARE = 0.5
 # Number of events over which the speed of a stream is measured.
 MEASURED_EVENTS = 8
-# A stream that can resume elsewhere is considered lost after a time without an event: a share of
-# the callers' patience, or longer if the usual gaps are long, since engines under load are several
-# times slower than usual. Enough patience is left for the resumption.
+# Another engine is sought for a stream after a time without an event: a share of the callers'
+# patience, or longer if the usual gaps are long, since engines under load are several times slower
+# than usual. Enough patience is left for the resumption.
 SILENCE_SHARE = 1.0 / 3.0
 MAX_SILENCE_SHARE = 0.5
 SILENCE_GAPS = 20.0
@@ -153,6 +155,9 @@
         self._cached_tokens = 0
         self._fetch_from: Server | None = None
         self._rejections = 0
+        self._watch: SilenceWatch[Reservation] | None = None
+        # Whether the present reservation was used by a run.
+        self._hold_used = False
         self._sent_ms: float | None = None
         # Number and time of the event from which the speed of the present run is measured.
         self._measured_from: tuple[int, float] | None = None
@@ -202,9 +207,16 @@
         return int(self._context.clock.now_ms() - heard_ms)
 
     async def _run_until_complete(self) -> Reply | None:
+        substitute: Reservation | None = None
         while True:
             try:
-                return await self._run_once()
+                reservation, substitute = substitute or await self._reserve(), None
+                return await self._run_once(reservation)
+            except SilentEngineError as error:
+                self._log_failed_attempt(error)
+                assert self._watch is not None
+                substitute = self._watch.substitute
+                continue
             except BackendError as error:
                 if not self._may_retry(error):
                     raise self._final_error(error.message) from error
@@ -223,7 +235,7 @@
             return OverloadedError(message, retry_after_ms=REJECTED_RETRY_AFTER_MS)
         return RequestTimeoutError(message) if timeout else OutcomeUnknownError(message)
 
-    def _may_retry(self, error: BackendError) -> bool:
+    def _log_failed_attempt(self, error: BackendError) -> None:
         log_warning(
             Event.ATTEMPT_FAILED,
             request=self._request.request_id,
@@ -233,44 +245,92 @@
             silent_ms=self._silent_ms(),
             error=str(error),
         )
+
+    def _may_retry(self, error: BackendError) -> bool:
+        self._log_failed_attempt(error)
         if isinstance(error, NotSentError | RejectedError):
             self._rejections += 1
             return self._rejections < MAX_REJECTIONS and self._budget.spend_retry()
         return self._can_resume() and self._budget.spend_retry()
 
-    async def _run_once(self) -> Reply | None:
-        reservation = await self._reserve()
+    async def _run_once(self, reservation: Reservation) -> Reply | None:
         reserved_ms = self.times.note_reserved(self._context.clock.now_ms())
-        unused = True
+        self._hold_used = False
         try:
             # Other hosts may have found out in the meantime that the request crashes servers.
             self._guarded.check()
             source = await self._prefill(reservation)
             self.times.note_prefilled(self._context.clock.now_ms())
+            self._watch = self._new_watch(reservation.load)
+            steps = self._send_and_relay(reservation, source, reserved_ms)
             try:
-                self._guarded.check()
-                if not self._context.servers.takes_work(reservation.load):
-                    raise RejectedError("the engine started to drain", full=False)
-                answer = await self._send(reservation, source)
-                unused = False
-            except BaseException as error:
-                if source is not None and isinstance(
-                    error,
-                    NotSentError | RejectedError | CrashingRequestError | asyncio.CancelledError,
-                ):
-                    self._start_handle_release(source)
+                reply = await self._watch.run(steps)
+            except SilentEngineError:
+                self._note_silent(reservation.load)
                 raise
-            try:
-                reply = await self._relay(answer, reservation.load, reserved_ms)
-            finally:
-                answer.close()
         finally:
-            self._queue.release(reservation, release_hold=unused)
+            self._queue.release(reservation, release_hold=not self._hold_used)
         if self.times.complete:
             now_ms = self._context.clock.now_ms()
             self._meter.model.note_hold(now_ms - reserved_ms, now_ms)
         return reply
 
+    async def _send_and_relay(
+        self, reservation: Reservation, source: PrefillResult | None, reserved_ms: float
+    ) -> Reply | None:
+        try:
+            self._guarded.check()
+            if not self._context.servers.takes_work(reservation.load):
+                raise RejectedError("the engine started to drain", full=False)
+            answer = await self._send(reservation, source)
+            self._hold_used = True
+        except BaseException as error:
+            if source is not None and isinstance(
+                error,
+                NotSentError | RejectedError | CrashingRequestError | asyncio.CancelledError,
+            ):
+                self._start_handle_release(source)
+            raise
+        try:
+            return await self._relay(answer, reservation.load, reserved_ms)
+        finally:
+            answer.close()
+
+    def _new_watch(self, load: ServerLoad) -> SilenceWatch[Reservation]:
+        servers, clock = self._context.servers, self._context.clock
+        return SilenceWatch(
+            clock,
+            self._silence_limit_ms,
+            lambda: servers.request_check(load, clock.now_ms()),
+            lambda: self._find_substitute(load),
+            lambda reservation: self._queue.release(reservation, release_hold=True),
+        )
+
+    async def _find_substitute(self, silent: ServerLoad) -> Reservation | None:
+        """Reserves memory for a run that takes over from a silent one; None if that can't be."""
+        if not self._can_resume() or not self._may_be_lost(silent):
+            return None
+        try:
+            reservation = await self._reserve()
+        except OverloadedError:
+            return None
+        if self._budget.spend_retry():
+            return reservation
+        self._queue.release(reservation, release_hold=True)
+        return None
+
+    def _may_be_lost(self, silent: ServerLoad) -> bool:
+        """Returns whether a silent engine may be lost; without an event, it may only be busy."""
+        if self._started or silent.suspect:
+            return True
+        return (self._silent_ms() or 0.0) >= MAX_SILENCE_SHARE * patience_ms(self._route)
+
+    def _note_silent(self, load: ServerLoad) -> None:
+        load.note_answer(failed=True)
+        self._guarded.note_broken(load.server)
+        if self._started:
+            self._cache_holder = load.server.server
+
     async def _reserve(self) -> Reservation:
         now_ms, model = self._context.clock.now_ms(), self._meter.model
         # A caller that has received part of the stream waits since its last event.
@@ -397,8 +457,9 @@
         self._measured_from = None
         first_of_request = not self._is_continuation()
         try:
-            clock, limit_ms = self._context.clock, self._silence_limit_ms()
+            clock, limit_ms = self._context.clock, patience_ms(self._route)
             async for events in events_until_silent(answer, self._events, clock, limit_ms):
+                load.contact_ms = clock.now_ms()
                 await self._forward_events(answer, events)
         except BackendError:
             load.note_answer(failed=True)
@@ -428,10 +489,8 @@
             model.note_first_event(self.times.first_event_ms - reserved_ms, now_ms)
 
     def _silence_limit_ms(self) -> float:
-        """Returns the time without an event after which the stream is considered lost."""
+        """Returns the time without an event after which another engine is sought."""
         patience = patience_ms(self._route)
-        if not self._can_resume():
-            return patience
         now_ms = self._context.clock.now_ms()
         usual_ms = self._meter.model.event_ms(now_ms, USUAL_GAP_SHARE) or 0.0
         limit_ms = max(SILENCE_SHARE * patience, SILENCE_GAPS * usual_ms)
@@ -450,6 +509,8 @@
                 self._context.versions.note_began(self._request.request_id, self.software)
             await self._sink.start(answer.status, answer.headers)
         now_ms = self._context.clock.now_ms()
+        if has_data(data) and self._watch is not None:
+            self._watch.note_heard()
         self._guarded.note_events()
         self.times.note_event(now_ms)
         self._measure_speed(now_ms)
--- a/src/medlarvale/platform/connections.py
+++ b/src/medlarvale/platform/connections.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import socket
 from typing import Any
 
 import aiohttp
@@ -14,11 +13,6 @@
 # Ten round trips between failure domains. A machine without power never answers, so a connection
 # attempt needs its own limit.
 CONNECT_TIMEOUT_MS = 400
-# If data stays unacknowledged for this long, the machine or the network path has failed.
-UNACKNOWLEDGED_LIMIT_MS = 800
-KEEPALIVE_IDLE_S = 2
-KEEPALIVE_INTERVAL_S = 1
-KEEPALIVE_PROBES = 2
 # Close idle connections before the server does: a request that is sent while the server closes the
 # connection is lost.
 IDLE_CONNECTION_S = 4.0
@@ -126,31 +120,20 @@
         return self
 
 
-def _socket_factory(info: Any) -> socket.socket:
-    family, kind, protocol, _, _ = info
-    sock = socket.socket(family, kind, protocol)
-    sock.setblocking(False)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_LIMIT_MS)
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES)
-    return sock
-
-
 def new_session(
     connection: type[BackendConnection] = RequestConnection,
 ) -> aiohttp.ClientSession:
     """Returns a session that adds no headers of its own and never repeats a request.
 
+    Its sockets have no limits of their own on silence: with ``TCP_USER_TIMEOUT`` or keep-alive
+    probes, the transport would end a request that its server is about to answer.
+
     Args:
         connection: class of its connections.
     """
     connector = aiohttp.TCPConnector(
         limit=0,
         keepalive_timeout=IDLE_CONNECTION_S,
-        socket_factory=_socket_factory,
         use_dns_cache=False,
     )
     track_connections(connector, connection)
--- a/tests/forwarding/test_silent_servers.py
+++ b/tests/forwarding/test_silent_servers.py
@@ -88,8 +88,8 @@
         await self.context.background.finish(500.0)
 
     async def test_a_stream_goes_on_at_an_engine_that_was_silent(self) -> None:
-        """Guards against a caller's connection that is cut because of a silence, although the engine
-        goes on (LOST)."""
+        """Guards against a caller's connection that is cut because of a silence, although the
+        engine goes on (LOST)."""
         same, two = {"d1": "v1", "d2": "v1"}, {"d1": "v1"}
         table: list[tuple[str, dict[str, str], float, dict[ServerId, int], dict[str, Any]]] = [
             ("no other engine", two, 10.0, {}, {}),
@@ -149,8 +149,8 @@
 
 class SilentPlainServerTest(unittest.IsolatedAsyncioTestCase):
     async def test_a_call_waits_for_a_silent_server(self) -> None:
-        """Guards against a booking that is given up because its server is silent, and against a server
-        behind a partition that goes on getting calls."""
+        """Guards against a booking that is given up because its server is silent, and against a
+        server behind a partition that goes on getting calls."""
         for name, reachable in (("sound", True), ("unreachable", False)):
             with self.subTest(name):
                 backends = FakeBackends()
@@ -182,12 +182,11 @@
     async def test_the_transport_ends_no_connection_because_of_a_silence(self) -> None:
         """Guards against ``TCP_USER_TIMEOUT``, which ends a connection whose bytes are not
         acknowledged, and after which a single unanswered keep-alive probe does so too."""
-        accepted = asyncio.Event()
-
         async def accept(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
             await reader.readuntil(b"\r\n\r\n")
-            accepted.set()
             writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n")
+            await reader.read()
+            writer.close()
 
         server = await asyncio.start_server(accept, "127.0.0.1", 0)
         port = server.sockets[0].getsockname()[1]
