--- a/src/medlarvale/forwarding/errors.py
+++ b/src/medlarvale/forwarding/errors.py
@@ -20,7 +20,7 @@
 class CallerGoneError(ForwardingError):
     """The caller reset its connection while the answer was being written."""
 
-    code = "caller_gone"
+    code = "caller_reset"
 
 
 class NotReadyError(ForwardingError):
