Keep what is known of the engines of a service that a configuration removes

Callers: a stream that waited for memory was refused, or ended with an internal error, when a new configuration no longer had its service, although it had been accepted and its engines served on.

Cause: the memory queue asked the configuration in force for the engines of each service, and a missing one raised KeyError in the queue's task, for all streams of the service, until their time was over.

Evidence: test_changed_services.py, case 'removed', got 503 before and the whole stream now.

--- a/src/medlarvale/forwarding/host.py
+++ b/src/medlarvale/forwarding/host.py
@@ -119,6 +119,7 @@
                 parameters.history_ms,
             ),
         )
+        self._known_traits: dict[ServiceName, EngineTraits] = {}
         self._rechecks = RecheckTask(self.servers, backends, self.clock)
         self.streams = StreamForwarder(context, self._traits)
         self.caller_server = CallerServer(
@@ -145,9 +146,11 @@
 
     def _traits(self, service: ServiceName) -> EngineTraits:
         index = self.follower.index
-        assert index is not None
-        traits = index.table.services[service].engine
-        return traits if traits is not None else PLAIN_TRAITS
+        listed = index.table.services.get(service) if index is not None else None
+        if listed is not None:
+            self._known_traits[service] = listed.engine or PLAIN_TRAITS
+        # Streams that were accepted before the service was removed go on.
+        return self._known_traits.get(service, PLAIN_TRAITS)
 
     def _build_peers(self, parameters: HostParameters) -> None:
         wall_ms = self.clock.wall_ms()
--- a/src/medlarvale/platform/standin.py
+++ b/src/medlarvale/platform/standin.py
@@ -120,6 +120,7 @@
         cancelled: ids of the requests whose stream was cancelled.
         break_after: number of events after which the next stream is reset; None for no reset.
         delay_s: duration of a plain call, or time between two events of a stream.
+        full: whether it refuses all reservations.
         limit: limit in the answers; None to name none.
         software: version of its software.
         born_ms: Unix time of its start in ms.
@@ -147,6 +148,7 @@
         self.handles: set[str] = set()
         self.break_after: int | None = None
         self.delay_s = 0.0
+        self.full = False
         self.limit: str | None = None
         self.arrived: list[float] = []
         self.address = ""
@@ -180,6 +182,8 @@
         return entry | ({"Stage": self.stage} if self.stage else {})
 
     async def _acquire_hold(self, request: web.Request) -> web.Response:
+        if self.full:
+            return web.Response(status=503)
         hold = f"hold-{next(self._numbers)}"
         self.holds.add(hold)
         return web.json_response({"Hold": hold})
