Refuse a request as not run if its time ended before it had a connection

Callers: bookings at hosts that had lost their path to the servers ended with 502 or 504, outcome unknown, after which they may not be repeated, although no server had received them.

Cause: the end of a request's time while its connection was being established counted as a lost answer, and so did each attempt in progress when the time of a plain call was over.

The adapter counts the sends of a request that may have started a run from the moment at which a send has a connection. Both forwarders judge by that count.

--- a/bench/forwarding/engines.py
+++ b/bench/forwarding/engines.py
@@ -377,6 +377,7 @@
             # Setup and transfer of the KV cache.
             await asyncio.sleep(0.012)
         run = engine.start(request, self._outputs[request.request_id], dispatch)
+        request.possible_runs += 1
         return EmulatedAnswer(engine, run, self._delay_s(server))
 
     async def prefill(
--- a/src/medlarvale/forwarding/interface.py
+++ b/src/medlarvale/forwarding/interface.py
@@ -74,6 +74,9 @@
     ) -> BackendAnswer:
         """Sends a request and waits for the head of the answer.
 
+        Counts it in ``request.possible_runs`` from the time at which the server may receive it,
+        unless the server says that it has not run.
+
         Raises:
             NotSentError: the server has not received the request.
             RejectedError: the server reports that it has not run the request.
--- a/src/medlarvale/forwarding/plain.py
+++ b/src/medlarvale/forwarding/plain.py
@@ -82,7 +82,6 @@
         self._tried: set[ServerId] = set()
         self._sends = 0
         self._not_run = 0
-        self._may_have_run = False
         self._in_progress: dict[asyncio.Task[Reply], ServerLoad] = {}
         self._failed_reply: Reply | None = None
 
@@ -112,7 +111,7 @@
         raise self._error(OutcomeUnknownError("the answer of the backend server was lost"))
 
     def _error(self, unknown: Exception) -> Exception:
-        if self._may_have_run or self._in_progress:
+        if self._request.possible_runs:
             return unknown
         wait_ms = self._limit_wait_ms()
         retry_after_ms = max(RETRY_AFTER_MS, int(wait_ms)) if wait_ms < math.inf else RETRY_AFTER_MS
@@ -232,7 +231,6 @@
             elif self._not_run < MAX_NOT_RUN:
                 self._start_another()
         else:
-            self._may_have_run = True
             load.note_answer(failed=True)
             self._guarded.note_broken(load.server)
             self._context.servers.note_failure(load, now_ms, error.message)
--- a/src/medlarvale/forwarding/stream_run.py
+++ b/src/medlarvale/forwarding/stream_run.py
@@ -145,7 +145,6 @@
         # Version of the software that began the stream; None before the first event.
         self._began_at: SoftwareVersion | None = None
         self._started = False
-        self._may_have_run = False
         self.runs = 0
         self.engine: ServerId | None = None
         self.software: SoftwareVersion | None = None
@@ -224,14 +223,14 @@
                 if isinstance(error, VersionGoneError) and self._began_at is None:
                     # Nothing has been passed on yet, so another version can begin the stream.
                     continue
-                if self._may_have_run:
+                if self._request.possible_runs:
                     raise self._final_error(error.message) from error
                 raise
 
     def _final_error(self, message: str, *, timeout: bool = False) -> Exception:
         if self._started:
             return StreamBrokenError(message)
-        if not self._may_have_run:
+        if not self._request.possible_runs:
             return OverloadedError(message, retry_after_ms=REJECTED_RETRY_AFTER_MS)
         return RequestTimeoutError(message) if timeout else OutcomeUnknownError(message)
 
@@ -414,13 +413,8 @@
                 self._fetch_from = source.server if source is not None else None
             raise
         except BackendError as error:
-            self._may_have_run = True
             self._note_failure(load, error)
             raise
-        except asyncio.CancelledError:
-            self._may_have_run = True
-            raise
-        self._may_have_run = True
         if not answer.signed and answer.status < 300:
             answer.close()
             raise BackendError("successful answer without a signature")
--- a/src/medlarvale/platform/backends.py
+++ b/src/medlarvale/platform/backends.py
@@ -4,7 +4,7 @@
 
 import asyncio
 from collections import OrderedDict
-from collections.abc import AsyncIterator, Mapping
+from collections.abc import AsyncIterator, Callable, Mapping
 from typing import Any
 
 import aiohttp
@@ -36,6 +36,7 @@
 from medlarvale.platform import headers as names
 from medlarvale.platform.connections import (
     CONNECT_TIMEOUT_MS,
+    ON_CONNECTED,
     TRANSPORT_ERRORS,
     RelayedResponse,
     note_body,
@@ -183,8 +184,16 @@
     ) -> HttpResponse:
         """Sends a request and waits for the head of the response."""
         headers = names.encode_request(request, server.server, dispatch)
-        response = await self._request(server, request, headers, dispatch.left_ms)
-        _raise_if_rejected(response)
+
+        def note_sent() -> None:
+            request.possible_runs += 1
+
+        response = await self._request(server, request, headers, dispatch.left_ms, note_sent)
+        try:
+            _raise_if_rejected(response)
+        except RejectedError:
+            request.possible_runs -= 1
+            raise
         expected = headers.get(names.REQUEST_ID)
         if response.ok and response.headers.get(names.REQUEST_ID) != expected:
             response.close()
@@ -217,8 +226,18 @@
         request: ClientRequest,
         headers: CIMultiDict[str],
         left_ms: float,
+        on_connected: Callable[[], None] | None = None,
     ) -> RelayedResponse:
         url = URL(f"http://{server.address}{request.path}", encoded=True)
+        connected = False
+
+        def note_connected() -> None:
+            nonlocal connected
+            connected = True
+            if on_connected is not None:
+                on_connected()
+
+        reset = ON_CONNECTED.set(note_connected)
         try:
             async with asyncio.timeout(left_ms / 1000.0):
                 response = await self._requests.request(
@@ -231,7 +250,10 @@
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
             raise NotSentError(f"server {server.server}: {error!r}") from error
         except TRANSPORT_ERRORS as error:
-            raise BackendError(f"server {server.server}: {error!r}") from error
+            kind = BackendError if connected else NotSentError
+            raise kind(f"server {server.server}: {error!r}") from error
+        finally:
+            ON_CONNECTED.reset(reset)
         assert isinstance(response, RelayedResponse)
         self._note_limit(server, response)
         return response
--- a/src/medlarvale/platform/connections.py
+++ b/src/medlarvale/platform/connections.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+from contextvars import ContextVar
 from typing import Any
 
 import aiohttp
@@ -23,6 +25,9 @@
 # what aiohttp buffers before it stops reading.
 MAX_BYTES_WITHOUT_BODY = 512 * 1024
 
+# Called when the request of the present task has got a connection, before it is sent.
+ON_CONNECTED: ContextVar[Callable[[], None] | None] = ContextVar("on_connected", default=None)
+
 TRANSPORT_ERRORS = (TimeoutError, aiohttp.ClientError, OSError)
 
 
@@ -41,6 +46,9 @@
 
     def set_response_params(self, **parameters: Any) -> None:
         """Begins to wait for the response to a request."""
+        on_connected = ON_CONNECTED.get()
+        if on_connected is not None:
+            on_connected()
         self.requests += 1
         self._awaits_response = True
         self._interim_responses = 0
--- a/tests/forwarding/fakes.py
+++ b/tests/forwarding/fakes.py
@@ -12,7 +12,7 @@
 from medlarvale.clock import SystemClock
 from medlarvale.forwarding.context import ForwardingContext, RetryLimits
 from medlarvale.forwarding.demand import DemandMeter
-from medlarvale.forwarding.errors import BackendError
+from medlarvale.forwarding.errors import BackendError, NotSentError, RejectedError
 from medlarvale.forwarding.interface import LimitCallback
 from medlarvale.forwarding.messages import (
     ClientRequest,
@@ -210,6 +210,7 @@
         self.calls.append(("send", server.server))
         self.dispatches.append((server.server, dispatch))
         answer = self.script(server, request, dispatch)
+        request.possible_runs += not isinstance(answer, NotSentError | RejectedError)
         if isinstance(answer, Exception):
             raise answer
         return answer
--- /dev/null
+++ b/tests/forwarding/test_connecting.py
@@ -0,0 +1,57 @@
+"""Tests of requests whose time ends while a connection to a server is being established."""
+
+from __future__ import annotations
+
+import socket
+import unittest
+
+from medlarvale.platform.standin import LOOPBACK
+from tests.forwarding.test_host import HostTestCase
+
+# Below the limit of a connection attempt.
+ROUTE_TIMEOUT_MS = 300
+# One connection fills the queue of a listener that accepts none.
+QUEUED = 2
+
+
+class ConnectingTest(HostTestCase):
+    def unanswered_address(self) -> str:
+        """Returns an address at which connection attempts hang."""
+        listener = socket.socket()
+        self.addCleanup(listener.close)
+        listener.bind((LOOPBACK.host, 0))
+        listener.listen(0)
+        for _ in range(QUEUED):
+            queued = socket.socket()
+            queued.setblocking(False)
+            queued.connect_ex(listener.getsockname())
+            self.addCleanup(queued.close)
+        return f"{LOOPBACK.host}:{listener.getsockname()[1]}"
+
+    async def test_a_request_that_was_not_sent_is_refused_as_not_run(self) -> None:
+        """Guards against a booking that ends with "may have run", after which its caller must not
+        repeat it, although no server was ever connected."""
+        self.platform.timeout_ms = ROUTE_TIMEOUT_MS
+        for name in ("s1", "s2"):
+            self.servers[name].address = self.unanswered_address()
+            await self.platform.publish(self.servers[name])
+        await self.configure()
+        table = [("unsafe", "/book/1"), ("safe", "/look/1")]
+        for kind, path in table:
+            with self.subTest(kind):
+                async with self.call(path, kind) as response:
+                    self.assertEqual(response.status, 503)
+                    self.assertIn("Retry-After", response.headers)
+
+    async def test_a_request_that_was_sent_may_have_run(self) -> None:
+        """Guards against "not run" for a booking that a server has received."""
+        self.platform.timeout_ms = ROUTE_TIMEOUT_MS
+        for name in ("s1", "s2"):
+            self.servers[name].delay_s = 1.0
+        await self.configure()
+        self.assertIn(await self.status("/book/1"), (502, 504))
+        self.assertEqual(sum(self.platform.runs().values()), 1)
+
+
+if __name__ == "__main__":
+    unittest.main()
