--- a/tests/forwarding/test_slow_callers.py
+++ b/tests/forwarding/test_slow_callers.py
@@ -39,6 +39,14 @@
         self.assertEqual(len(self.backends.dispatches), 1)
         self.assertEqual(self.context.guard.breaks, [])  # type: ignore[attr-defined]
 
+    async def test_a_stream_whose_end_is_being_written_is_over(self) -> None:
+        """Guards against a second end of the body, which is no part of an answer (MIXED)."""
+        self.build("d1", "d2", sink=SlowSink(finish_s=SILENCE_S))
+        self.answer_in_turn(FakeAnswer([events(1, 4)]), FakeAnswer([]))
+        await self.start()
+        assert isinstance(self.sink, SlowSink)
+        self.assertEqual((len(self.backends.dispatches), self.sink.finishes), (1, 1))
+
 
 if __name__ == "__main__":
     unittest.main()
