--- /dev/null
+++ b/tests/forwarding/test_substitutes.py
@@ -0,0 +1,61 @@
+"""Tests of which engine takes over from a silent one, and of what becomes of its reservation."""
+
+from __future__ import annotations
+
+import asyncio
+import unittest
+from typing import Any
+
+from medlarvale.clock import SystemClock
+from medlarvale.forwarding.errors import NotSentError, RejectedError, SilentEngineError
+from medlarvale.forwarding.silence import SilenceWatch
+from tests.forwarding.fakes import FakeAnswer
+from tests.forwarding.stream_case import SILENCE_S, StreamTestCase, events
+
+
+class SubstituteTest(StreamTestCase):
+
+    async def test_a_run_does_not_end_for_a_substitute_that_rejects_it(self) -> None:
+        """Guards against a caller's connection that is cut because of a silence, although the
+        engine goes on, when the engine that took over rejects the request (LOST)."""
+        # Half of the reserve: one retry.
+        self.build("d1", "d2", reserve=2.0)
+        answers: list[Any] = [
+            FakeAnswer([events(1, 2), SILENCE_S, events(3, 4)]),
+            RejectedError("the memory can't be had", full=True),
+        ]
+        self.backends.script = lambda server, request, dispatch: answers.pop(0)
+        running = self.start()
+        await asyncio.sleep(0.05)
+        silent = self.backends.dispatches[0][0]
+        self.backends.hold_errors[silent] = NotSentError("silent")
+        self.backends.probe_errors[silent] = NotSentError("silent")
+        await running
+        self.assertEqual((self.sink.data, self.sink.finished), (events(1, 4), True))
+
+    async def leave_after(self, turns: int) -> tuple[bool, list[str], str | None]:
+        """Returns whether a run was taken over, and its released and its remaining substitute."""
+        released: list[str] = []
+        leaving: list[asyncio.Task[None]] = []
+
+        async def leave() -> None:
+            for _ in range(turns):
+                await asyncio.sleep(0)
+            handler.cancel()
+
+        async def find() -> str:
+            leaving.append(asyncio.create_task(leave()))
+            return "substitute"
+
+        watch = SilenceWatch(SystemClock(), lambda: 0.0, lambda: None, find, released.append)
+        handler = asyncio.create_task(watch.run(asyncio.sleep(5.0)))
+        await asyncio.wait({handler})
+        # A search that is cancelled releases what it has found.
+        await asyncio.gather(*leaving)
+        await asyncio.sleep(0.01)
+        taken_over = not handler.cancelled() and isinstance(handler.exception(), SilentEngineError)
+        return taken_over, released, watch.substitute
+
+
+if __name__ == "__main__":
+    unittest.main()
