--- a/tests/forwarding/test_substitutes.py
+++ b/tests/forwarding/test_substitutes.py
@@ -56,6 +56,16 @@
         taken_over = not handler.cancelled() and isinstance(handler.exception(), SilentEngineError)
         return taken_over, released, watch.substitute
 
+    async def test_a_substitute_is_released_if_the_caller_leaves_as_the_run_ends(self) -> None:
+        """Guards against memory of an engine that stays reserved for good."""
+        for turns in range(10):
+            with self.subTest("turns of the loop until the caller leaves", turns=turns):
+                taken_over, released, left = await self.leave_after(turns)
+                if taken_over:
+                    self.assertEqual((released, left), ([], "substitute"))
+                else:
+                    self.assertEqual((released, left), (["substitute"], None))
+
 
 if __name__ == "__main__":
     unittest.main()
