--- a/tests/forwarding/test_substitutes.py
+++ b/tests/forwarding/test_substitutes.py
@@ -8,12 +8,24 @@
 
 from medlarvale.clock import SystemClock
 from medlarvale.forwarding.errors import NotSentError, RejectedError, SilentEngineError
+from medlarvale.forwarding.host import PLAIN_TRAITS
 from medlarvale.forwarding.silence import SilenceWatch
-from tests.forwarding.fakes import FakeAnswer
+from tests.forwarding.fakes import TRAITS, FakeAnswer
 from tests.forwarding.stream_case import SILENCE_S, StreamTestCase, events
 
 
 class SubstituteTest(StreamTestCase):
+    async def test_a_silent_engine_is_no_substitute_for_itself(self) -> None:
+        """Guards against a run that ends although no other engine takes over."""
+        for name, traits in (("with reservations", TRAITS), ("without", PLAIN_TRAITS)):
+            with self.subTest(name):
+                self.build("d1", traits=traits)
+                self.answer_in_turn(
+                    FakeAnswer([events(1, 2), SILENCE_S, events(3, 4)]), FakeAnswer([events(3, 4)])
+                )
+                await self.start()
+                self.assertEqual((self.sink.data, self.sink.finished), (events(1, 4), True))
+                self.assertEqual(len(self.backends.dispatches), 1)
 
     async def test_a_run_does_not_end_for_a_substitute_that_rejects_it(self) -> None:
         """Guards against a caller's connection that is cut because of a silence, although the
