--- a/tests/forwarding/test_substitutes.py
+++ b/tests/forwarding/test_substitutes.py
@@ -78,6 +78,30 @@
                 else:
                     self.assertEqual((released, left), (["substitute"], None))
 
+    async def test_a_search_ends_as_soon_as_the_engine_is_heard(self) -> None:
+        """Guards against a search that goes on, with a place in the memory queue, after its engine
+        has gone on."""
+        ended: list[bool] = []
+
+        async def find() -> None:
+            try:
+                await asyncio.sleep(1.0)
+            except asyncio.CancelledError:
+                ended.append(True)
+                raise
+
+        watch: SilenceWatch[None] = SilenceWatch(
+            SystemClock(), lambda: 0.0, lambda: None, find, lambda _: None
+        )
+
+        async def steps() -> None:
+            await asyncio.sleep(0.6)
+            watch.note_heard()
+            await asyncio.sleep(0.05)
+            self.assertEqual(ended, [True])
+
+        await watch.run(steps())
+
 
 if __name__ == "__main__":
     unittest.main()
