--- a/tests/forwarding/test_dead_connections.py
+++ b/tests/forwarding/test_dead_connections.py
@@ -11,16 +11,19 @@
 
 from medlarvale.forwarding.errors import (
     BackendError,
+    NotSentError,
     OutcomeUnknownError,
     RequestTimeoutError,
 )
 from medlarvale.forwarding.messages import Dispatch, RouteKind
 from medlarvale.forwarding.plain import PlainForwarder
 from medlarvale.forwarding.rechecks import RecheckTask
+from medlarvale.ids import ServerId
 from medlarvale.platform.backends import HttpBackends
 from medlarvale.platform.connections import RequestConnection, new_session
 from tests.forwarding.fakes import (
     APP,
+    FakeAnswer,
     FakeBackends,
     make_context,
     make_request,
@@ -29,6 +32,32 @@
 )
 
 
+class PlainTest(unittest.IsolatedAsyncioTestCase):
+    async def test_a_safe_call_uses_its_attempts_while_servers_are_dead(self) -> None:
+        """Guards against lookups that wait for dead connections although another server answers
+        and attempts, budget and time are left."""
+        backends = FakeBackends()
+        names = ("s1", "s2", "s3")
+        context = make_context(backends, *(make_server(name, service=APP) for name in names))
+        RecheckTask(context.servers, backends, context.clock).start()
+        sends: list[ServerId] = []
+
+        def note(server: ServerId) -> None:
+            sends.append(server)
+            if len(sends) < 3:
+                backends.probe_errors[server] = NotSentError("no power")
+
+        backends.on_send(note)
+        backends.script = lambda server, request, dispatch: FakeAnswer(
+            [30.0] if len(sends) < 3 else [b"found"], event_stream=False
+        )
+        route = make_route(
+            kind=RouteKind.SAFE, target_latency_ms=400.0, timeout_ms=2_000.0, max_attempts=3
+        )
+        reply = await PlainForwarder(context).forward(make_request(), route, APP)
+        self.assertEqual(reply.body, b"found")
+
+
 class ConnectionTest(unittest.IsolatedAsyncioTestCase):
     async def test_a_cancelled_request_leaves_no_connection(self) -> None:
         """Guards against connections to servers that read no more, which stay open with what is
