Use no kept connection of a server beside one that is dead, and reset those that can't be closed

Callers: after connections to a server had gone silent for good, each call that took one of them was lost, one after the other, although the server answered on new ones.

A request that got no answer on a kept connection now closes those that no request uses. A connection whose server has not taken all of a request is reset; its regular end would wait for the rest.

--- a/src/medlarvale/platform/backends.py
+++ b/src/medlarvale/platform/backends.py
@@ -36,9 +36,12 @@
 from medlarvale.platform import headers as names
 from medlarvale.platform.connections import (
     CONNECT_TIMEOUT_MS,
+    DEAD_CONNECTION_MS,
     ON_CONNECTED,
     TRANSPORT_ERRORS,
+    BackendConnection,
     RelayedResponse,
+    close_idle_connections,
     note_body,
     read_body,
 )
@@ -229,11 +232,12 @@
         on_connected: Callable[[], None] | None = None,
     ) -> RelayedResponse:
         url = URL(f"http://{server.address}{request.path}", encoded=True)
-        connected = False
+        used: BackendConnection | None = None
+        began_s = asyncio.get_running_loop().time()
 
-        def note_connected() -> None:
-            nonlocal connected
-            connected = True
+        def note_connected(connection: BackendConnection) -> None:
+            nonlocal used
+            used = connection
             if on_connected is not None:
                 on_connected()
 
@@ -250,14 +254,26 @@
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
             raise NotSentError(f"server {server.server}: {error!r}") from error
         except TRANSPORT_ERRORS as error:
-            kind = BackendError if connected else NotSentError
+            self._note_unanswered(server, used, began_s)
+            kind = BackendError if used is not None else NotSentError
             raise kind(f"server {server.server}: {error!r}") from error
+        except asyncio.CancelledError:
+            self._note_unanswered(server, used, began_s)
+            raise
         finally:
             ON_CONNECTED.reset(reset)
         assert isinstance(response, RelayedResponse)
         self._note_limit(server, response)
         return response
 
+    def _note_unanswered(
+        self, server: Server, used: BackendConnection | None, began_s: float
+    ) -> None:
+        """Closes the kept connections to a server if that of a request seems to be dead."""
+        waited_ms = 1000.0 * (asyncio.get_running_loop().time() - began_s)
+        if used is not None and used.requests > 1 and waited_ms >= DEAD_CONNECTION_MS:
+            close_idle_connections(self._requests, server.address)
+
     async def acquire_hold(self, server: Server, tokens: int, ttl_ms: float) -> HoldId | None:
         """Reserves a slot and memory; returns None if the engine has no capacity."""
         status, body = await self._call(
--- a/src/medlarvale/platform/connections.py
+++ b/src/medlarvale/platform/connections.py
@@ -25,12 +25,14 @@
 # what aiohttp buffers before it stops reading.
 MAX_BYTES_WITHOUT_BODY = 512 * 1024
 
-# Called when the request of the present task has got a connection, before it is sent.
-ON_CONNECTED: ContextVar[Callable[[], None] | None] = ContextVar("on_connected", default=None)
-
 TRANSPORT_ERRORS = (TimeoutError, aiohttp.ClientError, OSError)
 
 
+# After this time without a response, a connection that was used before may be dead, and so may
+# others to its server.
+DEAD_CONNECTION_MS = 400.0
+
+
 class BackendConnection(TrackedConnection):
     """Connection that closes if the server sends too much.
 
@@ -46,10 +48,10 @@
 
     def set_response_params(self, **parameters: Any) -> None:
         """Begins to wait for the response to a request."""
+        self.requests += 1
         on_connected = ON_CONNECTED.get()
         if on_connected is not None:
-            on_connected()
-        self.requests += 1
+            on_connected(self)
         self._awaits_response = True
         self._interim_responses = 0
         self._bytes_without_body = 0
@@ -78,6 +80,14 @@
             return
         super().data_received(data)
 
+    def close(self) -> None:
+        """Closes the connection, with a reset if the server has not taken all of a request."""
+        transport = self.transport
+        if transport is not None and transport.get_write_buffer_size() > 0:
+            # A regular end would wait until the server has taken the rest.
+            transport.abort()
+        super().close()
+
     def note_body(self) -> None:
         """Records that a reader has received a part of the body."""
         self._bytes_without_body = 0
@@ -92,6 +102,12 @@
             transport.abort()
 
 
+# Called when the request of the present task has got its connection, before it is sent.
+ON_CONNECTED: ContextVar[Callable[[BackendConnection], None] | None] = ContextVar(
+    "on_connected", default=None
+)
+
+
 class RequestConnection(BackendConnection):
     """Connection for requests of callers; it is closed after a refusal.
 
@@ -158,6 +174,20 @@
     return session
 
 
+def close_idle_connections(session: aiohttp.ClientSession, address: str) -> None:
+    """Closes the connections to a server that no request uses.
+
+    Args:
+        session: the session that keeps them.
+        address: ``ip:port`` of the server.
+    """
+    assert session.connector is not None
+    for key, kept in session.connector._conns.items():
+        if f"{key.host}:{key.port}" == address:
+            for connection, _ in kept:
+                connection.close()
+
+
 async def read_body(response: aiohttp.ClientResponse, max_bytes: int) -> bytes:
     """Returns the whole body of a response.
 
