Send a safe call on while no server that has it can be reached

Callers: lookups timed out while two servers were dead, although a third answered and attempts, budget and time were left: a call was sent to another server once only, whatever was found out later.

Evidence: test_dead_connections.py, test_a_safe_call_uses_its_attempts_while_servers_are_dead, failed before.

--- a/src/medlarvale/forwarding/plain.py
+++ b/src/medlarvale/forwarding/plain.py
@@ -33,6 +33,8 @@
 # After this share of the target latency, a server that has not answered is checked, and a safe call
 # is also sent to another server.
 HEDGE_SHARE = 0.8
+# Time between further looks at whether such servers can be reached.
+CHECK_PERIOD_MS = 200.0
 
 
 class Reply(msgspec.Struct):
@@ -84,6 +86,8 @@
         self._not_run = 0
         self._in_progress: dict[asyncio.Task[Reply], ServerLoad] = {}
         self._failed_reply: Reply | None = None
+        # Whether the call has been sent to another server because of a slow answer.
+        self._hedged = False
 
     def cancel(self) -> None:
         """Cancels the attempts in progress."""
@@ -100,7 +104,8 @@
                 raise self._error(RequestTimeoutError("no answer within the route timeout"))
             if not done:
                 self._check_servers()
-                if self._is_retryable():
+                if self._is_retryable() and (not self._hedged or self._all_suspect()):
+                    self._hedged = True
                     self._start_another()
             for task in done:
                 reply = self._finish(task)
@@ -127,8 +132,7 @@
         wait_ms = self._left_ms()
         elapsed_ms = self._context.clock.now_ms() - self._request.received_ms
         hedge_ms = HEDGE_SHARE * self._route.target_latency_ms - elapsed_ms
-        if hedge_ms > 0:
-            wait_ms = min(wait_ms, hedge_ms)
+        wait_ms = min(wait_ms, hedge_ms if hedge_ms > 0 else CHECK_PERIOD_MS)
         done, _ = await asyncio.wait(
             self._in_progress,
             timeout=max(0.0, wait_ms) / 1000.0,
@@ -136,6 +140,10 @@
         )
         return done
 
+    def _all_suspect(self) -> bool:
+        """Returns whether none of the servers that have the call can be reached."""
+        return all(load.suspect for load in self._in_progress.values())
+
     def _check_servers(self) -> None:
         """Asks for a check of the servers that have not answered yet."""
         for load in self._in_progress.values():
