End a prefill only if its engine can't be reached, or its connection seems to be dead

Callers: streams were late because the prefills of a sound engine were thrown away after one lost answer of another request; or they waited for a prefill on a dead connection until their callers left.

Cause: a prefill ended when its engine was suspect, which any single failure makes it; and one whose engine accepts new connections had no limit but the route's timeout.

--- a/src/medlarvale/forwarding/prefill.py
+++ b/src/medlarvale/forwarding/prefill.py
@@ -68,7 +68,7 @@
         self._calls = 0
 
     async def run(
-        self, decode: ServerLoad, gap_target_ms: float, end_ms: float
+        self, decode: ServerLoad, gap_target_ms: float, end_ms: float, limit_ms: float
     ) -> PrefillResult | None:
         """Runs the prefill; returns None if the decode engine should run it itself.
 
@@ -76,6 +76,7 @@
             decode: engine that will fetch the KV cache.
             gap_target_ms: longest gap between two events that callers accept; 0 if unknown.
             end_ms: monotonic time at which the request ends.
+            limit_ms: time after which a prefill that was expected to be done is given up.
         """
         clock = self._context.clock
         tried: set[ServerId] = set()
@@ -93,7 +94,7 @@
             load.backlog.begin(due_ms)
             prefilled = False
             try:
-                result = await self._prefill_at(load, due_ms, end_ms - sent_ms)
+                result = await self._prefill_at(load, due_ms, limit_ms, end_ms - sent_ms)
                 prefilled = True
                 self._note_success(load, clock.now_ms() - sent_ms)
                 if speed is not None:
@@ -108,9 +109,16 @@
                 load.backlog.end(due_ms, clock.now_ms(), prefilled=measured)
         return None
 
-    async def _prefill_at(self, load: ServerLoad, due_ms: float, left_ms: float) -> PrefillResult:
-        """Runs the prefill at an engine, as long as it can be reached."""
+    async def _prefill_at(
+        self, load: ServerLoad, due_ms: float, limit_ms: float, left_ms: float
+    ) -> PrefillResult:
+        """Runs the prefill at an engine, as long as it can be reached.
+
+        Raises:
+            BackendError: it can't, or the connection seems to be dead.
+        """
         servers, clock = self._context.servers, self._context.clock
+        sent_ms = clock.now_ms()
         call = asyncio.ensure_future(
             self._context.backends.prefill(load.server, self._request, left_ms)
         )
@@ -118,8 +126,10 @@
             while not (await asyncio.wait({call}, timeout=CHECK_PERIOD_MS / 1000.0))[0]:
                 if clock.now_ms() >= due_ms + CHECK_AFTER_MS:
                     servers.request_check(load, clock.now_ms())
-                if load.suspect:
+                if load.check_failed_ms > sent_ms:
                     raise BackendError("the engine can't be reached any more")
+                if clock.now_ms() >= due_ms + limit_ms:
+                    raise BackendError("no result of the prefill in time")
             return call.result()
         finally:
             call.cancel()
--- a/src/medlarvale/forwarding/servers.py
+++ b/src/medlarvale/forwarding/servers.py
@@ -57,6 +57,7 @@
         suspect: whether it failed and has not been reached since; it gets new work only if no
             healthy server is left.
         check_due: whether to check that it accepts connections, because a request waits for it.
+        check_failed_ms: when the last check failed.
         contact_ms: when it was last heard of, or checked.
         missing_since_ms: when its entry was first found missing; None while it is listed.
     """
@@ -71,6 +72,7 @@
         self.failures = 0
         self.suspect = False
         self.check_due = False
+        self.check_failed_ms = -math.inf
         self.contact_ms = -math.inf
         self.event_gap_ms = 0.0
         self.backlog = PrefillBacklog()
--- a/src/medlarvale/forwarding/stream_run.py
+++ b/src/medlarvale/forwarding/stream_run.py
@@ -383,7 +383,10 @@
         if cached or self._fetch_from is not None:
             return None
         source = await self._prefill_dispatcher.run(
-            reservation.load, self._route.gap_target_ms, self._end_ms
+            reservation.load,
+            self._route.gap_target_ms,
+            self._end_ms,
+            MAX_SILENCE_SHARE * patience_ms(self._route),
         )
         self.times.prefills += source is not None
         return source
