Serve through a peer while the servers of a service can't be reached

Cause: a host had no notion of being cut off from the servers alone. Contact with the store or a peer of another failure domain counted as proof of its connectivity, so it stayed ready, tried up to three servers for 400 ms each, and refused or timed out. Nothing could pass a request on to a host that reaches the servers.

A host now takes itself for cut off from a service when six of its servers, or all, have failed and none has been heard of since; the first failure has others checked. Hellos say which services their sender can't reach. Requests are relayed to a peer that reaches the service, and streams in progress go on there.

--- a/src/medlarvale/forward_command.py
+++ b/src/medlarvale/forward_command.py
@@ -13,7 +13,7 @@
 import uvloop
 
 from medlarvale.flags import add_flag
-from medlarvale.forwarding.host import ForwardingHost, run_until_stopped
+from medlarvale.forwarding.host import ANY_PORT, ForwardingHost, run_until_stopped
 from medlarvale.forwarding.messages import HostParameters
 from medlarvale.log_writer import BoundedLineWriter
 from medlarvale.logs import Event, configure_logging, log_info, log_warning
@@ -41,6 +41,13 @@
         default=str(METRICS_PORT),
         parse=int,
     )
+    add_flag(
+        parser,
+        "--relay-port",
+        help_text="port for requests that peers relay; 0 for any free port",
+        default=str(ANY_PORT),
+        parse=int,
+    )
     parser.set_defaults(run=run)
 
 
@@ -72,6 +79,7 @@
         decode_incoming,
         options.metrics_port,
         lambda: {"log_lines_dropped": writer.dropped},
+        options.relay_port,
     )
     host.clock.every_ms(DROP_REPORT_MS, _DropReport(writer).tick)
     stop = asyncio.Event()
--- a/src/medlarvale/forwarding/caller_server.py
+++ b/src/medlarvale/forwarding/caller_server.py
@@ -7,7 +7,7 @@
 import random
 import socket
 import struct
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Iterator, Mapping
 
 from aiohttp import HttpVersion11, web
 from multidict import CIMultiDict
@@ -18,6 +18,7 @@
     BodyTooLargeError,
     CallerGoneError,
     ForwardingError,
+    HandOverError,
     NoRouteError,
     NotReadyError,
     OverloadedError,
@@ -26,8 +27,11 @@
 from medlarvale.forwarding.follower import StateFollower
 from medlarvale.forwarding.messages import ClientRequest, Route, RouteKind
 from medlarvale.forwarding.plain import PlainForwarder, Reply
+from medlarvale.forwarding.relay_client import Relay
+from medlarvale.forwarding.relay_messages import RELAYED_HEADER, RelayedAnswer, answer_of_error
 from medlarvale.forwarding.routes import choose_service
 from medlarvale.forwarding.streams import StreamForwarder
+from medlarvale.ids import ServiceName
 from medlarvale.logs import Event, log_info, log_warning
 
 # Maximum body size before the limit of a configuration is known.
@@ -56,14 +60,18 @@
 class _CallerSink:
     """Sends a stream to the caller; see ``StreamSink``."""
 
-    def __init__(self, request: web.BaseRequest, closing: Callable[[], bool]) -> None:
+    def __init__(
+        self, request: web.BaseRequest, closing: Callable[[], bool], marks: Mapping[str, str]
+    ) -> None:
         self._request = request
         self._closing = closing
+        self._marks = marks
         self.response: web.StreamResponse | None = None
 
     async def start(self, status: int, headers: CIMultiDict[str]) -> None:
         """Sends the head of a stream."""
         self.response = web.StreamResponse(status=status, headers=headers)
+        self.response.headers.update(self._marks)
         if self._request.version >= HttpVersion11:
             self.response.enable_chunked_encoding()
         else:
@@ -74,6 +82,11 @@
         with _caller_errors():
             await self.response.prepare(self._request)
 
+    @property
+    def started(self) -> bool:
+        """Whether the head has been sent."""
+        return self.response is not None
+
     async def write(self, data: bytes) -> None:
         """Sends a part of the body."""
         assert self.response is not None
@@ -107,6 +120,8 @@
         clock: time service.
         rng: selects among the services of a route.
         ready: returns whether this host accepts new connections.
+        relay: relays requests that this host can't serve itself; None if the requests come from
+            peers, which are told whose each answer is.
     """
 
     def __init__(
@@ -118,8 +133,13 @@
         clock: Clock,
         rng: random.Random,
         ready: Callable[[], bool],
+        relay: Relay | None = None,
+        *,
+        for_peers: bool = False,
     ) -> None:
         self._ready = ready
+        self._relay = relay
+        self._for_peers = for_peers
         self._follower = follower
         self._plain = plain
         self._streams = streams
@@ -214,8 +234,12 @@
             body = await incoming.read()
         except web.HTTPRequestEntityTooLarge:
             return self._error_response(BodyTooLargeError("the body is too large"))
-        request = self._decode(incoming, body, received_ms)
-        sink = _CallerSink(incoming, self._closes_connections)
+        try:
+            request = self._decode(incoming, body, received_ms)
+        except ForwardingError as error:
+            log_warning(Event.REQUEST_REFUSED, code=error.code, reason=error.message)
+            return self._error_response(error)
+        sink = _CallerSink(incoming, self._closes_connections, self._marks(RelayedAnswer.SERVER))
         try:
             reply = await self._forward_or_fail(request, sink)
         except CallerGoneError:
@@ -235,7 +259,13 @@
         if reply is None:
             assert sink.response is not None
             return sink.response
-        return self._response(reply.status, reply.headers, reply.body)
+        headers = reply.headers.copy()
+        headers.update(self._marks(RelayedAnswer.SERVER))
+        return self._response(reply.status, headers, reply.body)
+
+    def _marks(self, answer: RelayedAnswer) -> dict[str, str]:
+        """Returns the headers that tell a peer whose an answer is."""
+        return {RELAYED_HEADER: answer.value} if self._for_peers else {}
 
     async def _forward_or_fail(self, request: ClientRequest, sink: _CallerSink) -> Reply | None:
         """Forwards a request; unexpected errors end only this one, and not without an answer.
@@ -270,12 +300,7 @@
         if len(request.body) > index.table.limits.max_body_bytes:
             raise BodyTooLargeError("the body is larger than the configuration allows")
         service = choose_service(route, self._rng)
-        if route.kind is RouteKind.STREAM and service in index.table.services:
-            if self._refuses_streams():
-                raise OverloadedError("this host is stopping", retry_after_ms=STOPPING_RETRY_MS)
-            reply = await self._streams.forward(request, route, service, sink)
-        else:
-            reply = await self._plain.forward(request, route, service)
+        reply = await self._serve(request, route, service, sink)
         log_info(
             Event.REQUEST_FORWARDED,
             request=request.request_id,
@@ -288,6 +313,35 @@
         self._note_finished(request, str(reply.status if reply is not None else 200))
         return reply
 
+    async def _serve(
+        self, request: ClientRequest, route: Route, service: ServiceName, sink: _CallerSink
+    ) -> Reply | None:
+        """Serves a request here, or through a peer if no server can be reached from here."""
+        if self._relay is not None and self._relay.is_needed(service):
+            return await self._relay.forward(request, route, service, sink)
+        try:
+            return await self._serve_here(request, route, service, sink)
+        except OverloadedError:
+            if self._relay is None or not self._relay.can_help(service):
+                raise
+            rest = request
+        except HandOverError as error:
+            if self._relay is None:
+                raise
+            rest = error.rest
+        return await self._relay.forward(rest, route, service, sink)
+
+    async def _serve_here(
+        self, request: ClientRequest, route: Route, service: ServiceName, sink: _CallerSink
+    ) -> Reply | None:
+        index = self._follower.index
+        services = index.table.services if index is not None else {}
+        if route.kind is not RouteKind.STREAM or service not in services:
+            return await self._plain.forward(request, route, service)
+        if self._refuses_streams():
+            raise OverloadedError("this host is stopping", retry_after_ms=STOPPING_RETRY_MS)
+        return await self._streams.forward(request, route, service, sink)
+
     def _age_ms(self, request: ClientRequest) -> int:
         return int(self._clock.now_ms() - request.received_ms)
 
@@ -322,7 +376,7 @@
         )
 
     def _error_response(self, error: MedlarvaleError) -> web.Response:
-        headers: CIMultiDict[str] = CIMultiDict()
+        headers: CIMultiDict[str] = CIMultiDict(self._marks(answer_of_error(error.outcome)))
         if error.retry_after_ms is not None:
             headers["Retry-After"] = f"{error.retry_after_ms / 1000:g}"
         return self._response(error.http_status, headers, error.code.encode())
--- a/src/medlarvale/forwarding/context.py
+++ b/src/medlarvale/forwarding/context.py
@@ -12,6 +12,7 @@
 from medlarvale.clock import Clock
 from medlarvale.forwarding.interface import Backends
 from medlarvale.forwarding.messages import ClientRequest, RequestIdentity, Route, Server
+from medlarvale.forwarding.reach import ReachDetector
 from medlarvale.forwarding.servers import ServerTable
 from medlarvale.forwarding.stream_versions import StreamVersions
 from medlarvale.ids import ServiceName
@@ -114,6 +115,9 @@
         self.background = BackgroundTasks()
         self._retry_limits = retry_limits
         self.guard = guard
+        # Returns whether streams of a service go on at a peer, because they can't at this host.
+        self.hands_over: Callable[[ServiceName], bool] = lambda service: False
+        self.reach = ReachDetector(servers, clock, rng)
         self._budgets: dict[ServiceName, RetryBudget] = {}
 
     def budget(self, service: ServiceName) -> RetryBudget:
--- a/src/medlarvale/forwarding/errors.py
+++ b/src/medlarvale/forwarding/errors.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from medlarvale.errors import MedlarvaleError, Outcome
+from medlarvale.forwarding.messages import ClientRequest
 
 
 class ForwardingError(MedlarvaleError):
@@ -89,6 +90,20 @@
     http_status = 504
 
 
+class HandOverError(ForwardingError):
+    """The engines of a stream can't be reached from this host; a peer may be able to go on.
+
+    Attributes:
+        rest: the request for what the caller has not received yet.
+    """
+
+    code = "stream_handed_over"
+
+    def __init__(self, rest: ClientRequest) -> None:
+        super().__init__("the engines can't be reached from this host")
+        self.rest = rest
+
+
 class StreamBrokenError(ForwardingError):
     """A started stream can't continue; its connection is closed without an end of the body."""
 
@@ -132,11 +147,21 @@
     code = "backend_rejected"
     outcome = Outcome.NOT_RUN
 
-    def __init__(self, message: str = "", *, full: bool = True) -> None:
-        super().__init__(message)
+    def __init__(
+        self, message: str = "", *, full: bool = True, retry_after_ms: int | None = None
+    ) -> None:
+        super().__init__(message, retry_after_ms=retry_after_ms)
         self.full = full
 
 
+class RelayRefusedError(ForwardingError):
+    """A relayed request can't be accepted; it has not run."""
+
+    code = "relay_refused"
+    outcome = Outcome.NOT_RUN
+    http_status = 503
+
+
 class PublishedStateError(ForwardingError):
     """The platform's state could not be read."""
 
--- a/src/medlarvale/forwarding/fleet.py
+++ b/src/medlarvale/forwarding/fleet.py
@@ -203,6 +203,13 @@
             if now_ms - peer.alive_ms <= limit_ms
         }
 
+    def relay_address(self, host: HostId) -> str | None:
+        """Returns the ``ip:port`` of a peer for relayed requests; None if it takes none."""
+        peer, address = self._peers.get(host), self._known_addresses.get(host)
+        if peer is None or address is None or not peer.hello.relay_port:
+            return None
+        return f"{address.rpartition(':')[0]}:{peer.hello.relay_port}"
+
     def host_count(self) -> int:
         """Returns the number of hosts heard from within ``FORGET_AFTER_MS``, including this one."""
         return len(self._peers) + 1
--- a/src/medlarvale/forwarding/fleet_messages.py
+++ b/src/medlarvale/forwarding/fleet_messages.py
@@ -32,7 +32,7 @@
     decode_streams: float = 0.0
 
 
-class Hello(msgspec.Struct, frozen=True, tag="hello"):
+class Hello(msgspec.Struct, frozen=True, omit_defaults=True, tag="hello"):
     """State that a host sends to its peers; the answer is the hello of the receiver.
 
     Attributes:
@@ -48,6 +48,8 @@
         figures: packed ``EngineFigures`` of the sender by service; absent from most hellos.
         heard: digests of the hosts that the sender has heard from in the last period.
         limits: what servers have said about their limits.
+        relay_port: port of the sender for requests that peers relay; 0 if it takes none.
+        unreached: services whose servers the sender can't reach.
     """
 
     sender: HostIdentity
@@ -61,6 +63,8 @@
     figures: dict[ServiceName, bytes] = {}
     heard: tuple[int, ...] = ()
     limits: dict[ServerId, NamedLimit] = {}
+    relay_port: int = 0
+    unreached: frozenset[ServiceName] = frozenset()
 
 
 class StateRequest(msgspec.Struct, frozen=True, tag="state?"):
--- a/src/medlarvale/forwarding/host.py
+++ b/src/medlarvale/forwarding/host.py
@@ -30,6 +30,8 @@
 from medlarvale.forwarding.peer_state import PeerStateTask
 from medlarvale.forwarding.plain import PlainForwarder
 from medlarvale.forwarding.rechecks import RecheckTask
+from medlarvale.forwarding.relay_client import HttpPeerSender, Relay
+from medlarvale.forwarding.relay_messages import RelayCodec
 from medlarvale.forwarding.servers import DEFAULT_HEARTBEAT_MS, ServerTable
 from medlarvale.forwarding.stream_versions import StreamVersions
 from medlarvale.forwarding.streams import StreamForwarder
@@ -59,6 +61,8 @@
 ABORT_WAIT_MS = 20.0
 CLEANUP_TIMEOUT_MS = 200.0
 LISTEN_BACKLOG = 1_024
+# The operating system chooses a free port.
+ANY_PORT = 0
 # Share of the hellos that carry the figures of engines, 70 bytes a service.
 FIGURES_SHARE = 1.0 / 7.0
 
@@ -73,6 +77,7 @@
         decode: decodes a caller's HTTP request.
         metrics_port: port for metrics, on the IP address of the control port.
         extra_gauges: returns additional values for the metrics.
+        relay_port: port for requests that peers relay, on the IP address of the control port.
     """
 
     def __init__(
@@ -83,6 +88,7 @@
         decode: RequestDecoder,
         metrics_port: int,
         extra_gauges: Callable[[], Mapping[str, float]],
+        relay_port: int = ANY_PORT,
     ) -> None:
         self._parameters = parameters
         self._extra_gauges = extra_gauges
@@ -122,15 +128,7 @@
         self._known_traits: dict[ServiceName, EngineTraits] = {}
         self._rechecks = RecheckTask(self.servers, backends, self.clock)
         self.streams = StreamForwarder(context, self._traits)
-        self.caller_server = CallerServer(
-            self.follower,
-            PlainForwarder(context),
-            self.streams,
-            decode,
-            self.clock,
-            rng,
-            self.ready,
-        )
+        self._build_request_servers(context, decode, relay_port)
         self.orders = OrderTask(
             self.fleet.view,
             backends,
@@ -141,9 +139,54 @@
             parameters.lease_ms,
         )
         self.metrics = ForwardingMetrics(self._gauges)
-        self.caller_server.on_finished(self.metrics.note)
+        for request_server in self._request_servers:
+            request_server.on_finished(self.metrics.note)
         self._runners: list[web.ServerRunner] = []
 
+    def _build_request_servers(
+        self, context: ForwardingContext, decode: RequestDecoder, relay_port: int
+    ) -> None:
+        self._relay_address = f"{self._parameters.listen_control.rpartition(':')[0]}:{relay_port}"
+        self._relay_port = relay_port
+        self._peer_sender = HttpPeerSender()
+        identity = self.fleet.view.identity
+        codec = RelayCodec(identity, self._new_guard(identity))
+        plain = PlainForwarder(context)
+        relay = Relay(
+            context.reach,
+            lambda: self.fleet.view.live(self.clock.now_ms()),
+            self.fleet.view.relay_address,
+            self._parameters.failure_domain,
+            codec,
+            self._peer_sender,
+            self.clock,
+            self._rng,
+        )
+        context.hands_over = relay.is_needed
+        self.caller_server = CallerServer(
+            self.follower,
+            plain,
+            self.streams,
+            decode,
+            self.clock,
+            self._rng,
+            self.ready,
+            relay,
+        )
+        self.relay_server = CallerServer(
+            self.follower,
+            plain,
+            self.streams,
+            lambda incoming, body, received_ms: codec.decode(
+                body, self.clock.wall_ms(), received_ms
+            ),
+            self.clock,
+            self._rng,
+            lambda: True,
+            for_peers=True,
+        )
+        self._request_servers = (self.caller_server, self.relay_server)
+
     def _traits(self, service: ServiceName) -> EngineTraits:
         index = self.follower.index
         listed = index.table.services.get(service) if index is not None else None
@@ -155,13 +198,10 @@
     def _build_peers(self, parameters: HostParameters) -> None:
         wall_ms = self.clock.wall_ms()
         identity = HostIdentity(parameters.host, new_incarnation(wall_ms))
-        keys = SharedKeys({FLEET_KEY_ID: fleet_key([parameters.platform_address])})
-        own = HostId(parameters.listen_control)
-        guard = FrameGuard(keys, identity, wall_ms, MAX_CLOCK_STEP_MS, frozenset({own}))
         self._transport = PynngTransport(
             identity,
             f"tcp://{parameters.listen_control}",
-            guard,
+            self._new_guard(identity),
             MessageCodec((*FLEET_MESSAGES, ShareEvidence, QuarantineAccepted)),
             self.clock,
         )
@@ -180,6 +220,11 @@
             view, self._transport, self.follower, self.servers, self.clock
         )
 
+    def _new_guard(self, identity: HostIdentity) -> FrameGuard:
+        keys = SharedKeys({FLEET_KEY_ID: fleet_key([self._parameters.platform_address])})
+        own = HostId(self._parameters.listen_control)
+        return FrameGuard(keys, identity, self.clock.wall_ms(), MAX_CLOCK_STEP_MS, frozenset({own}))
+
     def _live_peers(self) -> list[HostId]:
         return list(self.fleet.view.live(self.clock.now_ms()))
 
@@ -199,7 +244,8 @@
 
     def _gauges(self) -> dict[str, float]:
         return {
-            "in_flight": self.caller_server.in_flight,
+            "in_flight": self._in_flight(),
+            "services_unreached": len(self._context.reach.unreached),
             "config_version": self.follower.version,
             "store_reachable": self.follower.reachable,
             "backend_servers": len(self.servers),
@@ -210,6 +256,9 @@
             **self._extra_gauges(),
         }
 
+    def _in_flight(self) -> int:
+        return sum(server.in_flight for server in self._request_servers)
+
     def _build_hello(self) -> Hello:
         view = self.fleet.view
         return Hello(
@@ -224,6 +273,8 @@
             self._figures_to_send(),
             view.heard(self.clock.now_ms()),
             self.servers.limits.to_announce(self.clock.now_ms()),
+            self._relay_port,
+            self._context.reach.unreached,
         )
 
     def _figures_to_send(self) -> dict[ServiceName, bytes]:
@@ -280,6 +331,8 @@
         Raises:
             OSError: if a port can't be bound.
         """
+        # The hellos name this port.
+        self._relay_port = await self._listen(self.relay_server.build(), self._relay_address)
         self._transport.start()
         self.follower.start()
         self.fleet.start()
@@ -288,16 +341,13 @@
         self._peer_state.start()
         self._guard.start()
         self._rechecks.start()
+        self._context.reach.start()
         for server, address in (
             (build_readiness_server(self.ready), self._parameters.listen_ready),
             (self.metrics.build_server(), self._metrics_address),
             (self.caller_server.build(), self._parameters.listen_caller),
         ):
-            runner = web.ServerRunner(server)
-            await runner.setup()
-            self._runners.append(runner)
-            ip, _, port = address.rpartition(":")
-            await web.TCPSite(runner, ip, int(port), backlog=LISTEN_BACKLOG).start()
+            await self._listen(server, address)
         log_info(
             Event.HOST_STARTED,
             host=self._parameters.host,
@@ -305,35 +355,45 @@
             listen_caller=self._parameters.listen_caller,
         )
 
+    async def _listen(self, server: web.Server, address: str) -> int:
+        """Starts a server; returns its port."""
+        runner = web.ServerRunner(server)
+        await runner.setup()
+        self._runners.append(runner)
+        ip, _, port = address.rpartition(":")
+        await web.TCPSite(runner, ip, int(port), backlog=LISTEN_BACKLOG).start()
+        return int(runner.addresses[-1][1])
+
     async def drain(self) -> None:
         """Stops accepting work and waits for requests in flight, within the grace period."""
         started_ms = self.clock.now_ms()
-        self.caller_server.begin_closing()
-        log_info(
-            Event.HOST_DRAINING, host=self._parameters.host, in_flight=self.caller_server.in_flight
-        )
+        for server in self._request_servers:
+            server.begin_closing()
+        log_info(Event.HOST_DRAINING, host=self._parameters.host, in_flight=self._in_flight())
         end_ms = started_ms + self._parameters.grace_ms - STOP_MARGIN_MS
         await self._wait_until_idle(started_ms + MIN_DRAIN_MS, end_ms)
         # The end of the process would cut off a request that is accepted after the last check.
-        self.caller_server.refuse_new()
+        for server in self._request_servers:
+            server.refuse_new()
         await self._wait_until_idle(0.0, end_ms)
 
     async def _wait_until_idle(self, earliest_ms: float, end_ms: float) -> None:
         """Waits until no request is in flight, at least until ``earliest_ms``."""
         while True:
             now_ms = self.clock.now_ms()
-            idle = now_ms >= earliest_ms and not self.caller_server.in_flight
+            idle = now_ms >= earliest_ms and not self._in_flight()
             if idle or now_ms >= end_ms:
                 return
             await self.clock.sleep_ms(STOP_POLL_MS)
 
     async def close(self) -> None:
         """Ends all tasks and closes all ports."""
-        in_flight = self.caller_server.in_flight
+        in_flight = self._in_flight()
         for runner in self._runners:
             for site in list(runner.sites):
                 await site.stop()
-        self.caller_server.abort()
+        for server in self._request_servers:
+            server.abort()
         # Let the cancelled requests release their engine memory.
         await self.clock.sleep_ms(ABORT_WAIT_MS)
         await self._context.background.finish(CLEANUP_TIMEOUT_MS)
@@ -343,6 +403,7 @@
         await self.follower.close()
         await self.fleet.close()
         await self._transport.close()
+        await self._peer_sender.close()
         log_info(Event.HOST_STOPPED, host=self._parameters.host, in_flight=in_flight)
 
 
--- a/src/medlarvale/forwarding/memory.py
+++ b/src/medlarvale/forwarding/memory.py
@@ -233,6 +233,9 @@
             if not waiter.future.done():
                 gone = VersionGoneError("the last engine of the version has left")
                 waiter.future.set_exception(gone)
+        if self._context.reach.is_cut_off(self._service):
+            for waiter in list(self._waiting):
+                self._refuse(waiter, "the engines can't be reached from this host", now_ms)
         if self._waiting:
             last = self._sorted_waiters()[-1]
             if self._expected_wait_ms(last.request, now_ms) > last.request.end_ms - now_ms:
--- a/src/medlarvale/forwarding/messages.py
+++ b/src/medlarvale/forwarding/messages.py
@@ -207,6 +207,7 @@
         began_as: id of the caller's attempt that received the first event of a stream that this
             request continues; None if it names none.
         possible_runs: number of sends to backend servers that may have started a run.
+        relayed: whether a peer has relayed it.
     """
 
     request_id: RequestId
@@ -223,6 +224,7 @@
     resume_after: int | None = None
     began_as: RequestId | None = None
     possible_runs: int = 0
+    relayed: bool = False
 
     @property
     def is_continuation(self) -> bool:
--- a/src/medlarvale/forwarding/servers.py
+++ b/src/medlarvale/forwarding/servers.py
@@ -56,6 +56,7 @@
         failures: failures since the last success.
         suspect: whether it failed and has not been reached since; it gets new work only if no
             healthy server is left.
+        failed_ms: time of its last failure.
         check_due: whether to check that it accepts connections, because a request waits for it.
         check_failed_ms: when the last check failed.
         contact_ms: when it was last heard of, or checked.
@@ -71,6 +72,7 @@
         self.paused_until_ms = 0.0
         self.failures = 0
         self.suspect = False
+        self.failed_ms = -math.inf
         self.check_due = False
         self.check_failed_ms = -math.inf
         self.contact_ms = -math.inf
@@ -141,6 +143,7 @@
         # Number of changes of the list, without changes of ``cold_left_ms``.
         self.generation = 0
         self._change_callbacks: list[Callable[[], None]] = []
+        self._failure_callbacks: list[Callable[[float], None]] = []
 
     def __len__(self) -> int:
         return len(self._loads)
@@ -149,6 +152,10 @@
         """Registers a callback for each change of the list."""
         self._change_callbacks.append(callback)
 
+    def on_failure(self, callback: Callable[[float], None]) -> None:
+        """Registers a callback for the time in ms at which each server becomes suspect."""
+        self._failure_callbacks.append(callback)
+
     def _note_change(self) -> None:
         self.generation += 1
         self._stream_versions.clear()
@@ -315,10 +322,23 @@
         if not load.suspect and now_ms - load.contact_ms >= CHECK_INTERVAL_MS:
             load.check_due = True
 
+    def check_again(self, load: ServerLoad) -> None:
+        """Asks for a check of a server before its pause is over."""
+        load.check_due = True
+
     def note_reachable(self, load: ServerLoad, now_ms: float) -> None:
         """Marks a server as healthy; its next failure still causes a longer pause."""
-        load.suspect = False
+        was_suspect, load.suspect = load.suspect, False
         load.contact_ms = now_ms
+        if was_suspect:
+            load.paused_until_ms = min(load.paused_until_ms, now_ms)
+            self._recheck_all(load.server.service, now_ms)
+
+    def _recheck_all(self, service: ServiceName, now_ms: float) -> None:
+        """Ends the pauses of the suspect servers of a service: a partition may have healed."""
+        for load in self.of_service(service):
+            if load.suspect:
+                load.paused_until_ms = min(load.paused_until_ms, now_ms)
 
     def set_changing(self, servers: Iterable[ServerId]) -> None:
         """Sets the engines that are about to change their stage; they get no new work.
@@ -402,7 +422,11 @@
         """Pauses a server that was unreachable or lost an answer, longer with each failure."""
         if self.is_remote(load):
             self.isolation.note_failure(load.server.server)
-        load.suspect = True
+        load.failed_ms = now_ms
+        if not load.suspect:
+            load.suspect = True
+            for callback in self._failure_callbacks:
+                callback(now_ms)
         paused = load.paused_until_ms > now_ms
         pause_ms = load.pause_after_failure(now_ms)
         if paused:
--- a/src/medlarvale/forwarding/stream_run.py
+++ b/src/medlarvale/forwarding/stream_run.py
@@ -5,6 +5,7 @@
 import asyncio
 from typing import Protocol
 
+import msgspec
 from multidict import CIMultiDict
 
 from medlarvale.forwarding.context import ForwardingContext, end_ms
@@ -14,6 +15,7 @@
 from medlarvale.forwarding.errors import (
     BackendError,
     CrashingRequestError,
+    HandOverError,
     NotSentError,
     OutcomeUnknownError,
     OverloadedError,
@@ -76,6 +78,10 @@
 class StreamSink(Protocol):
     """Destination of a stream: the caller's connection."""
 
+    @property
+    def started(self) -> bool:
+        """Whether the head has been sent."""
+
     async def start(self, status: int, headers: CIMultiDict[str]) -> None:
         """Sends the head of a stream."""
 
@@ -217,9 +223,11 @@
                 if isinstance(error, VersionGoneError) and self._began_at is None:
                     # Nothing has been passed on yet, so another version can begin the stream.
                     continue
-                if self._request.possible_runs:
-                    raise self._final_error(error.message) from error
-                raise
+                if not self._request.possible_runs:
+                    raise
+                if self._can_resume() and self._may_hand_over():
+                    raise HandOverError(self._rest()) from error
+                raise self._final_error(error.message) from error
             run = None
 
     def _substitute(self, run: EngineRun | None, error: SilentEngineError) -> EngineRun | None:
@@ -308,7 +316,7 @@
         run.watch = self._new_watch(run)
         try:
             reply = await run.watch.run(self._relay(run))
-        except SilentEngineError:
+        except (SilentEngineError, HandOverError):
             self._note_silent(run)
             raise
         finally:
@@ -337,6 +345,8 @@
         may_resume = self._can_resume() and self._budget.has_retry()
         if not may_resume or not self._may_be_lost(silent):
             return None
+        if self._may_hand_over() and self._budget.spend_retry():
+            raise HandOverError(self._rest())
         try:
             run = await self._begin(instead_of=silent)
         except (OverloadedError, CrashingRequestError, BackendError):
@@ -352,6 +362,19 @@
         run.close()
         return None
 
+    def _may_hand_over(self) -> bool:
+        return not self._request.relayed and self._context.hands_over(self._service)
+
+    def _rest(self) -> ClientRequest:
+        """Returns the request for what the caller has not received yet."""
+        if not self._started:
+            return self._request
+        return msgspec.structs.replace(
+            self._request,
+            resume_after=self._events.last_id,
+            began_as=self._request.began_as or self._request.request_id,
+        )
+
     def _may_be_lost(self, silent: EngineRun) -> bool:
         """Returns whether a silent engine may be lost; without an event, it may only be busy."""
         if silent.heard_ms is not None or silent.load.suspect:
--- a/tests/forwarding/fakes.py
+++ b/tests/forwarding/fakes.py
@@ -332,6 +332,10 @@
         self.data = b""
         self.finished = False
 
+    @property
+    def started(self) -> bool:
+        return self.status is not None
+
     async def start(self, status: int, headers: CIMultiDict[str]) -> None:
         assert self.status is None, "a second response head on one connection"
         self.status = status
