Test that a server that falls silent goes on for all hosts

PartitionedFleet.silence had no test on a whole fleet: a silence that some hosts don't see, or that loses requests, would make tests of silences pass for the wrong reason.

--- a/tests/forwarding/test_partitions.py
+++ b/tests/forwarding/test_partitions.py
@@ -8,10 +8,11 @@
 
 from medlarvale.platform.connections import CONNECT_TIMEOUT_MS
 from medlarvale.standins.serving import Address
-from tests.forwarding.balancer import Balancer
-from tests.forwarding.partitions import IP, TWO_DOMAINS, FleetHost, Path, PathMode
+from tests.forwarding.balancer import Balancer, Callers
+from tests.forwarding.partitions import IP, TWO_DOMAINS, FleetHost, PartitionedFleet, Path, PathMode
 
 ANSWER_S = 0.2
+SILENCE_S = 1.0
 
 
 class PathTest(unittest.IsolatedAsyncioTestCase):
@@ -99,6 +100,29 @@
             self.assertEqual(await reader.readexactly(4), b"held")
 
 
+class SilenceTest(unittest.IsolatedAsyncioTestCase):
+    async def test_a_silent_server_goes_on_for_all_hosts(self) -> None:
+        """Guards against a silence that some hosts don't see, or that loses a request."""
+        # In the debug mode of the test case, a stream takes up to 0.6 s instead of 0.05 s.
+        asyncio.get_running_loop().set_debug(False)
+        fleet = PartitionedFleet()
+        self.addAsyncCleanup(fleet.close)
+        await fleet.start()
+        callers = Callers(Balancer(fleet.hosts), fleet.hosts)
+        self.addAsyncCleanup(callers.close)
+        apps = [name for name, server in fleet.platform.servers.items() if server.stage is None]
+        silent_until_s = asyncio.get_running_loop().time() + SILENCE_S
+        silences = [asyncio.create_task(fleet.silence(name, SILENCE_S)) for name in apps]
+        await asyncio.sleep(0.0)
+        await callers.send(40.0, 0.6)
+        await asyncio.gather(*silences)
+        plain = [first for first in callers.tries if first.path != "/chat/1"]
+        self.assertEqual([first for first in callers.tries if not first.served], [])
+        self.assertEqual({first.host for first in plain}, set(fleet.hosts))
+        for first in plain:
+            self.assertGreaterEqual(first.ended_s, silent_until_s, first)
+
+
 class BalancerTest(unittest.TestCase):
     def test_the_rotation_decides_where_connections_go(self) -> None:
         """Guards against a balancer that sends callers elsewhere than the users' does."""
