Reproduce hosts that lose their last connections while new ones are refused

While new connections to servers are refused, kept ones carry all requests, so that case passes. Servers also end connections now and then; the stand-in can do so with each answer of a given number.

--- a/src/medlarvale/platform/standin.py
+++ b/src/medlarvale/platform/standin.py
@@ -121,6 +121,7 @@
         break_after: number of events after which the next stream is reset; None for no reset.
         delay_s: duration of a plain call, or time between two events of a stream.
         limit: limit in the answers; None to name none.
+        close_every: each answer of this number ends its connection; None for no such answer.
         software: version of its software.
         born_ms: Unix time of its start in ms.
         cached: tokens of the prompt parts in its KV cache, by id.
@@ -148,6 +149,8 @@
         self.break_after: int | None = None
         self.delay_s = 0.0
         self.limit: str | None = None
+        self.close_every: int | None = None
+        self._answers = 0
         self.arrived: list[float] = []
         self.address = ""
         self._numbers = itertools.count(1)
@@ -161,8 +164,15 @@
         app.router.add_delete("/hold-drop/{hold}", self._release_hold)
         app.router.add_delete("/kv-handle/{handle}", self._release_handle)
         app.router.add_route("*", "/{path:.*}", self._serve)
+        app.on_response_prepare.append(self._end_connection)
         return app
 
+    async def _end_connection(self, request: web.Request, response: web.StreamResponse) -> None:
+        self._answers += 1
+        if self.close_every is not None and self._answers % self.close_every == 0:
+            response.force_close()
+            response.headers["Connection"] = "close"
+
     def entry(self) -> dict[str, Any]:
         """Returns the server's entry in the store."""
         age_s = time.time() - self.born_ms / 1000.0
--- a/tests/forwarding/test_cut_off_hosts.py
+++ b/tests/forwarding/test_cut_off_hosts.py
@@ -32,7 +32,25 @@
     "all of a domain": ("a1", "a2"),
     "three of four": ("a1", "a2", "b1"),
 }
-INTERRUPTIONS = (PathMode.HANG, PathMode.RESET, PathMode.REFUSE_NEW)
+
+
+@dataclass(frozen=True)
+class Interruption:
+    """How hosts are cut off.
+
+    Attributes:
+        mode: mode of their paths.
+        close_every: during the cut, each answer of this number ends its connection to a server.
+    """
+
+    mode: PathMode
+    close_every: int | None = None
+
+
+HANG, RESET = Interruption(PathMode.HANG), Interruption(PathMode.RESET)
+REFUSE_NEW = Interruption(PathMode.REFUSE_NEW)
+REFUSE_NEW_AND_CLOSE = Interruption(PathMode.REFUSE_NEW, close_every=5)
+INTERRUPTIONS = (HANG, RESET, REFUSE_NEW, REFUSE_NEW_AND_CLOSE)
 
 
 @dataclass(frozen=True)
@@ -54,7 +72,7 @@
     runs: collections.Counter[str]
 
 
-async def play(cut: tuple[str, ...], mode: PathMode) -> Outcome:
+async def play(cut: tuple[str, ...], interruption: Interruption) -> Outcome:
     """Cuts hosts off while callers send requests, and restores their paths."""
     fleet = PartitionedFleet()
     balancer = Balancer(fleet.hosts)
@@ -64,7 +82,9 @@
         balancer.start()
         await callers.send(RATE_PER_S, CALM_S)
         calm = list(callers.tries)
-        await fleet.set_paths(cut, mode)
+        await fleet.set_paths(cut, interruption.mode)
+        for server in fleet.platform.servers.values():
+            server.close_every = interruption.close_every
         counted_from_s = asyncio.get_running_loop().time() + STABLE_WINDOW_S
         await callers.send(RATE_PER_S, STABLE_WINDOW_S + COUNTED_S)
         await fleet.set_paths(cut, PathMode.OPEN)
@@ -91,19 +111,19 @@
 
 
 @functools.cache
-def outcomes(mode: PathMode) -> dict[str, Outcome]:
+def outcomes(interruption: Interruption) -> dict[str, Outcome]:
     """Returns the outcome for each set of cut hosts; they are played at once."""
 
     async def play_all() -> list[Outcome]:
-        return await asyncio.gather(*(play(cut, mode) for cut in CUT_HOSTS.values()))
+        return await asyncio.gather(*(play(cut, interruption) for cut in CUT_HOSTS.values()))
 
     return dict(zip(CUT_HOSTS, asyncio.run(play_all()), strict=True))
 
 
 class CutOffHostsTest(unittest.TestCase):
-    def check_first_tries(self, mode: PathMode) -> None:
-        for name, outcome in outcomes(mode).items():
-            with self.subTest(name, mode=mode.value):
+    def check_first_tries(self, interruption: Interruption) -> None:
+        for name, outcome in outcomes(interruption).items():
+            with self.subTest(name, interruption=interruption):
                 at_cut, at_others = tally(outcome.at_cut), tally(outcome.at_others)
                 ends = collections.Counter(
                     first.status or first.error for first in outcome.at_cut if not first.served
@@ -113,29 +133,33 @@
 
     def test_connections_hang(self) -> None:
         """Guards against hosts that go on taking requests while all they can do is refuse them."""
-        self.check_first_tries(PathMode.HANG)
+        self.check_first_tries(HANG)
 
     def test_connections_are_reset(self) -> None:
         """Guards against hosts that take each server for dead and remain in rotation."""
-        self.check_first_tries(PathMode.RESET)
+        self.check_first_tries(RESET)
 
     def test_new_connections_are_refused(self) -> None:
         """Guards against hosts that serve only while their kept connections last."""
-        self.check_first_tries(PathMode.REFUSE_NEW)
+        self.check_first_tries(REFUSE_NEW)
+
+    def test_new_connections_are_refused_and_old_ones_end(self) -> None:
+        """Guards against hosts that find out too late that they lose their last connections."""
+        self.check_first_tries(REFUSE_NEW_AND_CLOSE)
 
     def test_all_is_served_before_the_cut(self) -> None:
         """Guards against figures of a fleet that can't serve."""
-        for mode in INTERRUPTIONS:
-            for name, outcome in outcomes(mode).items():
-                with self.subTest(name, mode=mode.value):
+        for interruption in INTERRUPTIONS:
+            for name, outcome in outcomes(interruption).items():
+                with self.subTest(name, interruption=interruption):
                     self.assertEqual([first for first in outcome.calm if not first.served], [])
 
     def test_promises_are_kept(self) -> None:
         """Guards against an unsafe request that runs twice, a refusal of a request that runs, and
         an answer with parts of another, also once held-up bytes have gone on."""
-        for mode in INTERRUPTIONS:
-            for name, outcome in outcomes(mode).items():
-                with self.subTest(name, mode=mode.value):
+        for interruption in INTERRUPTIONS:
+            for name, outcome in outcomes(interruption).items():
+                with self.subTest(name, interruption=interruption):
                     self.assertEqual([first for first in outcome.tries if first.mixed], [])
                     for first in outcome.tries:
                         runs = outcome.runs[first.request_id]
