Refuse requests that a stopping host may not see to their end

Callers: in a planned stop, calls that came late on new connections were passed on, ran, and were cut without an answer at the end of the grace period (LOST), among them calls that may not be repeated.

Cause: plain calls were taken until 500 ms before the end of the grace period, whatever they may take, and streams for 2.8 s, a constant that fits one grace period and one length of streams.

A stopping host now takes a request only if it can be expected to end before the host does. As long as the balancer still sends callers here, that is judged from the durations measured on the route (streams: the longest wait for a first event, and the speed and output for the announced size), or from the deadline and the route's timeout if they are shorter or nothing is known. After that, a refused caller is served by another host, and only the deadline and the timeout count. Refusals are 503 with Retry-After and Connection: close.

Evidence: test_late_requests_in_a_planned_stop_are_refused_or_answered (grace of 4 s, route timeout of 3 s, a call every 50 ms) failed before, with 6, 16 and 29 requests that ran and had no answer for calls of 0.3, 0.8 and 1.5 s, and passes now. test_requests_at_the_end_of_a_planned_stop_are_refused_or_answered sends a shorter deadline, so that only the check it guards refuses the call; it fails without refuse_new(), as before.

--- a/src/medlarvale/forwarding/caller_server.py
+++ b/src/medlarvale/forwarding/caller_server.py
@@ -24,16 +24,13 @@
 from medlarvale.forwarding.messages import ClientRequest, Route, RouteKind
 from medlarvale.forwarding.plain import PlainForwarder, Reply
 from medlarvale.forwarding.routes import choose_service
+from medlarvale.forwarding.stop_admission import STOPPING_RETRY_MS, StopAdmission
 from medlarvale.forwarding.streams import StreamForwarder
 from medlarvale.logs import Event, log_info, log_warning
 
 # Maximum body size before the limit of a configuration is known.
 MAX_BODY_BYTES = 8 * 1024 * 1024
 NOT_READY_RETRY_MS = 500
-STOPPING_RETRY_MS = 100
-# Time after the start of closing from which new streams are refused. A long stream takes about 5 s,
-# which is the rest of the grace period.
-STREAM_CUTOFF_MS = 2_800.0
 # Callers may still use a connection after four fifths of the configured idle time, so connections
 # stay open for longer.
 KEEPALIVE_S = 75.0
@@ -114,7 +111,8 @@
         self._finished_callbacks: list[Callable[[str, str, float], None]] = []
         self._busy: set[web.RequestHandler] = set()
         self._server: web.Server | None = None
-        self._closing_since_ms: float | None = None
+        self._stop_admission = StopAdmission(clock, streams)
+        self._closing = False
         self._refuses_all = False
 
     def on_finished(self, callback: Callable[[str, str, float], None]) -> None:
@@ -152,15 +150,19 @@
     @property
     def closing(self) -> bool:
         """Whether connections are closed after their next answer."""
-        return self._closing_since_ms is not None
+        return self._closing
 
     def _closes_connections(self) -> bool:
         """Returns whether to close connections, so that callers reconnect to another host."""
         return self.closing or not self._ready()
 
-    def begin_closing(self) -> None:
-        """Closes idle connections at once and all others after their next answer."""
-        self._closing_since_ms = self._clock.now_ms()
+    def begin_closing(self, informed_ms: float, end_ms: float) -> None:
+        """Closes idle connections at once and all others after their next answer.
+
+        Requests that may not end in time are refused; see ``StopAdmission.begin_stop``.
+        """
+        self._closing = True
+        self._stop_admission.begin_stop(informed_ms, end_ms)
         connections = self._server.connections if self._server is not None else []
         for connection in connections:
             if connection in self._busy:
@@ -179,11 +181,6 @@
             if connection.transport is not None:
                 connection.transport.abort()
 
-    def _refuses_streams(self) -> bool:
-        """Returns whether a stream that starts now would not end within the grace period."""
-        since_ms = self._closing_since_ms
-        return since_ms is not None and self._clock.now_ms() - since_ms > STREAM_CUTOFF_MS
-
     async def _handle(self, incoming: web.BaseRequest) -> web.StreamResponse:
         received_ms = self._clock.now_ms()
         self._busy.add(incoming.protocol)
@@ -237,12 +234,12 @@
         if len(request.body) > index.table.limits.max_body_bytes:
             raise BodyTooLargeError("the body is larger than the configuration allows")
         service = choose_service(route, self._rng)
+        self._stop_admission.check(request, route, service)
         if route.kind is RouteKind.STREAM and service in index.table.services:
-            if self._refuses_streams():
-                raise OverloadedError("this host is stopping", retry_after_ms=STOPPING_RETRY_MS)
             reply = await self._streams.forward(request, route, service, sink)
         else:
             reply = await self._plain.forward(request, route, service)
+            self._stop_admission.note_plain_call(route, self._age_ms(request))
         log_info(
             Event.REQUEST_FORWARDED,
             request=request.request_id,
--- a/src/medlarvale/forwarding/engine_model.py
+++ b/src/medlarvale/forwarding/engine_model.py
@@ -135,3 +135,18 @@
         if event_ms is None or tokens_per_event is None or tokens.output_hint is None:
             return 0.0
         return event_ms * self.output_tokens(tokens, now_ms, SHORTEST_SHARE) / tokens_per_event
+
+    def longest_stream_ms(self, tokens: TokenCounts, now_ms: float, share: float) -> float:
+        """Returns the time between the first and the last event of a long stream.
+
+        Args:
+            share: share of the streams with at most such an output, and of those as fast.
+
+        Returns:
+            The time, or infinity without evidence.
+        """
+        event_ms = self.event_ms(now_ms, share)
+        tokens_per_event = self.tokens_per_event(now_ms)
+        if event_ms is None or tokens_per_event is None:
+            return math.inf
+        return event_ms * self.output_tokens(tokens, now_ms, share) / tokens_per_event
--- a/src/medlarvale/forwarding/host.py
+++ b/src/medlarvale/forwarding/host.py
@@ -305,12 +305,13 @@
     async def drain(self) -> None:
         """Stops accepting work and waits for requests in flight, within the grace period."""
         started_ms = self.clock.now_ms()
-        self.caller_server.begin_closing()
+        informed_ms = started_ms + MIN_DRAIN_MS
+        end_ms = started_ms + self._parameters.grace_ms - STOP_MARGIN_MS
+        self.caller_server.begin_closing(informed_ms, end_ms)
         log_info(
             Event.HOST_DRAINING, host=self._parameters.host, in_flight=self.caller_server.in_flight
         )
-        end_ms = started_ms + self._parameters.grace_ms - STOP_MARGIN_MS
-        await self._wait_until_idle(started_ms + MIN_DRAIN_MS, end_ms)
+        await self._wait_until_idle(informed_ms, end_ms)
         # The end of the process would cut off a request that is accepted after the last check.
         self.caller_server.refuse_new()
         await self._wait_until_idle(0.0, end_ms)
--- a/src/medlarvale/forwarding/streams.py
+++ b/src/medlarvale/forwarding/streams.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Callable, Mapping
 
 from medlarvale.forwarding.context import ForwardingContext
@@ -13,6 +14,7 @@
 from medlarvale.forwarding.memory import MemoryQueue
 from medlarvale.forwarding.messages import ClientRequest, EngineTraits, Route
 from medlarvale.forwarding.plain import Reply
+from medlarvale.forwarding.recent_durations import RecentDurations
 from medlarvale.forwarding.stream_run import StreamRun, StreamSink
 from medlarvale.forwarding.stream_versions import StreamOrigin
 from medlarvale.ids import HostId, ServiceName
@@ -21,6 +23,8 @@
 # While the callers' usual deadline is not known, they are taken to wait at most for this multiple
 # of the timeout of their route.
 LONGEST_DEADLINE_TIMEOUTS = 1.25
+# Share of the streams whose output and speed are within the estimate of the longest duration.
+LONGEST_SHARE = 0.95
 
 
 class StreamForwarder:
@@ -41,6 +45,8 @@
         self._queues: dict[ServiceName, MemoryQueue] = {}
         self._meters: dict[ServiceName, DemandMeter] = {}
         self._first_attempts: dict[str, FirstAttemptEstimator] = {}
+        # Times from the arrival of a stream to its first event, by route.
+        self._first_events: dict[str, RecentDurations] = {}
 
     def queue(self, service: ServiceName) -> MemoryQueue:
         """Returns the decode memory queue of a service."""
@@ -80,6 +86,20 @@
                 continue
             self.meter(service).model.note_peer(host, measured, now_ms)
 
+    def longest_ms(self, request: ClientRequest, route: Route, service: ServiceName) -> float:
+        """Returns how long a stream is expected to take at most; infinity if that is unknown."""
+        first_events = self._first_events.get(route.name)
+        if first_events is None or request.tokens is None:
+            return math.inf
+        events_ms = self.meter(service).model.longest_stream_ms(
+            request.tokens, self.context.clock.now_ms(), LONGEST_SHARE
+        )
+        return first_events.longest_ms() + events_ms
+
+    def note_first_event(self, route: Route, took_ms: float) -> None:
+        """Records the time from the arrival of a stream to its first event."""
+        self._first_events.setdefault(route.name, RecentDurations()).note(took_ms)
+
     async def forward(
         self, request: ClientRequest, route: Route, service: ServiceName, sink: StreamSink
     ) -> Reply | None:
@@ -112,6 +132,8 @@
             return await run.run()
         finally:
             self._log(request, run)
+            if run.times.first_event_ms is not None:
+                self.note_first_event(route, run.times.first_event_ms - request.received_ms)
 
     def _log(self, request: ClientRequest, run: StreamRun) -> None:
         times = run.times
