Answer the requests that are in flight at the end of a planned stop

Callers: at the end of the grace period, connections were reset without an answer, whatever the request had reached (LOST).

Cause: close() aborted the connections of all requests in flight.

At the end of the grace period, each request is now cancelled on its own and its caller gets an answer: 504 host_stopped if a send may have started a run, 503 with Retry-After if not, also while a body is still arriving. A stream that has begun is aborted before the end of its body, as before. Sends are counted where they are made, and a send that its server rejected or never received does not count.

Evidence: test_requests_in_flight_at_the_end_of_a_planned_stop_are_answered failed before in all three parts (no answer to a safe and an unsafe call, to a stream that waits for memory and to a body that is arriving), and passes now. With 'if not request.possible_runs' always true, the calls that ran get 503 and it fails.

--- a/src/medlarvale/forwarding/caller_server.py
+++ b/src/medlarvale/forwarding/caller_server.py
@@ -6,7 +6,8 @@
 import random
 import socket
 import struct
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
+from typing import TypeVar
 
 from aiohttp import HttpVersion11, web
 from multidict import CIMultiDict
@@ -16,9 +17,11 @@
 from medlarvale.forwarding.errors import (
     BodyTooLargeError,
     ForwardingError,
+    HostStoppedError,
     NoRouteError,
     NotReadyError,
     OverloadedError,
+    StreamBrokenError,
 )
 from medlarvale.forwarding.follower import StateFollower
 from medlarvale.forwarding.messages import ClientRequest, Route, RouteKind
@@ -36,6 +39,7 @@
 KEEPALIVE_S = 75.0
 
 RequestDecoder = Callable[[web.BaseRequest, bytes, float], ClientRequest]
+_T = TypeVar("_T")
 
 
 class _CallerSink:
@@ -114,6 +118,8 @@
         self._stop_admission = StopAdmission(clock, streams)
         self._closing = False
         self._refuses_all = False
+        # Limits of the steps that the end of the grace period cancels.
+        self._limits: set[asyncio.Timeout] = set()
 
     def on_finished(self, callback: Callable[[str, str, float], None]) -> None:
         """Registers a callback for the route kind, outcome and duration in ms of each request."""
@@ -175,6 +181,19 @@
         """Refuses all requests from now on; those in flight go on."""
         self._refuses_all = True
 
+    def end_requests(self) -> None:
+        """Refuses requests that have not been sent and ends all others with an error.
+
+        A stream that has begun ends without the end of its body. Tasks clean up, and the number of
+        requests in flight goes down.
+        """
+        self.refuse_new()
+        now_s = asyncio.get_running_loop().time()
+        # The limits can't be changed again once they have expired.
+        limits, self._limits = self._limits, set()
+        for limit in limits:
+            limit.reschedule(now_s)
+
     def abort(self) -> None:
         """Aborts the connections of requests in flight; their tasks are cancelled and clean up."""
         for connection in list(self._busy):
@@ -193,9 +212,11 @@
         if incoming.headers.get("Expect", "").lower() == "100-continue":
             await incoming.writer.write(b"HTTP/1.1 100 Continue\r\n\r\n")
         try:
-            body = await incoming.read()
+            body = await self._run_until_stop(incoming.read())
         except web.HTTPRequestEntityTooLarge:
             return self._error_response(BodyTooLargeError("the body is too large"))
+        except HostStoppedError:
+            return self._error_response(_refusal_of_stopped_host())
         request = self._decode(incoming, body, received_ms)
         sink = _CallerSink(incoming, self._closes_connections)
         try:
@@ -220,9 +241,37 @@
             return sink.response
         return self._response(reply.status, reply.headers, reply.body)
 
+    async def _run_until_stop(self, step: Awaitable[_T]) -> _T:
+        """Returns the result of a step of a request.
+
+        Raises:
+            HostStoppedError: if the step was cancelled at the end of the grace period.
+        """
+        limit = asyncio.timeout(None)
+        self._limits.add(limit)
+        try:
+            async with limit:
+                return await step
+        except TimeoutError as error:
+            if not limit.expired():
+                raise
+            raise HostStoppedError("this host has stopped") from error
+        finally:
+            self._limits.discard(limit)
+
     async def _forward(self, request: ClientRequest, sink: _CallerSink) -> Reply | None:
         if self._refuses_all:
-            raise OverloadedError("this host has stopped", retry_after_ms=STOPPING_RETRY_MS)
+            raise _refusal_of_stopped_host()
+        try:
+            return await self._run_until_stop(self._find_and_forward(request, sink))
+        except HostStoppedError as error:
+            if sink.response is not None:
+                raise StreamBrokenError("this host has stopped") from error
+            if not request.possible_runs:
+                raise _refusal_of_stopped_host() from error
+            raise
+
+    async def _find_and_forward(self, request: ClientRequest, sink: _CallerSink) -> Reply | None:
         index = self._follower.index
         if index is None:
             raise NotReadyError(
@@ -301,6 +350,10 @@
         return response
 
 
+def _refusal_of_stopped_host() -> OverloadedError:
+    return OverloadedError("this host has stopped", retry_after_ms=STOPPING_RETRY_MS)
+
+
 def build_readiness_server(ready: Callable[[], bool]) -> web.Server:
     """Returns the HTTP server for the readiness checks of the platform."""
 
--- a/src/medlarvale/forwarding/errors.py
+++ b/src/medlarvale/forwarding/errors.py
@@ -77,6 +77,13 @@
     http_status = 504
 
 
+class HostStoppedError(ForwardingError):
+    """The grace period of this host ended before the answer, and the request may have run."""
+
+    code = "host_stopped"
+    http_status = 504
+
+
 class StreamBrokenError(ForwardingError):
     """A started stream can't continue; its connection is closed without an end of the body."""
 
--- a/src/medlarvale/forwarding/host.py
+++ b/src/medlarvale/forwarding/host.py
@@ -54,7 +54,9 @@
 MIN_DRAIN_MS = 2_600.0
 # Part of the grace period that is reserved for closing connections before the kill.
 STOP_MARGIN_MS = 500.0
-STOP_POLL_MS = 50.0
+STOP_POLL_MS = 10.0
+# Time for the answers to requests that the end of the grace period ends, within STOP_MARGIN_MS.
+ANSWER_WAIT_MS = 200.0
 # Time for cancelled requests to end and for their cleanup calls to engines, within STOP_MARGIN_MS.
 ABORT_WAIT_MS = 20.0
 CLEANUP_TIMEOUT_MS = 200.0
@@ -331,6 +333,8 @@
         for runner in self._runners:
             for site in list(runner.sites):
                 await site.stop()
+        self.caller_server.end_requests()
+        await self._wait_until_idle(0.0, self.clock.now_ms() + ANSWER_WAIT_MS)
         self.caller_server.abort()
         # Let the cancelled requests release their engine memory.
         await self.clock.sleep_ms(ABORT_WAIT_MS)
--- a/src/medlarvale/forwarding/messages.py
+++ b/src/medlarvale/forwarding/messages.py
@@ -206,6 +206,7 @@
         resume_after: number of the last event that the caller has received.
         began_as: id of the caller's attempt that received the first event of a stream that this
             request continues; None if it names none.
+        possible_runs: number of sends to backend servers that may have started a run.
     """
 
     request_id: RequestId
@@ -221,6 +222,7 @@
     shared_parts: tuple[PromptPartId, ...] = ()
     resume_after: int | None = None
     began_as: RequestId | None = None
+    possible_runs: int = 0
 
     @property
     def is_continuation(self) -> bool:
--- a/src/medlarvale/platform/backends.py
+++ b/src/medlarvale/platform/backends.py
@@ -183,8 +183,13 @@
     ) -> HttpResponse:
         """Sends a request and waits for the head of the response."""
         headers = names.encode_request(request, server.server, dispatch)
-        response = await self._request(server, request, headers, dispatch.left_ms)
-        _raise_if_rejected(response)
+        request.possible_runs += 1
+        try:
+            response = await self._request(server, request, headers, dispatch.left_ms)
+            _raise_if_rejected(response)
+        except (NotSentError, RejectedError):
+            request.possible_runs -= 1
+            raise
         expected = headers.get(names.REQUEST_ID)
         if response.ok and response.headers.get(names.REQUEST_ID) != expected:
             response.close()
--- a/tests/forwarding/test_host.py
+++ b/tests/forwarding/test_host.py
@@ -6,10 +6,12 @@
 import socket
 import unittest
 from typing import Any
+from unittest import mock
 
 import aiohttp
 
 from medlarvale.forwarding.host import ForwardingHost
+from medlarvale.forwarding.memory import MemoryQueue
 from medlarvale.forwarding.messages import HostParameters
 from medlarvale.ids import FailureDomain, HostId
 from medlarvale.platform.backends import HttpBackends
@@ -305,15 +307,50 @@
         await host.drain()
         await host.close()
 
-    async def _answer(self, request_id: str) -> tuple[int, str | None] | None:
+    async def _answer(
+        self, request_id: str, path: str = "/book/1", **headers: str
+    ) -> tuple[int, str | None] | None:
         """Returns the status and ``Retry-After`` of an answer; None if there is none."""
         try:
-            async with self.call("/book/1", request_id) as response:
+            async with self.call(path, request_id, headers=headers) as response:
                 await response.read()
                 return response.status, response.headers.get("Retry-After")
         except aiohttp.ClientError:
             return None
 
+    async def test_requests_in_flight_at_the_end_of_a_planned_stop_are_answered(self) -> None:
+        """Guards against connections that the end of the grace period cuts without an answer: plain
+        calls in progress, streams that wait for memory and requests whose body is arriving."""
+        self.platform.timeout_ms = 30_000
+        await self.configure()
+        for server in self.servers.values():
+            server.delay_s = 60.0
+        with mock.patch.object(MemoryQueue, "acquire", lambda queue, request: asyncio.sleep(60.0)):
+            headers = {"X-Deadline-Ms": "20000"}
+            calls = {
+                path: asyncio.create_task(self._answer(path, path, **headers))
+                for path in ("/look/1", "/book/1", "/chat/1")
+            }
+            reader, writer = await asyncio.open_connection(IP, self.caller_port)
+            writer.write(
+                b"POST /book/2 HTTP/1.1\r\nHost: callers.example\r\nX-Request-Id: partial\r\n"
+                b"X-Deadline-Ms: 20000\r\nContent-Length: 10\r\n\r\nhalf"
+            )
+            await self.wait_until(lambda: self.host.caller_server.in_flight == 4)
+            await self.wait_until(lambda: len(self.platform.runs()) == 2)
+            await self._stop(self.host)
+            answers = {path: await call for path, call in calls.items()}
+        partial = await asyncio.wait_for(reader.readuntil(b"\r\n\r\n"), WAIT_S)
+        writer.close()
+        with self.subTest("calls that ran"):
+            self.assertEqual([answers["/look/1"], answers["/book/1"]], [(504, None)] * 2)
+        with self.subTest("stream that was not sent"):
+            self.assertEqual(answers["/chat/1"], (503, "0.1"))
+        with self.subTest("body that is arriving"):
+            self.assertTrue(partial.startswith(b"HTTP/1.1 503"), partial)
+            self.assertIn(b"Retry-After", partial)
+        self.assertNotIn("partial", self.platform.runs())
+
     async def test_engine_memory_is_released_at_the_end_of_the_grace_period(self) -> None:
         """Guards against calls on a closed session, which resulted in a 500, and against engine
         memory that stays reserved for callers of a stopped host."""
