Answer requests whose handler has not begun when a planned stop begins

Callers: a request that had been read completely was closed without an answer at the beginning of a planned stop; a caller may not repeat it if it may run only once.

Cause: only connections with a running handler counted as busy, and all others were closed as idle. Between the parser and the handler of a request lie two steps of the event loop.

Connections whose request is parsed, or handed to a handler that has not begun, are closed after their answer now, like those with a running handler.

Evidence: test_a_request_that_has_arrived_when_a_stop_begins_is_answered failed before with 0 and 1 steps of the loop between the parser and the stop (an empty answer), and passes now with 0, 1 and 2.

--- a/src/medlarvale/forwarding/caller_server.py
+++ b/src/medlarvale/forwarding/caller_server.py
@@ -6,6 +6,7 @@
 import random
 import socket
 import struct
+import weakref
 from collections.abc import Awaitable, Callable
 from typing import TypeVar
 
@@ -114,6 +115,11 @@
         self._rng = rng
         self._finished_callbacks: list[Callable[[str, str, float], None]] = []
         self._busy: set[web.RequestHandler] = set()
+        # Requests by connection until their handler begins. A connection that is lost before that
+        # drops its request.
+        self._arrived: weakref.WeakValueDictionary[web.RequestHandler, web.BaseRequest] = (
+            weakref.WeakValueDictionary()
+        )
         self._server: web.Server | None = None
         self._stop_admission = StopAdmission(clock, streams)
         self._closing = False
@@ -129,7 +135,7 @@
         """Returns the HTTP server for callers."""
 
         def new_request(message, payload, protocol, writer, task):  # type: ignore[no-untyped-def]
-            return web.BaseRequest(
+            request = web.BaseRequest(
                 message,
                 payload,
                 protocol,
@@ -138,6 +144,8 @@
                 asyncio.get_running_loop(),
                 client_max_size=MAX_BODY_BYTES,
             )
+            self._arrived[protocol] = request
+            return request
 
         self._server = web.Server(
             self._handle,
@@ -171,12 +179,17 @@
         self._stop_admission.begin_stop(informed_ms, end_ms)
         connections = self._server.connections if self._server is not None else []
         for connection in connections:
-            if connection in self._busy:
+            if self._has_request(connection):
                 connection.close()
             elif connection.transport is not None:
                 # connection.close() would leave an idle connection open without a reader.
                 connection.transport.close()
 
+    def _has_request(self, connection: web.RequestHandler) -> bool:
+        """Returns whether the head of a request has arrived that is not answered yet."""
+        parsed = connection._messages  # not handed to new_request() yet
+        return connection in self._busy or connection in self._arrived or bool(parsed)
+
     def refuse_new(self) -> None:
         """Refuses all requests from now on; those in flight go on."""
         self._refuses_all = True
@@ -202,6 +215,7 @@
 
     async def _handle(self, incoming: web.BaseRequest) -> web.StreamResponse:
         received_ms = self._clock.now_ms()
+        self._arrived.pop(incoming.protocol, None)
         self._busy.add(incoming.protocol)
         try:
             return await self._answer(incoming, received_ms)
--- a/tests/forwarding/test_host.py
+++ b/tests/forwarding/test_host.py
@@ -273,6 +273,34 @@
         self.assertIn(b"Retry-After", answer)
         writer.close()
 
+    async def test_a_request_that_has_arrived_when_a_stop_begins_is_answered(self) -> None:
+        """Guards against connections that are closed as idle although their request has been read:
+        a caller may not repeat it."""
+        await self.configure()
+        for steps in range(3):
+            with self.subTest(steps=steps):
+                host = await self.start_host(f"stop{steps}")
+                await self.wait_until(
+                    lambda host=host: host.ready() and len(host.servers) == len(self.servers)
+                )
+                reader, writer = await asyncio.open_connection(IP, self.caller_port)
+                http_server = host.caller_server._server
+                assert http_server is not None
+                await self.wait_until(lambda server=http_server: len(server.connections) == 1)
+                http_server.connections[0].data_received(
+                    b"POST /book/1 HTTP/1.1\r\nHost: callers.example\r\nX-Request-Id: q1\r\n"
+                    b"X-Deadline-Ms: 500\r\nContent-Length: 0\r\n\r\n"
+                )
+                # The request is handled some steps of the loop after it was parsed.
+                for _ in range(steps):
+                    await asyncio.sleep(0)
+                now_ms = host.clock.now_ms()
+                host.caller_server.begin_closing(now_ms, now_ms + 3_000.0)
+                answer = await asyncio.wait_for(reader.read(), WAIT_S)
+                writer.close()
+                self.assertTrue(answer.startswith(b"HTTP/1.1 200"), answer)
+                self.assertIn(b"connection: close", answer.lower())
+
     async def test_late_requests_in_a_planned_stop_are_refused_or_answered(self) -> None:
         """Guards against requests on new connections that a stopping host passes on although they
         can't end within its grace period (LOST)."""
