Wait in a planned stop until all answers have been sent

Callers: a long answer to a slow caller could be cut by the end of the process in a planned stop (LOST).

Cause: the host counted a request as finished when its handler had ended, which is before aiohttp has written the whole answer to the socket, and stopped as soon as no handler was running.

The host is idle now only when no connection of a caller has unsent bytes either; the grace period still bounds the wait.

Evidence: test_a_planned_stop_waits_until_answers_are_sent failed before ('a part of the answer has not been sent': drain() had returned with a caller that had not read its 16 MiB yet) and passes now.

--- a/src/medlarvale/forwarding/caller_server.py
+++ b/src/medlarvale/forwarding/caller_server.py
@@ -161,6 +161,15 @@
         """Number of requests whose answer is not complete."""
         return len(self._busy)
 
+    @property
+    def idle(self) -> bool:
+        """Whether no request is in flight and all answers have been sent."""
+        # aiohttp ends a handler before it has written the whole answer to the socket.
+        return not self._busy and not any(
+            connection.transport is not None and connection.transport.get_write_buffer_size()
+            for connection in self._connections()
+        )
+
     @property
     def closing(self) -> bool:
         """Whether connections are closed after their next answer."""
@@ -177,14 +186,16 @@
         """
         self._closing = True
         self._stop_admission.begin_stop(informed_ms, end_ms)
-        connections = self._server.connections if self._server is not None else []
-        for connection in connections:
+        for connection in self._connections():
             if self._has_request(connection):
                 connection.close()
             elif connection.transport is not None:
                 # connection.close() would leave an idle connection open without a reader.
                 connection.transport.close()
 
+    def _connections(self) -> list[web.RequestHandler]:
+        return self._server.connections if self._server is not None else []
+
     def _has_request(self, connection: web.RequestHandler) -> bool:
         """Returns whether the head of a request has arrived that is not answered yet."""
         parsed = connection._messages  # not handed to new_request() yet
--- a/src/medlarvale/forwarding/host.py
+++ b/src/medlarvale/forwarding/host.py
@@ -319,10 +319,10 @@
         await self._wait_until_idle(0.0, end_ms)
 
     async def _wait_until_idle(self, earliest_ms: float, end_ms: float) -> None:
-        """Waits until no request is in flight, at least until ``earliest_ms``."""
+        """Waits until all answers have been sent, at least until ``earliest_ms``."""
         while True:
             now_ms = self.clock.now_ms()
-            idle = now_ms >= earliest_ms and not self.caller_server.in_flight
+            idle = now_ms >= earliest_ms and self.caller_server.idle
             if idle or now_ms >= end_ms:
                 return
             await self.clock.sleep_ms(STOP_POLL_MS)
--- a/tests/forwarding/test_host.py
+++ b/tests/forwarding/test_host.py
@@ -9,11 +9,13 @@
 from unittest import mock
 
 import aiohttp
+from multidict import CIMultiDict
 
-from medlarvale.forwarding.host import ForwardingHost
+from medlarvale.forwarding.host import MIN_DRAIN_MS, ForwardingHost
 from medlarvale.forwarding.memory import MemoryQueue
 from medlarvale.forwarding.messages import HostParameters
-from medlarvale.ids import FailureDomain, HostId
+from medlarvale.forwarding.plain import PlainForwarder, Reply
+from medlarvale.ids import FailureDomain, HostId, ServerId
 from medlarvale.platform.backends import HttpBackends
 from medlarvale.platform.connections import BackendConnection, new_session
 from medlarvale.platform.incoming import decode_incoming
@@ -22,6 +24,8 @@
 
 IP = "127.0.0.1"
 WAIT_S = 5.0
+# More than the sockets of a connection buffer.
+LONG_ANSWER_BYTES = 16 * 1024 * 1024
 # Time between two calls to a host that stops.
 CALL_PERIOD_S = 0.05
 # Time for which the store keeps its history.
@@ -301,6 +305,28 @@
                 self.assertTrue(answer.startswith(b"HTTP/1.1 200"), answer)
                 self.assertIn(b"connection: close", answer.lower())
 
+    async def test_a_planned_stop_waits_until_answers_are_sent(self) -> None:
+        """Guards against a process that ends while a part of an answer is still in its buffer,
+        because the handler of the request has ended."""
+        await self.configure()
+        reply = Reply(200, CIMultiDict(), b"x" * LONG_ANSWER_BYTES, ServerId("s1"))
+        with mock.patch.object(PlainForwarder, "forward", mock.AsyncMock(return_value=reply)):
+            reader, writer = await asyncio.open_connection(IP, self.caller_port)
+            writer.transport.pause_reading()
+            writer.write(
+                b"POST /book/1 HTTP/1.1\r\nHost: callers.example\r\nX-Request-Id: q1\r\n"
+                b"X-Deadline-Ms: 3000\r\nContent-Length: 0\r\n\r\n"
+            )
+            await asyncio.sleep(0.2)
+            draining = asyncio.create_task(self.host.drain())
+            await asyncio.sleep(MIN_DRAIN_MS / 1000.0 + 0.2)
+            self.assertFalse(draining.done(), "a part of the answer has not been sent")
+            writer.transport.resume_reading()
+            answer = await asyncio.wait_for(reader.read(), WAIT_S)
+            await asyncio.wait_for(draining, 0.5)
+        writer.close()
+        self.assertEqual(len(answer.partition(b"\r\n\r\n")[2]), LONG_ANSWER_BYTES)
+
     async def test_late_requests_in_a_planned_stop_are_refused_or_answered(self) -> None:
         """Guards against requests on new connections that a stopping host passes on although they
         can't end within its grace period (LOST)."""
