--- a/src/medlarvale/forwarding/caller_server.py
+++ b/src/medlarvale/forwarding/caller_server.py
@@ -7,7 +7,9 @@
 import random
 import socket
 import struct
-from collections.abc import Callable, Iterator, Mapping
+import weakref
+from collections.abc import Awaitable, Callable, Iterator, Mapping
+from typing import TypeVar
 
 from aiohttp import HttpVersion11, web
 from multidict import CIMultiDict
@@ -19,9 +21,11 @@
     CallerGoneError,
     ForwardingError,
     HandOverError,
+    HostStoppedError,
     NoRouteError,
     NotReadyError,
     OverloadedError,
+    StreamBrokenError,
     UnexpectedError,
 )
 from medlarvale.forwarding.follower import StateFollower
@@ -30,6 +34,7 @@
 from medlarvale.forwarding.relay_client import Relay
 from medlarvale.forwarding.relay_messages import RELAYED_HEADER, RelayedAnswer, answer_of_error
 from medlarvale.forwarding.routes import choose_service
+from medlarvale.forwarding.stop_admission import STOPPING_RETRY_MS, StopAdmission
 from medlarvale.forwarding.streams import StreamForwarder
 from medlarvale.ids import ServiceName
 from medlarvale.logs import Event, log_info, log_warning
@@ -37,15 +42,12 @@
 # Maximum body size before the limit of a configuration is known.
 MAX_BODY_BYTES = 8 * 1024 * 1024
 NOT_READY_RETRY_MS = 500
-STOPPING_RETRY_MS = 100
-# Time after the start of closing from which new streams are refused. A long stream takes about 5 s,
-# which is the rest of the grace period.
-STREAM_CUTOFF_MS = 2_800.0
 # Callers may still use a connection after four fifths of the configured idle time, so connections
 # stay open for longer.
 KEEPALIVE_S = 75.0
 
 RequestDecoder = Callable[[web.BaseRequest, bytes, float], ClientRequest]
+_T = TypeVar("_T")
 
 
 @contextlib.contextmanager
@@ -148,9 +150,17 @@
         self._rng = rng
         self._finished_callbacks: list[Callable[[str, str, float], None]] = []
         self._busy: set[web.RequestHandler] = set()
+        # Requests by connection until their handler begins. A connection that is lost before that
+        # drops its request.
+        self._arrived: weakref.WeakValueDictionary[web.RequestHandler, web.BaseRequest] = (
+            weakref.WeakValueDictionary()
+        )
         self._server: web.Server | None = None
-        self._closing_since_ms: float | None = None
+        self._stop_admission = StopAdmission(clock, streams)
+        self._closing = False
         self._refuses_all = False
+        # Limits of the steps that the end of the grace period cancels.
+        self._limits: set[asyncio.Timeout] = set()
 
     def on_finished(self, callback: Callable[[str, str, float], None]) -> None:
         """Registers a callback for the route kind, outcome and duration in ms of each request."""
@@ -160,7 +170,7 @@
         """Returns the HTTP server for callers."""
 
         def new_request(message, payload, protocol, writer, task):  # type: ignore[no-untyped-def]
-            return web.BaseRequest(
+            request = web.BaseRequest(
                 message,
                 payload,
                 protocol,
@@ -169,6 +179,8 @@
                 asyncio.get_running_loop(),
                 client_max_size=MAX_BODY_BYTES,
             )
+            self._arrived[protocol] = request
+            return request
 
         self._server = web.Server(
             self._handle,
@@ -184,43 +196,72 @@
         """Number of requests whose answer is not complete."""
         return len(self._busy)
 
+    @property
+    def idle(self) -> bool:
+        """Whether no request is in flight and all answers have been sent."""
+        # aiohttp ends a handler before it has written the whole answer to the socket.
+        return not self._busy and not any(
+            connection.transport is not None and connection.transport.get_write_buffer_size()
+            for connection in self._connections()
+        )
+
     @property
     def closing(self) -> bool:
         """Whether connections are closed after their next answer."""
-        return self._closing_since_ms is not None
+        return self._closing
 
     def _closes_connections(self) -> bool:
         """Returns whether to close connections, so that callers reconnect to another host."""
         return self.closing or not self._ready()
 
-    def begin_closing(self) -> None:
-        """Closes idle connections at once and all others after their next answer."""
-        self._closing_since_ms = self._clock.now_ms()
-        connections = self._server.connections if self._server is not None else []
-        for connection in connections:
-            if connection in self._busy:
+    def begin_closing(self, informed_ms: float, end_ms: float) -> None:
+        """Closes idle connections at once and all others after their next answer.
+
+        Requests that may not end in time are refused; see ``StopAdmission.begin_stop``.
+        """
+        self._closing = True
+        self._stop_admission.begin_stop(informed_ms, end_ms)
+        for connection in self._connections():
+            if self._has_request(connection):
                 connection.close()
             elif connection.transport is not None:
                 # connection.close() would leave an idle connection open without a reader.
                 connection.transport.close()
 
+    def _connections(self) -> list[web.RequestHandler]:
+        return self._server.connections if self._server is not None else []
+
+    def _has_request(self, connection: web.RequestHandler) -> bool:
+        """Returns whether the head of a request has arrived that is not answered yet."""
+        parsed = connection._messages  # not handed to new_request() yet
+        return connection in self._busy or connection in self._arrived or bool(parsed)
+
     def refuse_new(self) -> None:
         """Refuses all requests from now on; those in flight go on."""
         self._refuses_all = True
 
+    def end_requests(self) -> None:
+        """Refuses requests that have not been sent and ends all others with an error.
+
+        A stream that has begun ends without the end of its body. Tasks clean up, and the number of
+        requests in flight goes down.
+        """
+        self.refuse_new()
+        now_s = asyncio.get_running_loop().time()
+        # The limits can't be changed again once they have expired.
+        limits, self._limits = self._limits, set()
+        for limit in limits:
+            limit.reschedule(now_s)
+
     def abort(self) -> None:
         """Aborts the connections of requests in flight; their tasks are cancelled and clean up."""
         for connection in list(self._busy):
             if connection.transport is not None:
                 connection.transport.abort()
 
-    def _refuses_streams(self) -> bool:
-        """Returns whether a stream that starts now would not end within the grace period."""
-        since_ms = self._closing_since_ms
-        return since_ms is not None and self._clock.now_ms() - since_ms > STREAM_CUTOFF_MS
-
     async def _handle(self, incoming: web.BaseRequest) -> web.StreamResponse:
         received_ms = self._clock.now_ms()
+        self._arrived.pop(incoming.protocol, None)
         self._busy.add(incoming.protocol)
         try:
             return await self._answer(incoming, received_ms)
@@ -231,9 +272,11 @@
         if incoming.headers.get("Expect", "").lower() == "100-continue":
             await incoming.writer.write(b"HTTP/1.1 100 Continue\r\n\r\n")
         try:
-            body = await incoming.read()
+            body = await self._run_until_stop(incoming.read())
         except web.HTTPRequestEntityTooLarge:
             return self._error_response(BodyTooLargeError("the body is too large"))
+        except HostStoppedError:
+            return self._error_response(_refusal_of_stopped_host())
         try:
             request = self._decode(incoming, body, received_ms)
         except ForwardingError as error:
@@ -286,9 +329,37 @@
         except Exception as error:
             raise UnexpectedError(repr(error)) from error
 
+    async def _run_until_stop(self, step: Awaitable[_T]) -> _T:
+        """Returns the result of a step of a request.
+
+        Raises:
+            HostStoppedError: if the step was cancelled at the end of the grace period.
+        """
+        limit = asyncio.timeout(None)
+        self._limits.add(limit)
+        try:
+            async with limit:
+                return await step
+        except TimeoutError as error:
+            if not limit.expired():
+                raise
+            raise HostStoppedError("this host has stopped") from error
+        finally:
+            self._limits.discard(limit)
+
     async def _forward(self, request: ClientRequest, sink: _CallerSink) -> Reply | None:
         if self._refuses_all:
-            raise OverloadedError("this host has stopped", retry_after_ms=STOPPING_RETRY_MS)
+            raise _refusal_of_stopped_host()
+        try:
+            return await self._run_until_stop(self._find_and_forward(request, sink))
+        except HostStoppedError as error:
+            if sink.response is not None:
+                raise StreamBrokenError("this host has stopped") from error
+            if not request.possible_runs:
+                raise _refusal_of_stopped_host() from error
+            raise
+
+    async def _find_and_forward(self, request: ClientRequest, sink: _CallerSink) -> Reply | None:
         index = self._follower.index
         if index is None:
             raise NotReadyError(
@@ -300,6 +371,7 @@
         if len(request.body) > index.table.limits.max_body_bytes:
             raise BodyTooLargeError("the body is larger than the configuration allows")
         service = choose_service(route, self._rng)
+        self._stop_admission.check(request, route, service)
         reply = await self._serve(request, route, service, sink)
         log_info(
             Event.REQUEST_FORWARDED,
@@ -337,9 +409,9 @@
         index = self._follower.index
         services = index.table.services if index is not None else {}
         if route.kind is not RouteKind.STREAM or service not in services:
-            return await self._plain.forward(request, route, service)
-        if self._refuses_streams():
-            raise OverloadedError("this host is stopping", retry_after_ms=STOPPING_RETRY_MS)
+            reply = await self._plain.forward(request, route, service)
+            self._stop_admission.note_plain_call(route, self._age_ms(request))
+            return reply
         return await self._streams.forward(request, route, service, sink)
 
     def _age_ms(self, request: ClientRequest) -> int:
@@ -391,6 +463,10 @@
         return response
 
 
+def _refusal_of_stopped_host() -> OverloadedError:
+    return OverloadedError("this host has stopped", retry_after_ms=STOPPING_RETRY_MS)
+
+
 def build_readiness_server(ready: Callable[[], bool]) -> web.Server:
     """Returns the HTTP server for the readiness checks of the platform."""
 
--- a/src/medlarvale/forwarding/host.py
+++ b/src/medlarvale/forwarding/host.py
@@ -56,7 +56,9 @@
 MIN_DRAIN_MS = 2_600.0
 # Part of the grace period that is reserved for closing connections before the kill.
 STOP_MARGIN_MS = 500.0
-STOP_POLL_MS = 50.0
+STOP_POLL_MS = 10.0
+# Time for the answers to requests that the end of the grace period ends, within STOP_MARGIN_MS.
+ANSWER_WAIT_MS = 200.0
 # Time for cancelled requests to end and for their cleanup calls to engines, within STOP_MARGIN_MS.
 ABORT_WAIT_MS = 20.0
 CLEANUP_TIMEOUT_MS = 200.0
@@ -367,21 +369,22 @@
     async def drain(self) -> None:
         """Stops accepting work and waits for requests in flight, within the grace period."""
         started_ms = self.clock.now_ms()
+        informed_ms = started_ms + MIN_DRAIN_MS
+        end_ms = started_ms + self._parameters.grace_ms - STOP_MARGIN_MS
         for server in self._request_servers:
-            server.begin_closing()
+            server.begin_closing(informed_ms, end_ms)
         log_info(Event.HOST_DRAINING, host=self._parameters.host, in_flight=self._in_flight())
-        end_ms = started_ms + self._parameters.grace_ms - STOP_MARGIN_MS
-        await self._wait_until_idle(started_ms + MIN_DRAIN_MS, end_ms)
+        await self._wait_until_idle(informed_ms, end_ms)
         # The end of the process would cut off a request that is accepted after the last check.
         for server in self._request_servers:
             server.refuse_new()
         await self._wait_until_idle(0.0, end_ms)
 
     async def _wait_until_idle(self, earliest_ms: float, end_ms: float) -> None:
-        """Waits until no request is in flight, at least until ``earliest_ms``."""
+        """Waits until all answers have been sent, at least until ``earliest_ms``."""
         while True:
             now_ms = self.clock.now_ms()
-            idle = now_ms >= earliest_ms and not self._in_flight()
+            idle = now_ms >= earliest_ms and all(server.idle for server in self._request_servers)
             if idle or now_ms >= end_ms:
                 return
             await self.clock.sleep_ms(STOP_POLL_MS)
@@ -392,6 +395,9 @@
         for runner in self._runners:
             for site in list(runner.sites):
                 await site.stop()
+        for server in self._request_servers:
+            server.end_requests()
+        await self._wait_until_idle(0.0, self.clock.now_ms() + ANSWER_WAIT_MS)
         for server in self._request_servers:
             server.abort()
         # Let the cancelled requests release their engine memory.
--- a/src/medlarvale/forwarding/relay_client.py
+++ b/src/medlarvale/forwarding/relay_client.py
@@ -267,7 +267,6 @@
         self._events = EventSplitter(request.resume_after)
         self._tried: set[HostId] = set()
         self._started = sink.started
-        self._may_have_run = False
         self._retry_after_ms: int | None = None
 
     def left_ms(self) -> float:
@@ -278,7 +277,7 @@
         """Returns the error that ends the request."""
         if self._started:
             return StreamBrokenError(message)
-        if not self._may_have_run:
+        if not self._request.possible_runs:
             retry_after_ms = self._retry_after_ms
             return OverloadedError(
                 message,
@@ -327,11 +326,11 @@
         )
         left_ms = self.left_ms()
         frame = relay._codec.encode(self._request, left_ms, peer, relay._clock.wall_ms())
-        self._may_have_run = True
+        self._request.possible_runs += 1
         try:
             answer = await relay._sender.send(address, frame, left_ms)
         except (NotSentError, RejectedError):
-            self._may_have_run = False
+            self._request.possible_runs -= 1
             raise
         try:
             return await self._pass_on(answer, peer)
--- a/tests/forwarding/test_host.py
+++ b/tests/forwarding/test_host.py
@@ -6,12 +6,16 @@
 import socket
 import unittest
 from typing import Any
+from unittest import mock
 
 import aiohttp
+from multidict import CIMultiDict
 
-from medlarvale.forwarding.host import ForwardingHost
+from medlarvale.forwarding.host import MIN_DRAIN_MS, ForwardingHost
+from medlarvale.forwarding.memory import MemoryQueue
 from medlarvale.forwarding.messages import HostParameters
-from medlarvale.ids import FailureDomain, HostId
+from medlarvale.forwarding.plain import PlainForwarder, Reply
+from medlarvale.ids import FailureDomain, HostId, ServerId
 from medlarvale.platform.backends import HttpBackends
 from medlarvale.platform.connections import BackendConnection, new_session
 from medlarvale.platform.incoming import decode_incoming
@@ -20,6 +24,10 @@
 
 IP = "127.0.0.1"
 WAIT_S = 5.0
+# More than the sockets of a connection buffer.
+LONG_ANSWER_BYTES = 16 * 1024 * 1024
+# Time between two calls to a host that stops.
+CALL_PERIOD_S = 0.05
 # Time for which the store keeps its history.
 HISTORY_MS = 20_000.0
 
@@ -258,7 +266,7 @@
         await draining
         writer.write(
             b"POST /book/1 HTTP/1.1\r\nHost: callers.example\r\nX-Request-Id: q1\r\n"
-            b"X-Deadline-Ms: 3000\r\nContent-Length: 0\r\n\r\n"
+            b"X-Deadline-Ms: 500\r\nContent-Length: 0\r\n\r\n"
         )
         await asyncio.sleep(0.05)
         await self.host.close()
@@ -269,6 +277,134 @@
         self.assertIn(b"Retry-After", answer)
         writer.close()
 
+    async def test_a_request_that_has_arrived_when_a_stop_begins_is_answered(self) -> None:
+        """Guards against connections that are closed as idle although their request has been read:
+        a caller may not repeat it."""
+        await self.configure()
+        for steps in range(3):
+            with self.subTest(steps=steps):
+                host = await self.start_host(f"stop{steps}")
+                await self.wait_until(
+                    lambda host=host: host.ready() and len(host.servers) == len(self.servers)
+                )
+                reader, writer = await asyncio.open_connection(IP, self.caller_port)
+                http_server = host.caller_server._server
+                assert http_server is not None
+                await self.wait_until(lambda server=http_server: len(server.connections) == 1)
+                http_server.connections[0].data_received(
+                    b"POST /book/1 HTTP/1.1\r\nHost: callers.example\r\nX-Request-Id: q1\r\n"
+                    b"X-Deadline-Ms: 500\r\nContent-Length: 0\r\n\r\n"
+                )
+                # The request is handled some steps of the loop after it was parsed.
+                for _ in range(steps):
+                    await asyncio.sleep(0)
+                now_ms = host.clock.now_ms()
+                host.caller_server.begin_closing(now_ms, now_ms + 3_000.0)
+                answer = await asyncio.wait_for(reader.read(), WAIT_S)
+                writer.close()
+                self.assertTrue(answer.startswith(b"HTTP/1.1 200"), answer)
+                self.assertIn(b"connection: close", answer.lower())
+
+    async def test_a_planned_stop_waits_until_answers_are_sent(self) -> None:
+        """Guards against a process that ends while a part of an answer is still in its buffer,
+        because the handler of the request has ended."""
+        await self.configure()
+        reply = Reply(200, CIMultiDict(), b"x" * LONG_ANSWER_BYTES, ServerId("s1"))
+        with mock.patch.object(PlainForwarder, "forward", mock.AsyncMock(return_value=reply)):
+            reader, writer = await asyncio.open_connection(IP, self.caller_port)
+            writer.transport.pause_reading()
+            writer.write(
+                b"POST /book/1 HTTP/1.1\r\nHost: callers.example\r\nX-Request-Id: q1\r\n"
+                b"X-Deadline-Ms: 3000\r\nContent-Length: 0\r\n\r\n"
+            )
+            await asyncio.sleep(0.2)
+            draining = asyncio.create_task(self.host.drain())
+            await asyncio.sleep(MIN_DRAIN_MS / 1000.0 + 0.2)
+            self.assertFalse(draining.done(), "a part of the answer has not been sent")
+            writer.transport.resume_reading()
+            answer = await asyncio.wait_for(reader.read(), WAIT_S)
+            await asyncio.wait_for(draining, 0.5)
+        writer.close()
+        self.assertEqual(len(answer.partition(b"\r\n\r\n")[2]), LONG_ANSWER_BYTES)
+
+    async def test_late_requests_in_a_planned_stop_are_refused_or_answered(self) -> None:
+        """Guards against requests on new connections that a stopping host passes on although they
+        can't end within its grace period (LOST)."""
+        await self.configure()
+        for run_s in (0.3, 0.8, 1.5):
+            with self.subTest(run_s=run_s):
+                self.servers["s1"].delay_s = self.servers["s2"].delay_s = run_s
+                await self._call_until_closed(f"late-{run_s}")
+
+    async def _call_until_closed(self, prefix: str) -> None:
+        """Sends calls throughout a planned stop; each is answered, or refused and not run."""
+        host = await self.start_host(prefix)
+        await self.wait_until(lambda: host.ready() and len(host.servers) == len(self.servers))
+        stop = asyncio.create_task(self._stop(host))
+        answers: dict[str, asyncio.Task[tuple[int, str | None] | None]] = {}
+        while not stop.done():
+            request_id = f"{prefix}-{len(answers)}"
+            answers[request_id] = asyncio.create_task(self._answer(request_id))
+            await asyncio.sleep(CALL_PERIOD_S)
+        await asyncio.gather(*answers.values())
+        runs = self.platform.runs()
+        results = {request_id: task.result() for request_id, task in answers.items()}
+        cut = [name for name, result in results.items() if result is None and runs[name]]
+        self.assertEqual(cut, [], "requests that ran and have no answer")
+        refused = {name: result for name, result in results.items() if result and result[0] != 200}
+        self.assertEqual({status for status, _ in refused.values()}, {503})
+        self.assertNotIn(None, [retry_after for _, retry_after in refused.values()])
+        self.assertEqual([name for name in refused if runs[name]], [])
+        self.assertIn((200, None), results.values())
+
+    async def _stop(self, host: ForwardingHost) -> None:
+        await host.drain()
+        await host.close()
+
+    async def _answer(
+        self, request_id: str, path: str = "/book/1", **headers: str
+    ) -> tuple[int, str | None] | None:
+        """Returns the status and ``Retry-After`` of an answer; None if there is none."""
+        try:
+            async with self.call(path, request_id, headers=headers) as response:
+                await response.read()
+                return response.status, response.headers.get("Retry-After")
+        except aiohttp.ClientError:
+            return None
+
+    async def test_requests_in_flight_at_the_end_of_a_planned_stop_are_answered(self) -> None:
+        """Guards against connections that the end of the grace period cuts without an answer: plain
+        calls in progress, streams that wait for memory and requests whose body is arriving."""
+        self.platform.timeout_ms = 30_000
+        await self.configure()
+        for server in self.servers.values():
+            server.delay_s = 60.0
+        with mock.patch.object(MemoryQueue, "acquire", lambda queue, request: asyncio.sleep(60.0)):
+            headers = {"X-Deadline-Ms": "20000"}
+            calls = {
+                path: asyncio.create_task(self._answer(path, path, **headers))
+                for path in ("/look/1", "/book/1", "/chat/1")
+            }
+            reader, writer = await asyncio.open_connection(IP, self.caller_port)
+            writer.write(
+                b"POST /book/2 HTTP/1.1\r\nHost: callers.example\r\nX-Request-Id: partial\r\n"
+                b"X-Deadline-Ms: 20000\r\nContent-Length: 10\r\n\r\nhalf"
+            )
+            await self.wait_until(lambda: self.host.caller_server.in_flight == 4)
+            await self.wait_until(lambda: len(self.platform.runs()) == 2)
+            await self._stop(self.host)
+            answers = {path: await call for path, call in calls.items()}
+        partial = await asyncio.wait_for(reader.readuntil(b"\r\n\r\n"), WAIT_S)
+        writer.close()
+        with self.subTest("calls that ran"):
+            self.assertEqual([answers["/look/1"], answers["/book/1"]], [(504, None)] * 2)
+        with self.subTest("stream that was not sent"):
+            self.assertEqual(answers["/chat/1"], (503, "0.1"))
+        with self.subTest("body that is arriving"):
+            self.assertTrue(partial.startswith(b"HTTP/1.1 503"), partial)
+            self.assertIn(b"Retry-After", partial)
+        self.assertNotIn("partial", self.platform.runs())
+
     async def test_engine_memory_is_released_at_the_end_of_the_grace_period(self) -> None:
         """Guards against calls on a closed session, which resulted in a 500, and against engine
         memory that stays reserved for callers of a stopped host."""
