Let an odd entry of the store harm no host

Callers and operators saw: with one odd entry in the store, a starting host never got ready and a running one followed no further change, or requests were answered with 500.

Cause: msgspec raises RecursionError for deep nesting, also in fields that it ignores, and binascii a plain ValueError for text that is not ASCII; neither was caught for a single entry. Ids, addresses and numbers were not checked: the HTTP client raises ValueError or OverflowError for them outside of its own errors, and integers beyond 64 bits can't be encoded for the peers.

The entry decoders turn these errors into EntryError, check ids and IPv4 addresses with ports, and bound numbers and names, so that such an entry names no server and the others hold. A listed server stays while the store is watched, and lapses after a new read of the whole list, as before. Each revision of an unusable entry is logged once: the list is read again after each outage.

--- a/src/medlarvale/errors.py
+++ b/src/medlarvale/errors.py
@@ -4,6 +4,11 @@
 
 import enum
 
+import msgspec
+
+# Besides its own errors, msgspec raises RecursionError for deep nesting, also in ignored fields.
+DECODE_ERRORS = (msgspec.MsgspecError, UnicodeDecodeError, RecursionError)
+
 
 class Outcome(enum.Enum):
     """Outcome of a request at the time its caller receives an answer or an error."""
--- a/src/medlarvale/platform/entries.py
+++ b/src/medlarvale/platform/entries.py
@@ -2,9 +2,12 @@
 
 from __future__ import annotations
 
+import ipaddress
+from typing import Annotated
+
 import msgspec
 
-from medlarvale.errors import MedlarvaleError
+from medlarvale.errors import DECODE_ERRORS, MedlarvaleError
 from medlarvale.forwarding.messages import (
     EngineStage,
     EngineTraits,
@@ -22,6 +25,22 @@
 CONFIG_KEY = "op/config"
 SERVER_PREFIX = "servers/"
 
+# The largest integer up to which a float represents each one; peers can encode it too.
+MAX_NUMBER = 2**53
+MAX_PORT = 65_535
+MAX_ADDRESS_CHARS = len("255.255.255.255:65535")
+MAX_NAME_CHARS = 1_024
+# Error messages name at most this much of an id.
+MAX_SHOWN_CHARS = 100
+
+_Count = Annotated[int, msgspec.Meta(ge=0, le=MAX_NUMBER)]
+# Divides the load of an engine.
+_Capacity = Annotated[int, msgspec.Meta(ge=1, le=MAX_NUMBER)]
+_Amount = Annotated[float, msgspec.Meta(ge=0, le=MAX_NUMBER)]
+_Name = Annotated[str, msgspec.Meta(max_length=MAX_NAME_CHARS)]
+_RequiredName = Annotated[str, msgspec.Meta(min_length=1, max_length=MAX_NAME_CHARS)]
+_Address = Annotated[str, msgspec.Meta(max_length=MAX_ADDRESS_CHARS)]
+
 ROUTE_KINDS = {
     "safe": RouteKind.SAFE,
     "unsafe": RouteKind.UNSAFE,
@@ -37,7 +56,7 @@
 
 class _TargetFields(msgspec.Struct, rename="pascal"):
     service: str
-    weight: float
+    weight: _Amount
 
 
 class _RouteFields(msgspec.Struct, rename="pascal"):
@@ -45,61 +64,63 @@
     host: str
     path_prefix: str
     kind: str
-    timeout_ms: float
-    target_latency_ms: float
-    priority: int = 5
+    timeout_ms: _Amount
+    target_latency_ms: _Amount
+    priority: _Count = 5
     # A route has one Service, or several with weights in Split.
     service: str = ""
     split: list[_TargetFields] = []
-    max_attempts: int = 1
+    max_attempts: _Count = 1
     resumable: bool = False
-    gap_target_ms: float = 0.0
+    gap_target_ms: _Amount = 0.0
 
 
 class _EngineFields(msgspec.Struct, rename="pascal", kw_only=True):
-    slots: int
-    memory_tokens: int = msgspec.field(name="KvTokenCapacity")
+    slots: _Capacity
+    memory_tokens: _Capacity = msgspec.field(name="KvTokenCapacity")
     # Despite its name, KvHoldS concerns no hold: it is how long a prefill's KV cache is kept.
     # HoldMs is the longest duration of a reservation.
-    handle_ttl_s: float = msgspec.field(name="KvHoldS", default=0.5)
-    hold_ttl_ms: float = msgspec.field(name="HoldMs", default=0.0)
-    switch_s: float = 0.0
+    handle_ttl_s: _Amount = msgspec.field(name="KvHoldS", default=0.5)
+    hold_ttl_ms: _Amount = msgspec.field(name="HoldMs", default=0.0)
+    switch_s: _Amount = 0.0
 
 
 class _ServiceFields(msgspec.Struct, rename="pascal"):
     name: str
-    max_connections: int = msgspec.field(name="MaxConns")
+    max_connections: _Count = msgspec.field(name="MaxConns")
     engine: _EngineFields | None = None
 
 
 class _LimitFields(msgspec.Struct, rename="pascal"):
-    max_header_bytes: int
-    max_body_bytes: int
-    header_timeout_ms: float
-    idle_timeout_ms: float
+    max_header_bytes: _Count
+    max_body_bytes: _Count
+    header_timeout_ms: _Amount
+    idle_timeout_ms: _Amount
 
 
 class _ConfigFields(msgspec.Struct, rename="pascal"):
-    version: int
+    version: _Count
     routes: list[_RouteFields]
     services: list[_ServiceFields]
     limits: _LimitFields
 
 
 class _ServerFields(msgspec.Struct, rename="pascal", kw_only=True):
-    service: str
-    address: str
-    failure_domain: str = msgspec.field(name="Zone")
-    slots: int
+    service: _RequiredName
+    address: _Address
+    failure_domain: _Name = msgspec.field(name="Zone")
+    slots: _Count
     state: ServerState
     stage: EngineStage | None = None
-    cold_left_ms: float = 0.0
+    cold_left_ms: _Amount = 0.0
     # Version of the software; the versions of the weights are in Models.
-    software: str = msgspec.field(name="Version", default="")
+    software: _Name = msgspec.field(name="Version", default="")
     # Start time of the server.
-    born_ms: int = msgspec.field(name="born", default=0)
-    heartbeats: int = msgspec.field(name="Sequence", default=0)
+    born_ms: _Count = msgspec.field(name="born", default=0)
+    heartbeats: _Count = msgspec.field(name="Sequence", default=0)
+
 
+_BROADCAST = ipaddress.IPv4Address("255.255.255.255")
 
 _config_decoder = msgspec.json.Decoder(_ConfigFields)
 _server_decoder = msgspec.json.Decoder(_ServerFields)
@@ -124,7 +145,7 @@
                 fields.limits.idle_timeout_ms,
             ),
         )
-    except (msgspec.MsgspecError, KeyError, UnicodeDecodeError) as error:
+    except (*DECODE_ERRORS, KeyError) as error:
         raise EntryError(f"{CONFIG_KEY}: {error}") from error
 
 
@@ -162,16 +183,21 @@
     """Returns the backend server that an entry describes.
 
     Raises:
-        EntryError: if the entry is invalid or its address has no port.
+        EntryError: if the entry is invalid, or its id or address can't be used.
     """
+    shown = repr(key[:MAX_SHOWN_CHARS])
+    server = key.removeprefix(SERVER_PREFIX)
+    # The id is sent in a header.
+    if not server.isprintable() or server.strip() != server or not server:
+        raise EntryError(f"{shown}: unusable id")
     try:
         fields = _server_decoder.decode(value)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
-        raise EntryError(f"{key}: {error}") from error
-    if ":" not in fields.address:
-        raise EntryError(f"{key}: address without a port: {fields.address!r}")
+    except DECODE_ERRORS as error:
+        raise EntryError(f"{shown}: {error}") from error
+    if not _is_usable_address(fields.address):
+        raise EntryError(f"{shown}: no usable IPv4 address and port: {fields.address!r}")
     return Server(
-        ServerId(key.removeprefix(SERVER_PREFIX)),
+        ServerId(server),
         ServiceName(fields.service),
         fields.address,
         FailureDomain(fields.failure_domain),
@@ -183,3 +209,17 @@
         fields.heartbeats,
         SoftwareVersion(fields.software),
     )
+
+
+def _is_usable_address(text: str) -> bool:
+    """Returns whether a text is the IPv4 address and port of one host."""
+    ip_text, _, port = text.rpartition(":")
+    try:
+        ip = ipaddress.IPv4Address(ip_text)
+    except ValueError:
+        return False
+    if ip.is_unspecified or ip.is_multicast or ip == _BROADCAST:
+        return False
+    # A leading zero would make two texts of one address.
+    is_number = port.isascii() and port.isdigit() and not port.startswith("0")
+    return is_number and int(port) <= MAX_PORT
--- a/src/medlarvale/platform/standin.py
+++ b/src/medlarvale/platform/standin.py
@@ -66,8 +66,11 @@
 
     async def put(self, key: str, value: dict[str, Any]) -> None:
         """Writes an item."""
+        await self.put_bytes(key, json.dumps(value).encode())
+
+    async def put_bytes(self, key: str, data: bytes) -> None:
+        """Writes an item with any value."""
         self.revision += 1
-        data = json.dumps(value).encode()
         self.items[key] = (data, self.revision)
         self.history.append(self._item(key))
         async with self._changed:
--- a/src/medlarvale/platform/store.py
+++ b/src/medlarvale/platform/store.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 import binascii
+from collections import OrderedDict
 
 import aiohttp
 import msgspec
 from yarl import URL
 
+from medlarvale.errors import DECODE_ERRORS
 from medlarvale.forwarding.errors import BackendError, HistoryGoneError, PublishedStateError
 from medlarvale.forwarding.messages import (
     PublishedState,
@@ -37,6 +39,8 @@
 MAX_PAGES = 100
 # A page has up to 1 MB, and a value of up to 1 MiB takes a third more as base64 text.
 MAX_PAGE_BYTES = 8 * 1024 * 1024
+# Number of unusable entries that are remembered, so that each is logged once.
+REMEMBERED_UNUSABLE = 4_096
 # Rises by one each time that the store comes back from an older copy.
 ERA_HEADER = "Store-Era"
 
@@ -74,6 +78,7 @@
         self._base = URL(f"http://{address}")
         self._range_decoder = msgspec.json.Decoder(_Range)
         self._watch_decoder = msgspec.json.Decoder(_Watch)
+        self._unusable: OrderedDict[tuple[str, int], None] = OrderedDict()
         self.calls = 0
 
     async def read(self) -> PublishedState:
@@ -96,7 +101,7 @@
             # repeats the changes made while later pages were read.
             revision = page.current if revision is None else min(revision, page.current)
             for item in page.items:
-                record = _decode_item(item)
+                record = self._decode_item(item)
                 if isinstance(record, RouteTable):
                     table = record
                 if isinstance(record, Server):
@@ -122,11 +127,11 @@
         body, era = await self._get("/kv-watch", query, wait_ms + WATCH_SLACK_MS)
         try:
             watched = self._watch_decoder.decode(body)
-        except msgspec.MsgspecError as error:
+        except DECODE_ERRORS as error:
             raise PublishedStateError(f"invalid response to a watch: {error}") from error
         items: list[RouteTable | Server | ServerId] = []
         for event in watched.events:
-            record = _decode_item(event)
+            record = self._decode_item(event)
             if record is not None:
                 items.append(record)
         return StateChanges(tuple(items), StoreRevision(watched.current), era)
@@ -134,9 +139,38 @@
     def _decode_range(self, body: bytes) -> _Range:
         try:
             return self._range_decoder.decode(body)
-        except msgspec.MsgspecError as error:
+        except DECODE_ERRORS as error:
             raise PublishedStateError(f"invalid response to a read: {error}") from error
 
+    def _decode_item(self, item: _Item) -> RouteTable | Server | ServerId | None:
+        """Decodes an item; returns None for unrelated keys and for invalid values."""
+        if item.key.startswith(SERVER_PREFIX):
+            if item.deleted:
+                return ServerId(item.key.removeprefix(SERVER_PREFIX))
+        elif item.key != CONFIG_KEY or item.deleted:
+            return None
+        try:
+            value = binascii.a2b_base64(item.value)
+            if item.key == CONFIG_KEY:
+                return decode_config(value)
+            return decode_server(item.key, value)
+        except (ValueError, EntryError) as error:
+            # binascii raises a plain ValueError for text that isn't ASCII.
+            self._log_unusable(item, error)
+            return None
+
+    def _log_unusable(self, item: _Item, error: Exception) -> None:
+        """Logs an entry that can't be used, unless this revision of it has been logged."""
+        entry = (item.key, item.revision)
+        if entry in self._unusable:
+            return
+        self._unusable[entry] = None
+        if len(self._unusable) > REMEMBERED_UNUSABLE:
+            self._unusable.popitem(last=False)
+        log_warning(
+            Event.STORE_ENTRY_UNUSABLE, key=item.key, revision=item.revision, error=str(error)
+        )
+
     async def _get(
         self, path: str, query: dict[str, str], timeout_ms: float
     ) -> tuple[bytes, StoreEra]:
@@ -168,20 +202,3 @@
         return StoreEra(int(text))
     log_warning(Event.STORE_ENTRY_UNUSABLE, key=ERA_HEADER, revision=0, error=repr(text))
     return StoreEra(0)
-
-
-def _decode_item(item: _Item) -> RouteTable | Server | ServerId | None:
-    """Decodes an item; returns None for unrelated keys and for invalid values, which are logged."""
-    if item.key.startswith(SERVER_PREFIX):
-        if item.deleted:
-            return ServerId(item.key.removeprefix(SERVER_PREFIX))
-    elif item.key != CONFIG_KEY or item.deleted:
-        return None
-    try:
-        value = binascii.a2b_base64(item.value)
-        return decode_config(value) if item.key == CONFIG_KEY else decode_server(item.key, value)
-    except (binascii.Error, EntryError) as error:
-        log_warning(
-            Event.STORE_ENTRY_UNUSABLE, key=item.key, revision=item.revision, error=str(error)
-        )
-        return None
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -5,6 +5,7 @@
 import unittest
 from base64 import b64encode
 from typing import Any
+from unittest import mock
 
 from aiohttp import web
 from aiohttp.test_utils import TestServer
@@ -12,9 +13,10 @@
 from medlarvale.forwarding.errors import HistoryGoneError, PublishedStateError
 from medlarvale.forwarding.messages import RouteTable, Server, StoreRevision
 from medlarvale.ids import ServerId
+from medlarvale.logs import Event
 from medlarvale.platform.connections import new_session
 from medlarvale.platform.store import PlatformStore
-from tests.platform.test_entries import CONFIG, SERVER, encoded
+from tests.platform.test_entries import CONFIG, DEEP_LIST, DEEP_OBJECT, SERVER, encoded
 
 
 def item(key: str, value: bytes, revision: int = 1) -> dict[str, Any]:
@@ -40,6 +42,8 @@
                 return web.Response()
             era = self.eras.pop(0) if self.eras else None
             headers = {} if era is None else {"Store-Era": era}
+            if isinstance(body, bytes):
+                return web.Response(status=status, body=body, headers=headers)
             return web.json_response(body, status=status, headers=headers)
 
         app = web.Application()
@@ -92,6 +96,10 @@
                         item("servers/i-2", encoded(SERVER)),
                         item("servers/i-3", encoded(SERVER | {"State": "odd"})),
                         {"Key": "servers/i-4", "Value": "?", "Revision": 3},
+                        {"Key": "servers/i-5", "Value": "\u00e9", "Revision": 3},
+                        {"Key": "servers/i-6", "Value": "QQ", "Revision": 3},
+                        item("servers/i-7", DEEP_OBJECT),
+                        item("servers/i\r\n8", encoded(SERVER)),
                         item("something/else", b"x"),
                     ],
                     "HasMore": False,
@@ -103,6 +111,29 @@
         self.assertIsNone(published.table)
         self.assertEqual([server.server for server in published.servers], ["i-2"])
 
+    async def test_an_odd_entry_is_logged_once(self) -> None:
+        """Guards against a log that an odd entry fills with each read of the list."""
+        odd = [item("servers/i-1", DEEP_OBJECT, 3), item("op/config", b"[]", 4)]
+        rewritten = item("servers/i-1", b"[]", 8)
+        self.answers = [
+            (200, page(*odd, revision=7)),
+            (200, page(*odd, revision=7)),
+            (200, {"events": [rewritten], "CurrentRev": 8}),
+            (200, page(odd[1], rewritten, revision=8)),
+        ]
+        with mock.patch("medlarvale.platform.store.log_warning") as log_warning:
+            await self.store.read()
+            await self.store.read()
+            await self.store.watch(StoreRevision(7), 10)
+            await self.store.read()
+        logged = [
+            (call.args[0], call.kwargs["key"], call.kwargs["revision"])
+            for call in log_warning.call_args_list
+        ]
+        unusable = Event.STORE_ENTRY_UNUSABLE
+        expected = [(unusable, "servers/i-1", 3), (unusable, "op/config", 4)]
+        self.assertEqual(logged, [*expected, (unusable, "servers/i-1", 8)])
+
     async def test_watch_returns_changes_and_removals(self) -> None:
         self.answers = [
             (
@@ -133,6 +164,10 @@
             ("down", (503, {}), PublishedStateError),
             ("reset", (0, None), PublishedStateError),
             ("invalid body", (200, ["no"]), PublishedStateError),
+            ("deep list", (200, DEEP_LIST), PublishedStateError),
+            ("deep object", (200, DEEP_OBJECT), PublishedStateError),
+            ("invalid UTF-8", (200, b'{"\xff":"\xff"}'), PublishedStateError),
+            ("huge number", (200, b'{"CurrentRev":' + b"9" * 5_000 + b"}"), PublishedStateError),
             ("history gone", (410, {}), HistoryGoneError),
         ]
         for name, answer, expected in table:
