Treat numbers of callers that can't be converted as absent

Callers saw 500 for X-Deadline-Ms, X-Token-Counts, X-Length-Hint or Last-Event-Id with thousands of digits or a digit that isn't ASCII.

Cause: str.isdigit() accepts more than int() does, int() refuses more than 4,300 digits, and a float holds no integer of 400 digits.

Evidence: test_headers.py failed in 5 cases (ValueError, OverflowError) and test_host.py, test_odd_numbers_in_a_request_are_no_failure_of_the_host, in 17 (status 500; one of them, Last-Event-Id "nan", was of the stand-in engine).

A number has at most 19 ASCII digits now; any other one is invalid, and an invalid optional header is treated as absent. The stand-in engine ignores an invalid Last-Event-Id.

--- a/src/medlarvale/platform/headers.py
+++ b/src/medlarvale/platform/headers.py
@@ -69,6 +69,8 @@
 )
 # Bounds the time to an answer for callers that send no deadline.
 DEFAULT_DEADLINE_MS = 30_000.0
+# A number with more digits may not fit in 64 bits.
+MAX_DIGITS = 19
 
 
 def _hop_by_hop_names(headers: CIMultiDictProxy[str]) -> frozenset[str]:
@@ -91,9 +93,10 @@
 
 
 def _parse_unsigned(text: str | None) -> int | None:
-    if text is None or not text.strip().isdigit():
+    digits = "" if text is None else text.strip()
+    if not (digits.isascii() and digits.isdigit()) or len(digits) > MAX_DIGITS:
         return None
-    return int(text)
+    return int(digits)
 
 
 def is_refusal(status: int, headers: MultiMapping[str]) -> bool:
--- a/src/medlarvale/platform/standin.py
+++ b/src/medlarvale/platform/standin.py
@@ -249,7 +249,8 @@
         if part:
             self.cached[part] = int(tokens)
         began_as = request.headers.get("Resumes", request_id)
-        first = int(request.headers.get("Last-Event-Id", "0")) + 1
+        last = request.headers.get("Last-Event-Id", "")
+        first = 1 + (int(last) if last.isascii() and last.isdigit() and len(last) < 20 else 0)
         response = web.StreamResponse(
             headers=self._signed(request_id) | {"Content-Type": "text/event-stream"}
         )
--- a/tests/forwarding/test_host.py
+++ b/tests/forwarding/test_host.py
@@ -142,6 +142,17 @@
                 self.assertEqual(await self.status(path, data=body), expected)
         self.assertEqual(self.servers["s1"].runs + self.servers["s2"].runs, [])
 
+    async def test_odd_numbers_in_a_request_are_no_failure_of_the_host(self) -> None:
+        """Guards against a 500 for numbers of a caller that can't be converted."""
+        await self.configure()
+        for name in ("X-Deadline-Ms", "X-Token-Counts", "X-Length-Hint", "Last-Event-Id"):
+            for text in ("9" * 19, "9" * 30, "9" * 5_000, "\u00b2", "-1", "nan"):
+                value = f"{text},{text}" if name == "X-Token-Counts" and len(text) < 4_000 else text
+                for path in ("/book/1", "/chat/1"):
+                    with self.subTest(name=name, text=text[:40], path=path):
+                        status = await self.status(path, headers={name: value})
+                        self.assertNotEqual(status, 500)
+
     async def test_a_change_of_the_configuration_takes_effect(self) -> None:
         """Guards against requests that are routed by an older version (CONFIG)."""
         await self.configure()
--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -14,7 +14,7 @@
     TokenCounts,
 )
 from medlarvale.ids import FailureDomain, ServerId, ServiceName
-from medlarvale.platform.headers import decode_request, encode_request
+from medlarvale.platform.headers import DEFAULT_DEADLINE_MS, decode_request, encode_request
 
 ENGINE = Server(
     ServerId("i-1"), ServiceName("llm"), "10.1.64.9:80", FailureDomain("a"), 64, ServerState.READY
@@ -76,6 +76,19 @@
         self.assertGreater(decoded(X_Deadline_Ms="soon").deadline_ms, 0.0)
         self.assertEqual(decoded(Last_Event_Id="12").resume_after, 12)
 
+    def test_odd_numbers_are_treated_as_absent(self) -> None:
+        """Guards against a 500 for numbers that can't be converted, or are no time or size."""
+        for text in ("9" * 20, "9" * 400, "9" * 5_000, "\u00b2", "\u0663", "-1", "1e5", "nan", ""):
+            with self.subTest(text[:40]):
+                request = decoded(
+                    X_Deadline_Ms=text, X_Token_Counts=f"{text},{text}", Last_Event_Id=text
+                )
+                self.assertEqual(request.deadline_ms, DEFAULT_DEADLINE_MS)
+                self.assertIsNone(request.tokens)
+                self.assertIsNone(request.resume_after)
+                tokens = decoded(X_Token_Counts="10,20", X_Length_Hint=text).tokens
+                self.assertEqual(tokens, TokenCounts(10, 20))
+
     def test_the_attempt_that_began_a_stream_is_decoded(self) -> None:
         """Guards against the rest of a stream from another version than its beginning."""
         for headers, expected in (
