Take an event with a number of thousands of digits for no event

Callers of a stream saw an answer that broke off with an unexpected error when an engine sent an event whose id has more digits than int() converts.

Cause: int() raises ValueError for more than 4,300 digits, which the stream's run does not handle as a fault of the engine.

Such an id is no number of an event now, so the splitter reports the fault as BackendError, and the stream goes on at another engine.

--- a/src/medlarvale/forwarding/events.py
+++ b/src/medlarvale/forwarding/events.py
@@ -17,7 +17,8 @@
 _EVENT_END = re.compile(rb"\r\n\r\n|\n\n|\r\r")
 _LINE_END = re.compile(rb"\r\n|\n|\r")
 _EVENT_DATA = re.compile(rb"^data:", re.MULTILINE)
-_EVENT_ID = re.compile(rb"id: ?(\d+)")
+# A number with more digits may not fit in 64 bits.
+_EVENT_ID = re.compile(rb"id: ?(\d{1,19})")
 # Servers may add fields of their own to an event. Lines of other text, and header names, which
 # usually have capitals, are none.
 _FIELD = re.compile(rb"[a-z][a-z0-9-]*:")
--- a/tests/forwarding/test_stream_events.py
+++ b/tests/forwarding/test_stream_events.py
@@ -47,6 +47,7 @@
     "text like a field": Foreign(b"error: full\n\n"),
     "HTML": Foreign(b"<p>data: none</p>\n\n"),
     "an event without an id": Foreign(b"data: token\n\n" + events(4, 5)),
+    "an id that is no number of an event": Foreign(b"id: " + b"9" * 5_000 + b"\ndata: token\n\n"),
     "an id without data": Foreign(b"id: 4\n\n" + events(5, 5)),
     "an id that is no number": Foreign(b"id: four\ndata: token\n\n"),
     "two ids": Foreign(b"id: 4\nid: 5\ndata: token\n\n"),
