Take odd answers of engines for failures of their calls

Callers saw an answer with an unexpected error, and tasks ended, when an engine's answer to a short call was deeply nested or named a hold or handle with line ends.

Cause: msgspec raises RecursionError for deep nesting, also in fields that it ignores; holds and handles were put into headers and paths as they came, and numbers were not bounded.

All such answers raise BackendError now, which the callers of these calls handle. The names of holds and handles are visible ASCII, and quoted in paths. The bounds of numbers move to forwarding.messages, where the store's entries use them too.

--- a/src/medlarvale/forwarding/messages.py
+++ b/src/medlarvale/forwarding/messages.py
@@ -4,7 +4,7 @@
 
 import enum
 from collections.abc import Mapping
-from typing import NewType
+from typing import Annotated, NewType
 
 import msgspec
 from multidict import CIMultiDict
@@ -26,6 +26,14 @@
 # Number of times that the store has lost a part of its history and come back from an older copy.
 StoreEra = NewType("StoreEra", int)
 
+# The largest integer up to which a float represents each one; MessagePack can encode it too.
+MAX_NUMBER = 2**53
+
+Count = Annotated[int, msgspec.Meta(ge=0, le=MAX_NUMBER)]
+# A divisor.
+Capacity = Annotated[int, msgspec.Meta(ge=1, le=MAX_NUMBER)]
+Amount = Annotated[float, msgspec.Meta(ge=0, le=MAX_NUMBER)]
+
 
 class RouteKind(enum.Enum):
     """Determines how often a request of a route may run."""
--- a/src/medlarvale/platform/backends.py
+++ b/src/medlarvale/platform/backends.py
@@ -5,13 +5,15 @@
 import asyncio
 from collections import OrderedDict
 from collections.abc import AsyncIterator, Mapping
-from typing import Any
+from typing import Annotated, Any
+from urllib.parse import quote
 
 import aiohttp
 import msgspec
 from multidict import CIMultiDict
 from yarl import URL
 
+from medlarvale.errors import DECODE_ERRORS
 from medlarvale.forwarding.errors import (
     BackendError,
     NotSentError,
@@ -21,6 +23,7 @@
 from medlarvale.forwarding.interface import LimitCallback
 from medlarvale.forwarding.messages import (
     ClientRequest,
+    Count,
     Dispatch,
     EngineReport,
     EngineStage,
@@ -55,21 +58,25 @@
 MAX_CACHE_LIST_BYTES = 1024 * 1024
 # Number of holds and handles that are remembered, to detect a second copy of an answer.
 REMEMBERED_GRANTS = 4_096
+MAX_GRANT_CHARS = 1_024
+
+# Name of a hold or handle, which is sent in a header.
+_Grant = Annotated[str, msgspec.Meta(pattern=f"^[!-~]{{1,{MAX_GRANT_CHARS}}}\\Z")]
 
 
 class _HoldFields(msgspec.Struct, rename="pascal"):
-    hold: str
+    hold: _Grant
 
 
 class _PrefillFields(msgspec.Struct, rename="pascal"):
-    kv_handle: str
+    kv_handle: _Grant
 
 
 class _CachedPart(msgspec.Struct, array_like=True):
     # The platform always sends an empty string here.
     reserved: str
     part: str
-    tokens: int
+    tokens: Count
 
 
 class _CacheListFields(msgspec.Struct):
@@ -80,11 +87,11 @@
     stage: EngineStage
     busy: bool
     # Sequence counts accepted orders here; in a server's store entry it counts heartbeats.
-    orders_accepted: int = msgspec.field(name="Sequence")
-    queued: int
-    running: int
-    used_tokens: int = msgspec.field(name="KvUsed")
-    total_tokens: int = msgspec.field(name="KvTotal")
+    orders_accepted: Count = msgspec.field(name="Sequence")
+    queued: Count
+    running: Count
+    used_tokens: Count = msgspec.field(name="KvUsed")
+    total_tokens: Count = msgspec.field(name="KvTotal")
 
 
 class HttpResponse:
@@ -206,7 +213,7 @@
             handle = HandleId(msgspec.json.decode(body, type=_PrefillFields).kv_handle)
             self._grants.note(server, handle, request.request_id)
             return PrefillResult(server, handle)
-        except (*TRANSPORT_ERRORS, msgspec.MsgspecError) as error:
+        except (*TRANSPORT_ERRORS, *DECODE_ERRORS) as error:
             raise BackendError(f"prefill failed: {error!r}") from error
         finally:
             response.close()
@@ -249,18 +256,18 @@
             return None
         try:
             hold = HoldId(msgspec.json.decode(body, type=_HoldFields).hold)
-        except msgspec.MsgspecError as error:
+        except DECODE_ERRORS as error:
             raise BackendError(f"invalid reservation response: {error}") from error
         self._grants.note(server, hold, object())
         return hold
 
     async def release_hold(self, server: Server, hold: HoldId) -> None:
         """Releases a reservation."""
-        await self._call(server, "DELETE", f"/hold-drop/{hold}", None)
+        await self._call(server, "DELETE", f"/hold-drop/{quote(hold, safe='')}", None)
 
     async def release_handle(self, server: Server, handle: HandleId) -> None:
         """Frees the KV cache of a prefill whose result will not be used."""
-        await self._call(server, "DELETE", f"/kv-handle/{handle}", None)
+        await self._call(server, "DELETE", f"/kv-handle/{quote(handle, safe='')}", None)
 
     async def cached_parts(self, server: Server) -> dict[PromptPartId, int]:
         """Returns the number of tokens of each prompt part in an engine's cache."""
@@ -271,7 +278,7 @@
             raise BackendError(f"server {server.server}: cache list returned status {status}")
         try:
             fields = msgspec.json.decode(body, type=_CacheListFields)
-        except msgspec.MsgspecError as error:
+        except DECODE_ERRORS as error:
             raise BackendError(f"server {server.server}: invalid cache list: {error}") from error
         return {PromptPartId(cached.part.lower()): cached.tokens for cached in fields.held}
 
@@ -294,7 +301,7 @@
             raise BackendError(f"server {server.server}: load report returned status {status}")
         try:
             fields = msgspec.json.decode(body, type=_ReportFields)
-        except msgspec.MsgspecError as error:
+        except DECODE_ERRORS as error:
             raise BackendError(f"server {server.server}: invalid load report: {error}") from error
         return EngineReport(
             fields.stage,
--- a/src/medlarvale/platform/entries.py
+++ b/src/medlarvale/platform/entries.py
@@ -9,6 +9,9 @@
 
 from medlarvale.errors import DECODE_ERRORS, MedlarvaleError
 from medlarvale.forwarding.messages import (
+    Amount,
+    Capacity,
+    Count,
     EngineStage,
     EngineTraits,
     RequestLimits,
@@ -25,18 +28,12 @@
 CONFIG_KEY = "op/config"
 SERVER_PREFIX = "servers/"
 
-# The largest integer up to which a float represents each one; peers can encode it too.
-MAX_NUMBER = 2**53
 MAX_PORT = 65_535
 MAX_ADDRESS_CHARS = len("255.255.255.255:65535")
 MAX_NAME_CHARS = 1_024
 # Error messages name at most this much of an id.
 MAX_SHOWN_CHARS = 100
 
-_Count = Annotated[int, msgspec.Meta(ge=0, le=MAX_NUMBER)]
-# Divides the load of an engine.
-_Capacity = Annotated[int, msgspec.Meta(ge=1, le=MAX_NUMBER)]
-_Amount = Annotated[float, msgspec.Meta(ge=0, le=MAX_NUMBER)]
 _Name = Annotated[str, msgspec.Meta(max_length=MAX_NAME_CHARS)]
 _RequiredName = Annotated[str, msgspec.Meta(min_length=1, max_length=MAX_NAME_CHARS)]
 _Address = Annotated[str, msgspec.Meta(max_length=MAX_ADDRESS_CHARS)]
@@ -56,7 +53,7 @@
 
 class _TargetFields(msgspec.Struct, rename="pascal"):
     service: str
-    weight: _Amount
+    weight: Amount
 
 
 class _RouteFields(msgspec.Struct, rename="pascal"):
@@ -64,42 +61,42 @@
     host: str
     path_prefix: str
     kind: str
-    timeout_ms: _Amount
-    target_latency_ms: _Amount
-    priority: _Count = 5
+    timeout_ms: Amount
+    target_latency_ms: Amount
+    priority: Count = 5
     # A route has one Service, or several with weights in Split.
     service: str = ""
     split: list[_TargetFields] = []
-    max_attempts: _Count = 1
+    max_attempts: Count = 1
     resumable: bool = False
-    gap_target_ms: _Amount = 0.0
+    gap_target_ms: Amount = 0.0
 
 
 class _EngineFields(msgspec.Struct, rename="pascal", kw_only=True):
-    slots: _Capacity
-    memory_tokens: _Capacity = msgspec.field(name="KvTokenCapacity")
+    slots: Capacity
+    memory_tokens: Capacity = msgspec.field(name="KvTokenCapacity")
     # Despite its name, KvHoldS concerns no hold: it is how long a prefill's KV cache is kept.
     # HoldMs is the longest duration of a reservation.
-    handle_ttl_s: _Amount = msgspec.field(name="KvHoldS", default=0.5)
-    hold_ttl_ms: _Amount = msgspec.field(name="HoldMs", default=0.0)
-    switch_s: _Amount = 0.0
+    handle_ttl_s: Amount = msgspec.field(name="KvHoldS", default=0.5)
+    hold_ttl_ms: Amount = msgspec.field(name="HoldMs", default=0.0)
+    switch_s: Amount = 0.0
 
 
 class _ServiceFields(msgspec.Struct, rename="pascal"):
     name: str
-    max_connections: _Count = msgspec.field(name="MaxConns")
+    max_connections: Count = msgspec.field(name="MaxConns")
     engine: _EngineFields | None = None
 
 
 class _LimitFields(msgspec.Struct, rename="pascal"):
-    max_header_bytes: _Count
-    max_body_bytes: _Count
-    header_timeout_ms: _Amount
-    idle_timeout_ms: _Amount
+    max_header_bytes: Count
+    max_body_bytes: Count
+    header_timeout_ms: Amount
+    idle_timeout_ms: Amount
 
 
 class _ConfigFields(msgspec.Struct, rename="pascal"):
-    version: _Count
+    version: Count
     routes: list[_RouteFields]
     services: list[_ServiceFields]
     limits: _LimitFields
@@ -109,15 +106,15 @@
     service: _RequiredName
     address: _Address
     failure_domain: _Name = msgspec.field(name="Zone")
-    slots: _Count
+    slots: Count
     state: ServerState
     stage: EngineStage | None = None
-    cold_left_ms: _Amount = 0.0
+    cold_left_ms: Amount = 0.0
     # Version of the software; the versions of the weights are in Models.
     software: _Name = msgspec.field(name="Version", default="")
     # Start time of the server.
-    born_ms: _Count = msgspec.field(name="born", default=0)
-    heartbeats: _Count = msgspec.field(name="Sequence", default=0)
+    born_ms: Count = msgspec.field(name="born", default=0)
+    heartbeats: Count = msgspec.field(name="Sequence", default=0)
 
 
 _BROADCAST = ipaddress.IPv4Address("255.255.255.255")
--- a/tests/platform/test_backends.py
+++ b/tests/platform/test_backends.py
@@ -320,6 +320,51 @@
         self.assertEqual(starts[5], b"DELETE /kv-handle/k1 HTTP/1.1")
         self.assertIn(b"X-Serving-Stage: prefill", raw_server.heads[2])
 
+    async def test_odd_answers_of_engines_are_failures_of_their_calls(self) -> None:
+        """Guards against an answer that ends a task or a request with an unexpected error."""
+        calls = {
+            "hold": lambda server: self.backends.acquire_hold(server, 10, 100.0),
+            "prefill": lambda server: self.backends.prefill(server, make_request(), 500.0),
+            "cache list": self.backends.cached_parts,
+            "report": self.backends.report,
+        }
+        deep = b"[" * 20_000 + b"]" * 20_000
+        odd = [
+            b"",
+            b"\xff\xfe",
+            b"[]",
+            deep,
+            b'{"a":' * 5_000 + b"1" + b"}" * 5_000,
+            b'{"Future":' + deep + b"}",
+            b'{"Hold":"h\\r\\nX-Other: 1","KvHandle":"k\\r\\nX-Other: 1","held":5}',
+            b'{"Hold":"","KvHandle":"","held":[["","a1",-1,"m"]]}',
+            b'{"Hold":"a b","KvHandle":"a b","held":[["","a1",1e400,"m"]]}',
+            b'{"Hold":"h\xc3\xa9","KvHandle":"h\xc3\xa9","held":[["","a1",'
+            + b"9" * 30
+            + b',"m"]]}',
+            b'{"Hold":"' + b"h" * 9_000 + b'","KvHandle":"' + b"k" * 9_000 + b'"}',
+            b'{"Stage":"decode","Busy":false,"Sequence":' + b"9" * 30 + b',"Queued":1,'
+            b'"Running":12,"KvUsed":41000,"KvTotal":90000}',
+            b'{"Stage":"decode","Busy":false,"Sequence":2,"Queued":-1,'
+            b'"Running":12,"KvUsed":41000,"KvTotal":90000}',
+        ]
+        for name, call in calls.items():
+            for body in odd:
+                headers = SIGNED if name == "prefill" else b""
+                server = await self.start(RawServer(answer(headers=headers, body=body)))
+                with self.subTest(name, body=body[:60]), self.assertRaises(BackendError):
+                    await call(server)
+
+    async def test_grants_are_released_by_their_whole_name(self) -> None:
+        """Guards against a release of something else, because a name contains a separator."""
+        raw_server = RawServer(answer(headers=b""), answer(headers=b""))
+        server = await self.start(raw_server)
+        await self.backends.release_hold(server, HoldId("a/../b?c#d%25"))
+        await self.backends.release_handle(server, HandleId("a/../b?c#d%25"))
+        starts = [head.split(b" ")[1] for head in raw_server.heads]
+        name = b"a%2F..%2Fb%3Fc%23d%2525"
+        self.assertEqual(starts, [b"/hold-drop/" + name, b"/kv-handle/" + name])
+
     async def test_parts_in_the_cache_are_listed(self) -> None:
         json = b"Content-Type: application/json\r\n"
         raw_server = RawServer(
--- a/tests/platform/test_entries.py
+++ b/tests/platform/test_entries.py
@@ -6,8 +6,15 @@
 
 import msgspec
 
-from medlarvale.forwarding.messages import EngineStage, RouteKind, Server, ServerState, Target
-from medlarvale.platform.entries import MAX_NUMBER, EntryError, decode_config, decode_server
+from medlarvale.forwarding.messages import (
+    MAX_NUMBER,
+    EngineStage,
+    RouteKind,
+    Server,
+    ServerState,
+    Target,
+)
+from medlarvale.platform.entries import EntryError, decode_config, decode_server
 
 SERVER: dict[str, Any] = {
     "Service": "llm",
