Drop a deeply nested frame of a peer instead of ending the receiver

Peers saw a host that answered nothing any more: one authentic frame with a deeply nested field ended the task that receives frames.

Cause: msgspec raises RecursionError for deep nesting, also in fields that this build doesn't know; only msgspec's own errors were caught.

Evidence: test_pynng_transport.py, test_receiver_continues_after_a_deeply_nested_frame, failed with PeerTimeoutError ("host b did not answer within 2000 ms"), two cases of test_failed_request_raises_the_error_of_its_cause and one of test_auth.py with RecursionError.

The frame guard rejects such a frame, and the codec raises DecodeError for such a message, which all its callers handle.

--- a/src/medlarvale/peers/auth.py
+++ b/src/medlarvale/peers/auth.py
@@ -9,6 +9,7 @@
 
 import msgspec
 
+from medlarvale.errors import DECODE_ERRORS
 from medlarvale.ids import HostId, HostIdentity, Incarnation
 from medlarvale.peers.errors import FrameRejectedError
 
@@ -183,7 +184,7 @@
         payload = self.keys.verify(data)
         try:
             frame = self._decoder.decode(payload)
-        except msgspec.MsgspecError as error:
+        except DECODE_ERRORS as error:
             raise FrameRejectedError(f"malformed frame: {error}") from error
         self._check_receiver_and_age(frame, wall_ms)
         self._check_sender(frame)
--- a/src/medlarvale/peers/transport.py
+++ b/src/medlarvale/peers/transport.py
@@ -55,7 +55,10 @@
         Raises:
             msgspec.MsgspecError: the data is not a known message.
         """
-        return self._decoder.decode(data)
+        try:
+            return self._decoder.decode(data)
+        except RecursionError as error:
+            raise msgspec.DecodeError("the message is nested too deeply") from error
 
 
 class MemoryNetwork:
--- a/tests/peers/test_auth.py
+++ b/tests/peers/test_auth.py
@@ -33,6 +33,13 @@
     return msgspec.structs.replace(unchanged, **changes)
 
 
+def deep_frame() -> bytes:
+    """Returns a signed frame with a deeply nested field that this build does not know."""
+    fields = msgspec.to_builtins(make_frame(), builtin_types=(bytes,))
+    data = msgspec.msgpack.encode([*fields, None])
+    return SharedKeys(OLD).sign(data[:-1] + b"\x91" * 20_000 + b"\xc0")
+
+
 def sign_content(content: object, keys: dict[str, bytes] = OLD) -> bytes:
     return SharedKeys(keys).sign(msgspec.msgpack.encode(content))
 
@@ -60,6 +67,7 @@
                 NOW_MS - 60_000,
             ),
             ("empty", b"", NOW_MS),
+            ("deeply nested", deep_frame(), NOW_MS),
             ("not a frame", sign_content(["a", 1]), NOW_MS),
             (
                 "huge numbers",
--- a/tests/peers/test_pynng_transport.py
+++ b/tests/peers/test_pynng_transport.py
@@ -12,7 +12,7 @@
 
 from medlarvale.clock import SystemClock
 from medlarvale.ids import HostId, HostIdentity, Incarnation, new_incarnation
-from medlarvale.peers.auth import FrameGuard, SharedKeys
+from medlarvale.peers.auth import Frame, FrameGuard, FrameKind, SharedKeys
 from medlarvale.peers.errors import PeerError, PeerTimeoutError, PeerUnknownError
 from medlarvale.peers.pynng_transport import (
     MAX_FRAME_BYTES,
@@ -24,6 +24,8 @@
 A, B = HostId("a"), HostId("b")
 # A hang fails one test instead of blocking the test run.
 EVENT_TIMEOUT_MS = 20_000
+# Number of a ping whose reply is deeply nested.
+DEEP_REPLY = 1_000_000
 KEYS = {"k": b"k" * 16}
 
 
@@ -32,6 +34,13 @@
     padding: bytes = b""
 
 
+class Unknown(msgspec.Struct, tag="ping", frozen=True):
+    """A ping of another build."""
+
+    number: int
+    future: msgspec.Raw
+
+
 class Unhandled(msgspec.Struct, tag="unhandled", frozen=True):
     pass
 
@@ -67,6 +76,8 @@
     async def answer(self, sender: HostIdentity, ping: Ping) -> msgspec.Struct:
         if ping.number < 0:
             raise RuntimeError("handler")
+        if ping.number == DEEP_REPLY:
+            return Unknown(1, msgspec.Raw(b"\x91" * 20_000 + b"\xc0"))
         if ping.padding:
             return NotInCodec()
         # Later requests are answered first.
@@ -109,7 +120,10 @@
 
     async def test_failed_request_raises_the_error_of_its_cause(self) -> None:
         """Guards against failures that raise another error or break later requests."""
+        nested = msgspec.Raw(b"\x91" * 20_000 + b"\xc0")
         cases = [
+            ("nested message", B, Unknown(1, nested), PeerError, "DecodeError"),
+            ("nested reply", B, Ping(DEEP_REPLY), PeerError, "reply"),
             ("unknown peer", HostId("x"), Ping(0), PeerUnknownError, "no address"),
             ("handler error", B, Ping(-1), PeerError, "RuntimeError"),
             ("no handler", B, Unhandled(), PeerError, "no handler"),
@@ -135,6 +149,23 @@
         self.assertEqual(await self.send_ping(1), Ping(2))
         self.assertGreaterEqual(self.b.dropped_frames, 2)
 
+    async def test_receiver_continues_after_a_deeply_nested_frame(self) -> None:
+        """Guards against a host that hears nothing any more after one frame of another build."""
+        sent_at_ms = self.clock.wall_ms()
+        frame = Frame(
+            HostId("s"), Incarnation(1), B, "tcp://s", 1, 0, FrameKind.REQUEST, sent_at_ms, b""
+        )
+        # Array of ten elements instead of nine.
+        longer = b"\x9a" + msgspec.msgpack.encode(frame)[1:] + b"\x91" * 20_000 + b"\xc0"
+        with pynng.Push0(dial=self.addresses[B], send_timeout=EVENT_TIMEOUT_MS) as raw:
+            await raw.asend(SharedKeys(KEYS).sign(longer))
+            for _ in range(200):
+                if self.b.received_bytes:
+                    break
+                await asyncio.sleep(0.01)
+        self.assertEqual(await self.send_ping(1, timeout_ms=2_000), Ping(2))
+        self.assertEqual(self.b.dropped_frames, 1)
+
     async def test_restarted_peer_is_reached_and_earlier_incarnation_rejected(self) -> None:
         """Guards against a restarted peer that stays unreachable, and against replies for the
         incarnation before the restart."""
