Reject numbers in a hello that no host can have

Callers of a host would see 500 after a hello with a limit that is NaN, and its periodic tasks failed with a demand or fencing number that can't be converted or encoded.

Cause: MessagePack carries NaN, infinite numbers and integers of 64 bits, which the hello accepted; math.ceil(), int() and the encoder then raise ValueError or OverflowError.

Evidence: test_fleet.py, test_numbers_that_nothing_can_have_are_rejected: none of its 18 cases was rejected.

Such a hello can't be decoded now and counts as none. The bounds admit any finite limit and demand that a host computes itself.

--- a/src/medlarvale/forwarding/fleet_messages.py
+++ b/src/medlarvale/forwarding/fleet_messages.py
@@ -2,9 +2,11 @@
 
 from __future__ import annotations
 
+from typing import Annotated
+
 import msgspec
 
-from medlarvale.forwarding.messages import RouteTable, Server, StoreEra, StoreRevision
+from medlarvale.forwarding.messages import RouteTable, Server, StoreEra, StoreRevision, Summand
 from medlarvale.forwarding.server_limits import NamedLimit
 from medlarvale.ids import (
     ConfigVersion,
@@ -16,6 +18,9 @@
     ServiceName,
 )
 
+# The next number above it must still fit in 64 bits.
+MAX_FENCING = 2**62
+
 
 class Demand(msgspec.Struct, frozen=True, array_like=True):
     """Load of one host's callers on the engines of a service.
@@ -27,9 +32,9 @@
         decode_streams: number of streams that would use it.
     """
 
-    prompt_tokens_per_s: float
-    decode_tokens: float
-    decode_streams: float = 0.0
+    prompt_tokens_per_s: Summand
+    decode_tokens: Summand
+    decode_streams: Summand = 0.0
 
 
 class Hello(msgspec.Struct, frozen=True, tag="hello"):
@@ -56,7 +61,7 @@
     config_version: ConfigVersion
     store_reachable: bool
     demand: dict[ServiceName, Demand]
-    highest_fencing: int = 0
+    highest_fencing: Annotated[int, msgspec.Meta(ge=0, le=MAX_FENCING)] = 0
     changing_engines: tuple[ServerId, ...] = ()
     figures: dict[ServiceName, bytes] = {}
     heard: tuple[int, ...] = ()
--- a/src/medlarvale/forwarding/messages.py
+++ b/src/medlarvale/forwarding/messages.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import enum
+import sys
 from collections.abc import Mapping
 from typing import Annotated, NewType
 
@@ -33,6 +34,12 @@
 # A divisor.
 Capacity = Annotated[int, msgspec.Meta(ge=1, le=MAX_NUMBER)]
 Amount = Annotated[float, msgspec.Meta(ge=0, le=MAX_NUMBER)]
+# Neither infinite nor NaN.
+MAX_FLOAT = sys.float_info.max
+Finite = Annotated[float, msgspec.Meta(ge=-MAX_FLOAT, le=MAX_FLOAT)]
+# A total of such numbers is finite.
+MAX_SUMMAND = 1e300
+Summand = Annotated[float, msgspec.Meta(ge=-MAX_SUMMAND, le=MAX_SUMMAND)]
 
 
 class RouteKind(enum.Enum):
--- a/src/medlarvale/forwarding/server_limits.py
+++ b/src/medlarvale/forwarding/server_limits.py
@@ -9,10 +9,11 @@
 
 import math
 from collections.abc import Callable, Mapping
+from typing import Annotated
 
 import msgspec
 
-from medlarvale.forwarding.messages import Server
+from medlarvale.forwarding.messages import MAX_FLOAT, Finite, Server
 from medlarvale.hashing import weight
 from medlarvale.ids import FailureDomain, HostId, ServerId
 from medlarvale.logs import Event, log_info
@@ -39,8 +40,8 @@
         age_ms: time since its answer.
     """
 
-    limit_per_s: float | None
-    age_ms: float
+    limit_per_s: Annotated[float, msgspec.Meta(ge=0, le=MAX_FLOAT)] | None
+    age_ms: Finite
 
 
 class _Limit:
--- a/tests/forwarding/test_fleet.py
+++ b/tests/forwarding/test_fleet.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import random
 import unittest
 
@@ -16,8 +17,10 @@
     FleetView,
     fleet_key,
 )
-from medlarvale.forwarding.fleet_messages import Demand, Hello
-from medlarvale.ids import ConfigVersion, FailureDomain, HostId, HostIdentity, Incarnation
+from medlarvale.forwarding.fleet_messages import FLEET_MESSAGES, Demand, Hello
+from medlarvale.forwarding.server_limits import NamedLimit
+from medlarvale.ids import ConfigVersion, FailureDomain, HostId, HostIdentity, Incarnation, ServerId
+from medlarvale.peers.transport import MessageCodec
 from tests.forwarding.fakes import LLM
 
 
@@ -90,6 +93,43 @@
             self.views[receiver].record_hello(message.sender, message, self.now_ms)
 
 
+class HelloTest(unittest.TestCase):
+    def test_numbers_that_nothing_can_have_are_rejected(self) -> None:
+        """Guards against a peer whose numbers end the tasks and the requests of this host."""
+        codec = MessageCodec(FLEET_MESSAGES)
+        valid = hello("a")
+        odd = [math.nan, math.inf, -math.inf]
+        table = [
+            *(("demand", {LLM: Demand(number, 1.0)}) for number in odd),
+            *(("demand", {LLM: Demand(1.0, number)}) for number in odd),
+            *(("demand", {LLM: Demand(1.0, 1.0, number)}) for number in odd),
+            *(("limits", {ServerId("s1"): NamedLimit(number, 0.0)}) for number in odd),
+            *(("limits", {ServerId("s1"): NamedLimit(1.0, number)}) for number in odd),
+            ("limits", {ServerId("s1"): NamedLimit(-1.0, 0.0)}),
+            ("highest_fencing", 2**64 - 1),
+            ("highest_fencing", -1),
+        ]
+        self.assertEqual(codec.decode(codec.encode(valid)), valid)
+        for field, value in table:
+            data = codec.encode(msgspec.structs.replace(valid, **{field: value}))
+            with self.subTest(field, value=value), self.assertRaises(msgspec.MsgspecError):
+                codec.decode(data)
+
+    def test_the_numbers_of_hosts_are_accepted(self) -> None:
+        """Guards against a check that silences a host under an unusual load."""
+        codec = MessageCodec(FLEET_MESSAGES)
+        busy = msgspec.structs.replace(
+            hello("a"),
+            demand={LLM: Demand(1e24, 1e24, 1e9)},
+            limits={
+                ServerId("s1"): NamedLimit(1e300, 29_999.0),
+                ServerId("s2"): NamedLimit(None, -0.5),
+            },
+            highest_fencing=2**60,
+        )
+        self.assertEqual(codec.decode(codec.encode(busy)), busy)
+
+
 class FleetViewTest(unittest.TestCase):
     def setUp(self) -> None:
         self.view = FleetView(identity("b"), "b:1", ["a:1", "b:1", "c:1"])
