Ignore servers of a peer's list that nothing can be sent to

Callers of a host that gets the list from a peer of an earlier build saw 500 for requests that were sent to an odd server in it.

Cause: only what this host reads from the store itself is checked.

Evidence: test_peer_state.py, test_odd_servers_of_a_peer_name_no_server, failed: all seven odd servers were listed.

The two tasks that take over a peer's list keep the servers whose id and address can be used, and log the others (event 2212). The checks move to forwarding.messages, which the store's entries use too.

--- a/src/medlarvale/forwarding/domain_reader.py
+++ b/src/medlarvale/forwarding/domain_reader.py
@@ -15,6 +15,7 @@
 from medlarvale.forwarding.fleet_messages import SharedState, SharedStateRequest, StateMark
 from medlarvale.forwarding.follower import StateFollower
 from medlarvale.forwarding.servers import ServerTable
+from medlarvale.forwarding.usable_servers import usable_servers
 from medlarvale.ids import FailureDomain, HostId, HostIdentity
 from medlarvale.logs import Event, log_info, log_warning
 from medlarvale.peers.errors import PeerError
@@ -131,7 +132,8 @@
         if reply.mark != self._mark:
             if reply.table is not None:
                 self._follower.accept(reply.table)
-            self._servers.replace_all(reply.servers, self._clock.now_ms(), after_outage=False)
+            servers = usable_servers(reply.servers, reader)
+            self._servers.replace_all(servers, self._clock.now_ms(), after_outage=False)
         self._mark = reply.mark
         self._follower.suspend(reply.era, reply.revision)
         return True
--- a/src/medlarvale/forwarding/messages.py
+++ b/src/medlarvale/forwarding/messages.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import enum
+import ipaddress
 import sys
 from collections.abc import Mapping
 from typing import Annotated, NewType
@@ -27,6 +28,11 @@
 # Number of times that the store has lost a part of its history and come back from an older copy.
 StoreEra = NewType("StoreEra", int)
 
+MAX_PORT = 65_535
+MAX_ADDRESS_CHARS = len("255.255.255.255:65535")
+
+_BROADCAST = ipaddress.IPv4Address("255.255.255.255")
+
 # The largest integer up to which a float represents each one; MessagePack can encode it too.
 MAX_NUMBER = 2**53
 
@@ -165,6 +171,27 @@
     software: SoftwareVersion = SoftwareVersion("")
 
 
+def is_usable_id(text: str) -> bool:
+    """Returns whether an id can be sent in a header."""
+    return bool(text) and text.isprintable() and text.strip() == text
+
+
+def is_usable_address(text: str) -> bool:
+    """Returns whether a text is the IPv4 address and port of one host."""
+    if len(text) > MAX_ADDRESS_CHARS:
+        return False
+    ip_text, _, port = text.rpartition(":")
+    try:
+        ip = ipaddress.IPv4Address(ip_text)
+    except ValueError:
+        return False
+    if ip.is_unspecified or ip.is_multicast or ip == _BROADCAST:
+        return False
+    # A leading zero would make two texts of one address.
+    is_number = port.isascii() and port.isdigit() and not port.startswith("0")
+    return is_number and int(port) <= MAX_PORT
+
+
 class PublishedState(msgspec.Struct, frozen=True):
     """The complete published state as of a revision.
 
--- a/src/medlarvale/forwarding/peer_state.py
+++ b/src/medlarvale/forwarding/peer_state.py
@@ -12,6 +12,7 @@
 from medlarvale.forwarding.fleet_messages import StateReply, StateRequest
 from medlarvale.forwarding.follower import StateFollower
 from medlarvale.forwarding.servers import ServerTable
+from medlarvale.forwarding.usable_servers import usable_servers
 from medlarvale.ids import HostId, HostIdentity
 from medlarvale.logs import Event, log_info
 from medlarvale.peers.errors import PeerError
@@ -83,7 +84,8 @@
         if not needs_state:
             # The store answers, or has answered in the meantime: its list takes precedence.
             return
-        self._servers.replace_all(reply.servers, self._clock.now_ms(), after_outage=True)
+        servers = usable_servers(reply.servers, host)
+        self._servers.replace_all(servers, self._clock.now_ms(), after_outage=True)
 
     async def _answer(self, sender: HostIdentity, message: StateRequest) -> StateReply:
         index = self._follower.index
--- a/src/medlarvale/logs.py
+++ b/src/medlarvale/logs.py
@@ -40,6 +40,7 @@
     SERVER_ENTRY_OUTDATED = (2209, "entry of a backend server is older than what is known")
     SERVER_HISTORY_READ = (2210, "earlier backend servers read from the store's history")
     SERVER_HISTORY_FAILED = (2211, "history of the store could not be read")
+    PEER_SERVER_UNUSABLE = (2212, "backend server of a peer can't be used")
     PEER_STATE_CHANGED = (3001, "peer state changed")
     PEER_FRAME_DROPPED = (3002, "peer frame dropped")
     PEER_HANDLER_FAILED = (3003, "peer message handler failed")
--- a/src/medlarvale/platform/entries.py
+++ b/src/medlarvale/platform/entries.py
@@ -2,13 +2,13 @@
 
 from __future__ import annotations
 
-import ipaddress
 from typing import Annotated
 
 import msgspec
 
 from medlarvale.errors import DECODE_ERRORS, MedlarvaleError
 from medlarvale.forwarding.messages import (
+    MAX_ADDRESS_CHARS,
     Amount,
     Capacity,
     Count,
@@ -22,17 +22,17 @@
     ServerState,
     Service,
     Target,
+    is_usable_address,
+    is_usable_id,
 )
 from medlarvale.ids import ConfigVersion, FailureDomain, ServerId, ServiceName, SoftwareVersion
 
 CONFIG_KEY = "op/config"
 SERVER_PREFIX = "servers/"
 
-MAX_PORT = 65_535
-MAX_ADDRESS_CHARS = len("255.255.255.255:65535")
-MAX_NAME_CHARS = 1_024
 # Error messages name at most this much of an id.
 MAX_SHOWN_CHARS = 100
+MAX_NAME_CHARS = 1_024
 
 _Name = Annotated[str, msgspec.Meta(max_length=MAX_NAME_CHARS)]
 _RequiredName = Annotated[str, msgspec.Meta(min_length=1, max_length=MAX_NAME_CHARS)]
@@ -117,8 +117,6 @@
     heartbeats: Count = msgspec.field(name="Sequence", default=0)
 
 
-_BROADCAST = ipaddress.IPv4Address("255.255.255.255")
-
 _config_decoder = msgspec.json.Decoder(_ConfigFields)
 _server_decoder = msgspec.json.Decoder(_ServerFields)
 
@@ -184,14 +182,13 @@
     """
     shown = repr(key[:MAX_SHOWN_CHARS])
     server = key.removeprefix(SERVER_PREFIX)
-    # The id is sent in a header.
-    if not server.isprintable() or server.strip() != server or not server:
+    if not is_usable_id(server):
         raise EntryError(f"{shown}: unusable id")
     try:
         fields = _server_decoder.decode(value)
     except DECODE_ERRORS as error:
         raise EntryError(f"{shown}: {error}") from error
-    if not _is_usable_address(fields.address):
+    if not is_usable_address(fields.address):
         raise EntryError(f"{shown}: no usable IPv4 address and port: {fields.address!r}")
     return Server(
         ServerId(server),
@@ -206,17 +203,3 @@
         fields.heartbeats,
         SoftwareVersion(fields.software),
     )
-
-
-def _is_usable_address(text: str) -> bool:
-    """Returns whether a text is the IPv4 address and port of one host."""
-    ip_text, _, port = text.rpartition(":")
-    try:
-        ip = ipaddress.IPv4Address(ip_text)
-    except ValueError:
-        return False
-    if ip.is_unspecified or ip.is_multicast or ip == _BROADCAST:
-        return False
-    # A leading zero would make two texts of one address.
-    is_number = port.isascii() and port.isdigit() and not port.startswith("0")
-    return is_number and int(port) <= MAX_PORT
--- a/tests/forwarding/test_peer_state.py
+++ b/tests/forwarding/test_peer_state.py
@@ -6,6 +6,8 @@
 import random
 import unittest
 
+import msgspec
+
 from medlarvale.clock import ManualClock
 from medlarvale.forwarding.fleet import FleetView
 from medlarvale.forwarding.fleet_messages import FLEET_MESSAGES
@@ -73,6 +75,22 @@
                 assert load is not None
                 self.assertIs(load.server.state, state)
 
+    async def test_odd_servers_of_a_peer_name_no_server(self) -> None:
+        """Guards against requests that fail because a peer of an earlier build lists a server that
+        nothing can be sent to."""
+        self.refused.follower.reachable = False
+        odd = ["10.0.0.9", "10.0.0.9:0", "10.0.0.9:70000", "10.0.0.9:80/x", "10.0.0.9\0:80", ""]
+        for number, address in enumerate(odd):
+            entry = msgspec.structs.replace(
+                make_server(f"odd{number}", service=APP), address=address
+            )
+            self.reader.servers.upsert(entry)
+        named = msgspec.structs.replace(make_server("s3", service=APP), server=ServerId("s\r\n3"))
+        self.reader.servers.upsert(named)
+        await self.wait()
+        listed = sorted(server.server for server in self.refused.servers.all_servers())
+        self.assertEqual(listed, ["s1", "s2"])
+
     async def test_a_peer_behind_a_partition_changes_nothing(self) -> None:
         self.refused.follower.reachable = False
         self.network.cut(HostId("a"), HostId("b"))
