Report odd values of the settings file as faults

Operators saw a traceback instead of the list of faults for an invalid seed, and a host started with a port out of range, or with a time or share that is NaN, infinite or negative.

Cause: Seeds was parsed outside of the collection of faults, float() accepts "nan" and "inf", and only the digits of a port were checked.

All values are parsed with the collection of faults now, ports are in 1 to 65535, and times and shares are finite and not negative.

--- a/src/medlarvale/platform/boot.py
+++ b/src/medlarvale/platform/boot.py
@@ -7,7 +7,7 @@
 from typing import TypeVar
 
 from medlarvale.errors import MedlarvaleError
-from medlarvale.forwarding.messages import HostParameters
+from medlarvale.forwarding.messages import MAX_NUMBER, MAX_PORT, HostParameters
 from medlarvale.ids import FailureDomain, HostId
 
 ValueT = TypeVar("ValueT")
@@ -49,13 +49,20 @@
 
 def _address(text: str) -> str:
     ip, separator, port = text.rpartition(":")
-    if not separator or not ip or not port.isdigit():
+    if not separator or not ip or not 1 <= int(port) <= MAX_PORT:
         raise ValueError("expected IP:PORT")
     return text
 
 
+def _amount(text: str) -> float:
+    amount = float(text)
+    if not 0.0 <= amount <= MAX_NUMBER:
+        raise ValueError("expected a finite amount")
+    return amount
+
+
 def _seconds_as_ms(text: str) -> float:
-    return float(text) * 1000.0
+    return _amount(text) * 1000.0
 
 
 def _addresses(text: str) -> tuple[str, ...]:
@@ -70,7 +77,10 @@
     """
     values, faults = parse_lines(text), list[str]()
     # Seeds lists the hosts that answer control queries; it is absent if no role serves control.
-    seeds = _addresses(values.get("Seeds", ""))
+    no_seeds: tuple[str, ...] = ()
+    seeds = no_seeds
+    if values.get("Seeds"):
+        seeds = _read_value(values, faults, "Seeds", _addresses, no_seeds)
     parameters = HostParameters(
         host=HostId(_read_value(values, faults, "NodeName", str, "")),
         failure_domain=FailureDomain(_read_value(values, faults, "Zone", str, "")),
@@ -80,11 +90,11 @@
         seed_addresses=seeds,
         platform_address=_read_value(values, faults, "Platform.Address", _address, ""),
         grace_ms=_read_value(values, faults, "Bounds.GraceS", _seconds_as_ms, 0.0),
-        retry_share=_read_value(values, faults, "Bounds.RetryBudgetRatio", float, 0.0),
-        retry_reserve=_read_value(values, faults, "Bounds.BudgetSlack", float, 0.0),
-        lease_ms=_read_value(values, faults, "Bounds.LeaseMs", float, 0.0),
+        retry_share=_read_value(values, faults, "Bounds.RetryBudgetRatio", _amount, 0.0),
+        retry_reserve=_read_value(values, faults, "Bounds.BudgetSlack", _amount, 0.0),
+        lease_ms=_read_value(values, faults, "Bounds.LeaseMs", _amount, 0.0),
         heartbeat_ms=(
-            _read_value(values, faults, "HeartbeatMs", float, 0.0)
+            _read_value(values, faults, "HeartbeatMs", _amount, 0.0)
             if values.get("HeartbeatMs")
             else None
         ),
--- a/tests/platform/test_boot.py
+++ b/tests/platform/test_boot.py
@@ -53,6 +53,31 @@
             with self.subTest(fault):
                 self.assertIn(fault, raised.exception.message)
 
+    def test_odd_values_are_faults(self) -> None:
+        """Guards against a start that ends with a traceback, and against a time of NaN."""
+        table = [
+            *(
+                (f"{name}=", text)
+                for name in ("Listen.Front", "Listen.Control", "Platform.Address", "Seeds")
+                for text in ("10.1.0.3:0", "10.1.0.3:70000", "10.1.0.3:" + "9" * 5_000)
+            ),
+            ("Listen.Ready=", "10.1.0.3:\u00b2"),
+            ("Seeds=", "10.1.0.3:8144,nowhere"),
+            *(
+                (f"{name}=", text)
+                for name in ("Bounds.GraceS", "Bounds.RetryBudgetRatio", "Bounds.LeaseMs")
+                for text in ("nan", "inf", "-1", "1e400", "9" * 5_000)
+            ),
+            ("HeartbeatMs=", "nan"),
+            ("Platform.HistoryS=", "inf"),
+        ]
+        for start, text in table:
+            lines = [line for line in SETTINGS.splitlines() if not line.startswith(start)]
+            with self.subTest(start, text=text[:40]):
+                with self.assertRaises(BootSettingsError) as raised:
+                    decode_boot_settings("\n".join([*lines, start + text]))
+                self.assertIn(f"{start[:-1]}: unusable value", raised.exception.message)
+
     def test_missing_file_raises_boot_settings_error(self) -> None:
         with tempfile.TemporaryDirectory() as folder, self.assertRaises(BootSettingsError):
             read_boot_settings(Path(folder) / "boot.conf")
