Handle deeply nested answers to the serving hosts as malformed

A poll or request ended with an unexpected error when an engine, the host list or the configuration service answered with deep nesting.

Cause: msgspec raises RecursionError for it, also in fields that it ignores; only msgspec's own errors were caught.

Evidence: RecursionError in test_source.py (host list and configuration service), test_probe.py (case "deep") and three cases of test_engine_client.py.

These decoders catch DECODE_ERRORS now and raise the errors that their callers handle.

--- a/src/medlarvale/completions/engine_client.py
+++ b/src/medlarvale/completions/engine_client.py
@@ -18,6 +18,7 @@
     EngineUnreachableError,
     TransferFailedError,
 )
+from medlarvale.errors import DECODE_ERRORS
 from medlarvale.ids import AttemptNumber, HostIdentity, RequestId, ServerId
 from medlarvale.membership.servers import BackendServer
 
@@ -203,7 +204,7 @@
                     raise EngineProtocolError(self._server, "chunk is too long")
             try:
                 chunks = _chunk_decoder.decode_lines(data)
-            except msgspec.DecodeError as error:
+            except DECODE_ERRORS as error:
                 raise EngineProtocolError(self._server, f"malformed chunk: {error}") from error
             if chunks:
                 return chunks
@@ -269,7 +270,7 @@
             body = await _read(engine.server, response)
         try:
             return msgspec.json.decode(body, type=answer_type)
-        except msgspec.DecodeError as error:
+        except DECODE_ERRORS as error:
             raise EngineProtocolError(engine.server, f"{path}: {error}") from error
 
     @asynccontextmanager
@@ -306,7 +307,7 @@
     body = await _read(server, response)
     try:
         code = _error_decoder.decode(body).code
-    except msgspec.DecodeError:
+    except DECODE_ERRORS:
         code = ""
     if code == EngineFullError.code:
         return EngineFullError(server)
--- a/src/medlarvale/membership/source.py
+++ b/src/medlarvale/membership/source.py
@@ -7,6 +7,7 @@
 import aiohttp
 import msgspec
 
+from medlarvale.errors import DECODE_ERRORS
 from medlarvale.ids import FailureDomain, HostId, ListVersion, PoolName, ServerId, ServiceName
 from medlarvale.membership.errors import HostListError
 from medlarvale.membership.messages import EntryHost, HostList
@@ -69,7 +70,7 @@
     """
     try:
         wire = msgspec.json.decode(data, type=_WireList)
-    except msgspec.MsgspecError as error:
+    except DECODE_ERRORS as error:
         raise HostListError(f"host list: {error}") from error
     return HostList(
         ListVersion(wire.version),
--- a/src/medlarvale/scheduling/probe.py
+++ b/src/medlarvale/scheduling/probe.py
@@ -7,6 +7,7 @@
 import aiohttp
 import msgspec
 
+from medlarvale.errors import DECODE_ERRORS
 from medlarvale.ids import AttemptNumber, HostIdentity, RequestId, ServerId
 from medlarvale.membership.servers import BackendServer
 from medlarvale.scheduling.errors import ProbeError
@@ -81,7 +82,7 @@
         body = await self._call("GET", f"{engine.address}{path}")
         try:
             return msgspec.json.decode(body, type=answer_type, strict=False)
-        except msgspec.MsgspecError as error:
+        except DECODE_ERRORS as error:
             raise ProbeError(f"{engine.server}: unexpected answer to {path}: {error}") from error
 
     async def _call(self, method: str, url: str, **options: Any) -> bytes:
--- a/src/medlarvale/settings/source.py
+++ b/src/medlarvale/settings/source.py
@@ -10,6 +10,7 @@
 import msgspec
 
 from medlarvale.clock import Clock
+from medlarvale.errors import DECODE_ERRORS
 from medlarvale.ids import ConfigVersion
 from medlarvale.settings.check import MAX_TREE_BYTES
 from medlarvale.settings.errors import SourceBusyError, SourceError
@@ -180,7 +181,7 @@
     def _decode(self, url: str, body: bytes) -> SourceAnswer:
         try:
             answer = self._decoder.decode(body)
-        except msgspec.MsgspecError as error:
+        except DECODE_ERRORS as error:
             raise SourceError(f"{url}: {error}") from error
         return SourceAnswer(answer.version, bytes(answer.tree))
 
--- a/tests/completions/test_engine_client.py
+++ b/tests/completions/test_engine_client.py
@@ -107,7 +107,11 @@
 
         full = answer(409, b'{"error": {"code": "engine_full"}}')
         flat_full = answer(409, b'{"error": "engine_full"}')
+        deep = b'{"future":' + b"[" * 20_000 + b"]" * 20_000 + b"}"
         table: list[tuple[str, Handler, type[errors.EngineFaultError]]] = [
+            ("reserve", answer(409, deep), errors.EngineRefusedError),
+            ("prefill", answer(200, deep), errors.EngineProtocolError),
+            ("decode", answer(200, deep + b"\n"), errors.EngineProtocolError),
             ("reserve", full, errors.EngineFullError),
             ("reserve", flat_full, errors.EngineFullError),
             ("reserve", answer(409, b"{}"), errors.EngineRefusedError),
--- a/tests/membership/test_source.py
+++ b/tests/membership/test_source.py
@@ -35,8 +35,9 @@
 
     def test_malformed_data_is_rejected(self) -> None:
         unknown_state = {**LIST, "entry_hosts": [{**HOST, "state": "asleep"}]}
-        for data in (b"", b"{}", b"\xff", json.dumps(unknown_state).encode()):
-            with self.subTest(data=data), self.assertRaises(HostListError):
+        deep = b'{"future":' + b"[" * 20_000 + b"]" * 20_000 + b"}"
+        for data in (b"", b"{}", b"\xff", deep, json.dumps(unknown_state).encode()):
+            with self.subTest(data=data[:40]), self.assertRaises(HostListError):
                 decode_host_list(data)
 
     async def test_unreachable_platform_raises_host_list_error(self) -> None:
--- a/tests/scheduling/test_probe.py
+++ b/tests/scheduling/test_probe.py
@@ -46,6 +46,8 @@
         owner_header = request.headers.get("X-Owner", "")
         self.received.append((request.path_qs, owner_header, body))
         answer = self.answers.get(request.match_info["path"])
+        if isinstance(answer, bytes):
+            return web.Response(body=answer)
         return web.Response(status=500) if answer is None else web.json_response(answer)
 
     async def test_reads_the_published_shapes(self) -> None:
@@ -80,6 +82,7 @@
         for name, engine, answers in (
             ("status", self.engine, {}),
             ("shape", self.engine, {"load": [1]}),
+            ("deep", self.engine, {"load": b'{"future":' + b"[" * 20_000 + b"]" * 20_000 + b"}"}),
             ("connection", refused, {}),
         ):
             with self.subTest(name):
--- a/tests/settings/test_source.py
+++ b/tests/settings/test_source.py
@@ -7,9 +7,13 @@
 import unittest
 from pathlib import Path
 
+import aiohttp
+from aiohttp import web
+from aiohttp.test_utils import TestServer
+
 from medlarvale.clock import SystemClock
 from medlarvale.settings.errors import SourceError
-from medlarvale.settings.source import FileSource
+from medlarvale.settings.source import FileSource, PlatformSource
 
 
 def write(path: Path, text: bytes, changed_ms: int) -> None:
@@ -32,3 +36,22 @@
             write(path, b"a: 2", 6)
             changed = await source.watch(first.version, 1)
             self.assertEqual(changed and (changed.version, changed.text), (6, b"a: 2"))
+
+
+class PlatformSourceTest(unittest.IsolatedAsyncioTestCase):
+    async def test_malformed_answers_raise_source_error(self) -> None:
+        """Guards against an answer that ends the task that follows the settings."""
+        deep = b'{"future":' + b"[" * 20_000 + b"]" * 20_000 + b"}"
+        bodies = [b"", b"[]", b"\xff", deep]
+        answers = list(bodies)
+
+        async def answer(request: web.Request) -> web.Response:
+            return web.Response(body=answers.pop(0))
+
+        app = web.Application()
+        app.router.add_route("*", "/{path:.*}", answer)
+        async with TestServer(app) as server, aiohttp.ClientSession() as session:
+            source = PlatformSource(session, str(server.make_url("")).rstrip("/"))
+            for body in bodies:
+                with self.subTest(body[:40]), self.assertRaises(SourceError):
+                    await source.get()
