--- a/src/medlarvale/logs.py
+++ b/src/medlarvale/logs.py
@@ -42,6 +42,7 @@
     SERVER_HISTORY_FAILED = (2211, "history of the store could not be read")
     SERVICE_UNREACHED = (2212, "servers of a service can't be reached from this host")
     SERVICE_REACHED = (2213, "servers of a service can be reached again")
+    PEER_SERVER_UNUSABLE = (2214, "backend server of a peer can't be used")
     PEER_STATE_CHANGED = (3001, "peer state changed")
     PEER_FRAME_DROPPED = (3002, "peer frame dropped")
     PEER_HANDLER_FAILED = (3003, "peer message handler failed")
--- a/src/medlarvale/platform/entries.py
+++ b/src/medlarvale/platform/entries.py
@@ -2,10 +2,16 @@
 
 from __future__ import annotations
 
+from typing import Annotated
+
 import msgspec
 
-from medlarvale.errors import MedlarvaleError
+from medlarvale.errors import DECODE_ERRORS, MedlarvaleError
 from medlarvale.forwarding.messages import (
+    MAX_ADDRESS_CHARS,
+    Amount,
+    Capacity,
+    Count,
     EngineStage,
     EngineTraits,
     RequestLimits,
@@ -16,12 +22,22 @@
     ServerState,
     Service,
     Target,
+    is_usable_address,
+    is_usable_id,
 )
 from medlarvale.ids import ConfigVersion, FailureDomain, ServerId, ServiceName, SoftwareVersion
 
 CONFIG_KEY = "op/config"
 SERVER_PREFIX = "servers/"
 
+# Error messages name at most this much of an id.
+MAX_SHOWN_CHARS = 100
+MAX_NAME_CHARS = 1_024
+
+_Name = Annotated[str, msgspec.Meta(max_length=MAX_NAME_CHARS)]
+_RequiredName = Annotated[str, msgspec.Meta(min_length=1, max_length=MAX_NAME_CHARS)]
+_Address = Annotated[str, msgspec.Meta(max_length=MAX_ADDRESS_CHARS)]
+
 ROUTE_KINDS = {
     "safe": RouteKind.SAFE,
     "unsafe": RouteKind.UNSAFE,
@@ -37,7 +53,7 @@
 
 class _TargetFields(msgspec.Struct, rename="pascal"):
     service: str
-    weight: float
+    weight: Amount
 
 
 class _RouteFields(msgspec.Struct, rename="pascal"):
@@ -45,60 +61,60 @@
     host: str
     path_prefix: str
     kind: str
-    timeout_ms: float
-    target_latency_ms: float
-    priority: int = 5
+    timeout_ms: Amount
+    target_latency_ms: Amount
+    priority: Count = 5
     # A route has one Service, or several with weights in Split.
     service: str = ""
     split: list[_TargetFields] = []
-    max_attempts: int = 1
+    max_attempts: Count = 1
     resumable: bool = False
-    gap_target_ms: float = 0.0
+    gap_target_ms: Amount = 0.0
 
 
 class _EngineFields(msgspec.Struct, rename="pascal", kw_only=True):
-    slots: int
-    memory_tokens: int = msgspec.field(name="KvTokenCapacity")
+    slots: Capacity
+    memory_tokens: Capacity = msgspec.field(name="KvTokenCapacity")
     # Despite its name, KvHoldS concerns no hold: it is how long a prefill's KV cache is kept.
     # HoldMs is the longest duration of a reservation.
-    handle_ttl_s: float = msgspec.field(name="KvHoldS", default=0.5)
-    hold_ttl_ms: float = msgspec.field(name="HoldMs", default=0.0)
-    switch_s: float = 0.0
+    handle_ttl_s: Amount = msgspec.field(name="KvHoldS", default=0.5)
+    hold_ttl_ms: Amount = msgspec.field(name="HoldMs", default=0.0)
+    switch_s: Amount = 0.0
 
 
 class _ServiceFields(msgspec.Struct, rename="pascal"):
     name: str
-    max_connections: int = msgspec.field(name="MaxConns")
+    max_connections: Count = msgspec.field(name="MaxConns")
     engine: _EngineFields | None = None
 
 
 class _LimitFields(msgspec.Struct, rename="pascal"):
-    max_header_bytes: int
-    max_body_bytes: int
-    header_timeout_ms: float
-    idle_timeout_ms: float
+    max_header_bytes: Count
+    max_body_bytes: Count
+    header_timeout_ms: Amount
+    idle_timeout_ms: Amount
 
 
 class _ConfigFields(msgspec.Struct, rename="pascal"):
-    version: int
+    version: Count
     routes: list[_RouteFields]
     services: list[_ServiceFields]
     limits: _LimitFields
 
 
 class _ServerFields(msgspec.Struct, rename="pascal", kw_only=True):
-    service: str
-    address: str
-    failure_domain: str = msgspec.field(name="Zone")
-    slots: int
+    service: _RequiredName
+    address: _Address
+    failure_domain: _Name = msgspec.field(name="Zone")
+    slots: Count
     state: ServerState
     stage: EngineStage | None = None
-    cold_left_ms: float = 0.0
+    cold_left_ms: Amount = 0.0
     # Version of the software; the versions of the weights are in Models.
-    software: str = msgspec.field(name="Version", default="")
+    software: _Name = msgspec.field(name="Version", default="")
     # Start time of the server.
-    born_ms: int = msgspec.field(name="born", default=0)
-    heartbeats: int = msgspec.field(name="Sequence", default=0)
+    born_ms: Count = msgspec.field(name="born", default=0)
+    heartbeats: Count = msgspec.field(name="Sequence", default=0)
 
 
 _config_decoder = msgspec.json.Decoder(_ConfigFields)
@@ -124,7 +140,7 @@
                 fields.limits.idle_timeout_ms,
             ),
         )
-    except (msgspec.MsgspecError, KeyError, UnicodeDecodeError) as error:
+    except (*DECODE_ERRORS, KeyError) as error:
         raise EntryError(f"{CONFIG_KEY}: {error}") from error
 
 
@@ -162,16 +178,20 @@
     """Returns the backend server that an entry describes.
 
     Raises:
-        EntryError: if the entry is invalid or its address has no port.
+        EntryError: if the entry is invalid, or its id or address can't be used.
     """
+    shown = repr(key[:MAX_SHOWN_CHARS])
+    server = key.removeprefix(SERVER_PREFIX)
+    if not is_usable_id(server):
+        raise EntryError(f"{shown}: unusable id")
     try:
         fields = _server_decoder.decode(value)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
-        raise EntryError(f"{key}: {error}") from error
-    if ":" not in fields.address:
-        raise EntryError(f"{key}: address without a port: {fields.address!r}")
+    except DECODE_ERRORS as error:
+        raise EntryError(f"{shown}: {error}") from error
+    if not is_usable_address(fields.address):
+        raise EntryError(f"{shown}: no usable IPv4 address and port: {fields.address!r}")
     return Server(
-        ServerId(key.removeprefix(SERVER_PREFIX)),
+        ServerId(server),
         ServiceName(fields.service),
         fields.address,
         FailureDomain(fields.failure_domain),
--- a/src/medlarvale/platform/standin.py
+++ b/src/medlarvale/platform/standin.py
@@ -66,8 +66,11 @@
 
     async def put(self, key: str, value: dict[str, Any]) -> None:
         """Writes an item."""
+        await self.put_bytes(key, json.dumps(value).encode())
+
+    async def put_bytes(self, key: str, data: bytes) -> None:
+        """Writes an item with any value."""
         self.revision += 1
-        data = json.dumps(value).encode()
         self.items[key] = (data, self.revision)
         self.history.append(self._item(key))
         async with self._changed:
@@ -260,7 +263,8 @@
         if part:
             self.cached[part] = int(tokens)
         began_as = request.headers.get("Resumes", request_id)
-        first = int(request.headers.get("Last-Event-Id", "0")) + 1
+        last = request.headers.get("Last-Event-Id", "")
+        first = 1 + (int(last) if last.isascii() and last.isdigit() and len(last) < 20 else 0)
         response = web.StreamResponse(
             headers=self._signed(request_id) | {"Content-Type": "text/event-stream"}
         )
