Take streams in a planned stop by what they usually take, if they can go on elsewhere

Streams whose duration was not known yet were refused from the signal on, and the longest estimate was multiplied by 1.5. A stream that can be resumed goes on at another host if it is cut after all, so what it is expected to take decides.

--- a/src/medlarvale/forwarding/stop_admission.py
+++ b/src/medlarvale/forwarding/stop_admission.py
@@ -12,7 +12,8 @@
 from medlarvale.ids import ServiceName
 
 STOPPING_RETRY_MS = 100
-# Requests may take longer than the longest recent one by this factor.
+# Requests that can't be continued elsewhere may take longer than the longest recent one by this
+# factor.
 DURATION_FACTOR = 1.5
 
 
@@ -65,13 +66,17 @@
             return
         longest_ms = min(request.deadline_ms, route.timeout_ms)
         if self._clock.now_ms() < self._informed_ms:
-            expected_ms = DURATION_FACTOR * self._measured_ms(request, route, service)
-            longest_ms = min(longest_ms, expected_ms)
+            longest_ms = min(longest_ms, self._expected_ms(request, route, service))
         if request.received_ms + longest_ms > self._end_ms:
             raise OverloadedError("this host is stopping", retry_after_ms=STOPPING_RETRY_MS)
 
-    def _measured_ms(self, request: ClientRequest, route: Route, service: ServiceName) -> float:
+    def _expected_ms(self, request: ClientRequest, route: Route, service: ServiceName) -> float:
+        """Returns what a request is expected to take at most, by what was measured."""
+        if route.kind is RouteKind.STREAM and route.resumable:
+            # A stream that is cut after all goes on at another host, after the last event.
+            longest_ms = self._streams.longest_ms(request, route, service)
+            return longest_ms if longest_ms < math.inf else 0.0
         if route.kind is RouteKind.STREAM:
-            return self._streams.longest_ms(request, route, service)
+            return DURATION_FACTOR * self._streams.longest_ms(request, route, service)
         measured = self._plain_calls.get(route.name)
-        return measured.longest_ms() if measured is not None else math.inf
+        return DURATION_FACTOR * measured.longest_ms() if measured is not None else math.inf
