Take the end of a request's own time for no failure of its server

Callers: while servers were slow, all of them were paused because calls took longer than their routes allow, and a host could take itself for cut off; callers got 502 'answer lost' where the time had run out.

Cause: a send that reached the time limit of its request was counted like a lost answer: the server got no new work and was probed as if it had crashed. It is now checked with a new connection, and the caller gets 504.

Evidence: test_connecting.py, two tests failed before (502 for 504).

--- a/src/medlarvale/forwarding/errors.py
+++ b/src/medlarvale/forwarding/errors.py
@@ -137,6 +137,13 @@
     code = "backend_down"
 
 
+class LateAnswerError(BackendError):
+    """The time of the request ended before the head of the answer; the server may be sound."""
+
+    code = "backend_late"
+    http_status = 504
+
+
 class SilentEngineError(BackendError):
     """An engine was silent for too long, and another one takes over."""
 
--- a/src/medlarvale/forwarding/interface.py
+++ b/src/medlarvale/forwarding/interface.py
@@ -80,6 +80,7 @@
         Raises:
             NotSentError: the server has not received the request.
             RejectedError: the server reports that it has not run the request.
+            LateAnswerError: the time of the request ended first, and it may have run.
             BackendError: the request may have run.
         """
 
--- a/src/medlarvale/forwarding/plain.py
+++ b/src/medlarvale/forwarding/plain.py
@@ -12,6 +12,7 @@
 from medlarvale.forwarding.errors import (
     BackendError,
     CrashingRequestError,
+    LateAnswerError,
     NotSentError,
     OutcomeUnknownError,
     OverloadedError,
@@ -113,6 +114,8 @@
                     return reply
         if self._failed_reply is not None:
             return self._failed_reply
+        if self._left_ms() <= 0:
+            raise self._error(RequestTimeoutError("no answer within the route timeout"))
         raise self._error(OutcomeUnknownError("the answer of the backend server was lost"))
 
     def _error(self, unknown: Exception) -> Exception:
@@ -238,6 +241,10 @@
                     self._start_attempt()
             elif self._not_run < MAX_NOT_RUN:
                 self._start_another()
+        elif isinstance(error, LateAnswerError):
+            # The request's own time is over, which tells nothing about the server.
+            load.note_answer(failed=True)
+            self._context.servers.request_check(load, now_ms)
         else:
             load.note_answer(failed=True)
             self._guarded.note_broken(load.server)
--- a/src/medlarvale/forwarding/stream_run.py
+++ b/src/medlarvale/forwarding/stream_run.py
@@ -16,6 +16,7 @@
     BackendError,
     CrashingRequestError,
     HandOverError,
+    LateAnswerError,
     NotSentError,
     OutcomeUnknownError,
     OverloadedError,
@@ -477,6 +478,9 @@
                 load.pause_after_failure(self._context.clock.now_ms())
                 self._fetch_from = source.server if source is not None else None
             raise
+        except LateAnswerError:
+            self._context.servers.request_check(load, self._context.clock.now_ms())
+            raise
         except BackendError as error:
             self._note_failure(load, error)
             raise
--- a/src/medlarvale/platform/backends.py
+++ b/src/medlarvale/platform/backends.py
@@ -16,6 +16,7 @@
 from medlarvale.errors import DECODE_ERRORS
 from medlarvale.forwarding.errors import (
     BackendError,
+    LateAnswerError,
     NotSentError,
     RejectedError,
     ServerDownError,
@@ -262,7 +263,9 @@
             raise NotSentError(f"server {server.server}: {error!r}") from error
         except TRANSPORT_ERRORS as error:
             self._note_unanswered(server, used, began_s)
-            kind = BackendError if used is not None else NotSentError
+            kind: type[BackendError] = NotSentError
+            if used is not None:
+                kind = LateAnswerError if isinstance(error, TimeoutError) else BackendError
             raise kind(f"server {server.server}: {error!r}") from error
         except asyncio.CancelledError:
             self._note_unanswered(server, used, began_s)
--- a/tests/forwarding/test_connecting.py
+++ b/tests/forwarding/test_connecting.py
@@ -5,6 +5,7 @@
 import socket
 import unittest
 
+from medlarvale.ids import ServiceName
 from medlarvale.platform.standin import LOOPBACK
 from tests.forwarding.test_host import HostTestCase
 
@@ -49,9 +50,21 @@
         for name in ("s1", "s2"):
             self.servers[name].delay_s = 1.0
         await self.configure()
-        self.assertIn(await self.status("/book/1"), (502, 504))
+        self.assertEqual(await self.status("/book/1"), 504)
         self.assertEqual(sum(self.platform.runs().values()), 1)
 
+    async def test_a_slow_server_is_not_taken_for_a_failed_one(self) -> None:
+        """Guards against servers that get no more work, and hosts that take themselves for cut off,
+        because calls took longer than their routes allow."""
+        self.platform.timeout_ms = ROUTE_TIMEOUT_MS
+        for name in ("s1", "s2"):
+            self.servers[name].delay_s = 1.0
+        await self.configure()
+        statuses = [await self.status(path, path) for path in ("/book/1", "/book/2", "/look/1")]
+        self.assertEqual(statuses, [504] * 3)
+        loads = self.host.servers.of_service(ServiceName("app"))
+        self.assertEqual([load.suspect for load in loads], [False, False])
+
 
 if __name__ == "__main__":
     unittest.main()
