Show that a quiet host takes six servers that are down for a partition

Callers see nothing at first: their requests are relayed to a peer, or, where all peers think the same, tried here. Once a host has not heard of a service for as long as the pauses of its failed servers (3 s), each check of such a server fails after the last contact, so MIN_FAILED_SERVERS of them are enough, however many others accept connections. update() then checks only servers that failed, and relayed requests try none, so nothing ends the state but a failed server that returns. Hellos name the service as unreached meanwhile.

--- a/tests/forwarding/test_reach.py
+++ b/tests/forwarding/test_reach.py
@@ -10,7 +10,7 @@
 from medlarvale.clock import ManualClock
 from medlarvale.forwarding.errors import NotSentError
 from medlarvale.forwarding.messages import EngineStage
-from medlarvale.forwarding.reach import ReachDetector
+from medlarvale.forwarding.reach import MIN_FAILED_SERVERS, ReachDetector
 from medlarvale.forwarding.rechecks import RecheckTask
 from medlarvale.forwarding.servers import ServerLoad, ServerTable
 from medlarvale.ids import ServerId
@@ -75,6 +75,18 @@
                 self.assertEqual(self.reach.is_cut_off(APP), expected)
                 self.assertFalse(self.reach.is_cut_off(LLM))
 
+    async def test_down_servers_of_a_quiet_service_are_no_partition(self) -> None:
+        """Guards against relays that go on for as long as some servers of a service are down,
+        because a host that gets few requests has not heard of the others lately."""
+        self.build(60)
+        down = [f"s{n}" for n in range(MIN_FAILED_SERVERS)]
+        self.cut(down)
+        for server in down:
+            self.fail(server)
+        await self.run_for(10_000.0)
+        self.assertEqual(self.backends.count("send"), 0)
+        self.assertFalse(self.reach.is_cut_off(APP), "54 of 60 servers accept connections")
+
     async def test_a_partition_from_all_services_is_known_by_one_failure(self) -> None:
         """Guards against requests of each service that are lost before the host knows."""
         self.build(3, 5)
