Show that an answer can follow a stream that has begun

Callers see the head of a second answer, with the status of a server, inside the body of a stream: after its first events, if the stream was handed over to a peer and the engine that has its rest answers with another status than 200 (500 in the test; 200 that is no event stream alike).

--- a/tests/forwarding/test_relay.py
+++ b/tests/forwarding/test_relay.py
@@ -3,12 +3,14 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import unittest
 from collections import Counter
 from typing import Any
 
 import aiohttp
 import msgspec
+from aiohttp import web
 from multidict import CIMultiDict
 
 from medlarvale.forwarding.host import ForwardingHost
@@ -118,6 +120,39 @@
                 self.assertEqual(await stream, (200, stream_body(mode.value)))
                 await asyncio.gather(*calls)
 
+    async def test_no_second_answer_follows_a_stream_that_has_begun(self) -> None:
+        """Guards against the head of an answer in the middle of a stream, if the engine that has
+        the rest of the stream answers with another status than 200 (MIXED)."""
+
+        async def fail(request: web.Request, request_id: str) -> web.Response:
+            return web.Response(status=500, text="failed", headers={"X-Request-Id": request_id})
+
+        for engine in ("d1", "d2"):
+            self.fleet.platform.servers[engine].delay_s = EVENT_S
+        port = self.fleet.hosts["a1"].caller_port
+        reader, writer = await asyncio.open_connection(IP, port)
+        writer.write(
+            b"POST /chat/1 HTTP/1.1\r\nHost: callers.example\r\nX-Request-Id: c1\r\n"
+            b"X-Deadline-Ms: 6000\r\nX-Token-Counts: 100,20\r\nContent-Length: 3\r\n\r\nvan"
+        )
+        await asyncio.sleep(CUT_AFTER_S)
+        for engine in ("d1", "d2"):
+            setattr(self.fleet.platform.servers[engine], "_decode", fail)  # noqa: B010
+        await self.fleet.set_paths(["a1"], PathMode.RESET)
+        calls = [asyncio.create_task(self._read("/look/1", f"l{n}")) for n in range(4)]
+        async with asyncio.timeout(WAIT_S):
+            answer = b""
+            with contextlib.suppress(ConnectionError):
+                while b"\r\n0\r\n\r\n" not in answer and (chunk := await reader.read(65_536)):
+                    answer += chunk
+                    if answer.count(b"HTTP/1.1 ") > 1:
+                        break
+        writer.close()
+        await asyncio.gather(*calls)
+        self.assertIn(b"id: 1\n", answer)
+        self.assertEqual(answer.count(b"HTTP/1.1 "), 1, answer.decode())
+        self.assertNotIn(b"\r\n0\r\n\r\n", answer, "the stream looks complete")
+
     async def _read(self, path: str, request_id: str) -> tuple[int, bytes]:
         async with self.call(path, request_id, 6_000) as response:
             return response.status, await response.read()
