Show that a host follows a redirect of a relayed answer

Callers get the answer of whatever a server's Location names in place of the server's, and that address gets a GET (301 to 303) or the signed frame with the caller's headers and body (307, 308; a booking then leaves the fleet a second time). HttpPeerSender.send uses aiohttp's default allow_redirects=True; HttpBackends passes allow_redirects=False.

--- a/tests/forwarding/test_relay.py
+++ b/tests/forwarding/test_relay.py
@@ -91,6 +91,42 @@
                     self.assertNotIn(RELAYED_HEADER, response.headers)
         self.assertEqual(self.fleet.platform.runs()["q1"], len(table))
 
+    async def test_an_answer_with_a_location_is_passed_on(self) -> None:
+        """Guards against a host that follows a redirect of a server's answer, which sends the
+        frame to another address and replaces the answer (MIXED, UNASKED)."""
+        followed: list[str] = []
+
+        async def note(request: web.BaseRequest) -> web.Response:
+            followed.append(f"{request.method} {request.path}")
+            return web.Response(text="elsewhere", headers={RELAYED_HEADER: "server"})
+
+        runner = web.ServerRunner(web.Server(note))
+        await runner.setup()
+        self.addAsyncCleanup(runner.cleanup)
+        await web.TCPSite(runner, IP, 0).start()
+        location = f"http://{IP}:{runner.addresses[0][1]}/elsewhere"
+        await self.cut_off()
+        for status in (301, 302, 303, 307, 308):
+            with self.subTest(status):
+
+                async def redirect(
+                    request: web.Request, request_id: str, status: int = status
+                ) -> web.Response:
+                    headers = {"X-Request-Id": request_id, "Location": location}
+                    return web.Response(status=status, text="moved", headers=headers)
+
+                for server in ("s1", "s2"):
+                    setattr(self.fleet.platform.servers[server], "_plain", redirect)  # noqa: B010
+                port = self.fleet.hosts["a1"].caller_port
+                async with self.client.post(
+                    f"http://{IP}:{port}/book/1",
+                    headers={"Host": "callers.example", "X-Request-Id": f"m{status}"},
+                    data=b"van",
+                    allow_redirects=False,
+                ) as response:
+                    self.assertEqual((response.status, await response.read()), (status, b"moved"))
+        self.assertEqual(followed, [])
+
     async def test_the_host_serves_itself_again(self) -> None:
         """Guards against relays that go on after the partition has healed."""
         await self.cut_off()
