Show that a relayed request is handled by a peer's older configuration

The frame names no version, the peer looks up the route in its own table, and Relay._choose doesn't look at the config_version of the hellos.

The test holds the peer at version 1.

--- /dev/null
+++ b/tests/forwarding/test_relay_peers.py
@@ -0,0 +1,88 @@
+"""Tests of which peers get relayed requests, and of what they may do with them."""
+
+from __future__ import annotations
+
+import asyncio
+import unittest
+from typing import Any
+
+import aiohttp
+
+from medlarvale.forwarding.host import ForwardingHost
+from medlarvale.ids import (
+    ServiceName,
+)
+from medlarvale.platform.standin import StandinServer
+from tests.forwarding.fakes import APP
+from tests.forwarding.partitions import IP, PartitionedFleet, PathMode
+
+OTHER = ServiceName("other")
+LIMIT_S = 5.0
+# The users' RetryBudgetRatio and BudgetSlack.
+BUDGET_RATIO, BUDGET_SLACK = 0.2, 54
+
+
+class _Fleet(unittest.IsolatedAsyncioTestCase):
+    domains = {"a1": "a", "b1": "b"}
+
+    async def asyncSetUp(self) -> None:
+        self.fleet = PartitionedFleet()
+        self.fleet.platform.servers["t1"] = StandinServer("t1", OTHER, None)
+        self.addAsyncCleanup(self.fleet.close)
+        await self.fleet.start(self.domains)
+        self.client = aiohttp.ClientSession()
+        self.addAsyncCleanup(self.client.close)
+
+    def host(self, name: str) -> ForwardingHost:
+        return self.fleet.hosts[name].host
+
+    async def call(self, path: str, request_id: str) -> tuple[int, bytes]:
+        headers = {
+            "Host": "callers.example",
+            "X-Request-Id": request_id,
+            "X-Deadline-Ms": "3000",
+            "X-Token-Counts": "100,20",
+        }
+        port = self.fleet.hosts["a1"].caller_port
+        url = f"http://{IP}:{port}{path}"
+        async with self.client.post(url, headers=headers, data=b"van") as response:
+            return response.status, await response.read()
+
+    async def wait_until(self, condition: Any) -> None:
+        async with asyncio.timeout(LIMIT_S):
+            while not condition():  # noqa: ASYNC110 - the hosts have no event for it
+                await asyncio.sleep(0.01)
+
+    async def wait_until_unreached(self, *services: ServiceName) -> None:
+        number = 0
+        async with asyncio.timeout(LIMIT_S):
+            while not self.host("a1")._context.reach.unreached.issuperset(services):
+                number += 1
+                await self.call("/look/1", f"w{number}")
+
+
+class RelayedConfigurationTest(_Fleet):
+    async def test_a_relayed_request_is_not_handled_by_an_older_configuration(self) -> None:
+        """Guards against a host that has used a configuration and then has a request handled as
+        only an older one allows, because the peer doesn't know the newer one yet (CONFIG)."""
+        peer = self.host("b1")
+        known: list[Any] = []
+        # The peer hears of the new version later than this host.
+        setattr(peer.follower, "accept", known.append)  # noqa: B010
+        await self.fleet.platform.configure(
+            2, look="safe app", book="unsafe other", chat="streaming llm"
+        )
+        await self.wait_until(lambda: self.host("a1").follower.version == 2)
+        self.assertEqual(await self.call("/book/1", "before"), (200, b"ok:van"))
+        self.assertEqual(self.fleet.platform.servers["t1"].runs, ["before"])
+        await self.fleet.set_paths(["a1"], PathMode.RESET)
+        await self.wait_until_unreached(APP)
+        for number in range(10):
+            await self.call("/book/1", f"n{number}")
+        servers = self.fleet.platform.servers
+        old = [run for name in ("s1", "s2") for run in servers[name].runs if run[0] == "n"]
+        self.assertEqual(old, [], "run by the service of version 1")
+
+
+if __name__ == "__main__":
+    unittest.main()
