Show that a peer chooses the service of a relayed request once more

Callers of a route with two services get 503 although a peer reaches the service that was chosen: the peer draws by the weights again, and may draw the one that only the first host reaches. The rest of a stream can be drawn to another service than the one that began it in the same way (not tested). CallerServer._find_and_forward runs choose_service() for relayed requests too; the frame names no service.

--- a/tests/forwarding/test_relay_peers.py
+++ b/tests/forwarding/test_relay_peers.py
@@ -4,12 +4,17 @@
 
 import asyncio
 import unittest
+from collections import Counter
 from typing import Any
 
 import aiohttp
+import msgspec
 
 from medlarvale.forwarding.host import ForwardingHost
+from medlarvale.forwarding.messages import Target
 from medlarvale.ids import (
+    ConfigVersion,
+    ServerId,
     ServiceName,
 )
 from medlarvale.platform.standin import StandinServer
@@ -83,6 +88,29 @@
         old = [run for name in ("s1", "s2") for run in servers[name].runs if run[0] == "n"]
         self.assertEqual(old, [], "run by the service of version 1")
 
+    async def test_a_relayed_request_goes_to_the_service_that_was_chosen(self) -> None:
+        """Guards against a peer that chooses the service of a route by chance once more, among
+        them one that it can't reach, or another one than that which began a stream."""
+        for name in ("a1", "b1"):
+            follower = self.host(name).follower
+            assert follower.index is not None
+            table = follower.index.table
+            routes = tuple(
+                (
+                    msgspec.structs.replace(route, targets=(Target(APP, 1.0), Target(OTHER, 1.0)))
+                    if route.name == "book"
+                    else route
+                )
+                for route in table.routes
+            )
+            follower.accept(msgspec.structs.replace(table, routes=routes, version=ConfigVersion(2)))
+        for server in ("s1", "s2"):
+            await self.fleet.hosts["a1"].paths[ServerId(server)].set_mode(PathMode.RESET)
+        await self.fleet.hosts["b1"].paths[ServerId("t1")].set_mode(PathMode.RESET)
+        await self.wait_until_unreached(APP)
+        statuses = Counter([(await self.call("/book/1", f"n{n}"))[0] for n in range(40)])
+        self.assertEqual(statuses, {200: 40})
+
 
 if __name__ == "__main__":
     unittest.main()
