Show that relays to further peers escape the retry budget

Full servers get up to three first sends of one request, one from each peer, and each peer's paid retries beside: _RelayRun.run goes on to the next peer after each RejectedError and spends no retry, and each peer records the request in its own budget. Without a relay, rejections cost a retry each.

--- a/tests/forwarding/test_relay_peers.py
+++ b/tests/forwarding/test_relay_peers.py
@@ -9,6 +9,7 @@
 
 import aiohttp
 import msgspec
+from aiohttp import web
 
 from medlarvale.forwarding.host import ForwardingHost
 from medlarvale.forwarding.messages import Target
@@ -112,5 +113,30 @@
         self.assertEqual(statuses, {200: 40})
 
 
+class RelayBudgetTest(_Fleet):
+    domains = {"a1": "a", "b1": "b", "b2": "b", "b3": "b"}
+
+    async def test_relays_to_further_peers_stay_within_the_retry_budget(self) -> None:
+        """Guards against arrivals at full servers that no retry budget counts, because each peer
+        sends a relayed request once for free (BUDGET)."""
+        arrived: Counter[str] = Counter()
+
+        async def reject(request: web.Request, request_id: str) -> web.Response:
+            arrived[request_id] += 1
+            return web.Response(
+                status=503, headers={"X-Request-Id": request_id, "X-Not-Executed": "1"}
+            )
+
+        await self.fleet.set_paths(["a1"], PathMode.RESET)
+        await self.wait_until_unreached(APP)
+        for server in ("s1", "s2"):
+            setattr(self.fleet.platform.servers[server], "_plain", reject)  # noqa: B010
+        requests = 120
+        statuses = Counter([(await self.call("/book/1", f"n{n}"))[0] for n in range(requests)])
+        self.assertEqual(statuses, {503: requests})
+        extra = sum(count - 1 for count in arrived.values())
+        self.assertLessEqual(extra, BUDGET_RATIO * requests + BUDGET_SLACK)
+
+
 if __name__ == "__main__":
     unittest.main()
