Show that relays ask peers of their own failure domain only

Callers of a failure domain whose hosts are all cut off get 503 until the hellos of their neighbours say so: _choose returns a neighbour as long as one is untried, and MAX_PEERS is 3, so with three neighbours or more no other failure domain is asked.

--- a/tests/forwarding/test_relay_peers.py
+++ b/tests/forwarding/test_relay_peers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import random
 import unittest
 from collections import Counter
 from typing import Any
@@ -11,15 +12,28 @@
 import msgspec
 from aiohttp import web
 
+from medlarvale.clock import SystemClock
+from medlarvale.forwarding.errors import OverloadedError, RejectedError
+from medlarvale.forwarding.fleet_messages import Hello
 from medlarvale.forwarding.host import ForwardingHost
-from medlarvale.forwarding.messages import Target
+from medlarvale.forwarding.interface import BackendAnswer
+from medlarvale.forwarding.messages import RouteKind, Target
+from medlarvale.forwarding.reach import ReachDetector
+from medlarvale.forwarding.relay_client import PeerSender, Relay
+from medlarvale.forwarding.relay_messages import RelayCodec
+from medlarvale.forwarding.servers import ServerTable
 from medlarvale.ids import (
     ConfigVersion,
+    FailureDomain,
+    HostId,
+    HostIdentity,
+    Incarnation,
     ServerId,
     ServiceName,
 )
+from medlarvale.peers.auth import FrameGuard, SharedKeys
 from medlarvale.platform.standin import StandinServer
-from tests.forwarding.fakes import APP
+from tests.forwarding.fakes import APP, HERE, FakeAnswer, FakeSink, make_request, make_route
 from tests.forwarding.partitions import IP, PartitionedFleet, PathMode
 
 OTHER = ServiceName("other")
@@ -138,5 +152,66 @@
         self.assertLessEqual(extra, BUDGET_RATIO * requests + BUDGET_SLACK)
 
 
+class _Sender(PeerSender):
+    """Peers of one failure domain reject all requests, the others serve them."""
+
+    def __init__(self, rejecting: set[str]) -> None:
+        self.rejecting = rejecting
+        self.asked: list[str] = []
+
+    async def send(self, address: str, frame: bytes, left_ms: float) -> BackendAnswer:
+        self.asked.append(address)
+        if address in self.rejecting:
+            raise RejectedError("no server can be reached")
+        return FakeAnswer([b"ok"], event_stream=False)
+
+    async def close(self) -> None:
+        """Closes nothing."""
+
+
+class RelayChoiceTest(unittest.IsolatedAsyncioTestCase):
+    def build(self, domains: dict[str, str], addresses: dict[str, str], sender: Any) -> Relay:
+        clock = SystemClock()
+        identity = HostIdentity(HostId("a1"), Incarnation(1))
+        hellos = {
+            HostId(name): Hello(
+                HostIdentity(HostId(name), Incarnation(1)),
+                FailureDomain(domain),
+                {},
+                ConfigVersion(1),
+                True,
+                {},
+                relay_port=1,
+            )
+            for name, domain in domains.items()
+        }
+        guard = FrameGuard(SharedKeys({"fleet": b"k" * 32}), identity, clock.wall_ms())
+        return Relay(
+            ReachDetector(ServerTable(HERE, random.Random(1)), clock, random.Random(2)),
+            lambda: hellos,
+            lambda host: addresses[host],
+            HERE,
+            RelayCodec(identity, guard),
+            sender,
+            clock,
+            random.Random(3),
+        )
+
+    async def test_peers_of_another_failure_domain_are_asked_in_time(self) -> None:
+        """Guards against requests that are refused because all hosts of a failure domain were cut
+        off together, and its peers have not said so yet (RECOVER)."""
+        domains = {"a2": "a", "a3": "a", "a4": "a", "a5": "a", "b1": "b", "b2": "b"}
+        near = {name for name, domain in domains.items() if domain == HERE}
+        sender = _Sender(near)
+        relay = self.build(domains, {name: name for name in domains}, sender)
+        route = make_route(kind=RouteKind.UNSAFE, targets=(Target(APP, 1.0),))
+        try:
+            reply = await relay.forward(make_request("q1"), route, APP, FakeSink())
+        except OverloadedError:
+            self.fail(f"refused after {sender.asked}")
+        assert reply is not None
+        self.assertEqual((reply.status, reply.body), (200, b"ok"))
+
+
 if __name__ == "__main__":
     unittest.main()
