Show that a booking that no peer has received ends as "may have run"

Callers get 504, after which they may not repeat a booking, if its time ends while the connection to the peer is still being opened. _run_at counts a possible run before there is a connection, and the time-out of Relay.forward or HttpPeerSender.send is no NotSentError.

--- a/tests/forwarding/test_relay_peers.py
+++ b/tests/forwarding/test_relay_peers.py
@@ -11,6 +11,7 @@
 import aiohttp
 import msgspec
 from aiohttp import web
+from multidict import CIMultiDict
 
 from medlarvale.clock import SystemClock
 from medlarvale.forwarding.errors import OverloadedError, RejectedError
@@ -19,7 +20,7 @@
 from medlarvale.forwarding.interface import BackendAnswer
 from medlarvale.forwarding.messages import RouteKind, Target
 from medlarvale.forwarding.reach import ReachDetector
-from medlarvale.forwarding.relay_client import PeerSender, Relay
+from medlarvale.forwarding.relay_client import HttpPeerSender, PeerSender, Relay
 from medlarvale.forwarding.relay_messages import RelayCodec
 from medlarvale.forwarding.servers import ServerTable
 from medlarvale.ids import (
@@ -34,7 +35,7 @@
 from medlarvale.peers.auth import FrameGuard, SharedKeys
 from medlarvale.platform.standin import StandinServer
 from tests.forwarding.fakes import APP, HERE, FakeAnswer, FakeSink, make_request, make_route
-from tests.forwarding.partitions import IP, PartitionedFleet, PathMode
+from tests.forwarding.partitions import IP, PartitionedFleet, PathMode, _bind
 
 OTHER = ServiceName("other")
 LIMIT_S = 5.0
@@ -212,6 +213,26 @@
         assert reply is not None
         self.assertEqual((reply.status, reply.body), (200, b"ok"))
 
+    async def test_what_no_peer_has_accepted_in_time_has_not_run(self) -> None:
+        """Guards against "may have run" for a booking whose time ended before there was a
+        connection to a peer."""
+        listener = _bind(0)
+        self.addCleanup(listener.close)
+        # With a backlog of 0, Linux queues one connection and drops the handshakes of further ones.
+        listener.listen(0)
+        port = listener.getsockname()[1]
+        for _ in range(2):
+            filler = _bind(0)
+            self.addCleanup(filler.close)
+            filler.connect_ex((IP, port))
+        sender = HttpPeerSender()
+        self.addAsyncCleanup(sender.close)
+        relay = self.build({"b1": "b"}, {"b1": f"{IP}:{port}"}, sender)
+        route = make_route(kind=RouteKind.UNSAFE, targets=(Target(APP, 1.0),))
+        request = make_request("q1", deadline_ms=150.0, headers=CIMultiDict())
+        with self.assertRaises(OverloadedError):
+            await relay.forward(request, route, APP, FakeSink())
+
 
 if __name__ == "__main__":
     unittest.main()
