Show that a stream that is handed over can go on at another version

Callers get text that is joined from two software versions, and that looks complete. The host that began the stream knows its version, but the frame names only the attempt; the peer computes the version again from the deadline, and gets min(caller's deadline, route's timeout) - 20 ms - elapsed for it. Where callers wait for longer than the route's timeout, the stream seems to have begun earlier by the difference, possibly before the last release.

--- a/tests/forwarding/test_relay.py
+++ b/tests/forwarding/test_relay.py
@@ -20,6 +20,7 @@
     RelayCodec,
     RelayedAnswer,
 )
+from medlarvale.hashing import weight
 from medlarvale.ids import HostId, HostIdentity, Incarnation, ServiceName
 from medlarvale.platform.standin import stream_body
 from tests.forwarding.fakes import make_request
@@ -31,6 +32,9 @@
 # Three events arrive before a cut after this time, and the stream ends well after it.
 EVENT_S = 0.3
 CUT_AFTER_S = 0.8
+# Longer than the timeout of the routes, and than hosts need to learn of a change.
+LONGER_THAN_TIMEOUT_S = 3.5
+KNOWN_TO_ALL_S = 1.0
 
 
 class RelayTestCase(unittest.IsolatedAsyncioTestCase):
@@ -189,6 +193,36 @@
         self.assertEqual(answer.count(b"HTTP/1.1 "), 1, answer.decode())
         self.assertNotIn(b"\r\n0\r\n\r\n", answer, "the stream looks complete")
 
+    async def test_a_stream_that_is_handed_over_keeps_its_version(self) -> None:
+        """Guards against text that is joined from two versions because the time that is left of the
+        route's timeout is taken for that of the caller's deadline (ORDER)."""
+        servers = self.fleet.platform.servers
+        peer_port = self.fleet.hosts["b1"].caller_port
+        for number in range(6):
+            # The peer learns the usual deadline of callers.
+            headers = {"Host": "callers.example", "X-Request-Id": f"p{number}"}
+            headers |= {"X-Deadline-Ms": "6000", "X-Token-Counts": "100,20"}
+            url = f"http://{IP}:{peer_port}/chat/1"
+            async with self.client.post(url, headers=headers, data=b"van") as response:
+                self.assertEqual(await response.read(), stream_body(f"p{number}"))
+        await asyncio.sleep(LONGER_THAN_TIMEOUT_S)
+        servers["d2"].software, servers["d2"].born_ms = "v2", servers["d2"].born_ms + 1
+        await self.fleet.platform.publish(servers["d2"])
+        await asyncio.sleep(KNOWN_TO_ALL_S)
+        request_id = next(
+            name for name in map(str, range(100)) if weight(name, "d2") > weight(name, "d1")
+        )
+        for engine in ("d1", "d2"):
+            servers[engine].delay_s = EVENT_S
+        stream = asyncio.create_task(self._read("/chat/1", request_id))
+        await asyncio.sleep(CUT_AFTER_S)
+        await self.fleet.set_paths(["a1"], PathMode.RESET)
+        for engine in ("d1", "d2"):
+            servers[engine].delay_s = 0.0
+        calls = [asyncio.create_task(self._read("/look/1", f"l{n}")) for n in range(4)]
+        self.assertEqual(await stream, (200, stream_body(request_id, software="v2")))
+        await asyncio.gather(*calls)
+
     async def _read(self, path: str, request_id: str) -> tuple[int, bytes]:
         async with self.call(path, request_id, 6_000) as response:
             return response.status, await response.read()
