Show that a request with a header that is not UTF-8 can't be relayed

Callers get 500 (unexpected_error, outcome unknown) for a request that the same host served before it was cut off; no peer has received it. aiohttp gives such bytes as surrogates, and msgspec.msgpack.encode raises UnicodeEncodeError in RelayCodec.encode.

--- a/tests/forwarding/test_relay.py
+++ b/tests/forwarding/test_relay.py
@@ -95,6 +95,21 @@
                     self.assertNotIn(RELAYED_HEADER, response.headers)
         self.assertEqual(self.fleet.platform.runs()["q1"], len(table))
 
+    async def test_a_header_that_is_not_utf_8_is_relayed(self) -> None:
+        """Guards against requests that a host serves itself but can't relay."""
+        statuses = []
+        for cut in (False, True):
+            if cut:
+                await self.cut_off()
+            reader, writer = await asyncio.open_connection(IP, self.fleet.hosts["a1"].caller_port)
+            writer.write(
+                b"POST /book/1 HTTP/1.1\r\nHost: callers.example\r\nX-Request-Id: h%d\r\n"
+                b"X-Name: Ren\xe9\r\nContent-Length: 3\r\n\r\nvan" % cut
+            )
+            statuses.append((await reader.readline()).strip())
+            writer.close()
+        self.assertEqual(statuses, [b"HTTP/1.1 200 OK"] * 2)
+
     async def test_an_answer_with_a_location_is_passed_on(self) -> None:
         """Guards against a host that follows a redirect of a server's answer, which sends the
         frame to another address and replaces the answer (MIXED, UNASKED)."""
