--- a/tests/forwarding/test_relay_peers.py
+++ b/tests/forwarding/test_relay_peers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import random
 import unittest
 from collections import Counter
@@ -14,7 +15,12 @@
 from multidict import CIMultiDict
 
 from medlarvale.clock import SystemClock
-from medlarvale.forwarding.errors import OverloadedError, RejectedError
+from medlarvale.forwarding.errors import (
+    BackendError,
+    OutcomeUnknownError,
+    OverloadedError,
+    RejectedError,
+)
 from medlarvale.forwarding.fleet_messages import Hello
 from medlarvale.forwarding.host import ForwardingHost
 from medlarvale.forwarding.interface import BackendAnswer
@@ -154,14 +160,22 @@
 
 
 class _Sender(PeerSender):
-    """Peers of one failure domain reject all requests, the others serve them."""
+    """Some peers reject all requests, the others serve them.
+
+    Args:
+        rejecting: the peers that reject them.
+        lost: number of first requests during which the peer is lost.
+    """
 
-    def __init__(self, rejecting: set[str]) -> None:
+    def __init__(self, rejecting: set[str], lost: int = 0) -> None:
         self.rejecting = rejecting
+        self.lost = lost
         self.asked: list[str] = []
 
     async def send(self, address: str, frame: bytes, left_ms: float) -> BackendAnswer:
         self.asked.append(address)
+        if len(self.asked) <= self.lost:
+            raise BackendError("the peer was lost")
         if address in self.rejecting:
             raise RejectedError("no server can be reached")
         return FakeAnswer([b"ok"], event_stream=False)
@@ -213,6 +227,23 @@
         assert reply is not None
         self.assertEqual((reply.status, reply.body), (200, b"ok"))
 
+    async def test_a_safe_call_goes_on_at_another_peer(self) -> None:
+        """Guards against safe calls and streams without an event that fail with the one peer that
+        had them, although other peers reach the servers (RECOVER)."""
+        table = [
+            ("safe", make_route(kind=RouteKind.SAFE, targets=(Target(APP, 1.0),)), True),
+            ("stream", make_route(kind=RouteKind.STREAM, targets=(Target(APP, 1.0),)), True),
+            ("unsafe", make_route(kind=RouteKind.UNSAFE, targets=(Target(APP, 1.0),)), False),
+        ]
+        for name, route, repeatable in table:
+            with self.subTest(name):
+                domains = {"b1": "b", "b2": "b", "b3": "b"}
+                sender = _Sender(set(), lost=1)
+                relay = self.build(domains, {peer: peer for peer in domains}, sender)
+                with contextlib.suppress(OutcomeUnknownError):
+                    await relay.forward(make_request("q1"), route, APP, FakeSink())
+                self.assertEqual(len(sender.asked), 2 if repeatable else 1)
+
     async def test_what_no_peer_has_accepted_in_time_has_not_run(self) -> None:
         """Guards against "may have run" for a booking whose time ended before there was a
         connection to a peer."""
