Show that streams are refused because engines are silent for a moment

Callers of a host that reaches all servers get 503 ("the engines can't be reached from this host") about 0.1 s after all engines of a service (or six of them) have left a reservation unanswered: all streams that wait, whether or not a peer could take them. Hellos name the service as unreached too. ReachDetector counts every note_failure() as a failure to reach the server, also answers that were late, cut, unsigned or garbled on a connection that the server had accepted; MemoryQueue._expire refuses on is_cut_off() alone.

Without reach.start() the test passes.

--- a/tests/forwarding/test_silent_servers.py
+++ b/tests/forwarding/test_silent_servers.py
@@ -11,7 +11,7 @@
 import unittest
 from typing import Any
 
-from medlarvale.forwarding.errors import NotSentError
+from medlarvale.forwarding.errors import BackendError, NotSentError, OverloadedError
 from medlarvale.forwarding.messages import (
     ClientRequest,
     Dispatch,
@@ -42,6 +42,7 @@
 # Longer than a third of the callers' patience, which is 3.6 s on the routes of these tests.
 SILENCE_S = 1.5
 LONGEST_SILENCE_MS = 1_500.0
+SHORT_SILENCE_S = 0.5
 FREE_TOKENS = 6_000
 # A run may go on for this long after another one has been sent.
 ALLOWED_OVERLAP_S = 0.4
@@ -119,6 +120,27 @@
                     for load in self.context.servers.of_service(LLM):
                         self.assertEqual((load.tokens, load.in_flight), (0, 0))
 
+    async def test_a_stream_waits_for_silent_engines_that_accept_connections(self) -> None:
+        """Guards against streams that are refused at once, as if this host were cut off, because
+        the engines of a small service answer no reservation for a moment."""
+        for names in (["d1"], ["d1", "d2"]):
+            with self.subTest(engines=names):
+                self.build(dict.fromkeys(names, "v1"))
+                self.context.reach.start()
+                self.answer_in_turn(FakeAnswer([events(1, 4)]))
+                engines = [ServerId(name) for name in names]
+                self.backends.hold_errors = dict.fromkeys(engines, BackendError("no answer"))
+                asyncio.get_running_loop().call_later(
+                    SHORT_SILENCE_S, self.backends.hold_errors.clear
+                )
+                request = make_request(tokens=TokenCounts(5_000, 100, 80))
+                try:
+                    await self.forwarder.forward(request, make_route(), LLM, self.sink)
+                except OverloadedError as error:
+                    waited_ms = self.context.clock.now_ms() - request.received_ms
+                    self.fail(f"refused after {waited_ms:.0f} ms: {error.message}")
+                self.assertEqual((self.sink.data, self.sink.finished), (events(1, 4), True))
+
     async def test_another_engine_takes_over_from_a_silent_one(self) -> None:
         """Guards against callers that wait for a dead engine until they leave, and against two runs
         at once (TWICE)."""
