--- a/tests/forwarding/test_relay.py
+++ b/tests/forwarding/test_relay.py
@@ -3,12 +3,14 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import unittest
 from collections import Counter
 from typing import Any
 
 import aiohttp
 import msgspec
+from aiohttp import web
 from multidict import CIMultiDict
 
 from medlarvale.forwarding.host import ForwardingHost
@@ -18,6 +20,7 @@
     RelayCodec,
     RelayedAnswer,
 )
+from medlarvale.hashing import weight
 from medlarvale.ids import HostId, HostIdentity, Incarnation, ServiceName
 from medlarvale.platform.standin import stream_body
 from tests.forwarding.fakes import make_request
@@ -29,6 +32,9 @@
 # Three events arrive before a cut after this time, and the stream ends well after it.
 EVENT_S = 0.3
 CUT_AFTER_S = 0.8
+# Longer than the timeout of the routes, and than hosts need to learn of a change.
+LONGER_THAN_TIMEOUT_S = 3.5
+KNOWN_TO_ALL_S = 1.0
 
 
 class RelayTestCase(unittest.IsolatedAsyncioTestCase):
@@ -89,6 +95,57 @@
                     self.assertNotIn(RELAYED_HEADER, response.headers)
         self.assertEqual(self.fleet.platform.runs()["q1"], len(table))
 
+    async def test_a_header_that_is_not_utf_8_is_relayed(self) -> None:
+        """Guards against requests that a host serves itself but can't relay."""
+        statuses = []
+        for cut in (False, True):
+            if cut:
+                await self.cut_off()
+            reader, writer = await asyncio.open_connection(IP, self.fleet.hosts["a1"].caller_port)
+            writer.write(
+                b"POST /book/1 HTTP/1.1\r\nHost: callers.example\r\nX-Request-Id: h%d\r\n"
+                b"X-Name: Ren\xe9\r\nContent-Length: 3\r\n\r\nvan" % cut
+            )
+            statuses.append((await reader.readline()).strip())
+            writer.close()
+        self.assertEqual(statuses, [b"HTTP/1.1 200 OK"] * 2)
+
+    async def test_an_answer_with_a_location_is_passed_on(self) -> None:
+        """Guards against a host that follows a redirect of a server's answer, which sends the
+        frame to another address and replaces the answer (MIXED, UNASKED)."""
+        followed: list[str] = []
+
+        async def note(request: web.BaseRequest) -> web.Response:
+            followed.append(f"{request.method} {request.path}")
+            return web.Response(text="elsewhere", headers={RELAYED_HEADER: "server"})
+
+        runner = web.ServerRunner(web.Server(note))
+        await runner.setup()
+        self.addAsyncCleanup(runner.cleanup)
+        await web.TCPSite(runner, IP, 0).start()
+        location = f"http://{IP}:{runner.addresses[0][1]}/elsewhere"
+        await self.cut_off()
+        for status in (301, 302, 303, 307, 308):
+            with self.subTest(status):
+
+                async def redirect(
+                    request: web.Request, request_id: str, status: int = status
+                ) -> web.Response:
+                    headers = {"X-Request-Id": request_id, "Location": location}
+                    return web.Response(status=status, text="moved", headers=headers)
+
+                for server in ("s1", "s2"):
+                    setattr(self.fleet.platform.servers[server], "_plain", redirect)  # noqa: B010
+                port = self.fleet.hosts["a1"].caller_port
+                async with self.client.post(
+                    f"http://{IP}:{port}/book/1",
+                    headers={"Host": "callers.example", "X-Request-Id": f"m{status}"},
+                    data=b"van",
+                    allow_redirects=False,
+                ) as response:
+                    self.assertEqual((response.status, await response.read()), (status, b"moved"))
+        self.assertEqual(followed, [])
+
     async def test_the_host_serves_itself_again(self) -> None:
         """Guards against relays that go on after the partition has healed."""
         await self.cut_off()
@@ -118,6 +175,69 @@
                 self.assertEqual(await stream, (200, stream_body(mode.value)))
                 await asyncio.gather(*calls)
 
+    async def test_no_second_answer_follows_a_stream_that_has_begun(self) -> None:
+        """Guards against the head of an answer in the middle of a stream, if the engine that has
+        the rest of the stream answers with another status than 200 (MIXED)."""
+
+        async def fail(request: web.Request, request_id: str) -> web.Response:
+            return web.Response(status=500, text="failed", headers={"X-Request-Id": request_id})
+
+        for engine in ("d1", "d2"):
+            self.fleet.platform.servers[engine].delay_s = EVENT_S
+        port = self.fleet.hosts["a1"].caller_port
+        reader, writer = await asyncio.open_connection(IP, port)
+        writer.write(
+            b"POST /chat/1 HTTP/1.1\r\nHost: callers.example\r\nX-Request-Id: c1\r\n"
+            b"X-Deadline-Ms: 6000\r\nX-Token-Counts: 100,20\r\nContent-Length: 3\r\n\r\nvan"
+        )
+        await asyncio.sleep(CUT_AFTER_S)
+        for engine in ("d1", "d2"):
+            setattr(self.fleet.platform.servers[engine], "_decode", fail)  # noqa: B010
+        await self.fleet.set_paths(["a1"], PathMode.RESET)
+        calls = [asyncio.create_task(self._read("/look/1", f"l{n}")) for n in range(4)]
+        async with asyncio.timeout(WAIT_S):
+            answer = b""
+            with contextlib.suppress(ConnectionError):
+                while b"\r\n0\r\n\r\n" not in answer and (chunk := await reader.read(65_536)):
+                    answer += chunk
+                    if answer.count(b"HTTP/1.1 ") > 1:
+                        break
+        writer.close()
+        await asyncio.gather(*calls)
+        self.assertIn(b"id: 1\n", answer)
+        self.assertEqual(answer.count(b"HTTP/1.1 "), 1, answer.decode())
+        self.assertNotIn(b"\r\n0\r\n\r\n", answer, "the stream looks complete")
+
+    async def test_a_stream_that_is_handed_over_keeps_its_version(self) -> None:
+        """Guards against text that is joined from two versions because the time that is left of the
+        route's timeout is taken for that of the caller's deadline (ORDER)."""
+        servers = self.fleet.platform.servers
+        peer_port = self.fleet.hosts["b1"].caller_port
+        for number in range(6):
+            # The peer learns the usual deadline of callers.
+            headers = {"Host": "callers.example", "X-Request-Id": f"p{number}"}
+            headers |= {"X-Deadline-Ms": "6000", "X-Token-Counts": "100,20"}
+            url = f"http://{IP}:{peer_port}/chat/1"
+            async with self.client.post(url, headers=headers, data=b"van") as response:
+                self.assertEqual(await response.read(), stream_body(f"p{number}"))
+        await asyncio.sleep(LONGER_THAN_TIMEOUT_S)
+        servers["d2"].software, servers["d2"].born_ms = "v2", servers["d2"].born_ms + 1
+        await self.fleet.platform.publish(servers["d2"])
+        await asyncio.sleep(KNOWN_TO_ALL_S)
+        request_id = next(
+            name for name in map(str, range(100)) if weight(name, "d2") > weight(name, "d1")
+        )
+        for engine in ("d1", "d2"):
+            servers[engine].delay_s = EVENT_S
+        stream = asyncio.create_task(self._read("/chat/1", request_id))
+        await asyncio.sleep(CUT_AFTER_S)
+        await self.fleet.set_paths(["a1"], PathMode.RESET)
+        for engine in ("d1", "d2"):
+            servers[engine].delay_s = 0.0
+        calls = [asyncio.create_task(self._read("/look/1", f"l{n}")) for n in range(4)]
+        self.assertEqual(await stream, (200, stream_body(request_id, software="v2")))
+        await asyncio.gather(*calls)
+
     async def _read(self, path: str, request_id: str) -> tuple[int, bytes]:
         async with self.call(path, request_id, 6_000) as response:
             return response.status, await response.read()
