Take only failed connections for a sign of a partition

Callers: streams were refused after 0.1 s because the engines of a small service had answered no reservation for a moment, as if the host were cut off; a quiet host relayed its requests for as long as six of sixty servers were down.

Cause: each failure of a server counted, also a late or lost answer on an accepted connection, and nothing checked the servers that had not failed. Connections that can't be established count now, those of short calls included, and other servers are checked for 0.6 s before the decision. Waiting streams are refused only if a peer can serve them.

--- a/src/medlarvale/forwarding/memory.py
+++ b/src/medlarvale/forwarding/memory.py
@@ -8,7 +8,12 @@
 
 from medlarvale.forwarding.context import ForwardingContext
 from medlarvale.forwarding.demand import DemandMeter
-from medlarvale.forwarding.errors import BackendError, OverloadedError, VersionGoneError
+from medlarvale.forwarding.errors import (
+    BackendError,
+    NotSentError,
+    OverloadedError,
+    VersionGoneError,
+)
 from medlarvale.forwarding.memory_request import MemoryRequest, Reservation
 from medlarvale.forwarding.messages import EngineStage, EngineTraits, HoldId
 from medlarvale.forwarding.servers import ERROR_PENALTY, ServerLoad
@@ -233,7 +238,7 @@
             if not waiter.future.done():
                 gone = VersionGoneError("the last engine of the version has left")
                 waiter.future.set_exception(gone)
-        if self._context.reach.is_cut_off(self._service):
+        if self._context.needs_relay(self._service):
             for waiter in list(self._waiting):
                 self._refuse(waiter, "the engines can't be reached from this host", now_ms)
         if self._waiting:
@@ -347,6 +352,9 @@
         now_ms = self._context.clock.now_ms
         try:
             hold = await call
+        except NotSentError as error:
+            self._context.servers.note_unreachable(load, now_ms(), error.message)
+            return None
         except BackendError as error:
             self._context.servers.note_failure(load, now_ms(), error.message)
             return None
--- a/src/medlarvale/forwarding/plain.py
+++ b/src/medlarvale/forwarding/plain.py
@@ -236,7 +236,7 @@
             self._sends -= 1
             self._not_run += 1
             if isinstance(error, NotSentError):
-                self._context.servers.note_failure(load, now_ms, error.message)
+                self._context.servers.note_unreachable(load, now_ms, error.message)
                 if self._not_run < MAX_NOT_RUN and self._left_ms() > 0:
                     self._start_attempt()
             elif self._not_run < MAX_NOT_RUN:
--- a/src/medlarvale/forwarding/prefill.py
+++ b/src/medlarvale/forwarding/prefill.py
@@ -126,7 +126,7 @@
             while not (await asyncio.wait({call}, timeout=CHECK_PERIOD_MS / 1000.0))[0]:
                 if clock.now_ms() >= due_ms + CHECK_AFTER_MS:
                     servers.request_check(load, clock.now_ms())
-                if load.check_failed_ms > sent_ms:
+                if load.unreachable_ms > sent_ms:
                     raise BackendError("the engine can't be reached any more")
                 if clock.now_ms() >= due_ms + limit_ms:
                     raise BackendError("no result of the prefill in time")
@@ -193,6 +193,8 @@
         if isinstance(error, RejectedError):
             load.paused_until_ms = now_ms + REJECTED_PAUSE_MS
             return
-        if not isinstance(error, NotSentError):
-            self._guarded.note_broken(load.server)
+        if isinstance(error, NotSentError):
+            self._context.servers.note_unreachable(load, now_ms, error.message)
+            return
+        self._guarded.note_broken(load.server)
         self._context.servers.note_failure(load, now_ms, error.message)
--- a/src/medlarvale/forwarding/reach.py
+++ b/src/medlarvale/forwarding/reach.py
@@ -20,6 +20,9 @@
 # are checked.
 MIN_FAILED_SERVERS = 6
 DECISION_PERIOD_MS = 100.0
+# Time for which a service has to seem cut off while others of its servers are checked. A check
+# takes 400 ms if there is no answer.
+CONFIRMATION_MS = 600.0
 # Time between two checks of a server of a service that can't be reached, and between two rounds of
 # checks of other servers.
 CHECK_PERIOD_MS = 400.0
@@ -43,6 +46,7 @@
         self._rng = rng
         self._checked_ms = -math.inf
         self._others_checked_ms = -math.inf
+        self._seeming_since_ms: dict[ServiceName, float] = {}
         self.unreached: frozenset[ServiceName] = frozenset()
         servers.on_failure(self._check_others)
 
@@ -56,7 +60,7 @@
 
     def update(self) -> None:
         """Decides again, and checks some servers of the services that can't be reached."""
-        unreached = frozenset(filter(self._seems_cut_off, self._services()))
+        unreached = frozenset(filter(self._is_confirmed, self._services()))
         for service in unreached - self.unreached:
             log_warning(Event.SERVICE_UNREACHED, service=service)
         for service in self.unreached - unreached:
@@ -69,18 +73,32 @@
                 failed = [load for load in self._ready(service) if load.suspect]
                 self._servers.check_again(self._rng.choice(failed))
 
+    def _is_confirmed(self, service: ServiceName) -> bool:
+        """Returns whether a service seems to be cut off, and other servers don't answer either."""
+        if not self._seems_cut_off(service):
+            self._seeming_since_ms.pop(service, None)
+            return False
+        now_ms = self._clock.now_ms()
+        since_ms = self._seeming_since_ms.setdefault(service, now_ms)
+        others = [load for load in self._ready(service) if not load.suspect]
+        if not others or service in self.unreached:
+            return True
+        self._servers.request_check(self._rng.choice(others), now_ms)
+        return now_ms - since_ms >= CONFIRMATION_MS
+
     def _services(self) -> set[ServiceName]:
         return {server.service for server in self._servers.all_servers()}
 
     def _seems_cut_off(self, service: ServiceName) -> bool:
         ready = self._ready(service)
         heard_ms = max((load.contact_ms for load in ready), default=math.inf)
-        failed = sum(load.suspect and load.failed_ms > heard_ms for load in ready)
+        failed = sum(load.suspect and load.unreachable_ms > heard_ms for load in ready)
         return failed >= min(len(ready), MIN_FAILED_SERVERS) > 0
 
-    def has_healthy_server(self, service: ServiceName) -> bool:
-        """Returns whether some server of a service has not failed since it was last reached."""
-        return any(not load.suspect for load in self._ready(service))
+    def have_all_failed(self, service: ServiceName) -> bool:
+        """Returns whether a service has servers, and each failed since it was last reached."""
+        ready = self._ready(service)
+        return bool(ready) and all(load.suspect for load in ready)
 
     def _ready(self, service: ServiceName) -> list[ServerLoad]:
         """Returns the servers that requests of a service are sent to first."""
@@ -101,4 +119,4 @@
             others = [load for load in ready if not load.suspect]
             missing = MIN_FAILED_SERVERS - (len(ready) - len(others))
             for load in self._rng.sample(others, max(0, min(missing, len(others)))):
-                self._servers.request_check(load, now_ms)
+                self._servers.check_again(load)
--- a/src/medlarvale/forwarding/rechecks.py
+++ b/src/medlarvale/forwarding/rechecks.py
@@ -46,8 +46,7 @@
         try:
             await self._backends.probe(load.server)
         except BackendError as error:
-            load.check_failed_ms = self._clock.now_ms()
-            self._servers.note_failure(load, load.check_failed_ms, error.message)
+            self._servers.note_unreachable(load, self._clock.now_ms(), error.message)
         else:
             self._servers.note_reachable(load, self._clock.now_ms())
         finally:
--- a/src/medlarvale/forwarding/servers.py
+++ b/src/medlarvale/forwarding/servers.py
@@ -56,9 +56,8 @@
         failures: failures since the last success.
         suspect: whether it failed and has not been reached since; it gets new work only if no
             healthy server is left.
-        failed_ms: time of its last failure.
         check_due: whether to check that it accepts connections, because a request waits for it.
-        check_failed_ms: when the last check failed.
+        unreachable_ms: when a connection could not be established last.
         contact_ms: when it was last heard of, or checked.
         missing_since_ms: when its entry was first found missing; None while it is listed.
     """
@@ -72,9 +71,8 @@
         self.paused_until_ms = 0.0
         self.failures = 0
         self.suspect = False
-        self.failed_ms = -math.inf
         self.check_due = False
-        self.check_failed_ms = -math.inf
+        self.unreachable_ms = -math.inf
         self.contact_ms = -math.inf
         self.event_gap_ms = 0.0
         self.backlog = PrefillBacklog()
@@ -323,7 +321,7 @@
             load.check_due = True
 
     def check_again(self, load: ServerLoad) -> None:
-        """Asks for a check of a server before its pause is over."""
+        """Asks for a check of a server, also before its pause is over or if it was heard of."""
         load.check_due = True
 
     def note_reachable(self, load: ServerLoad, now_ms: float) -> None:
@@ -418,11 +416,15 @@
             for load in self.of_service(service)
         )
 
+    def note_unreachable(self, load: ServerLoad, now_ms: float, reason: str) -> None:
+        """Pauses a server to which no connection could be established."""
+        load.unreachable_ms = now_ms
+        self.note_failure(load, now_ms, reason)
+
     def note_failure(self, load: ServerLoad, now_ms: float, reason: str) -> None:
         """Pauses a server that was unreachable or lost an answer, longer with each failure."""
         if self.is_remote(load):
             self.isolation.note_failure(load.server.server)
-        load.failed_ms = now_ms
         if not load.suspect:
             load.suspect = True
             for callback in self._failure_callbacks:
--- a/src/medlarvale/platform/backends.py
+++ b/src/medlarvale/platform/backends.py
@@ -400,6 +400,8 @@
                     # The absence of a limit counts only in answers to requests.
                     self._note_limit(server, response)
                 return response.status, await read_body(response, max_bytes)
+        except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
+            raise NotSentError(f"server {server.server}: {path}: {error!r}") from error
         except TRANSPORT_ERRORS as error:
             raise BackendError(f"server {server.server}: {path}: {error!r}") from error
 
