Let peers handle relayed requests as they were routed

Cause: the frame named neither the service, nor the configuration, nor the version of a stream, and the peer worked them out anew from what it knew. Further peers were asked at no cost, neighbours only, and a send counted from its start. The frame now names all three; a peer with an older configuration refuses it; each further peer costs a retry and comes from another failure domain first; a request counts as sent once it has a connection. A stream is handed over once a peer has accepted its rest, and its engine's run goes on until then.

--- a/src/medlarvale/forwarding/caller_server.py
+++ b/src/medlarvale/forwarding/caller_server.py
@@ -370,7 +370,7 @@
             raise NoRouteError(f"no route for {request.host}{request.path}")
         if len(request.body) > index.table.limits.max_body_bytes:
             raise BodyTooLargeError("the body is larger than the configuration allows")
-        service = choose_service(route, self._rng)
+        service = self._choose_service(request, route)
         self._stop_admission.check(request, route, service)
         reply = await self._serve(request, route, service, sink)
         log_info(
@@ -385,23 +385,40 @@
         self._note_finished(request, str(reply.status if reply is not None else 200))
         return reply
 
+    def _choose_service(self, request: ClientRequest, route: Route) -> ServiceName:
+        """Returns the service of a request: that which a peer has chosen, if the route has it.
+
+        Raises:
+            NotReadyError: the peer has chosen it by a configuration that is not known here yet.
+        """
+        relayed = request.relayed
+        if relayed is None:
+            return choose_service(route, self._rng)
+        if relayed.config_version > self._follower.version:
+            raise NotReadyError(
+                f"configuration {relayed.config_version} has not been received yet",
+                retry_after_ms=NOT_READY_RETRY_MS,
+            )
+        if any(target.service == relayed.service for target in route.targets):
+            return relayed.service
+        return choose_service(route, self._rng)
+
     async def _serve(
         self, request: ClientRequest, route: Route, service: ServiceName, sink: _CallerSink
     ) -> Reply | None:
         """Serves a request here, or through a peer if no server can be reached from here."""
-        if self._relay is not None and self._relay.is_needed(service):
-            return await self._relay.forward(request, route, service, sink)
-        try:
+        relay, rest, software, answer = self._relay, request, None, None
+        if relay is None:
             return await self._serve_here(request, route, service, sink)
-        except OverloadedError:
-            if self._relay is None or not self._relay.can_help(service):
-                raise
-            rest = request
-        except HandOverError as error:
-            if self._relay is None:
-                raise
-            rest = error.rest
-        return await self._relay.forward(rest, route, service, sink)
+        if not relay.is_needed(service):
+            try:
+                return await self._serve_here(request, route, service, sink)
+            except OverloadedError:
+                if not relay.can_help(service):
+                    raise
+            except HandOverError as error:
+                rest, software, answer = error.rest, error.software, error.answer
+        return await relay.forward(rest, route, service, sink, software, answer)
 
     async def _serve_here(
         self, request: ClientRequest, route: Route, service: ServiceName, sink: _CallerSink
--- a/src/medlarvale/forwarding/context.py
+++ b/src/medlarvale/forwarding/context.py
@@ -10,12 +10,12 @@
 import msgspec
 
 from medlarvale.clock import Clock
-from medlarvale.forwarding.interface import Backends
+from medlarvale.forwarding.interface import BackendAnswer, Backends
 from medlarvale.forwarding.messages import ClientRequest, RequestIdentity, Route, Server
 from medlarvale.forwarding.reach import ReachDetector
 from medlarvale.forwarding.servers import ServerTable
 from medlarvale.forwarding.stream_versions import StreamVersions
-from medlarvale.ids import ServiceName
+from medlarvale.ids import ServiceName, SoftwareVersion
 from medlarvale.scheduling.retry_budget import RetryBudget
 
 # Answers are sent this long before the deadline of the route or the caller.
@@ -81,6 +81,33 @@
         """Records that a request ran without crashing its server."""
 
 
+class PeerRelay(Protocol):
+    """Lets a peer serve what this host can't; implemented by ``Relay``."""
+
+    def is_needed(self, service: ServiceName) -> bool:
+        """Returns whether this host can't reach a service that a peer reaches."""
+
+    async def open(
+        self,
+        request: ClientRequest,
+        route: Route,
+        service: ServiceName,
+        software: SoftwareVersion | None = None,
+    ) -> BackendAnswer:
+        """Returns the answer with which a peer accepts a request.
+
+        Args:
+            request: the request.
+            route: its route.
+            service: the service that was chosen.
+            software: version that began the stream which the request continues, if it is known.
+
+        Raises:
+            RejectedError: no peer has run it, and none will.
+            BackendError: it may have run.
+        """
+
+
 class ForwardingContext:
     """Dependencies of both forwarders.
 
@@ -115,11 +142,15 @@
         self.background = BackgroundTasks()
         self._retry_limits = retry_limits
         self.guard = guard
-        # Returns whether streams of a service go on at a peer, because they can't at this host.
-        self.hands_over: Callable[[ServiceName], bool] = lambda service: False
+        # Set by the host that relays requests; None in a host without peers.
+        self.relay: PeerRelay | None = None
         self.reach = ReachDetector(servers, clock, rng)
         self._budgets: dict[ServiceName, RetryBudget] = {}
 
+    def needs_relay(self, service: ServiceName) -> bool:
+        """Returns whether this host can't reach a service that a peer reaches."""
+        return self.relay is not None and self.relay.is_needed(service)
+
     def budget(self, service: ServiceName) -> RetryBudget:
         """Returns the retry budget of a service."""
         budget = self._budgets.get(service)
@@ -134,4 +165,7 @@
 
 def end_ms(request: ClientRequest, route: Route) -> float:
     """Returns the monotonic time by which a final answer must be sent."""
-    return request.received_ms + min(request.deadline_ms, route.timeout_ms) - ANSWER_MARGIN_MS
+    limit_ms = min(request.deadline_ms, route.timeout_ms)
+    if request.relayed is not None:
+        limit_ms = min(limit_ms, request.relayed.left_ms)
+    return request.received_ms + limit_ms - ANSWER_MARGIN_MS
--- a/src/medlarvale/forwarding/engine_run.py
+++ b/src/medlarvale/forwarding/engine_run.py
@@ -10,6 +10,7 @@
 from medlarvale.forwarding.interface import BackendAnswer
 from medlarvale.forwarding.memory_request import Reservation
 from medlarvale.forwarding.messages import PrefillResult
+from medlarvale.forwarding.peer_continuation import PeerContinuation
 from medlarvale.forwarding.servers import ServerLoad
 from medlarvale.forwarding.silence import SilenceWatch
 
@@ -44,7 +45,7 @@
         self.resume_after: int | None = None
         self.sent_ms = reserved_ms
         self.heard_ms: float | None = None
-        self.watch: SilenceWatch[EngineRun] | None = None
+        self.watch: SilenceWatch[EngineRun | PeerContinuation] | None = None
         self._release = release
         self._release_handle = release_handle
         self._sending: asyncio.Task[BackendAnswer] | None = None
--- a/src/medlarvale/forwarding/errors.py
+++ b/src/medlarvale/forwarding/errors.py
@@ -2,8 +2,14 @@
 
 from __future__ import annotations
 
+from typing import TYPE_CHECKING
+
 from medlarvale.errors import MedlarvaleError, Outcome
 from medlarvale.forwarding.messages import ClientRequest
+from medlarvale.ids import SoftwareVersion
+
+if TYPE_CHECKING:
+    from medlarvale.forwarding.interface import BackendAnswer
 
 
 class ForwardingError(MedlarvaleError):
@@ -95,13 +101,22 @@
 
     Attributes:
         rest: the request for what the caller has not received yet.
+        software: version of the software that began the stream; None if nothing was sent.
+        answer: the answer with which a peer has accepted it; None if none was asked yet.
     """
 
     code = "stream_handed_over"
 
-    def __init__(self, rest: ClientRequest) -> None:
+    def __init__(
+        self,
+        rest: ClientRequest,
+        software: SoftwareVersion | None,
+        answer: BackendAnswer | None = None,
+    ) -> None:
         super().__init__("the engines can't be reached from this host")
         self.rest = rest
+        self.software = software
+        self.answer = answer
 
 
 class HostStoppedError(ForwardingError):
--- a/src/medlarvale/forwarding/fleet_messages.py
+++ b/src/medlarvale/forwarding/fleet_messages.py
@@ -68,7 +68,7 @@
     figures: dict[ServiceName, bytes] = {}
     heard: tuple[int, ...] = ()
     limits: dict[ServerId, NamedLimit] = {}
-    relay_port: int = 0
+    relay_port: Annotated[int, msgspec.Meta(ge=0, le=65_535)] = 0
     unreached: frozenset[ServiceName] = frozenset()
 
 
--- a/src/medlarvale/forwarding/host.py
+++ b/src/medlarvale/forwarding/host.py
@@ -27,10 +27,11 @@
 )
 from medlarvale.forwarding.metrics import ForwardingMetrics
 from medlarvale.forwarding.orders import OrderTask
+from medlarvale.forwarding.peer_sender import HttpPeerSender
 from medlarvale.forwarding.peer_state import PeerStateTask
 from medlarvale.forwarding.plain import PlainForwarder
 from medlarvale.forwarding.rechecks import RecheckTask
-from medlarvale.forwarding.relay_client import HttpPeerSender, Relay
+from medlarvale.forwarding.relay_client import Relay
 from medlarvale.forwarding.relay_messages import RelayCodec
 from medlarvale.forwarding.servers import DEFAULT_HEARTBEAT_MS, ServerTable
 from medlarvale.forwarding.stream_versions import StreamVersions
@@ -161,10 +162,12 @@
             self._parameters.failure_domain,
             codec,
             self._peer_sender,
+            lambda: self.follower.version,
+            context.budget,
             self.clock,
             self._rng,
         )
-        context.hands_over = relay.is_needed
+        context.relay = relay
         self.caller_server = CallerServer(
             self.follower,
             plain,
--- a/src/medlarvale/forwarding/messages.py
+++ b/src/medlarvale/forwarding/messages.py
@@ -235,6 +235,23 @@
     output_hint: int | None = None
 
 
+class RelayedFrom(msgspec.Struct, frozen=True):
+    """How the peer that has relayed a request has routed it.
+
+    Attributes:
+        service: the service that it chose.
+        config_version: version of its configuration.
+        left_ms: time until it needs the answer.
+        software: version of the software that began the stream which the request continues; None
+            if it is new, or not known.
+    """
+
+    service: ServiceName
+    config_version: ConfigVersion
+    left_ms: float
+    software: SoftwareVersion | None = None
+
+
 class ClientRequest(msgspec.Struct):
     """A request of a caller.
 
@@ -249,7 +266,7 @@
         began_as: id of the caller's attempt that received the first event of a stream that this
             request continues; None if it names none.
         possible_runs: number of sends to backend servers that may have started a run.
-        relayed: whether a peer has relayed it.
+        relayed: how the peer that has relayed it has routed it; None if a caller sent it.
     """
 
     request_id: RequestId
@@ -266,7 +283,7 @@
     resume_after: int | None = None
     began_as: RequestId | None = None
     possible_runs: int = 0
-    relayed: bool = False
+    relayed: RelayedFrom | None = None
 
     @property
     def is_continuation(self) -> bool:
--- a/src/medlarvale/forwarding/relay_messages.py
+++ b/src/medlarvale/forwarding/relay_messages.py
@@ -10,8 +10,15 @@
 
 from medlarvale.errors import Outcome
 from medlarvale.forwarding.errors import RelayRefusedError
-from medlarvale.forwarding.messages import ClientRequest, PromptPartId, TokenCounts
-from medlarvale.ids import HostId, HostIdentity, RequestId
+from medlarvale.forwarding.messages import ClientRequest, PromptPartId, RelayedFrom, TokenCounts
+from medlarvale.ids import (
+    ConfigVersion,
+    HostId,
+    HostIdentity,
+    RequestId,
+    ServiceName,
+    SoftwareVersion,
+)
 from medlarvale.peers.auth import Frame, FrameGuard, FrameKind
 from medlarvale.peers.errors import FrameRejectedError
 
@@ -37,18 +44,32 @@
 
 
 class _RelayedRequest(msgspec.Struct, frozen=True, array_like=True):
-    request_id: str
-    method: str
-    host: str
-    path: str
-    headers: tuple[tuple[str, str], ...]
+    """A relayed request; texts of callers may hold bytes that are not UTF-8."""
+
+    request_id: bytes
+    method: bytes
+    host: bytes
+    path: bytes
+    headers: tuple[tuple[bytes, bytes], ...]
     body: bytes
     deadline_ms: float
+    left_ms: float
     tokens: TokenCounts | None
-    prompt_part: str | None
-    shared_parts: tuple[str, ...]
+    prompt_part: bytes | None
+    shared_parts: tuple[bytes, ...]
     resume_after: int | None
-    began_as: str | None
+    began_as: bytes | None
+    service: str
+    config_version: int
+    software: str | None
+
+
+def _pack(text: str) -> bytes:
+    return text.encode("utf-8", "surrogateescape")
+
+
+def _unpack(data: bytes) -> str:
+    return data.decode("utf-8", "surrogateescape")
 
 
 class RelayCodec:
@@ -66,29 +87,40 @@
         self._decoder = msgspec.msgpack.Decoder(_RelayedRequest)
 
     def encode(
-        self, request: ClientRequest, left_ms: float, receiver: HostId, wall_ms: int
+        self,
+        request: ClientRequest,
+        routed: RelayedFrom,
+        now_ms: float,
+        receiver: HostId,
+        wall_ms: int,
     ) -> bytes:
         """Returns the frame that relays a request.
 
         Args:
-            left_ms: time until the request must be answered.
+            request: the request.
+            routed: how it has been routed.
+            now_ms: monotonic time.
             receiver: the host that gets it.
             wall_ms: wall-clock time in ms.
         """
+        part, began_as = request.prompt_part, request.began_as
         relayed = _RelayedRequest(
-            request.request_id,
-            request.method,
-            request.host,
-            request.path,
-            # Names of headers are a subclass of str, which msgspec doesn't encode.
-            tuple((str(name), value) for name, value in request.headers.items()),
+            _pack(request.request_id),
+            _pack(request.method),
+            _pack(request.host),
+            _pack(request.path),
+            tuple((_pack(name), _pack(value)) for name, value in request.headers.items()),
             request.body,
-            left_ms,
+            request.deadline_ms - (now_ms - request.received_ms),
+            routed.left_ms,
             request.tokens,
-            request.prompt_part,
-            request.shared_parts,
+            _pack(part) if part is not None else None,
+            tuple(map(_pack, request.shared_parts)),
             request.resume_after,
-            request.began_as,
+            _pack(began_as) if began_as is not None else None,
+            routed.service,
+            routed.config_version,
+            routed.software,
         )
         frame = Frame(
             self._identity.host,
@@ -119,19 +151,25 @@
             relayed = self._decoder.decode(frame.body)
         except (FrameRejectedError, msgspec.MsgspecError, RecursionError) as error:
             raise RelayRefusedError(f"not a relayed request: {error!r}") from error
+        part, began_as, software = relayed.prompt_part, relayed.began_as, relayed.software
         return ClientRequest(
-            request_id=RequestId(relayed.request_id),
-            method=relayed.method,
-            host=relayed.host,
-            path=relayed.path,
-            headers=CIMultiDict(relayed.headers),
+            request_id=RequestId(_unpack(relayed.request_id)),
+            method=_unpack(relayed.method),
+            host=_unpack(relayed.host),
+            path=_unpack(relayed.path),
+            headers=CIMultiDict((_unpack(name), _unpack(value)) for name, value in relayed.headers),
             body=relayed.body,
             received_ms=received_ms,
             deadline_ms=relayed.deadline_ms,
             tokens=relayed.tokens,
-            prompt_part=PromptPartId(relayed.prompt_part) if relayed.prompt_part else None,
-            shared_parts=tuple(PromptPartId(part) for part in relayed.shared_parts),
+            prompt_part=PromptPartId(_unpack(part)) if part is not None else None,
+            shared_parts=tuple(PromptPartId(_unpack(shared)) for shared in relayed.shared_parts),
             resume_after=relayed.resume_after,
-            began_as=RequestId(relayed.began_as) if relayed.began_as else None,
-            relayed=True,
+            began_as=RequestId(_unpack(began_as)) if began_as is not None else None,
+            relayed=RelayedFrom(
+                ServiceName(relayed.service),
+                ConfigVersion(relayed.config_version),
+                relayed.left_ms,
+                SoftwareVersion(software) if software is not None else None,
+            ),
         )
--- a/src/medlarvale/forwarding/silence.py
+++ b/src/medlarvale/forwarding/silence.py
@@ -12,7 +12,7 @@
 from typing import Generic, TypeVar
 
 from medlarvale.clock import Clock
-from medlarvale.forwarding.errors import ForwardingError, SilentEngineError
+from medlarvale.forwarding.errors import SilentEngineError
 from medlarvale.logs import Event, log_warning
 
 # Silence after which a server is checked with a new connection. Round trips take a few ms, and
@@ -35,8 +35,7 @@
         clock: time service.
         limit_ms: returns the silence after which a substitute is sought.
         check: called when the engine has been silent for a while.
-        find: returns a substitute, or None if there is none at present; an error that it raises
-            ends the run.
+        find: returns a substitute, or None if there is none at present.
         discard: releases a substitute that is not needed.
     """
 
@@ -57,7 +56,6 @@
         self._search: asyncio.Task[Substitute | None] | None = None
         self._paused = False
         self._stopped = False
-        self._failure: ForwardingError | None = None
         self.substitute: Substitute | None = None
 
     def note_heard(self) -> None:
@@ -86,8 +84,6 @@
 
         Raises:
             SilentEngineError: the engine was silent and ``substitute`` takes over.
-            ForwardingError: the engine was silent, and the search for a substitute ended with this
-                error.
         """
         scope, taken_over = asyncio.timeout(None), False
         try:
@@ -100,8 +96,6 @@
         except TimeoutError as error:
             if not scope.expired():
                 raise
-            if self._failure is not None:
-                raise self._failure from error
             taken_over = True
             raise SilentEngineError(f"no event for {self._silent_ms():.0f} ms") from error
         finally:
@@ -126,7 +120,7 @@
                 await self._clock.sleep_ms(min(SEARCH_PERIOD_MS, limit_ms - silent_ms))
                 continue
             substitute = await self._search_once()
-            if (substitute is not None or self._failure is not None) and not self._stopped:
+            if substitute is not None and not self._stopped:
                 self.substitute = substitute
                 scope.reschedule(asyncio.get_running_loop().time())
                 return
@@ -151,8 +145,6 @@
                 if found is not None:
                     self._discard(found)
             raise
-        except ForwardingError as error:
-            self._failure = error
         except Exception as error:  # The run still goes on, and another search may succeed.
             log_warning(Event.TASK_FAILED, task="find a substitute", error=repr(error))
         finally:
--- a/src/medlarvale/forwarding/stream_run.py
+++ b/src/medlarvale/forwarding/stream_run.py
@@ -44,6 +44,7 @@
     Server,
     TokenCounts,
 )
+from medlarvale.forwarding.peer_continuation import PeerContinuation
 from medlarvale.forwarding.plain import Reply
 from medlarvale.forwarding.prefill import REJECTED_PAUSE_MS, PrefillDispatcher
 from medlarvale.forwarding.servers import ServerLoad
@@ -198,8 +199,11 @@
         """Finds the version and engine that generated what the caller has of the stream."""
         if self._origin is None:
             return
-        versions = self._context.versions
-        self._began_at = await versions.find(self._service, self._request, self._origin)
+        versions, relayed = self._context.versions, self._request.relayed
+        if relayed is not None and relayed.software is not None:
+            self._began_at = relayed.software
+        else:
+            self._began_at = await versions.find(self._service, self._request, self._origin)
         self._cached_tokens, self._cache_holder = await versions.find_cache_holder(
             self._service, self._request, self._began_at
         )
@@ -226,8 +230,8 @@
                     continue
                 if not self._request.possible_runs:
                     raise
-                if self._can_resume() and self._may_hand_over():
-                    raise HandOverError(self._rest()) from error
+                if self._can_resume() and self._needs_relay():
+                    raise HandOverError(self._rest(), self._began_at) from error
                 raise self._final_error(error.message) from error
             run = None
 
@@ -236,6 +240,7 @@
 
         Raises:
             StreamBrokenError: the end of the body may have been written.
+            HandOverError: a peer takes over.
         """
         assert run is not None and run.watch is not None
         substitute = run.watch.substitute
@@ -248,6 +253,8 @@
             # An event has arrived since it was sent.
             substitute.close()
             return None
+        if isinstance(substitute, PeerContinuation):
+            raise HandOverError(substitute.rest, self._began_at, substitute.answer) from error
         return substitute
 
     def _final_error(self, message: str, *, timeout: bool = False) -> Exception:
@@ -317,7 +324,7 @@
         run.watch = self._new_watch(run)
         try:
             reply = await run.watch.run(self._relay(run))
-        except (SilentEngineError, HandOverError):
+        except SilentEngineError:
             self._note_silent(run)
             raise
         finally:
@@ -327,17 +334,17 @@
             self._meter.model.note_hold(now_ms - run.reserved_ms, now_ms)
         return reply
 
-    def _new_watch(self, run: EngineRun) -> SilenceWatch[EngineRun]:
+    def _new_watch(self, run: EngineRun) -> SilenceWatch[EngineRun | PeerContinuation]:
         servers, clock = self._context.servers, self._context.clock
         return SilenceWatch(
             clock,
             self._silence_limit_ms,
             lambda: servers.request_check(run.load, clock.now_ms()),
             lambda: self._find_substitute(run),
-            EngineRun.close,
+            lambda substitute: substitute.close(),
         )
 
-    async def _find_substitute(self, silent: EngineRun) -> EngineRun | None:
+    async def _find_substitute(self, silent: EngineRun) -> EngineRun | PeerContinuation | None:
         """Begins a run that takes over from a silent one; returns None if that can't be.
 
         The silent run goes on until another engine has accepted the request, or has had it for
@@ -346,8 +353,8 @@
         may_resume = self._can_resume() and self._budget.has_retry()
         if not may_resume or not self._may_be_lost(silent):
             return None
-        if self._may_hand_over() and self._budget.spend_retry():
-            raise HandOverError(self._rest())
+        if self._needs_relay():
+            return await self._continue_at_peer()
         try:
             run = await self._begin(instead_of=silent)
         except (OverloadedError, CrashingRequestError, BackendError):
@@ -363,8 +370,20 @@
         run.close()
         return None
 
-    def _may_hand_over(self) -> bool:
-        return not self._request.relayed and self._context.hands_over(self._service)
+    def _needs_relay(self) -> bool:
+        return not self._request.relayed and self._context.needs_relay(self._service)
+
+    async def _continue_at_peer(self) -> PeerContinuation | None:
+        """Lets a peer accept what the caller has not received yet; returns None if none does."""
+        relay, rest = self._context.relay, self._rest()
+        if relay is None or not self._budget.spend_retry():
+            return None
+        try:
+            answer = await relay.open(rest, self._route, self._service, self._began_at)
+            return PeerContinuation(rest, answer)
+        except BackendError as error:
+            self._log_failed_attempt(error, None)
+            return None
 
     def _rest(self) -> ClientRequest:
         """Returns the request for what the caller has not received yet."""
@@ -490,10 +509,13 @@
         return answer
 
     def _note_failure(self, load: ServerLoad, error: BackendError) -> None:
-        if not isinstance(error, NotSentError):
-            self._guarded.note_broken(load.server)
+        servers, now_ms = self._context.servers, self._context.clock.now_ms()
         self._excluded.add(load.server.server)
-        self._context.servers.note_failure(load, self._context.clock.now_ms(), error.message)
+        if isinstance(error, NotSentError):
+            servers.note_unreachable(load, now_ms, error.message)
+            return
+        self._guarded.note_broken(load.server)
+        servers.note_failure(load, now_ms, error.message)
 
     def _start_handle_release(self, source: PrefillResult) -> None:
         self._context.background.start(self._release_handle(source))
--- a/tests/forwarding/test_relay.py
+++ b/tests/forwarding/test_relay.py
@@ -14,6 +14,7 @@
 from multidict import CIMultiDict
 
 from medlarvale.forwarding.host import ForwardingHost
+from medlarvale.forwarding.messages import RelayedFrom
 from medlarvale.forwarding.relay_messages import (
     RELAY_PATH,
     RELAYED_HEADER,
@@ -21,7 +22,7 @@
     RelayedAnswer,
 )
 from medlarvale.hashing import weight
-from medlarvale.ids import HostId, HostIdentity, Incarnation, ServiceName
+from medlarvale.ids import ConfigVersion, HostId, HostIdentity, Incarnation, ServiceName
 from medlarvale.platform.standin import stream_body
 from tests.forwarding.fakes import make_request
 from tests.forwarding.partitions import IP, PartitionedFleet, PathMode
@@ -295,20 +296,21 @@
             HostIdentity(HostId("a1"), Incarnation(wall_ms)),
             sender._new_guard(sender.fleet.view.identity),
         )
-        receiver = peer.fleet.view.identity.host
-        valid = codec.encode(request, 3_000.0, receiver, wall_ms)
+        receiver, now_ms = peer.fleet.view.identity.host, sender.clock.now_ms()
+        routed = RelayedFrom(ServiceName("app"), ConfigVersion(1), 3_000.0)
+        valid = codec.encode(request, routed, now_ms, receiver, wall_ms)
         nested = msgspec.msgpack.encode(None) + b"\x91" * 50_000 + b"\x01"
         table = [
             ("valid", valid, (200, RelayedAnswer.SERVER.value)),
             ("repeated", valid, (503, RelayedAnswer.NOT_RUN.value)),
             (
                 "stale",
-                codec.encode(request, 3_000.0, receiver, wall_ms - 60_000),
+                codec.encode(request, routed, now_ms, receiver, wall_ms - 60_000),
                 (503, RelayedAnswer.NOT_RUN.value),
             ),
             (
                 "for another host",
-                codec.encode(request, 3_000.0, HostId("c1"), wall_ms),
+                codec.encode(request, routed, now_ms, HostId("c1"), wall_ms),
                 (503, RelayedAnswer.NOT_RUN.value),
             ),
             ("changed", valid[:-1] + b"\x00", (503, RelayedAnswer.NOT_RUN.value)),
--- a/tests/forwarding/test_relay_peers.py
+++ b/tests/forwarding/test_relay_peers.py
@@ -24,9 +24,10 @@
 from medlarvale.forwarding.fleet_messages import Hello
 from medlarvale.forwarding.host import ForwardingHost
 from medlarvale.forwarding.interface import BackendAnswer
-from medlarvale.forwarding.messages import RouteKind, Target
+from medlarvale.forwarding.messages import ClientRequest, RouteKind, Target
+from medlarvale.forwarding.peer_sender import HttpPeerSender, PeerSender
 from medlarvale.forwarding.reach import ReachDetector
-from medlarvale.forwarding.relay_client import HttpPeerSender, PeerSender, Relay
+from medlarvale.forwarding.relay_client import Relay
 from medlarvale.forwarding.relay_messages import RelayCodec
 from medlarvale.forwarding.servers import ServerTable
 from medlarvale.ids import (
@@ -40,6 +41,7 @@
 )
 from medlarvale.peers.auth import FrameGuard, SharedKeys
 from medlarvale.platform.standin import StandinServer
+from medlarvale.scheduling.retry_budget import RetryBudget
 from tests.forwarding.fakes import APP, HERE, FakeAnswer, FakeSink, make_request, make_route
 from tests.forwarding.partitions import IP, PartitionedFleet, PathMode, _bind
 
@@ -172,9 +174,12 @@
         self.lost = lost
         self.asked: list[str] = []
 
-    async def send(self, address: str, frame: bytes, left_ms: float) -> BackendAnswer:
+    async def send(
+        self, address: str, frame: bytes, left_ms: float, request: ClientRequest
+    ) -> BackendAnswer:
         self.asked.append(address)
         if len(self.asked) <= self.lost:
+            request.possible_runs += 1
             raise BackendError("the peer was lost")
         if address in self.rejecting:
             raise RejectedError("no server can be reached")
@@ -200,6 +205,7 @@
             )
             for name, domain in domains.items()
         }
+        budget = RetryBudget(0.2)
         guard = FrameGuard(SharedKeys({"fleet": b"k" * 32}), identity, clock.wall_ms())
         return Relay(
             ReachDetector(ServerTable(HERE, random.Random(1)), clock, random.Random(2)),
@@ -208,6 +214,8 @@
             HERE,
             RelayCodec(identity, guard),
             sender,
+            lambda: ConfigVersion(1),
+            lambda service: budget,
             clock,
             random.Random(3),
         )
