--- a/src/medlarvale/forwarding/silence.py
+++ b/src/medlarvale/forwarding/silence.py
@@ -21,6 +21,9 @@
 # Delay before another search for a substitute.
 SEARCH_PERIOD_MS = 200.0
 
+# Shorter sleeps may not advance a clock of floating-point numbers.
+MIN_SLEEP_MS = 1.0
+
 Result = TypeVar("Result")
 Substitute = TypeVar("Substitute")
 
@@ -113,11 +116,12 @@
                 continue
             silent_ms, limit_ms = self._silent_ms(), self._limit_ms()
             if silent_ms < CHECK_AFTER_MS:
-                await self._clock.sleep_ms(CHECK_AFTER_MS - silent_ms)
+                await self._clock.sleep_ms(max(MIN_SLEEP_MS, CHECK_AFTER_MS - silent_ms))
                 continue
             self._check()
             if silent_ms < limit_ms:
-                await self._clock.sleep_ms(min(SEARCH_PERIOD_MS, limit_ms - silent_ms))
+                left_ms = max(MIN_SLEEP_MS, limit_ms - silent_ms)
+                await self._clock.sleep_ms(min(SEARCH_PERIOD_MS, left_ms))
                 continue
             substitute = await self._search_once()
             if substitute is not None and not self._stopped:
--- a/tests/forwarding/test_substitutes.py
+++ b/tests/forwarding/test_substitutes.py
@@ -14,6 +14,8 @@
 from tests.forwarding.fakes import TRAITS, FakeAnswer
 from tests.forwarding.stream_case import SILENCE_S, StreamTestCase, events
 
+WAIT_S = 5.0
+
 
 class SubstituteTest(StreamTestCase):
     async def test_a_silent_engine_is_no_substitute_for_itself(self) -> None:
@@ -107,6 +109,32 @@
 
         await watch.run(steps())
 
+    async def test_a_watch_sleeps_until_its_limit(self) -> None:
+        """Guards against a watch that takes all processor time because its sleeps are too short to
+        advance the clock."""
+        sleeps: list[float] = []
+
+        class Clock(SystemClock):
+            def now_ms(self) -> float:
+                return sum(sleeps)
+
+            async def sleep_ms(self, duration_ms: float) -> None:
+                # A sleep may end a little early.
+                sleeps.append(duration_ms - 1e-9)
+                await asyncio.sleep(0)
+
+        async def find() -> None:
+            raise AssertionError
+
+        watch: SilenceWatch[None] = SilenceWatch(
+            Clock(), lambda: 1_500.0, lambda: None, find, lambda _: None
+        )
+        running = asyncio.create_task(watch.run(asyncio.sleep(WAIT_S)))
+        for _ in range(20):
+            await asyncio.sleep(0)
+        running.cancel()
+        self.assertGreater(sum(sleeps), 1_500.0)
+
 
 if __name__ == "__main__":
     unittest.main()
