Test that a call without a connection in time was not sent

The mutation "a request counts as sent before it has a connection" survived: the status of the answer comes from the number of possible runs, which is counted on the connection, so test_connecting.py passed with a plain BackendError. The error still decides whether the server counts as failed or as crashed by the request, and whether another one is tried. The new test calls HttpBackends.send and prefill with 100 ms for a server whose connection attempts hang.

--- a/tests/forwarding/test_connecting.py
+++ b/tests/forwarding/test_connecting.py
@@ -4,12 +4,21 @@
 
 import socket
 import unittest
+from collections.abc import Awaitable, Callable
 
+import msgspec
+
+from medlarvale.forwarding.errors import NotSentError
+from medlarvale.forwarding.messages import Dispatch
+from medlarvale.platform.backends import HttpBackends
+from medlarvale.platform.connections import BackendConnection, new_session
 from medlarvale.platform.standin import LOOPBACK
+from tests.forwarding.fakes import make_request, make_server
 from tests.forwarding.test_host import HostTestCase
 
 # Below the limit of a connection attempt.
 ROUTE_TIMEOUT_MS = 300
+CALL_MS = 100.0
 # One connection fills the queue of a listener that accepts none.
 QUEUED = 2
 
@@ -43,6 +52,26 @@
                     self.assertEqual(response.status, 503)
                     self.assertIn("Retry-After", response.headers)
 
+    async def test_a_call_whose_time_ends_before_it_has_a_connection_was_not_sent(self) -> None:
+        """Guards against a server that counts as failed, or as crashed, by a request that it has
+        not received."""
+        session, calls = new_session(), new_session(BackendConnection)
+        self.addAsyncCleanup(session.close)
+        self.addAsyncCleanup(calls.close)
+        backends = HttpBackends(session, calls)
+        address = self.unanswered_address()
+        server = msgspec.structs.replace(make_server("s1"), address=address)
+        request = make_request()
+        table: list[tuple[str, Callable[[], Awaitable[object]]]] = [
+            ("request", lambda: backends.send(server, request, Dispatch(CALL_MS))),
+            ("prefill", lambda: backends.prefill(server, request, CALL_MS)),
+        ]
+        for name, call in table:
+            with self.subTest(name):
+                with self.assertRaises(NotSentError):
+                    await call()
+                self.assertEqual(request.possible_runs, 0)
+
     async def test_a_request_that_was_sent_may_have_run(self) -> None:
         """Guards against "not run" for a booking that a server has received."""
         self.platform.timeout_ms = ROUTE_TIMEOUT_MS
