Release a substitute whose send fails unexpectedly

Found in the read-through: an error of the send that nobody expected left the substitute's memory reserved, and an assertion while the run was closed hid the error. test_substitutes.py has the case, which failed before with 5,104 tokens and one request in flight.

--- a/src/medlarvale/forwarding/engine_run.py
+++ b/src/medlarvale/forwarding/engine_run.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable, Coroutine
 from typing import Any
 
-from medlarvale.forwarding.errors import BackendError, NotSentError, RejectedError
+from medlarvale.forwarding.errors import NotSentError, RejectedError
 from medlarvale.forwarding.interface import BackendAnswer
 from medlarvale.forwarding.memory_request import Reservation
 from medlarvale.forwarding.messages import PrefillResult
@@ -76,37 +76,31 @@
         assert self._sending is not None
         return await self._sending
 
-    async def wait_for_answer(self, limit_ms: float) -> BackendError | None:
-        """Waits for the head of the answer for a time; returns the error if there is none."""
+    async def wait_for_answer(self, limit_ms: float) -> None:
+        """Waits for the head of the answer for a time.
+
+        Raises:
+            BackendError: there is none.
+        """
         assert self._sending is not None
-        await asyncio.wait({self._sending}, timeout=limit_ms / 1000.0)
-        return self._error() if self._sending.done() else None
-
-    def _error(self) -> BackendError | None:
-        """Returns why there is no answer; None if there is one, or may still be one."""
-        if self._sending is None or not self._sending.done() or self._sending.cancelled():
-            return None
-        error = self._sending.exception()
-        assert error is None or isinstance(error, BackendError), error
-        return error
-
-    def _has_answer(self) -> bool:
-        sending = self._sending
-        if sending is None or not sending.done() or sending.cancelled():
-            return False
-        return sending.exception() is None
+        done, _ = await asyncio.wait({self._sending}, timeout=limit_ms / 1000.0)
+        if done:
+            self._sending.result()
 
     def close(self) -> None:
         """Ends the run: closes its connection and frees what it has not used."""
         if self._closed:
             return
         self._closed = True
-        answered, error = self._has_answer(), self._error()
-        if answered and self._sending is not None:
-            self._sending.result().close()
-        elif self._sending is not None:
-            self._sending.cancel()
+        sending, answered, lost = self._sending, False, False
+        if sending is not None and sending.done() and not sending.cancelled():
+            error = sending.exception()
+            answered = error is None
+            lost = error is not None and not isinstance(error, NotSentError | RejectedError)
+        if sending is not None and answered:
+            sending.result().close()
+        elif sending is not None:
+            sending.cancel()
         self._release(self.reservation, not answered)
-        lost = error is not None and not isinstance(error, NotSentError | RejectedError)
         if self.source is not None and not answered and not lost:
             self._release_handle(self.source)
--- a/src/medlarvale/forwarding/stream_run.py
+++ b/src/medlarvale/forwarding/stream_run.py
@@ -359,16 +359,17 @@
             run = await self._begin(instead_of=silent)
         except (OverloadedError, CrashingRequestError, BackendError):
             return None
+        accepted = False
         try:
-            error = await run.wait_for_answer(OVERLAP_MS)
-        except asyncio.CancelledError:
-            run.close()
-            raise
-        if error is None:
+            await run.wait_for_answer(OVERLAP_MS)
+            accepted = True
             return run
-        self._log_failed_attempt(error, run)
-        run.close()
-        return None
+        except BackendError as error:
+            self._log_failed_attempt(error, run)
+            return None
+        finally:
+            if not accepted:
+                run.close()
 
     def _needs_relay(self) -> bool:
         return not self._request.relayed and self._context.needs_relay(self._service)
--- a/tests/forwarding/test_substitutes.py
+++ b/tests/forwarding/test_substitutes.py
@@ -11,7 +11,7 @@
 from medlarvale.forwarding.host import PLAIN_TRAITS
 from medlarvale.forwarding.silence import SilenceWatch
 from medlarvale.ids import ServerId
-from tests.forwarding.fakes import TRAITS, FakeAnswer
+from tests.forwarding.fakes import LLM, TRAITS, FakeAnswer
 from tests.forwarding.stream_case import SILENCE_S, StreamTestCase, events
 
 WAIT_S = 5.0
@@ -52,6 +52,21 @@
         await running
         self.assertEqual((self.sink.data, self.sink.finished), (events(1, 4), True))
 
+    async def test_a_substitute_with_an_unexpected_error_is_released(self) -> None:
+        """Guards against memory that stays reserved, and a run that ends, because the search for
+        a substitute failed in a way that nobody expected."""
+        self.build("d1", "d2")
+        answers: list[Any] = [
+            FakeAnswer([events(1, 2), SILENCE_S, events(3, 4)]),
+            *(ValueError("not a URL") for _ in range(10)),
+        ]
+        self.backends.script = lambda server, request, dispatch: answers.pop(0)
+        await self.start()
+        await self.context.background.finish(500.0)
+        self.assertEqual((self.sink.data, self.sink.finished), (events(1, 4), True))
+        for load in self.context.servers.of_service(LLM):
+            self.assertEqual((load.tokens, load.in_flight), (0, 0), load.server.server)
+
     async def leave_after(self, turns: int) -> tuple[bool, list[str], str | None]:
         """Returns whether a run was taken over, and its released and its remaining substitute."""
         released: list[str] = []
