Tell the version of a stream by the prompts that prefill engines have cached

Cause: only decode engines were asked for the prompt. They free what they fetched when the connection of the lost host closes; the prefill engine keeps its copy.

Evidence: test_a_prompt_cached_at_a_prefill_engine_tells_the_version failed with 'None != v2' and 'v1 != None', and test_a_prompt_is_prefilled_at_the_version_that_decodes_it with '1 != 0'.

--- a/src/medlarvale/forwarding/prefill.py
+++ b/src/medlarvale/forwarding/prefill.py
@@ -138,8 +138,14 @@
         self, decode: ServerLoad, gap_target_ms: float, tried: set[ServerId]
     ) -> ServerLoad | None:
         context, now_ms = self._context, self._context.clock.now_ms()
+        # What another version writes may not fit, and caches tell which version began a stream.
         candidates = context.servers.candidates(
-            self._service, now_ms, stage=EngineStage.PREFILL, excluded=tried, healthy_only=True
+            self._service,
+            now_ms,
+            stage=EngineStage.PREFILL,
+            excluded=tried,
+            software=decode.server.software,
+            healthy_only=True,
         )
         speed = self._meter.model.prefill_tokens_per_ms(now_ms)
         if speed is None:
--- a/src/medlarvale/forwarding/stream_versions.py
+++ b/src/medlarvale/forwarding/stream_versions.py
@@ -221,13 +221,15 @@
         request: ClientRequest,
         possible: set[SoftwareVersion] | None,
     ) -> SoftwareVersion | None:
-        """Returns the only version whose engines have the prompt cached; None if there is none."""
+        """Returns the only version whose engines have the prompt cached; None if there is none.
+
+        A prompt is prefilled at the version that decodes it, so prefill engines tell it as well.
+        """
         if request.prompt_part is None:
             return None
-        holders = await self._cache_holders.holders(
+        versions = await self._cache_holders.versions(
             service, request.prompt_part, self._clock.now_ms()
         )
-        versions = {load.server.software for load, _ in holders}
         if possible is not None and UNKNOWN_VERSION not in possible:
             versions &= possible
         return next(iter(versions)) if len(versions) == 1 else None
--- a/tests/forwarding/test_stream_run.py
+++ b/tests/forwarding/test_stream_run.py
@@ -150,6 +150,23 @@
                 self.assertEqual(len(set(versions)), 1)
                 self.assertEqual(self.sink.finished, goes_on)
 
+    async def test_a_prompt_is_prefilled_at_the_version_that_decodes_it(self) -> None:
+        """Guards against a cached prompt at an engine of another version than the one that began
+        the stream, which would tell the wrong version when the stream is taken up."""
+        for prefill_version, expected in (("v1", 1), ("v2", 0)):
+            with self.subTest(prefill_version):
+                self.backends, self.sink = FakeBackends(), FakeSink()
+                self.context = make_context(
+                    self.backends,
+                    make_server("p1", stage=EngineStage.PREFILL, software=prefill_version),
+                    make_server("d1", stage=EngineStage.DECODE, software="v1"),
+                )
+                self.forwarder = StreamForwarder(self.context, lambda service: TRAITS)
+                self.answer(FakeAnswer([events(1, 3)]))
+                await self.forward()
+                self.assertEqual(self.backends.count("prefill"), expected)
+                self.assertTrue(self.sink.finished)
+
     async def test_a_stream_that_ends_inside_an_event_is_broken(self) -> None:
         """Guards against an answer without a length that broke off in the middle of an event and
         reaches the caller as a complete success."""
--- a/tests/forwarding/test_stream_versions.py
+++ b/tests/forwarding/test_stream_versions.py
@@ -107,6 +107,23 @@
         self.history = quiet
         self.assertIn(await self.find(self.start(one, two)), (V1, V2))
 
+    async def test_a_prompt_cached_at_a_prefill_engine_tells_the_version(self) -> None:
+        """Guards against refused take-ups whose prompt only a prefill engine still has cached:
+        decode engines free what they fetched when the connection of the lost host closes."""
+        prefill = make_server("p2", stage=EngineStage.PREFILL, software="v2", born_ms=LONG_AGO_MS)
+        both = {PART: 900}
+        table: list[tuple[str, dict[ServerId, dict[PromptPartId, int] | Exception], str | None]] = [
+            ("cached nowhere", {}, None),
+            ("cached at a prefill engine", {prefill.server: both}, "v2"),
+            ("also at another version", {prefill.server: both, ServerId("d1"): both}, None),
+        ]
+        for name, cached, expected in table:
+            with self.subTest(name):
+                self.setUp()
+                self.backends.cached = cached
+                versions = self.start(engine("d1", "v1"), engine("d2", "v2"), prefill)
+                self.assertEqual(await self.find(versions), expected)
+
     async def test_a_host_that_has_followed_the_engines_reads_no_history(self) -> None:
         """Guards against calls to the store for each stream that is taken up."""
         versions = self.start(engine("d1", "v1"))
