--- a/src/medlarvale/platform/standin.py
+++ b/src/medlarvale/platform/standin.py
@@ -293,10 +293,12 @@
 
     Attributes:
         timeout_ms: timeout of all routes.
+        target_latency_ms: target latency of all routes.
     """
 
     def __init__(self) -> None:
         self.timeout_ms = 3_000
+        self.target_latency_ms = 500
         self.store = StandinStore()
         self._stack = AsyncExitStack()
         self._by_address: dict[str, StandinServer] = {}
@@ -374,7 +376,7 @@
                     "PathPrefix": f"/{name}/",
                     "Kind": kind,
                     "TimeoutMs": self.timeout_ms,
-                    "TargetLatencyMs": 500,
+                    "TargetLatencyMs": self.target_latency_ms,
                     "Service": service,
                     "MaxAttempts": 2,
                     "Resumable": True,
--- a/tests/forwarding/test_relay_peers.py
+++ b/tests/forwarding/test_relay_peers.py
@@ -55,6 +55,8 @@
     domains = {"a1": "a", "b1": "b"}
 
     async def asyncSetUp(self) -> None:
+        # All hosts, servers and callers share a loop, which asyncio's debug mode slows.
+        asyncio.get_running_loop().set_debug(False)
         self.fleet = PartitionedFleet()
         self.fleet.platform.servers["t1"] = StandinServer("t1", OTHER, None)
         self.addAsyncCleanup(self.fleet.close)
