Use the memory that engines reserve late, and ask each engine once at a time for a request

Callers got 503 or 504 for streams while a busy host or engine delayed all answers by more than 30 ms, although every engine had memory. The queue gave up each reservation after HOLD_TIMEOUT_MS, released it when it came, and asked again 30 ms later, also at engines that it had paused, since all were. Nothing was granted, and the repeats delayed the answers further.

The new tests fail before this change in five cases ("no engine had free memory in time", "the memory queue has become too long") and pass now.

A late answer is used now by the request that it was asked for, unless the request is served already, or the engine has left or reached its limit. Until it comes, the request asks other engines only, so that at most as many reservations are unanswered as requests are tried at once. The in-memory engines of the tests gave two concurrent reservations one id.

--- a/src/medlarvale/forwarding/memory.py
+++ b/src/medlarvale/forwarding/memory.py
@@ -53,6 +53,8 @@
     def __init__(self, request: MemoryRequest) -> None:
         self.request = request
         self.future: asyncio.Future[Reservation] = asyncio.get_running_loop().create_future()
+        # Engines that have not answered yet whether they have memory for it.
+        self.asked: set[ServerId] = set()
 
 
 class MemoryQueue:
@@ -258,6 +260,11 @@
         reservation = await self._reserve(waiter)
         if reservation is None:
             return False
+        self._grant(waiter, reservation)
+        return True
+
+    def _grant(self, waiter: _Waiter, reservation: Reservation) -> None:
+        """Gives a reservation to a request, or releases it if the request needs none any more."""
         if waiter in self._waiting:
             self._waiting.remove(waiter)
         if waiter.future.done():
@@ -265,7 +272,6 @@
         else:
             waiter.future.set_result(reservation)
             self._granted_ms.append(self._context.clock.now_ms())
-        return True
 
     async def _reserve(self, waiter: _Waiter) -> Reservation | None:
         context, now_ms = self._context, self._context.clock.now_ms()
@@ -280,10 +286,12 @@
             software=request.software,
         )
         for load in self._sort_engines(candidates, request.preferred):
+            if load.server.server in waiter.asked:
+                continue
             refused_ms, refused_tokens = self._refused.get(load.server.server, (-1e9, 0))
             if now_ms - refused_ms < pause_ms and needed_free_tokens >= refused_tokens:
                 continue
-            reservation = await self._reserve_at(load, request, needed_free_tokens)
+            reservation = await self._reserve_at(load, waiter, needed_free_tokens)
             if reservation is not None:
                 return reservation
         return None
@@ -296,12 +304,55 @@
         return min(memory, request.tokens + int(LATE_HEADROOM * memory))
 
     async def _reserve_at(
-        self, load: ServerLoad, request: MemoryRequest, needed_free_tokens: int
+        self, load: ServerLoad, waiter: _Waiter, needed_free_tokens: int
     ) -> Reservation | None:
-        traits = self._traits()
+        """Reserves memory; returns None for a slow engine, so that it does not block the queue."""
+        request, traits = waiter.request, self._traits()
         if traits.hold_ttl_ms <= 0:
             fits = load.tokens + needed_free_tokens <= traits.memory_tokens
             return self._record_reservation(load, request.tokens, None) if fits else None
+        call = asyncio.get_running_loop().create_task(
+            self._take_hold(load, request, needed_free_tokens)
+        )
+        done, _ = await asyncio.wait({call}, timeout=HOLD_TIMEOUT_MS / 1000.0)
+        if not done:
+            slow_until_ms = self._context.clock.now_ms() + SLOW_PAUSE_MS
+            load.paused_until_ms = max(load.paused_until_ms, slow_until_ms)
+            waiter.asked.add(load.server.server)
+            self._context.background.start(self._use_late_hold(load, waiter, call))
+            return None
+        hold = call.result()
+        return self._record_reservation(load, request.tokens, hold) if hold is not None else None
+
+    async def _use_late_hold(
+        self, load: ServerLoad, waiter: _Waiter, call: asyncio.Task[HoldId | None]
+    ) -> None:
+        """Gives the request what a slow engine has reserved for it, if it still waits.
+
+        If all answers take longer than ``HOLD_TIMEOUT_MS``, no request would get memory otherwise.
+        """
+        try:
+            hold = await call
+        finally:
+            waiter.asked.discard(load.server.server)
+        if hold is None:
+            return
+        now_ms = self._context.clock.now_ms()
+        servers = self._context.servers
+        if (
+            waiter in self._waiting
+            and not waiter.future.done()
+            and servers.takes_work(load)
+            and not servers.limits.wait_ms(load.server, now_ms)
+        ):
+            self._grant(waiter, self._record_reservation(load, waiter.request.tokens, hold))
+        else:
+            await self._release_hold(load, hold)
+
+    async def _take_hold(
+        self, load: ServerLoad, request: MemoryRequest, needed_free_tokens: int
+    ) -> HoldId | None:
+        """Reserves memory at an engine that has as much free memory as the request requires."""
         if needed_free_tokens > request.tokens and not await self._has_free_memory(
             load, needed_free_tokens
         ):
@@ -309,8 +360,7 @@
         new_tokens = request.tokens
         if load.server.server == request.preferred:
             new_tokens -= request.cached_tokens
-        hold = await self._acquire_hold(load, new_tokens)
-        return self._record_reservation(load, request.tokens, hold) if hold is not None else None
+        return await self._acquire_hold(load, new_tokens)
 
     async def _has_free_memory(self, load: ServerLoad, tokens: int) -> bool:
         """Checks for free memory with a reservation that is released at once."""
@@ -321,36 +371,18 @@
         return True
 
     async def _acquire_hold(self, load: ServerLoad, tokens: int) -> HoldId | None:
-        """Reserves memory; returns None for a slow engine, so that it does not block the queue."""
-        call = asyncio.get_running_loop().create_task(
-            self._context.backends.acquire_hold(load.server, tokens, self._traits().hold_ttl_ms)
-        )
-        done, _ = await asyncio.wait({call}, timeout=HOLD_TIMEOUT_MS / 1000.0)
-        if not done:
-            slow_until_ms = self._context.clock.now_ms() + SLOW_PAUSE_MS
-            load.paused_until_ms = max(load.paused_until_ms, slow_until_ms)
-            self._context.background.start(self._release_late_hold(load, call))
-            return None
-        hold = await self._hold_result(load, call)
-        if hold is None:
-            self._refused[load.server.server] = (self._context.clock.now_ms(), tokens)
-        return hold
-
-    async def _release_late_hold(self, load: ServerLoad, call: asyncio.Task[HoldId | None]) -> None:
-        hold = await self._hold_result(load, call)
-        if hold is not None:
-            await self._release_hold(load, hold)
-
-    async def _hold_result(
-        self, load: ServerLoad, call: asyncio.Task[HoldId | None]
-    ) -> HoldId | None:
         now_ms = self._context.clock.now_ms
         try:
-            hold = await call
+            hold = await self._context.backends.acquire_hold(
+                load.server, tokens, self._traits().hold_ttl_ms
+            )
         except BackendError as error:
             self._context.servers.note_failure(load, now_ms(), error.message)
-            return None
-        self._context.servers.note_success(load, now_ms())
+            hold = None
+        else:
+            self._context.servers.note_success(load, now_ms())
+        if hold is None:
+            self._refused[load.server.server] = (now_ms(), tokens)
         return hold
 
     def _record_reservation(
--- a/tests/forwarding/fakes.py
+++ b/tests/forwarding/fakes.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import itertools
 import random
 from collections.abc import AsyncIterator, Callable
 from typing import Any
@@ -196,6 +197,7 @@
         self.limit_callbacks: list[LimitCallback] = []
         self._send_callbacks: list[Callable[[ServerId], None]] = []
         self._holds: dict[HoldId, tuple[ServerId, int]] = {}
+        self._hold_numbers = itertools.count(1)
 
     def on_limit(self, callback: LimitCallback) -> None:
         self.limit_callbacks.append(callback)
@@ -235,7 +237,7 @@
             return None
         if free is not None:
             self.free_tokens[server.server] = free - tokens
-        hold = HoldId(f"hold-{len(self.calls)}")
+        hold = HoldId(f"hold-{next(self._hold_numbers)}")
         self._holds[hold] = (server.server, tokens)
         return hold
 
--- a/tests/forwarding/test_memory.py
+++ b/tests/forwarding/test_memory.py
@@ -4,6 +4,8 @@
 
 import asyncio
 import unittest
+from collections.abc import Callable
+from typing import Any
 
 import msgspec
 
@@ -18,7 +20,7 @@
     in_blocks,
     patience_ms,
 )
-from medlarvale.forwarding.messages import EngineStage, HoldId, Server
+from medlarvale.forwarding.messages import EngineStage, HoldId, Server, ServerState
 from medlarvale.ids import ServerId
 from tests.forwarding.fakes import (
     LLM,
@@ -145,6 +147,61 @@
         await self.context.background.finish(500.0)
         self.assertEqual(self.backends.count("release hold"), self.backends.count("hold") - 3)
 
+    async def test_answers_of_engines_are_used_although_all_come_late(self) -> None:
+        """Guards against requests that get no memory while a busy host delays all answers,
+        because each reservation is released as late and asked for again."""
+        table: list[tuple[str, float, dict[str, Any]]] = [
+            ("in time", 0.06, {}),
+            ("in time, slower", 0.15, {}),
+            ("late", 0.06, {"target_ms": -100.0}),
+            ("broken streams", 0.06, {"target_ms": -100.0, "urgent": True}),
+        ]
+        for name, delay_s, options in table:
+            with self.subTest(name):
+                self.setUp()
+                self.set_free_tokens(20_000, 20_000)
+                self.backends.hold_delays_s = {D1: delay_s, D2: delay_s}
+                requests = [make_memory_request(1_000, **options) for _ in range(6)]
+                reservations = await asyncio.gather(*map(self.queue.acquire, requests))
+                for reservation in reservations:
+                    await self.finish(reservation)
+                self.assertEqual(self.backends.free_tokens, {D1: 20_000, D2: 20_000})
+
+    async def test_a_request_asks_each_engine_once_at_a_time(self) -> None:
+        """Guards against reservations that are asked for again and again while an engine is slow to
+        answer, which makes it slower."""
+        self.backends.hold_delays_s = {D1: 0.3, D2: 0.3}
+        await self.queue.acquire(make_memory_request(1_000))
+        self.assertEqual((self.backends.count("hold"), len(self.queue)), (2, 0))
+        await self.context.background.finish(500.0)
+        self.assertEqual(self.backends.held, 1)
+
+    async def test_a_late_answer_brings_no_work_to_an_engine_that_takes_none(self) -> None:
+        """Guards against work at an engine that has left, or named a limit, since it was asked."""
+        leaving = make_server("d1", stage=EngineStage.DECODE, state=ServerState.DRAINING)
+        table: list[tuple[str, Callable[[], None]]] = [
+            ("draining", lambda: self.context.servers.upsert(leaving)),
+            ("gone", lambda: self.context.servers.remove(D1)),
+            (
+                "limited",
+                lambda: self.context.servers.limits.note(D1, 0.1, self.context.clock.now_ms()),
+            ),
+        ]
+        for name, change in table:
+            with self.subTest(name):
+                self.setUp()
+                self.context.servers.remove(D2)
+                self.backends.hold_delays_s = {D1: 0.1}
+                waiting = asyncio.create_task(
+                    self.queue.acquire(make_memory_request(1_000, end_ms=300.0))
+                )
+                await asyncio.sleep(0.05)
+                change()
+                with self.assertRaises(OverloadedError):
+                    await waiting
+                await self.context.background.finish(500.0)
+                self.assertEqual((self.backends.count("hold"), self.backends.held), (1, 0))
+
     async def test_cached_tokens_are_not_reserved_again(self) -> None:
         """Guards against a reservation for a resumed stream that evicts the stream's own KV
         cache."""
