Count replies to lease requests until the requested key times have passed

In a rolling restart beside load, callers of bookings got the outcome "unknown" or waited for seconds: all hosts lost their leases at once.

Only replies to the newest round counted, and a round begins each 250 ms, so no lease could be renewed while replies took longer. With one of four hosts stopped, a majority needs all three others, and one slow host is enough.

Evidence: test_leaving.py on beside 8 busy processes and other tests (load average 33 on eight cores), hosts' log kept: 2 of 6 runs failed with "unknown" outcomes. In the second, entry-armor-3 stopped at 56:33.5; at 56:34.3 the three others lost all 64 shards (4002) and had none until 56:42, when it was back.

A reply counts towards its own round as long as the key times that the round requests have not passed: the grantors' promises last as long. An earlier round counts only if the views are still those of its start, and a released shard is taken out of all rounds. Requests wait as long for their replies.

--- a/src/medlarvale/bookings/lease.py
+++ b/src/medlarvale/bookings/lease.py
@@ -58,11 +58,14 @@
     """Grants collected for one lease request.
 
     Attributes:
+        views: active and pending views at its start. Once they have changed, only the newest round
+            counts.
         above_ms: start of the granted key times, by shard and grantor.
         gained: shards whose interval began in this round.
     """
 
     number: int
+    views: tuple[View | None, ...]
     started_ms: int
     until_ms: int
     above_ms: dict[ShardId, dict[HostId, int]]
@@ -93,7 +96,10 @@
         boot_floor_ms = started_wall_ms + self._boot_floor_after_ms
         self._promises = [_Promise(None, 0, boot_floor_ms) for _ in range(SHARD_COUNT)]
         self._intervals: dict[ShardId, _Interval] = {}
-        self._round = _Round(0, 0, 0, {}, set())
+        self._round_number = 0
+        # Replies may take longer than the time between two rounds, so each round counts until the
+        # key times that it requests have passed.
+        self._rounds: dict[int, _Round] = {}
         self._released: set[ShardId] = set()
         # Key times up to these belong to other hosts now. Grantors that missed the release still
         # regard this host as the holder, so this host has to remember the limits itself.
@@ -121,11 +127,22 @@
         """
         wanted = [] if self.views.joining else sorted(shards)
         until_ms = wall_ms + self._lease_ms
-        self._round = _Round(
-            self._round.number + 1, wall_ms, until_ms, {shard: {} for shard in wanted}, set()
+        self._round_number += 1
+        self._rounds = {
+            number: earlier
+            for number, earlier in self._rounds.items()
+            if earlier.until_ms > wall_ms
+        }
+        self._rounds[self._round_number] = _Round(
+            self._round_number,
+            self._views(),
+            wall_ms,
+            until_ms,
+            {shard: {} for shard in wanted},
+            set(),
         )
         released = sorted(self._released.difference(wanted))
-        request = LeaseRequest(self._round.number, self.views.report(), wanted, until_ms, released)
+        request = LeaseRequest(self._round_number, self.views.report(), wanted, until_ms, released)
         self.handle_reply(self.identity, self.handle_request(self.identity, request, wall_ms))
         return request
 
@@ -165,19 +182,29 @@
         return Grant(shard, promise.others_until_ms)
 
     def handle_reply(self, grantor: HostIdentity, reply: LeaseReply) -> list[ShardId]:
-        """Counts the grants of a reply towards the current round.
+        """Counts the grants of a reply towards its round.
 
         Returns:
             The shards whose lease this host gained by this reply.
         """
         if not self.views.learn_report(grantor, reply.report):
             return []
-        if reply.round_number != self._round.number:
+        lease_round = self._rounds.get(reply.round_number)
+        if lease_round is None or (
+            lease_round.number != self._round_number and lease_round.views != self._views()
+        ):
             return []
-        return [grant.shard for grant in reply.grants if self._count_grant(grantor.host, grant)]
+        return [
+            grant.shard
+            for grant in reply.grants
+            if self._count_grant(lease_round, grantor.host, grant)
+        ]
+
+    def _views(self) -> tuple[View | None, ...]:
+        return self.views.active, *self.views.pending
 
-    def _count_grant(self, grantor: HostId, grant: Grant) -> bool:
-        grantors = self._round.above_ms.get(grant.shard)
+    def _count_grant(self, lease_round: _Round, grantor: HostId, grant: Grant) -> bool:
+        grantors = lease_round.above_ms.get(grant.shard)
         if grantors is None:
             return False
         grantors[grantor] = grant.above_ms
@@ -187,18 +214,18 @@
         above_ms = max(above_ms, self._released_until_ms.get(grant.shard, 0))
         held = self._intervals.get(grant.shard)
         if held is not None and above_ms <= held.until_ms:
-            held.until_ms = max(held.until_ms, self._round.until_ms)
-            if grant.shard in self._round.gained:
+            held.until_ms = max(held.until_ms, lease_round.until_ms)
+            if grant.shard in lease_round.gained:
                 held.above_ms = min(held.above_ms, above_ms)
             return False
-        if held is not None and self._round.started_ms <= held.until_ms:
+        if held is not None and lease_round.started_ms <= held.until_ms:
             # A restarted grantor grants only later key times. The other grantors may still answer,
             # and a later start would lose the interval held.
             return False
-        if above_ms >= self._round.until_ms:
+        if above_ms >= lease_round.until_ms:
             return False
-        self._intervals[grant.shard] = _Interval(above_ms, self._round.until_ms)
-        self._round.gained.add(grant.shard)
+        self._intervals[grant.shard] = _Interval(above_ms, lease_round.until_ms)
+        lease_round.gained.add(grant.shard)
         self._released.discard(grant.shard)
         return True
 
@@ -252,7 +279,8 @@
             all records, or None without a lease.
         """
         held = self._intervals.pop(shard, None)
-        self._round.above_ms.pop(shard, None)
+        for unfinished in self._rounds.values():
+            unfinished.above_ms.pop(shard, None)
         self._released.add(shard)
         self.release_promise(self.identity, shard)
         if held is None:
--- a/src/medlarvale/bookings/task.py
+++ b/src/medlarvale/bookings/task.py
@@ -8,7 +8,7 @@
 import msgspec
 
 from medlarvale.bookings.keys import SHARD_COUNT, shard_of
-from medlarvale.bookings.lease import RENEW_PERIOD_MS, LeaseState
+from medlarvale.bookings.lease import LEASE_MS, RENEW_PERIOD_MS, LeaseState
 from medlarvale.bookings.ledger import Acceptance, Ledger, fingerprint_of
 from medlarvale.bookings.messages import (
     HandOver,
@@ -35,7 +35,8 @@
 from medlarvale.plain.interface import PlainDispatcher
 from medlarvale.plain.messages import PlainAnswer, PlainCall
 
-LEASE_REQUEST_TIMEOUT_MS = 400
+# A reply counts until the key times that it grants have passed.
+LEASE_REQUEST_TIMEOUT_MS = LEASE_MS
 LOOKUP_TIMEOUT_MS = 500
 HAND_OVER_TIMEOUT_MS = 2_000
 OWNER_RETRY_MS = 50
