Hand a shard over only when the grants on it have arrived

Callers of bookings got the outcome "unknown" about a second after a planned stop beside load, although nothing had failed.

A holder that hands a shard over offers the key times that it knows to be granted to it. Grants whose replies were still on their way reach further, and their grantors give the next holder only later key times. The next holder could not extend its interval, lost the lease when it ended, and got one with a gap; no host may run the keys issued in the gap.

The holder waits for the replies to its earlier rounds, at most 400 ms, before it releases the shard. Meanwhile it goes on running bookings, since its interval lasts longer.

--- a/src/medlarvale/bookings/task.py
+++ b/src/medlarvale/bookings/task.py
@@ -37,6 +37,9 @@
 
 # A reply counts until the key times that it grants have passed.
 LEASE_REQUEST_TIMEOUT_MS = LEASE_MS
+# A shard whose lease was requested is handed over when the replies have arrived, or after this
+# time: key times that were granted, but whose grant has not arrived, would belong to no host.
+GRANTS_WAIT_MS = 400
 LOOKUP_TIMEOUT_MS = 500
 HAND_OVER_TIMEOUT_MS = 2_000
 OWNER_RETRY_MS = 50
@@ -87,6 +90,7 @@
         self._stopping = False
         self._subscriptions: list[Subscription] = []
         self._tasks: set[asyncio.Task[object]] = set()
+        self._lease_requests: set[asyncio.Task[object]] = set()
         transport.register(LeaseRequest, self._answer_lease_request)
         transport.register(Submit, self._answer_submit)
         transport.register(Lookup, self._answer_lookup)
@@ -247,18 +251,21 @@
         held = set(self.leases.held_shards(wall_ms))
         self._log_lost_leases(held)
         preferred = self._preferred_holders(wall_ms)
+        unanswered = set(self._lease_requests)
         for shard in sorted(held - self._handing_over):
             target = preferred[shard]
             if target is not None and target != self._host:
                 # Marked before the round below starts: otherwise the round would renew promises
                 # beyond the interval that is handed over and leave a gap after it.
                 self._handing_over.add(shard)
-                self._spawn(self._hand_over(shard, target))
+                self._spawn(self._hand_over(shard, target, unanswered))
         wanted = held | {shard for shard, host in preferred.items() if host == self._host}
         request = self.leases.start_round(wanted - self._handing_over, wall_ms)
         for member in self.leases.views.members():
             if member != self._host:
-                self._spawn(self._request_leases(member, request))
+                task = self._spawn(self._request_leases(member, request))
+                self._lease_requests.add(task)
+                task.add_done_callback(self._lease_requests.discard)
 
     def _log_lost_leases(self, held: set[ShardId]) -> None:
         lost = self._previously_held - held - self._handing_over - self._handed_over_to.keys()
@@ -298,11 +305,20 @@
     ) -> LeaseReply:
         return self.leases.handle_request(sender, request, self._clock.wall_ms())
 
-    async def _hand_over(self, shard: ShardId, target: HostId) -> None:
+    async def _hand_over(
+        self, shard: ShardId, target: HostId, unanswered: set[asyncio.Task[object]]
+    ) -> None:
         """Hands a shard and its records over to another host.
 
         If no answer arrives, the shard stays released because the target may hold it.
+
+        Args:
+            shard: the shard.
+            target: its next holder.
+            unanswered: requests for leases, also on this shard.
         """
+        if unanswered:
+            await asyncio.wait(unanswered, timeout=GRANTS_WAIT_MS / 1000.0)
         interval = self.leases.release_lease(shard)
         if interval is None:
             self._handing_over.discard(shard)
@@ -377,7 +393,8 @@
     def _expire(self) -> None:
         self.ledger.expire(self._clock.wall_ms())
 
-    def _spawn(self, coroutine) -> None:  # type: ignore[no-untyped-def]
-        task = asyncio.get_running_loop().create_task(coroutine)
+    def _spawn(self, coroutine) -> asyncio.Task[object]:  # type: ignore[no-untyped-def]
+        task: asyncio.Task[object] = asyncio.get_running_loop().create_task(coroutine)
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
+        return task
--- a/tests/bookings/test_task.py
+++ b/tests/bookings/test_task.py
@@ -266,6 +266,26 @@
                     )
                     self.assertEqual(held, SHARD_COUNT)
 
+    async def test_a_handover_leaves_no_key_times_out(self) -> None:
+        """Guards against bookings with outcome unknown, because a shard is handed over while grants
+        that its holder has not received yet reach beyond the interval that is handed over."""
+        leaving = NAMES[0]
+        owned = [shard_of(self.key(number, leaving)) for number in range(20)]
+        self.delay_replies(300)
+        await self.run_for(2_000)
+        self.live = NAMES[1:]
+        pending = []
+        for number in range(60):
+            serial = 1_000 * number
+            while shard_of(self.key(serial)) not in owned:
+                serial += 1
+            submitted = self.tasks[NAMES[1]].submit(self.key(serial), call(b"%d" % number))
+            pending.append(asyncio.ensure_future(submitted))
+            await self.run_for(50)
+        await self.run_for(3_000)
+        answers = await asyncio.gather(*pending, return_exceptions=True)
+        self.assertEqual([error for error in answers if isinstance(error, Exception)], [])
+
     async def test_restarted_host_does_not_run_keys_of_its_earlier_incarnation(self) -> None:
         key = self.key(1)
         owner = self.owner(key)
