Test the limit of a server without asyncio's debug mode

test_hosts_together_keep_the_limit_of_a_server failed beside load. IsolatedAsyncioTestCase turns the debug mode of asyncio on; three hosts, their servers and all callers share that one loop, so the test measured how the debug mode slows it.

All cases, bounds and rates are unchanged.

--- a/tests/forwarding/test_limited_servers.py
+++ b/tests/forwarding/test_limited_servers.py
@@ -31,6 +31,9 @@
 class LimitedServersTest(HostTestCase):
     async def start_fleet(self) -> None:
         """Starts hosts that have heard of no limit, and a platform of their own."""
+        # The hosts, servers and callers share a loop, and the debug mode that
+        # IsolatedAsyncioTestCase sets slows it by several times.
+        asyncio.get_running_loop().set_debug(False)
         await self.asyncSetUp()
         self.ports = [self.caller_port]
         seeds = (self.parameters.listen_control,)
