Show why a host of mixed_builds has not become ready

Its log was deleted with the run.

A host that has not become ready fails the check now with the end of its log, and one that has ended is not sent a signal. Shown with a port of a2 that is taken on purpose: before, the same ProcessLookupError; now "a2 has not become ready: ... address already in use".

--- a/scripts/demo_forward.py
+++ b/scripts/demo_forward.py
@@ -106,7 +106,8 @@
     async def stop(self, number: signal.Signals) -> None:
         """Sends a signal to the process and waits until it ends."""
         assert self._process is not None
-        self._process.send_signal(number)
+        if self._process.returncode is None:
+            self._process.send_signal(number)
         await self._process.wait()
 
 
--- a/scripts/mixed_builds.py
+++ b/scripts/mixed_builds.py
@@ -308,6 +308,18 @@
             )
         self._roots.reverse()
 
+    async def wait_until_ready(self, session: aiohttp.ClientSession) -> None:
+        """Waits until the readiness check passes.
+
+        Raises:
+            CheckFailedError: if it does not pass in time; with the end of the host's log.
+        """
+        try:
+            await super().wait_until_ready(session)
+        except TimeoutError as error:
+            end = self.log_file.read_text()[-MAX_TRACEBACK_CHARS:]
+            raise CheckFailedError(f"{self.name} has not become ready: {end}") from error
+
 
 async def run_forward(roots: list[Path], folder: Path) -> None:
     """Runs a forwarding host of each build.
