Test streams that are taken up without asyncio's debug mode

test_a_stream_goes_on_at_the_version_that_began_it timed out beside load before it tested anything: its 24 streams had not all begun. IsolatedAsyncioTestCase turns the debug mode of asyncio on, and all hosts, servers and callers share that one loop.

No check or bound is changed.

--- a/tests/forwarding/test_taken_up_streams.py
+++ b/tests/forwarding/test_taken_up_streams.py
@@ -73,6 +73,9 @@
     async def test_a_stream_goes_on_at_the_version_that_began_it(self) -> None:
         """Guards against text that is joined from two versions after the loss of hosts, and against
         refusals of all streams although their version still serves."""
+        # All hosts and servers share this loop, and the debug mode that IsolatedAsyncioTestCase
+        # sets slows it by several times.
+        asyncio.get_running_loop().set_debug(False)
         for name, loss in LOSSES.items():
             with self.subTest(name):
                 await self.asyncSetUp()
