--- a/tests/forwarding/test_silent_servers.py
+++ b/tests/forwarding/test_silent_servers.py
@@ -9,6 +9,7 @@
 import asyncio
 import socket
 import unittest
+from collections.abc import Callable
 from typing import Any
 
 from medlarvale.forwarding.errors import BackendError, NotSentError, OverloadedError
@@ -44,6 +45,7 @@
 LONGEST_SILENCE_MS = 1_500.0
 SHORT_SILENCE_S = 0.5
 FREE_TOKENS = 6_000
+WAIT_S = 5.0
 # A run may go on for this long after another one has been sent.
 ALLOWED_OVERLAP_S = 0.4
 
@@ -80,12 +82,17 @@
         self.backends.hold_errors[engine] = NotSentError("silent")
         self.backends.probe_errors[engine] = NotSentError("silent")
 
+    async def wait_until(self, condition: Callable[[], bool]) -> None:
+        async with asyncio.timeout(WAIT_S):
+            while not condition():  # noqa: ASYNC110 - the fakes have no event for it
+                await asyncio.sleep(0.01)
+
     async def forward(self, **route: Any) -> None:
         request = make_request(tokens=TokenCounts(5_000, 100, 80))
         running = asyncio.create_task(
             self.forwarder.forward(request, make_route(**route), LLM, self.sink)
         )
-        await asyncio.sleep(0.05)
+        await self.wait_until(lambda: bool(self.backends.dispatches))
         self.silence()
         await running
         await self.context.background.finish(500.0)
