--- a/tests/forwarding/test_relay.py
+++ b/tests/forwarding/test_relay.py
@@ -6,6 +6,7 @@
 import unittest
 from collections import Counter
 from typing import Any
+from unittest import mock
 
 import aiohttp
 import msgspec
@@ -32,17 +33,21 @@
 
 
 class RelayTestCase(unittest.IsolatedAsyncioTestCase):
+    domains = {"a1": "a", "b1": "b"}
+
     async def asyncSetUp(self) -> None:
         self.fleet = PartitionedFleet()
         self.addAsyncCleanup(self.fleet.close)
-        await self.fleet.start({"a1": "a", "b1": "b"})
+        await self.fleet.start(self.domains)
         self.client = aiohttp.ClientSession()
         self.addAsyncCleanup(self.client.close)
 
     def host(self, name: str = "a1") -> ForwardingHost:
         return self.fleet.hosts[name].host
 
-    def call(self, path: str, request_id: str = "q1", deadline_ms: int = 3_000) -> Any:
+    def call(
+        self, path: str, request_id: str = "q1", deadline_ms: int = 3_000, host: str = "a1"
+    ) -> Any:
         headers = {
             "Host": "callers.example",
             "X-Request-Id": request_id,
@@ -50,7 +55,7 @@
             "X-Token-Counts": "100,20",
             "X-Custom": "kept",
         }
-        port = self.fleet.hosts["a1"].caller_port
+        port = self.fleet.hosts[host].caller_port
         return self.client.post(f"http://{IP}:{port}{path}", headers=headers, data=b"van")
 
     async def wait_until(self, condition: Any, limit_s: float = WAIT_S) -> None:
@@ -58,15 +63,15 @@
             while not condition():  # noqa: ASYNC110 - the hosts have no event for it
                 await asyncio.sleep(0.01)
 
-    async def cut_off(self, mode: PathMode = PathMode.RESET) -> None:
-        """Cuts the host off and waits until it knows, while callers send requests."""
-        await self.fleet.set_paths(["a1"], mode)
+    async def cut_off(self, mode: PathMode = PathMode.RESET, host: str = "a1") -> None:
+        """Cuts a host off and waits until it knows, while callers send requests."""
+        await self.fleet.set_paths([host], mode)
         number = 0
         async with asyncio.timeout(DETECTED_S):
-            while self.host()._context.reach.unreached != SERVICES:
+            while self.host(host)._context.reach.unreached != SERVICES:
                 for path in ("/look/1", "/chat/1"):
                     number += 1
-                    async with self.call(path, f"w{number}") as response:
+                    async with self.call(path, f"w{number}", host=host) as response:
                         await response.read()
 
 
@@ -89,6 +94,22 @@
                     self.assertNotIn(RELAYED_HEADER, response.headers)
         self.assertEqual(self.fleet.platform.runs()["q1"], len(table))
 
+    async def test_a_host_that_knows_tries_no_server_first(self) -> None:
+        """Guards against calls that reach a peer only after attempts at servers that the host is
+        cut off from: they take longer, and what hangs there may be lost."""
+        for mode in (PathMode.RESET, PathMode.HANG):
+            with self.subTest(mode):
+                await self.fleet.set_paths(["a1"], PathMode.OPEN)
+                await self.wait_until(lambda: not self.host()._context.reach.unreached)
+                await self.cut_off(mode)
+                backends = self.host()._context.backends
+                with mock.patch.object(backends, "send", wraps=backends.send) as send:
+                    for path in ("/look/1", "/book/1", "/chat/1"):
+                        async with self.call(path, f"{mode.value}{path}") as response:
+                            self.assertEqual(response.status, 200)
+                            await response.read()
+                self.assertEqual(send.call_count, 0)
+
     async def test_the_host_serves_itself_again(self) -> None:
         """Guards against relays that go on after the partition has healed."""
         await self.cut_off()
@@ -157,6 +178,29 @@
                 await response.read()
 
 
+class UnreachingPeerTest(RelayTestCase):
+    domains = {"a1": "a", "a2": "a", "b1": "b"}
+
+    async def test_nothing_is_relayed_to_a_peer_that_is_cut_off_too(self) -> None:
+        """Guards against requests that go first to a neighbour that can only refuse them."""
+        await self.cut_off()
+        await self.cut_off(host="a2")
+        view, sender = self.host().fleet.view, self.host()._peer_sender
+
+        def neighbour_is_cut_off() -> bool:
+            hello = view.live(self.host().clock.now_ms()).get(HostId("a2"))
+            return hello is not None and hello.unreached == SERVICES
+
+        await self.wait_until(neighbour_is_cut_off)
+        with mock.patch.object(sender, "send", wraps=sender.send) as send:
+            for path in ("/look/1", "/book/1", "/chat/1"):
+                async with self.call(path) as response:
+                    self.assertEqual(response.status, 200)
+                    await response.read()
+        addresses = {call.args[0] for call in send.call_args_list}
+        self.assertEqual(addresses, {view.relay_address(HostId("b1"))})
+
+
 class RelayServerTest(RelayTestCase):
     async def post(self, frame: bytes) -> tuple[int, str | None]:
         port = self.host("b1")._relay_port
