--- a/review/4/case.py
+++ b/review/4/case.py
@@ -13,9 +13,9 @@
 
 import aiohttp
 
-from review.support.hosts import Host, Sites
-from review.support.platform import Record, Store, Worker
-from review.support.script import has_trouble, run
+from review.hosts import Host, Sites
+from review.script import has_trouble, run
+from review.standins import Record, Store, Worker
 
 HOST_ZONES = ("finistere", "finistere", "morbihan", "armor", "ille")
 WORKER_ZONES = ("finistere", "morbihan", "armor", "ille")
--- a/review/support/crashing.py
+++ b/review/crashing.py
@@ -6,8 +6,8 @@
 
 from aiohttp import web
 
-from review.support.hosts import Sites
-from review.support.platform import Record, Store, Worker
+from review.hosts import Sites
+from review.standins import Record, Store, Worker
 
 # A crashed worker is back after some seconds; its old entry goes after three heartbeat intervals.
 DOWN_S, LAPSE_S = 3.0, 3.6
--- a/review/support/hosts.py
+++ b/review/hosts.py
@@ -16,7 +16,7 @@
 import aiohttp
 from aiohttp import web
 
-REPOSITORY = Path(__file__).resolve().parents[2]
+REPOSITORY = Path(__file__).resolve().parents[1]
 READY_S = 20.0
 # Ports of the deploy file that are the same on all machines.
 METRICS_PORT, RELAY_PORT = 7380, 7381
--- a/review/support/script.py
+++ b/review/script.py
@@ -10,7 +10,7 @@
 from collections.abc import Awaitable, Callable
 from pathlib import Path
 
-from review.support.platform import Record
+from review.standins import Record
 
 # Environment variable that keeps the settings and the logs of the machines in a folder.
 LOGS_VARIABLE = "REVIEW_LOGS"
--- a/review/support/streaming.py
+++ b/review/streaming.py
@@ -7,8 +7,8 @@
 
 import aiohttp
 
-from review.support.hosts import Host, Sites
-from review.support.platform import Record, Store, Worker
+from review.hosts import Host, Sites
+from review.standins import Record, Store, Worker
 
 SERVICE = "huvo11a"
 DEADLINE_MS = 14_000
