--- a/review/streaming.py
+++ b/review/streaming.py
@@ -139,26 +139,39 @@
     return {"Version": 7, "Routes": [route], "Services": [service], "Limits": limits}
 
 
-async def start_engines(
-    sites: Sites, record: Record, store: Store, placed: list[tuple[str, str]]
-) -> list[Worker]:
-    """Starts engines and publishes them.
+class Engines:
+    """The engines of the service.
+
+    Attributes:
+        workers: all of them, in the order of their start.
 
     Args:
         sites: gets their servers.
         record: gets their events.
         store: gets their entries.
-        placed: zone and stage of each.
     """
-    by_address: dict[str, Worker] = {}
-    workers = []
-    for zone, stage in placed:
-        worker = Worker(record, store, by_address, SERVICE, zone, stage, slots=64)
-        worker.address = await sites.serve(worker.application())
-        by_address[worker.address] = worker
+
+    def __init__(self, sites: Sites, record: Record, store: Store) -> None:
+        self._sites, self._record, self._store = sites, record, store
+        self._by_address: dict[str, Worker] = {}
+        self.workers: list[Worker] = []
+
+    async def start(self, zone: str, stage: str) -> None:
+        """Starts an engine and publishes it."""
+        worker = Worker(self._record, self._store, self._by_address, SERVICE, zone, stage, slots=64)
+        worker.address = await self._sites.serve(worker.application())
+        self._by_address[worker.address] = worker
         worker.publish()
-        workers.append(worker)
-    return workers
+        self.workers.append(worker)
+
+    def leave(self) -> None:
+        """Lets the decode engine that has started last leave, as planned."""
+        deciding = [
+            worker
+            for worker in self.workers
+            if worker.stage == "decode" and worker.state == "ready"
+        ]
+        deciding[-1].leave()
 
 
 def judge_orders(
