Count a retry of a crashing request by when it began to run

The rule dates a retry by when it was sent; the check of review/3 and review/5 dated it by the crash, which counted one retry too many in review/3.

--- a/review/crashing.py
+++ b/review/crashing.py
@@ -27,7 +27,7 @@
         record: gets its events.
         store: gets its entries.
         workers: all workers by address.
-        crashes: gets the time of each crash.
+        crashes: gets the beginning of the run and the time of each crash.
         service: its service.
         zone: its zone.
         stage: its stage; None for a plain worker.
@@ -40,7 +40,7 @@
         record: Record,
         store: Store,
         workers: dict[str, Worker],
-        crashes: list[float],
+        crashes: list[tuple[float, float]],
         service: str,
         zone: str,
         stage: str | None = None,
@@ -75,14 +75,14 @@
 
     def _note_run(self, worker: Worker, request: web.Request) -> None:
         if request.path.endswith("/bad") and self._crash_after_s is not None:
-            crashing = self._crash(worker, self._crash_after_s)
+            crashing = self._crash(worker, self._record.now_s(), self._crash_after_s)
             self._tasks.append(asyncio.get_running_loop().create_task(crashing))
 
-    async def _crash(self, worker: Worker, after_s: float) -> None:
+    async def _crash(self, worker: Worker, began_s: float, after_s: float) -> None:
         await asyncio.sleep(after_s)
         if worker is not self.worker:
             return
-        self._crashes.append(self._record.now_s())
+        self._crashes.append((began_s, self._record.now_s()))
         self._record.note(f"{worker.id} of {worker.service} crashes")
         await self._sites.crash()
         await asyncio.sleep(DOWN_S)
@@ -97,19 +97,24 @@
         await self._sites.close()
 
 
-def judge_crashes(record: Record, crashes: list[float], served: int) -> int:
+def judge_crashes(record: Record, crashes: list[tuple[float, float]], served: int) -> int:
     """Checks BUDGET: three retries at most reach workers once the request has crashed three.
 
+    Only those count that began to run later than ``StableWindowMs`` after the third crash.
+
     Returns:
         The exit status: 1 if the rule was broken, 0 if it held, 2 if nothing was served.
     """
     if not served:
         record.note("the case couldn't run: nothing was served")
         return 2
-    known_s = crashes[CRASHES_UNTIL_KNOWN - 1] if len(crashes) >= CRASHES_UNTIL_KNOWN else None
-    late = [at_s for at_s in crashes if known_s is not None and at_s > known_s + STABLE_S]
-    for at_s in late:
-        record.note(f"the request crashed a worker at {at_s:.3f} s, the third at {known_s:.3f} s")
+    late: list[float] = []
+    if len(crashes) >= CRASHES_UNTIL_KNOWN:
+        known_s = crashes[CRASHES_UNTIL_KNOWN - 1][1]
+        late = [began_s for began_s, _ in crashes if began_s > known_s + STABLE_S]
+        record.note(f"the third crash was at {known_s:.3f} s")
+    for began_s in late:
+        record.note(f"the request began to run at {began_s:.3f} s, and crashed its worker")
     is_broken = len(late) > MAX_RETRIES
     record.note("BUDGET is broken" if is_broken else "BUDGET holds")
     return 1 if is_broken else 0
