--- a/review/support/hosts.py
+++ b/review/support/hosts.py
@@ -33,7 +33,7 @@
 Listen.Control={control}
 InternalPorts=7380,7395
 Seeds={seeds}
-Bootstrap=true
+Bootstrap={bootstrap}
 Limits.MemoryMb=300
 Limits.MaxFds=4100
 Discovery=platform
@@ -117,7 +117,7 @@
         return list(ports)
 
     def write_settings(self, store: str, seeds: list[str]) -> None:
-        """Writes the settings file."""
+        """Writes the settings file, as for the first start of the system until it has started."""
         self._boot.write_text(
             SETTINGS.format(
                 name=self.name,
@@ -127,6 +127,7 @@
                 ready=self.ready,
                 control=self.control,
                 seeds=",".join(seeds),
+                bootstrap="true" if self._process is None else "false",
                 store=store,
             )
         )
@@ -205,15 +206,25 @@
     def __init__(self) -> None:
         self._runners: list[web.AppRunner] = []
 
-    async def serve(self, app: web.Application, ip: str = "127.0.0.1") -> str:
-        """Serves an application on a free port; returns its address."""
+    async def serve(self, app: web.Application, ip: str = "127.0.0.1", port: int = 0) -> str:
+        """Serves an application, on a free port if it is 0; returns its address."""
         # Workers drop a request when its connection closes.
         runner = web.AppRunner(app, handler_cancellation=True, access_log=None)
         await runner.setup()
         self._runners.append(runner)
-        await web.TCPSite(runner, ip, 0, backlog=512).start()
+        await web.TCPSite(runner, ip, port, backlog=512).start()
         return f"{ip}:{runner.addresses[0][1]}"
 
+    async def crash(self) -> None:
+        """Ends all servers as if their process had crashed: every connection is reset."""
+        for runner in self._runners:
+            for site in list(runner.sites):
+                await site.stop()
+            for connection in runner.server.connections if runner.server is not None else []:
+                if connection.transport is not None:
+                    connection.transport.abort()
+        await self.close()
+
     async def close(self) -> None:
         """Ends all servers."""
         for runner in self._runners:
--- a/review/support/platform.py
+++ b/review/support/platform.py
@@ -142,7 +142,7 @@
         runs: ids of the requests that began to run here, in order.
         arrivals: time and id of each request that arrived, rejected ones too.
         orders: time, holder, fence and status of each order that arrived.
-        lose_answer: returns whether the answer of a request that ran is lost.
+        on_run: called when a request begins to run.
 
     Args:
         record: gets a line for each event.
@@ -154,7 +154,7 @@
     step_ms = 200.0
     events = 7
     prefill_tokens_per_ms = 55.0
-    report_lag_s = 0.5
+    report_lag_s = 0.9
     switch_s = 6.0
     handle_s = 0.5
     capacity_tokens = 59_496
@@ -177,7 +177,7 @@
         self.runs: list[str] = []
         self.arrivals: list[tuple[float, str]] = []
         self.orders: list[tuple[float, str, int, int]] = []
-        self.lose_answer: Callable[[str], bool] = lambda request_id: False
+        self.on_run: Callable[[Worker, web.Request], None] = lambda worker, request: None
         self._record, self._store, self._workers = record, store, workers
         self._sequence = 0
         self._beats = 0
@@ -228,6 +228,12 @@
             entry |= {"Stage": self.stage, "Models": models}
         self._store.put(f"servers/{self.id}", entry)
 
+    def leave(self) -> None:
+        """Reports that the worker leaves; it goes on with what runs there."""
+        self.state = "draining"
+        self.publish()
+        self._record.note(f"{self.id} is draining")
+
     def _now_s(self) -> float:
         return self._record.now_s()
 
@@ -363,6 +369,7 @@
         self.runs.append(request_id)
         left_ms = request.headers.get("X-Deadline-Ms")
         self._record.note(f"run {request_id} at {self.id}, deadline {left_ms} ms")
+        self.on_run(self, request)
 
     async def _run_plain(self, request: web.Request, request_id: str) -> web.StreamResponse:
         body = await request.read()
@@ -374,11 +381,6 @@
             await asyncio.sleep(self.work_s)
         finally:
             self._end_run()
-        if self.lose_answer(request_id):
-            self._record.note(f"answer of {request_id} at {self.id} is lost")
-            if request.transport is not None:
-                request.transport.abort()
-            return web.Response()
         return web.Response(body=b"ok:" + body, headers=self._signed(request_id))
 
     async def _prefill(self, request: web.Request) -> web.Response:
--- a/review/support/streaming.py
+++ b/review/support/streaming.py
@@ -89,8 +89,12 @@
         self._record.note(f"request {request_id} to {host.name}: {status}")
 
 
-def configuration() -> dict[str, object]:
-    """Returns a configuration with the values that ``fleetbench wire`` shows."""
+def configuration(*, resumable: bool = True) -> dict[str, object]:
+    """Returns a configuration with the values that ``fleetbench wire`` shows.
+
+    Args:
+        resumable: whether streams of its route may be resumed.
+    """
     engine = {
         "Slots": 64,
         "KvTokenCapacity": Worker.capacity_tokens,
@@ -113,9 +117,9 @@
         "TargetLatencyMs": 900,
         "Priority": 1,
         "Service": SERVICE,
-        "MaxAttempts": 2,
+        "MaxAttempts": 2 if resumable else 1,
         "Sticky": True,
-        "Resumable": True,
+        "Resumable": resumable,
         "GapTargetMs": 300,
     }
     service = {
