Take a cut watch for a cut watch, not for an outage of the store

Cause: the follower took each failed watch, and each 410, for an outage, read everything anew and kept missing servers for 2,200 ms.

Change: a lost connection raises WatchCutError; the changes after the known revision are then asked for at once, without a wait. Servers that are missing after a 410 are kept only if the store was unreachable, was silent for three heartbeats or has come back from an older copy.

--- a/src/medlarvale/forwarding/errors.py
+++ b/src/medlarvale/forwarding/errors.py
@@ -197,6 +197,12 @@
     code = "published_state_failed"
 
 
+class WatchCutError(PublishedStateError):
+    """The connection of a waiting watch ended or fell silent, which doesn't show an outage."""
+
+    code = "published_watch_cut"
+
+
 class HistoryGoneError(PublishedStateError):
     """The changes since a revision are no longer available; the full state must be read again."""
 
--- a/src/medlarvale/forwarding/follower.py
+++ b/src/medlarvale/forwarding/follower.py
@@ -3,10 +3,11 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from collections.abc import Callable
 
 from medlarvale.clock import Clock
-from medlarvale.forwarding.errors import HistoryGoneError, PublishedStateError
+from medlarvale.forwarding.errors import HistoryGoneError, PublishedStateError, WatchCutError
 from medlarvale.forwarding.interface import StateSource
 from medlarvale.forwarding.messages import (
     RouteTable,
@@ -16,13 +17,18 @@
     StoreRevision,
 )
 from medlarvale.forwarding.routes import RouteIndex
-from medlarvale.forwarding.servers import ServerTable
+from medlarvale.forwarding.servers import DEFAULT_HEARTBEAT_MS, ServerTable
 from medlarvale.forwarding.version_history import RecentHistory
 from medlarvale.ids import ConfigVersion, ServerId
 from medlarvale.logs import Event, log_info, log_warning
 
 # A watch on a dead connection must end well within 2 s, because a change must take effect by then.
 WATCH_WAIT_MS = 2_000
+# The entry of a server lapses after this many silent heartbeats.
+LAPSE_HEARTBEATS = 3.0
+# A watch waits for no longer than this many heartbeats: if it is cut at its end, no entry can have
+# lapsed since the answer before it.
+WATCH_HEARTBEATS = 2.0
 # Minimum time between two watches: many servers register at once when a deployment starts.
 WATCH_INTERVAL_MS = 250.0
 RETRY_FIRST_MS = 50.0
@@ -49,6 +55,7 @@
         servers: updated from the source.
         clock: time service.
         on_ready: called once, with the first configuration.
+        heartbeat_ms: time between two heartbeats of a backend server.
     """
 
     def __init__(
@@ -57,12 +64,19 @@
         servers: ServerTable,
         clock: Clock,
         on_ready: Callable[[], None],
+        heartbeat_ms: float = DEFAULT_HEARTBEAT_MS,
     ) -> None:
         self._source = source
         self._servers = servers
         self._clock = clock
         self._on_ready = on_ready
         self._task: asyncio.Task[None] | None = None
+        self._lapse_ms = LAPSE_HEARTBEATS * heartbeat_ms
+        self._watch_wait_ms = int(min(WATCH_WAIT_MS, WATCH_HEARTBEATS * heartbeat_ms))
+        # Time of the last answer of the source, or of the last report of another host.
+        self._contact_ms: float | None = None
+        # Whether entries may be missing because their servers could not write to the source.
+        self._may_have_lapsed = False
         self.reachable = True
         self.index: RouteIndex | None = None
         self.revision = StoreRevision(0)
@@ -106,6 +120,7 @@
         if not self.is_ahead_of(era, revision):
             self._note_era(era)
             self.revision = revision
+        self._contact_ms = self._clock.now_ms()
         self._reading.clear()
 
     def resume(self) -> None:
@@ -139,14 +154,12 @@
             started_ms = self._clock.now_ms()
             try:
                 if synchronized:
-                    await self._watch()
-                else:
+                    synchronized = await self._watch_on()
+                if not synchronized:
                     await self._read_all()
                 synchronized = True
                 retry_ms = RETRY_FIRST_MS
-                self._note_reachable(True, "")
-                for callback in self._contact_callbacks:
-                    callback()
+                self._note_contact()
                 if self.index is not None:
                     next_ms = started_ms + WATCH_INTERVAL_MS
                     await self._clock.sleep_ms(max(0.0, next_ms - self._clock.now_ms()))
@@ -157,6 +170,7 @@
                 self._note_reachable(False, error.message)
                 # Entries that expire during an outage are registered again; a watch alone would
                 # miss them.
+                self._may_have_lapsed = True
                 synchronized = False
             except Exception as error:  # One unusable change must not end the task.
                 log_warning(Event.TASK_FAILED, task="follow the store", error=repr(error))
@@ -164,17 +178,42 @@
             await self._clock.sleep_ms(retry_ms)
             retry_ms = min(RETRY_MAX_MS, retry_ms * 2)
 
+    async def _watch_on(self) -> bool:
+        """Waits for changes, on a second connection if the first one is cut.
+
+        Returns:
+            Whether all changes since the last answer are known.
+        """
+        try:
+            await self._watch(self._watch_wait_ms)
+            return True
+        except WatchCutError as error:
+            reason = error.message
+        silent_ms = self._silent_ms()
+        if silent_ms >= self._lapse_ms:
+            self._may_have_lapsed = True
+            return False
+        await self._watch(NO_WAIT_MS)
+        log_info(Event.WATCH_RESUMED, silent_ms=int(silent_ms), reason=reason)
+        return True
+
     async def _read_all(self) -> None:
         published = await self._source.read()
+        restored = published.era != self.era
         self._note_era(published.era)
         if published.table is not None:
             self.accept(published.table)
-        known = len(self._servers) > 0
-        self._servers.replace_all(published.servers, self._clock.now_ms(), after_outage=known)
+        after_outage = (
+            restored or self._may_have_lapsed or self._silent_ms() >= self._lapse_ms
+        ) and len(self._servers) > 0
+        self._servers.replace_all(
+            published.servers, self._clock.now_ms(), after_outage=after_outage
+        )
+        self._may_have_lapsed = False
         self.revision = published.revision
 
-    async def _watch(self) -> None:
-        changes = await self._source.watch(self.revision, WATCH_WAIT_MS)
+    async def _watch(self, wait_ms: int) -> None:
+        changes = await self._source.watch(self.revision, wait_ms)
         if changes.era != self.era:
             # The revisions have been given out again, so changes may be missing.
             raise HistoryGoneError(f"the store is in era {changes.era}, not {self.era}")
@@ -190,6 +229,16 @@
                 self._servers.remove(ServerId(item))
         self.revision = max(self.revision, changes.revision)
 
+    def _silent_ms(self) -> float:
+        """Returns the time since the source last answered; infinite before its first answer."""
+        return math.inf if self._contact_ms is None else self._clock.now_ms() - self._contact_ms
+
+    def _note_contact(self) -> None:
+        self._contact_ms = self._clock.now_ms()
+        self._note_reachable(True, "")
+        for callback in self._contact_callbacks:
+            callback()
+
     async def recent_history(self) -> RecentHistory:
         """Reads the published state with the changes that the source still has.
 
--- a/src/medlarvale/forwarding/host.py
+++ b/src/medlarvale/forwarding/host.py
@@ -106,7 +106,9 @@
             self._heartbeat_ms,
         )
         backends.on_limit(self._note_limit)
-        self.follower = StateFollower(source, self.servers, self.clock, self._log_ready)
+        self.follower = StateFollower(
+            source, self.servers, self.clock, self._log_ready, self._heartbeat_ms
+        )
         self.follower.on_contact(lambda: self.servers.isolation.note_contact(self.clock.now_ms()))
         self._build_peers(parameters)
         self.servers.limits.share_with(self._live_domains)
--- a/src/medlarvale/platform/store.py
+++ b/src/medlarvale/platform/store.py
@@ -10,7 +10,12 @@
 from yarl import URL
 
 from medlarvale.errors import DECODE_ERRORS
-from medlarvale.forwarding.errors import BackendError, HistoryGoneError, PublishedStateError
+from medlarvale.forwarding.errors import (
+    BackendError,
+    HistoryGoneError,
+    PublishedStateError,
+    WatchCutError,
+)
 from medlarvale.forwarding.messages import (
     PublishedState,
     RouteTable,
@@ -45,6 +50,10 @@
 ERA_HEADER = "Store-Era"
 
 
+class _ConnectionLostError(PublishedStateError):
+    """An established connection ended or fell silent before the answer was complete."""
+
+
 class _Item(msgspec.Struct, rename="pascal"):
     """An item, or the removal of its key if ``deleted`` is true."""
 
@@ -124,7 +133,10 @@
     async def watch(self, after: StoreRevision, wait_ms: int) -> StateChanges:
         """Waits for changes; see ``StateSource.watch``."""
         query = {"PathPrefix": "", "after": str(after), "WaitMs": str(wait_ms)}
-        body, era = await self._get("/kv-watch", query, wait_ms + WATCH_SLACK_MS)
+        try:
+            body, era = await self._get("/kv-watch", query, wait_ms + WATCH_SLACK_MS)
+        except _ConnectionLostError as error:
+            raise WatchCutError(f"the watch was cut: {error.message}") from error
         try:
             watched = self._watch_decoder.decode(body)
         except DECODE_ERRORS as error:
@@ -191,8 +203,10 @@
                 return await read_body(response, MAX_PAGE_BYTES), _era(response)
         except BackendError as error:
             raise PublishedStateError(f"the store sent too much: {error.message}") from error
+        except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
+            raise PublishedStateError(f"the store can't be reached: {error!r}") from error
         except (TimeoutError, aiohttp.ClientError, OSError) as error:
-            raise PublishedStateError(f"the store did not answer: {error!r}") from error
+            raise _ConnectionLostError(f"the store did not answer: {error!r}") from error
 
 
 def _era(response: aiohttp.ClientResponse) -> StoreEra:
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -10,7 +10,7 @@
 from aiohttp import web
 from aiohttp.test_utils import TestServer
 
-from medlarvale.forwarding.errors import HistoryGoneError, PublishedStateError
+from medlarvale.forwarding.errors import HistoryGoneError, PublishedStateError, WatchCutError
 from medlarvale.forwarding.messages import RouteTable, Server, StoreRevision
 from medlarvale.ids import ServerId
 from medlarvale.logs import Event
@@ -179,3 +179,23 @@
                     self.answers = [answer]
                     with self.assertRaises(expected):
                         await self.store.read()
+
+    async def test_only_a_connection_that_is_lost_cuts_a_watch(self) -> None:
+        """Guards against a cut watch that counts as an outage of the store, and the reverse."""
+        table: list[tuple[str, tuple[int, Any], bool]] = [
+            ("reset", (0, None), True),
+            ("down", (503, {}), False),
+            ("invalid body", (200, ["no"]), False),
+        ]
+        for name, answer, is_cut in table:
+            with self.subTest(name):
+                self.answers = [answer]
+                with self.assertRaises(PublishedStateError) as raised:
+                    await self.store.watch(StoreRevision(1), 10)
+                self.assertEqual(isinstance(raised.exception, WatchCutError), is_cut)
+        await self.server.close()
+        # The first call meets the end of a kept connection, the second one a closed port.
+        for is_cut in (True, False):
+            with self.assertRaises(PublishedStateError) as raised:
+                await self.store.watch(StoreRevision(1), 10)
+            self.assertEqual(isinstance(raised.exception, WatchCutError), is_cut)
