Use the seeds of a changed settings file without a restart

Cause: the seeds were read once at the start; SIGHUP only checked the file.

Change: the settings file is polled like the key files, once a second, and read at SIGHUP; FleetView replaces its seeds.

Why it works: hellos go to each seed that no known host has, so a host gets into touch within a hello period of the change.

--- a/src/medlarvale/file_watch.py
+++ b/src/medlarvale/file_watch.py
@@ -78,6 +78,12 @@
             self._last_seen[index] = (files, signature)
             self._reload(files)
 
+    def reload(self) -> None:
+        """Loads all files, changed or not."""
+        for index, (files, _) in enumerate(self._last_seen):
+            self._last_seen[index] = (files, files.signature())
+            self._reload(files)
+
     def _reload(self, files: WatchedFiles) -> None:
         try:
             files.load()
--- a/src/medlarvale/forward_command.py
+++ b/src/medlarvale/forward_command.py
@@ -12,11 +12,12 @@
 
 import uvloop
 
+from medlarvale.file_watch import FileWatch, WatchedFiles
 from medlarvale.flags import add_flag
 from medlarvale.forwarding.host import ANY_PORT, ForwardingHost, run_until_stopped
 from medlarvale.forwarding.messages import HostParameters
 from medlarvale.log_writer import BoundedLineWriter
-from medlarvale.logs import Event, configure_logging, log_info, log_warning
+from medlarvale.logs import Event, configure_logging, log_warning
 from medlarvale.platform.backends import HttpBackends
 from medlarvale.platform.boot import BootSettingsError, read_boot_settings
 from medlarvale.platform.connections import BackendConnection, new_session
@@ -86,14 +87,27 @@
     loop = asyncio.get_running_loop()
     for signal_number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(signal_number, stop.set)
-    loop.add_signal_handler(signal.SIGHUP, _reload, Path(options.boot))
+    settings = _watch_settings(host, Path(options.boot))
+    # The file may also change without a signal.
+    loop.add_signal_handler(signal.SIGHUP, settings.reload)
+    settings.start()
     try:
         await run_until_stopped(stop, host)
     finally:
+        settings.close()
         await session.close()
         await calls.close()
 
 
+def _watch_settings(host: ForwardingHost, boot: Path) -> FileWatch:
+    """Returns a watch of the settings file; an invalid file changes nothing."""
+
+    def load() -> None:
+        host.apply_settings(read_boot_settings(boot))
+
+    return FileWatch(host.clock, [WatchedFiles(str(boot), (boot,), load)])
+
+
 class _DropReport:
     """Logs the number of dropped log lines when it has grown since the last report."""
 
@@ -105,13 +119,3 @@
         if self._writer.dropped > self._reported:
             self._reported = self._writer.dropped
             log_warning(Event.LOG_LINES_DROPPED, dropped=self._reported)
-
-
-def _reload(boot: Path) -> None:
-    """Checks a changed settings file; its addresses and bounds apply only after a restart."""
-    try:
-        read_boot_settings(boot)
-    except BootSettingsError as error:
-        log_warning(Event.FILE_RELOAD_FAILED, path=str(boot), error=error.message)
-        return
-    log_info(Event.FILE_RELOADED, path=str(boot))
--- a/src/medlarvale/forwarding/fleet.py
+++ b/src/medlarvale/forwarding/fleet.py
@@ -90,7 +90,8 @@
         self._digests: dict[int, HostId] = {}
         self.identity = identity
         self._address = address
-        self._seeds = [seed for seed in seeds if seed != address]
+        self._seeds: list[str] = []
+        self.set_seeds(seeds)
         self._known_addresses: dict[HostId, str] = {}
         self._peers: dict[HostId, _Peer] = {}
         self._waiting_targets: list[HostId] = []
@@ -98,6 +99,10 @@
         self._last_tick_ms: float | None = None
         self._unpaused_since_ms = 0.0
 
+    def set_seeds(self, seeds: Iterable[str]) -> None:
+        """Replaces the seeds; hosts that are known already are kept."""
+        self._seeds = [seed for seed in seeds if seed != self._address]
+
     def record_hello(self, sender: HostIdentity, hello: Hello, now_ms: float) -> None:
         """Records a hello unless it is from an older incarnation of the peer."""
         known = self._peers.get(sender.host)
--- a/src/medlarvale/forwarding/host.py
+++ b/src/medlarvale/forwarding/host.py
@@ -227,6 +227,10 @@
             view, self._transport, self.follower, self.servers, self.clock
         )
 
+    def apply_settings(self, parameters: HostParameters) -> None:
+        """Applies what can change without a restart: the seeds."""
+        self.fleet.view.set_seeds(parameters.seed_addresses)
+
     def _new_guard(self, identity: HostIdentity) -> FrameGuard:
         keys = SharedKeys({FLEET_KEY_ID: fleet_key([self._parameters.platform_address])})
         own = HostId(self._parameters.listen_control)
--- a/tests/forwarding/test_fleet.py
+++ b/tests/forwarding/test_fleet.py
@@ -140,6 +140,12 @@
         self.assertEqual(self.view.tick(500.0), ["a", "c:1", "d"])
         self.assertEqual(self.view.addresses()[HostId("d")], "d:1")
 
+    def test_new_seeds_replace_the_old_ones(self) -> None:
+        """Guards against a host that asks only the seeds of its start (review/1)."""
+        self.view.record_hello(identity("c"), hello("c"), 0.0)
+        self.view.set_seeds(["b:1", "d:1", "c:1"])
+        self.assertEqual(self.view.tick(0.0), ["c", "d:1"])
+
     def test_only_one_host_is_coordinator(self) -> None:
         """Guards against two coordinators on the two sides of a partition."""
         table: list[tuple[str, list[str], list[str], bool]] = [
--- a/tests/test_forward_command.py
+++ b/tests/test_forward_command.py
@@ -13,6 +13,7 @@
 from typing import Any
 
 import aiohttp
+import pynng
 
 from medlarvale.platform.standin import StandinPlatform
 from tests.forwarding.test_host import IP, free_port
@@ -87,6 +88,34 @@
             with self.subTest(number):
                 self.assertIn(number, numbers)
 
+    async def test_new_seeds_are_used_without_a_restart(self) -> None:
+        """Guards against a host that never finds its peers if its first seeds are stale, whether or
+        not a signal tells it of the new ones (review/1)."""
+        platform = StandinPlatform()
+        await platform.start()
+        self.addAsyncCleanup(platform.close)
+        for signal_number in (signal.SIGHUP, None):
+            with self.subTest(signal_number), pynng.Pull0() as peer:
+                peer_address = f"{IP}:{free_port()}"
+                peer.listen(f"tcp://{peer_address}")
+                front, ready, control, stale = (f"{IP}:{free_port()}" for _ in range(4))
+                settings = SETTINGS.format(
+                    front=front, ready=ready, control=control, store=platform.address
+                )
+                self.boot.write_text(f"{settings}Seeds={control},{stale}\n")
+                process = await self.start()
+                assert process.stdout is not None
+                while b'"event_number": 1001' not in await process.stdout.readline():
+                    pass
+                self.boot.write_text(f"{settings}Seeds={stale},{peer_address}\n")
+                if signal_number is not None:
+                    process.send_signal(signal_number)
+                try:
+                    await asyncio.wait_for(peer.arecv(), 4.0)
+                finally:
+                    process.send_signal(signal.SIGTERM)
+                    await asyncio.wait_for(process.communicate(), START_S)
+
     async def wait_until_ready(self, session: aiohttp.ClientSession, address: str) -> None:
         async with asyncio.timeout(START_S):
             while True:
