Replace connections to peers that have gone silent

Cause: a dialer was never replaced while its address was listed; there was no keep-alive, and requests without a reply changed nothing.

Change: the transport counts the requests to each address that got no reply, late replies included. After two in a row, and 1 s after the last reply, it closes the connection; the next frame dials anew. Metric peer_connections_replaced.

--- a/src/medlarvale/forwarding/host.py
+++ b/src/medlarvale/forwarding/host.py
@@ -262,6 +262,7 @@
             "backend_servers": len(self.servers),
             "live_peers": len(self._live_peers()),
             "peer_frames_dropped": self._transport.dropped_frames,
+            "peer_connections_replaced": self._transport.replaced_connections,
             "peer_bytes_sent": self._transport.sent_bytes,
             "ready": self.ready(),
             **self._extra_gauges(),
--- a/src/medlarvale/peers/pynng_transport.py
+++ b/src/medlarvale/peers/pynng_transport.py
@@ -29,6 +29,41 @@
 RECONNECT_MIN_MS = 50
 RECONNECT_MAX_MS = 500
 MAX_FRAME_BYTES = 16 * 1024 * 1024
+# A connection is replaced after this many requests in a row without a reply, late ones included,
+# and no sooner than after this time: one may have gone silent while new ones work.
+REPLACE_AFTER_REQUESTS = 2
+REPLACE_AFTER_MS = 1_000.0
+
+
+class _Dialer:
+    """The connection for frames to one address.
+
+    Attributes:
+        socket: sends the frames, and connects again after a reset.
+        unanswered: requests that timed out since the last reply.
+        answered_ms: time of the last reply, or of the first connection attempt.
+    """
+
+    def __init__(self, address: str, now_ms: float) -> None:
+        self.socket = pynng.Push0(
+            send_buffer_size=SEND_BUFFER_FRAMES,
+            reconnect_time_min=RECONNECT_MIN_MS,
+            reconnect_time_max=RECONNECT_MAX_MS,
+        )
+        self.socket.dial(address, block=False)
+        self.unanswered = 0
+        self.answered_ms = now_ms
+
+    def note_reply(self, now_ms: float) -> None:
+        self.unanswered = 0
+        self.answered_ms = now_ms
+
+    def is_silent(self, now_ms: float) -> bool:
+        """Returns whether the connection may have gone silent without a reset."""
+        return (
+            self.unanswered >= REPLACE_AFTER_REQUESTS
+            and now_ms - self.answered_ms >= REPLACE_AFTER_MS
+        )
 
 
 class PynngTransport:
@@ -58,13 +93,14 @@
         self._handlers: dict[type[msgspec.Struct], Handler] = {}
         self._peer_addresses: dict[HostId, str] = {}
         self._announced_addresses: dict[HostId, str] = {}
-        self._dialers: dict[str, pynng.Push0] = {}
+        self._dialers: dict[str, _Dialer] = {}
         self._pending: dict[int, asyncio.Future[Frame]] = {}
         self._nonces = itertools.count(1)
         self._tasks: set[asyncio.Task[None]] = set()
         self._listener: pynng.Pull0 | None = None
         self._closed = False
         self.dropped_frames = 0
+        self.replaced_connections = 0
         self.sent_bytes = 0
         self.received_bytes = 0
 
@@ -77,7 +113,7 @@
         self._peer_addresses = dict(addresses)
         listed = set(addresses.values())
         for address in [known for known in self._dialers if known not in listed]:
-            self._dialers.pop(address).close()
+            self._dialers.pop(address).socket.close()
 
     def start(self) -> None:
         """Starts to listen.
@@ -100,7 +136,7 @@
             self._listener.close()
         await asyncio.gather(*self._tasks, return_exceptions=True)
         for dialer in self._dialers.values():
-            dialer.close()
+            dialer.socket.close()
         self._dialers.clear()
 
     async def request(
@@ -119,6 +155,7 @@
             async with asyncio.timeout(timeout_ms / 1000.0):
                 frame = await future
         except TimeoutError as error:
+            self._note_timeout(address)
             raise PeerTimeoutError(f"host {peer} did not answer within {timeout_ms} ms") from error
         finally:
             self._pending.pop(nonce, None)
@@ -162,25 +199,35 @@
         )
         data = self._guard.keys.sign(msgspec.msgpack.encode(frame))
         try:
-            self._dialer(address).send(data, block=False)
+            self._dialer(address).socket.send(data, block=False)
         except pynng.exceptions.NNGException as error:
             # A full queue means that the peer does not read; the frame is lost, as on the network.
             if kind is FrameKind.REQUEST:
                 raise PeerError(f"host {receiver}: {error}") from error
         self.sent_bytes += len(data)
 
-    def _dialer(self, address: str) -> pynng.Push0:
+    def _dialer(self, address: str) -> _Dialer:
         dialer = self._dialers.get(address)
         if dialer is None:
-            dialer = pynng.Push0(
-                send_buffer_size=SEND_BUFFER_FRAMES,
-                reconnect_time_min=RECONNECT_MIN_MS,
-                reconnect_time_max=RECONNECT_MAX_MS,
-            )
-            dialer.dial(address, block=False)
-            self._dialers[address] = dialer
+            dialer = self._dialers[address] = _Dialer(address, self._clock.now_ms())
         return dialer
 
+    def _note_timeout(self, address: str) -> None:
+        """Replaces the connection to a peer that has not replied for a while."""
+        dialer = self._dialers.get(address)
+        if dialer is None:
+            return
+        dialer.unanswered += 1
+        if dialer.is_silent(self._clock.now_ms()):
+            # The next frame connects again.
+            self._dialers.pop(address).socket.close()
+            self.replaced_connections += 1
+
+    def _note_reply(self, address: str) -> None:
+        dialer = self._dialers.get(address)
+        if dialer is not None:
+            dialer.note_reply(self._clock.now_ms())
+
     async def _receive_frames(self, listener: pynng.Pull0) -> None:
         while not self._closed:
             try:
@@ -202,6 +249,7 @@
                 self._resolve(frame)
 
     def _resolve(self, frame: Frame) -> None:
+        self._note_reply(frame.reply_address)
         future = self._pending.get(frame.in_reply_to)
         if future is not None and not future.done():
             future.set_result(frame)
--- a/tests/peers/test_pynng_transport.py
+++ b/tests/peers/test_pynng_transport.py
@@ -3,9 +3,11 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import socket
 import time
 import unittest
+from unittest import mock
 
 import msgspec
 import pynng
@@ -27,6 +29,10 @@
 # Number of a ping whose reply is deeply nested.
 DEEP_REPLY = 1_000_000
 KEYS = {"k": b"k" * 16}
+# Greeting of a listener in the scalability protocols: its protocol is PULL0 (0x51).
+PULL_GREETING = b"\0SP\0\0\x51\0\0"
+# A new order coordinator waits for two leases of 3 s before its first order.
+REPLACED_WITHIN_MS = 6_000
 
 
 class Ping(msgspec.Struct, tag="ping", frozen=True):
@@ -118,6 +124,48 @@
         self.assertTrue(all(isinstance(error, PeerError) for error in errors))
         self.assertLessEqual(len(timeouts), SEND_BUFFER_FRAMES + 1)
 
+    async def test_a_silent_connection_is_replaced(self) -> None:
+        """Guards against a peer that is never reached again because the connection to it has gone
+        silent without a reset, while new ones work (review/2)."""
+        await self.b.close()
+        greetings: list[asyncio.StreamWriter] = []
+        closed = asyncio.Event()
+
+        async def keep_silent(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            writer.write(PULL_GREETING)
+            greetings.append(writer)
+            await closed.wait()
+            writer.close()
+
+        ip, port = self.addresses[B].removeprefix("tcp://").split(":")
+        silent = await asyncio.start_server(keep_silent, ip, int(port))
+        with self.assertRaises(PeerTimeoutError):
+            await self.send_ping(1, timeout_ms=400)
+        silent.close()
+        # Open connections survive the end of their listener.
+        self.assertEqual(len(greetings), 1)
+        self.b = await self.start(B)
+        # Cleanups run in reverse: the connections end within the loop that serves them.
+        self.addAsyncCleanup(asyncio.sleep, 0)
+        self.addCleanup(closed.set)
+        async with asyncio.timeout(REPLACED_WITHIN_MS / 1000.0):
+            while True:
+                with contextlib.suppress(PeerTimeoutError):
+                    self.assertEqual(await self.send_ping(1, timeout_ms=400), Ping(2))
+                    break
+
+    async def test_the_connection_of_a_peer_that_answers_is_kept(self) -> None:
+        """Guards against frames that are lost with a connection that was replaced because of a few
+        slow answers."""
+        with mock.patch.object(self.clock, "now_ms") as now_ms:
+            for second in range(5):
+                now_ms.return_value = second * 2_000.0
+                await self.send_ping(1)
+                now_ms.return_value += 1_000.0
+                with self.assertRaises(PeerTimeoutError):
+                    await self.send_ping(0, timeout_ms=1)
+        self.assertEqual(self.a.replaced_connections, 0)
+
     async def test_failed_request_raises_the_error_of_its_cause(self) -> None:
         """Guards against failures that raise another error or break later requests."""
         nested = msgspec.Raw(b"\x91" * 20_000 + b"\xc0")
