Check the calls of a follower after a long silence

A mutation that applies the changes after a long silence, instead of reading everything, left the test green: it looked only at the servers, which were the same by chance. The table now names the calls too; the mutation makes it fail.

--- a/tests/forwarding/test_follower.py
+++ b/tests/forwarding/test_follower.py
@@ -159,15 +159,18 @@
     async def test_entries_may_have_lapsed_after_a_long_silence(self) -> None:
         """Guards against servers that are removed although their entries only expired while the
         store answered nobody."""
-        for heartbeat_ms, listed in ((1_000.0, ["s2"]), (20.0, ["s1", "s2"])):
+        removed, read_again = changes(12, ServerId("s1")), published(2, "s2", revision=90)
+        table = [
+            (1_000.0, removed, ["read", 10, 10, 12], ["s2"]),
+            (20.0, read_again, ["read", 10, "read", 90], ["s1", "s2"]),
+        ]
+        for heartbeat_ms, answer, calls, listed in table:
             with self.subTest(heartbeat_ms):
-                read_again = published(2, "s2", revision=90)
+                silence = Delayed(100.0, WatchCutError("silent"))
                 await self.follow(
-                    published(1, "s1", "s2"),
-                    Delayed(100.0, WatchCutError("silent")),
-                    read_again if heartbeat_ms < 1_000.0 else changes(12, ServerId("s1")),
-                    heartbeat_ms=heartbeat_ms,
+                    published(1, "s1", "s2"), silence, answer, heartbeat_ms=heartbeat_ms
                 )
+                self.assertEqual(self.source.calls, calls)
                 self.assertEqual(self.listed(), listed)
 
     async def test_an_unexpected_error_does_not_end_the_task(self) -> None:
