Count no host that hears nobody as a majority of one

Change: a host that hears nobody is a majority only if its settings name no other host and no hello ever came.

Why it works: an order needs a live peer or the certainty of having none, whatever the reason for the silence is.

--- a/src/medlarvale/forwarding/fleet.py
+++ b/src/medlarvale/forwarding/fleet.py
@@ -95,6 +95,7 @@
         self._known_addresses: dict[HostId, str] = {}
         self._peers: dict[HostId, _Peer] = {}
         self._waiting_targets: list[HostId] = []
+        self._has_met_peer = False
         self._newest_host_ms = 0.0
         self._last_tick_ms: float | None = None
         self._unpaused_since_ms = 0.0
@@ -105,6 +106,7 @@
 
     def record_hello(self, sender: HostIdentity, hello: Hello, now_ms: float) -> None:
         """Records a hello unless it is from an older incarnation of the peer."""
+        self._has_met_peer = True
         known = self._peers.get(sender.host)
         if known is not None and sender.incarnation < known.identity.incarnation:
             return
@@ -220,8 +222,14 @@
         return len(self._peers) + 1
 
     def is_coordinator(self, now_ms: float) -> bool:
-        """Returns whether the live hosts are a majority and this host is the first by name."""
+        """Returns whether the live hosts are a majority and this host is the first by name.
+
+        A host that hears nobody can't tell a fleet of one from a fleet that it can't hear, so it is
+        a majority only if there has never been a sign of another host.
+        """
         live = self.live(now_ms)
+        if not live:
+            return not self._seeds and not self._has_met_peer
         majority = 2 * (len(live) + 1) > self.host_count()
         return majority and all(self.identity.host < host for host in live)
 
--- a/tests/forwarding/test_fleet.py
+++ b/tests/forwarding/test_fleet.py
@@ -149,7 +149,7 @@
     def test_only_one_host_is_coordinator(self) -> None:
         """Guards against two coordinators on the two sides of a partition."""
         table: list[tuple[str, list[str], list[str], bool]] = [
-            ("alone from the start", [], [], True),
+            ("alone from the start", [], [], False),
             ("first by name", ["c", "d"], ["c", "d"], True),
             ("another one is first", ["a", "c"], ["a", "c"], False),
             ("the first one is gone", ["a", "c", "d"], ["c", "d"], True),
@@ -163,6 +163,28 @@
                 receive_hellos(self.view, 5_000.0, *heard)
                 self.assertEqual(self.view.is_coordinator(5_001.0), expected)
 
+    def test_a_host_that_hears_nobody_is_no_majority(self) -> None:
+        """Guards against a host that orders engines beside a fleet which it can't hear: after a
+        restart with stale seeds (review/1), behind silent connections (review/2), or because it has
+        forgotten its peers."""
+        table: list[tuple[str, list[str], list[str], bool]] = [
+            ("no other host configured", ["b:1"], [], True),
+            ("no seeds", [], [], True),
+            ("seeds that don't answer", ["a:1", "b:1"], [], False),
+            ("peers forgotten, no other seed", ["b:1"], ["c"], False),
+            ("peers forgotten", ["a:1"], ["a", "c"], False),
+        ]
+        now_ms = 2.0 * FORGET_AFTER_MS
+        for name, seeds, met, expected in table:
+            with self.subTest(name):
+                view = FleetView(identity("b"), "b:1", seeds)
+                receive_hellos(view, 0.0, *met)
+                view.tick(now_ms)
+                self.assertEqual(view.host_count(), 1)
+                self.assertEqual(view.is_coordinator(now_ms), expected)
+                receive_hellos(view, now_ms, "d")
+                self.assertTrue(view.is_coordinator(now_ms))
+
     def test_a_pause_restarts_the_wait(self) -> None:
         """Guards against an order that a host sends right after its process was paused."""
         for step in range(10):
