Clear a request of crashes after a while only by a complete answer

Cause: answers that had gone on for a second counted as clean and cleared losses of the next 30 s, so the crash that followed counted for nothing.

Change: losses are counted in two tables. What went on for a second is cleared in the first one, as before; only a complete answer clears the second one. What either condemns is refused. ShareEvidence carries the second table in new fields, which earlier builds pass over; they go on counting with the first one as before.

Why it works: a request that never completes is never cleared in the second table, whenever its servers crash; a sound one, or a part of a prompt that sound ones share, is cleared by each complete answer.

--- a/bench/forwarding/load.py
+++ b/bench/forwarding/load.py
@@ -136,10 +136,12 @@
     def check(self, identity: RequestIdentity) -> None:
         """Permits the request."""
 
-    def note_broken_run(self, identity: RequestIdentity, server: Server, events: int) -> None:
+    def note_broken_run(
+        self, identity: RequestIdentity, server: Server, events: int, *, went_on: bool = False
+    ) -> None:
         """Ignores broken runs."""
 
-    def note_clean_run(self, identity: RequestIdentity) -> None:
+    def note_clean_run(self, identity: RequestIdentity, *, complete: bool = True) -> None:
         """Ignores clean runs."""
 
 
--- a/src/medlarvale/forwarding/context.py
+++ b/src/medlarvale/forwarding/context.py
@@ -68,17 +68,25 @@
             CrashingRequestError: if it has crashed too many servers.
         """
 
-    def note_broken_run(self, identity: RequestIdentity, server: Server, events: int) -> None:
+    def note_broken_run(
+        self, identity: RequestIdentity, server: Server, events: int, *, went_on: bool = False
+    ) -> None:
         """Checks whether a server crashed when its connection broke before the answer ended.
 
         Args:
             identity: the request that was running.
             server: the server.
             events: number of parts of the answer that had arrived.
+            went_on: whether an answer to the request has gone on for a while without a crash.
         """
 
-    def note_clean_run(self, identity: RequestIdentity) -> None:
-        """Records that a request ran without crashing its server."""
+    def note_clean_run(self, identity: RequestIdentity, *, complete: bool = True) -> None:
+        """Records that a request ran without crashing its server.
+
+        Args:
+            identity: the request.
+            complete: whether the answer has ended; otherwise it has gone on for a while.
+        """
 
 
 class PeerRelay(Protocol):
--- a/src/medlarvale/forwarding/crash_evidence.py
+++ b/src/medlarvale/forwarding/crash_evidence.py
@@ -3,10 +3,14 @@
 A server is lost with all requests that were running on it, so each loss blames all of them, and
 everything that they have in common with other requests. What crashes servers is what stays blamed:
 it has no clean run, and what other requests have does not explain its losses.
+
+Some requests crash a server as soon as they run, others after a while. ``CrashEvidence`` is
+therefore kept once for each kind of clean run; see ``CleanRun``.
 """
 
 from __future__ import annotations
 
+import enum
 from collections import OrderedDict
 from collections.abc import Iterable
 
@@ -24,7 +28,7 @@
 )
 
 # An answer that has gone on for this long after its first event shows that the request does not
-# crash the server on which it runs.
+# crash a server at once.
 CLEAN_RUN_MS = 1_000.0
 # A request is not blamed for losses up to this long after such an answer. Longer than the restart
 # of all servers of a service, so that the requests that wait for it are not blamed together.
@@ -50,8 +54,21 @@
     return fingerprint_of(_NO_WORKSPACE, _NO_SERVICE, part.encode()) | 1
 
 
+class CleanRun(enum.Enum):
+    """What clears a request of the losses of servers that ran it.
+
+    Attributes:
+        WENT_ON: an answer that has gone on for ``CLEAN_RUN_MS``. It is known soon, which keeps the
+            many requests on a lost server from being blamed for one that crashes servers at once.
+        COMPLETED: a complete answer. It clears also of crashes after a while.
+    """
+
+    WENT_ON = "went on"
+    COMPLETED = "completed"
+
+
 class CrashEvidence:
-    """Losses and clean runs by fingerprint."""
+    """Losses and clean runs of one kind by fingerprint."""
 
     def __init__(self) -> None:
         self._suspects = SuspectTable(QuarantineLimits())
--- a/src/medlarvale/forwarding/crash_guard.py
+++ b/src/medlarvale/forwarding/crash_guard.py
@@ -3,11 +3,12 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Mapping
 
 from medlarvale.clock import Clock
 from medlarvale.forwarding.context import BackgroundTasks
 from medlarvale.forwarding.crash_evidence import (
+    CleanRun,
     CrashEvidence,
     fingerprint_of_part,
     fingerprint_of_request,
@@ -72,8 +73,8 @@
         self._transport = transport
         self._peers = peers
         self._clock = clock
-        self._evidence = CrashEvidence()
-        self._unshared: set[int] = set()
+        self._evidence = {kind: CrashEvidence() for kind in CleanRun}
+        self._unshared: dict[CleanRun, set[int]] = {kind: set() for kind in CleanRun}
         self._started_ms = 0.0
         self._background = BackgroundTasks()
         transport.register(ShareEvidence, self._merge_evidence)
@@ -82,7 +83,7 @@
         """Starts the periodic expiry and comparison of evidence."""
         self._started_ms = self._clock.now_ms()
         self._clock.every_ms(COMPARE_PERIOD_MS, self._compare_with_peers)
-        self._clock.every_ms(EXPIRE_PERIOD_MS, lambda: self._evidence.expire(self._clock.wall_ms()))
+        self._clock.every_ms(EXPIRE_PERIOD_MS, self._expire)
 
     def identify(self, request: ClientRequest, service: ServiceName) -> RequestIdentity:
         """Returns what identifies a request among those that may crash servers."""
@@ -99,28 +100,39 @@
         Raises:
             CrashingRequestError: if it has crashed too many servers.
         """
-        left_ms = self._evidence.quarantine_left_ms(identity, self._clock.wall_ms())
+        wall_ms = self._clock.wall_ms()
+        left_ms = max(
+            evidence.quarantine_left_ms(identity, wall_ms) for evidence in self._evidence.values()
+        )
         if left_ms > 0:
             raise CrashingRequestError(
                 "the request has crashed several backend servers", retry_after_ms=left_ms
             )
 
-    def note_broken_run(self, identity: RequestIdentity, server: Server, events: int) -> None:
+    def note_broken_run(
+        self, identity: RequestIdentity, server: Server, events: int, *, went_on: bool = False
+    ) -> None:
         """Checks whether a server crashed when its connection broke before the answer ended."""
-        self._background.start(self._probe_server(identity, server, events))
+        self._background.start(self._probe_server(identity, server, events, went_on))
 
-    def note_clean_run(self, identity: RequestIdentity) -> None:
+    def note_clean_run(self, identity: RequestIdentity, *, complete: bool = True) -> None:
         """Records that a request ran without crashing its server."""
-        self._share_soon(self._evidence.record_clean_run(identity, self._clock.wall_ms()))
+        kinds = tuple(CleanRun) if complete else (CleanRun.WENT_ON,)
+        wall_ms = self._clock.wall_ms()
+        self._share_soon(
+            {kind: self._evidence[kind].record_clean_run(identity, wall_ms) for kind in kinds}
+        )
 
-    async def _probe_server(self, identity: RequestIdentity, server: Server, events: int) -> None:
+    async def _probe_server(
+        self, identity: RequestIdentity, server: Server, events: int, went_on: bool
+    ) -> None:
         reason = ""
         for _ in range(PROBES):
             await self._clock.sleep_ms(PROBE_DELAY_MS)
             try:
                 await self._backends.probe(server)
             except ServerDownError:
-                self._record(identity, server, events)
+                self._record(identity, server, events, went_on)
                 return
             except NotSentError as error:
                 reason = error.message
@@ -134,66 +146,108 @@
             Event.LOSS_UNKNOWN, server=server.server, request=identity.request_id, error=reason
         )
 
-    def _record(self, identity: RequestIdentity, server: Server, events: int) -> None:
+    def _record(
+        self, identity: RequestIdentity, server: Server, events: int, went_on: bool
+    ) -> None:
         event = LossEvent(server.server, server.born_ms, 0)
-        changed = self._evidence.record_loss(identity, event, self._clock.wall_ms())
-        if changed:
+        kinds = (CleanRun.COMPLETED,) if went_on else tuple(CleanRun)
+        wall_ms = self._clock.wall_ms()
+        changed = {
+            kind: self._evidence[kind].record_loss(identity, event, wall_ms) for kind in kinds
+        }
+        if any(changed.values()):
             log_warning(
                 Event.SERVER_LOST,
                 server=server.server,
                 request=identity.request_id,
                 shared_parts=identity.shared_parts,
                 events=events,
+                went_on=went_on,
                 losses={
-                    f"{fingerprint:016x}": self._evidence.loss_count(fingerprint)
+                    f"{fingerprint:016x}": self._evidence[kinds[-1]].loss_count(fingerprint)
                     for fingerprint in identity.fingerprints
                 },
             )
         self._share_soon(changed)
 
-    def _share_soon(self, fingerprints: Iterable[int]) -> None:
+    def _expire(self) -> None:
+        for evidence in self._evidence.values():
+            evidence.expire(self._clock.wall_ms())
+
+    def _share_soon(self, fingerprints: Mapping[CleanRun, Iterable[int]]) -> None:
         """Sends the evidence about some fingerprints to all peers after a short delay."""
-        waiting = bool(self._unshared)
-        self._unshared.update(fingerprints)
-        if self._unshared and not waiting:
+        waiting = any(self._unshared.values())
+        for kind, changed in fingerprints.items():
+            self._unshared[kind].update(changed)
+        if any(self._unshared.values()) and not waiting:
             self._background.start(self._share_with_all())
 
     async def _share_with_all(self) -> None:
         await self._clock.sleep_ms(SHARE_DELAY_MS)
-        evidence = tuple(self._evidence.evidence_of(known) for known in self._unshared)
-        self._unshared.clear()
+        message = _evidence_message(
+            {
+                kind: tuple(self._evidence[kind].evidence_of(known) for known in unshared)
+                for kind, unshared in self._unshared.items()
+            }
+        )
+        for unshared in self._unshared.values():
+            unshared.clear()
         for host in self._peers():
-            self._background.start(self._share(host, evidence))
+            self._background.start(self._share(host, message))
 
-    async def _share(self, host: HostId, evidence: tuple[Evidence, ...]) -> None:
+    async def _share(self, host: HostId, message: ShareEvidence) -> None:
         try:
-            await self._transport.request(host, ShareEvidence(evidence), SHARE_TIMEOUT_MS)
+            await self._transport.request(host, message, SHARE_TIMEOUT_MS)
         except PeerError as error:
             log_warning(Event.EVIDENCE_NOT_SHARED, peer=host, error=error.message)
 
     def _compare_with_peers(self) -> None:
-        digest = self._evidence.digest()
-        if not digest and self._clock.now_ms() - self._started_ms > JOIN_MS:
+        refuses = any(self._digests().values())
+        if not refuses and self._clock.now_ms() - self._started_ms > JOIN_MS:
             return
         peers = list(self._peers())
         for host in self._rng.sample(peers, min(COMPARE_PEERS, len(peers))):
-            self._background.start(self._compare(host, digest))
+            self._background.start(self._compare(host))
 
-    async def _compare(self, host: HostId, digest: int) -> None:
+    async def _compare(self, host: HostId) -> None:
         """Exchanges evidence with a peer whose evidence differs."""
+        digests = self._digests()
+        question = ShareEvidence(
+            (), digests[CleanRun.WENT_ON], completed_digest=digests[CleanRun.COMPLETED]
+        )
         try:
-            reply = await self._transport.request(host, ShareEvidence((), digest), SHARE_TIMEOUT_MS)
+            reply = await self._transport.request(host, question, SHARE_TIMEOUT_MS)
         except PeerError as error:
             log_warning(Event.EVIDENCE_NOT_SHARED, peer=host, error=error.message)
             return
         if isinstance(reply, ShareEvidence):
-            self._share_soon(self._evidence.merge(reply.evidence))
-            await self._share(host, self._evidence.condemned_evidence())
+            self._merge(reply)
+            await self._share(host, self._condemned())
 
     async def _merge_evidence(
         self, sender: HostIdentity, message: ShareEvidence
     ) -> ShareEvidence | QuarantineAccepted:
-        self._share_soon(self._evidence.merge(message.evidence))
-        if message.digest is None or message.digest == self._evidence.digest():
+        self._merge(message)
+        digests = self._digests()
+        if message.digest in (None, digests[CleanRun.WENT_ON]) and (
+            message.completed_digest in (None, digests[CleanRun.COMPLETED])
+        ):
             return QuarantineAccepted()
-        return ShareEvidence(self._evidence.condemned_evidence())
+        return self._condemned()
+
+    def _merge(self, message: ShareEvidence) -> None:
+        parts = {CleanRun.WENT_ON: message.evidence, CleanRun.COMPLETED: message.completed}
+        self._share_soon({kind: self._evidence[kind].merge(part) for kind, part in parts.items()})
+
+    def _digests(self) -> dict[CleanRun, int]:
+        return {kind: evidence.digest() for kind, evidence in self._evidence.items()}
+
+    def _condemned(self) -> ShareEvidence:
+        """Returns the evidence about everything that this host refuses."""
+        return _evidence_message(
+            {kind: evidence.condemned_evidence() for kind, evidence in self._evidence.items()}
+        )
+
+
+def _evidence_message(parts: Mapping[CleanRun, tuple[Evidence, ...]]) -> ShareEvidence:
+    return ShareEvidence(parts[CleanRun.WENT_ON], completed=parts[CleanRun.COMPLETED])
--- a/src/medlarvale/forwarding/guarded_run.py
+++ b/src/medlarvale/forwarding/guarded_run.py
@@ -30,7 +30,8 @@
         self._identity = guard.identify(request, service)
         self._events = 0
         self._began_ms = 0.0
-        self._clean = False
+        self._went_on = False
+        self._complete = False
         self.check()
 
     def check(self) -> None:
@@ -51,16 +52,17 @@
         if not self._events:
             self._began_ms = now_ms
         self._events += 1
-        if now_ms - self._began_ms >= CLEAN_RUN_MS:
-            self.note_clean()
+        if now_ms - self._began_ms >= CLEAN_RUN_MS and not self._went_on:
+            self._went_on = True
+            self._guard.note_clean_run(self._identity, complete=False)
 
     def note_clean(self) -> None:
-        """Records that the request does not crash the servers that run it."""
-        if not self._clean:
-            self._clean = True
+        """Records a complete answer: the request does not crash the servers that run it."""
+        if not self._complete:
+            self._went_on = self._complete = True
             self._guard.note_clean_run(self._identity)
 
     def note_broken(self, server: Server) -> None:
         """Records that the connection to a server broke before the answer ended."""
-        if not self._clean:
-            self._guard.note_broken_run(self._identity, server, self._events)
+        if not self._complete:
+            self._guard.note_broken_run(self._identity, server, self._events, went_on=self._went_on)
--- a/src/medlarvale/quarantine/messages.py
+++ b/src/medlarvale/quarantine/messages.py
@@ -63,10 +63,14 @@
     Attributes:
         digest: hash of the sender's evidence about everything that it refuses, or None. If it
             differs from that of the receiver, the reply is the receiver's evidence.
+        completed: evidence that only complete answers clear; earlier builds don't know it.
+        completed_digest: the hash of that evidence, or None.
     """
 
     evidence: tuple[Evidence, ...]
     digest: int | None = None
+    completed: tuple[Evidence, ...] = ()
+    completed_digest: int | None = None
 
 
 class AcquirePermit(msgspec.Struct, tag="acquire_permit", frozen=True):
--- a/tests/forwarding/test_crash_guard.py
+++ b/tests/forwarding/test_crash_guard.py
@@ -63,6 +63,32 @@
                     else:
                         guard.check(guard.identify(make_request(body=b"poison"), APP))
 
+    async def test_an_answer_that_goes_on_is_no_complete_one(self) -> None:
+        """Guards against a request that is never refused, because each of its answers goes on for
+        a while before the server crashes (review/3)."""
+        table = [("goes on", False, True), ("ends", True, False)]
+        for name, complete, refused in table:
+            with self.subTest(name):
+                self.setUp()
+                guard = self.guards["a"]
+                identity = guard.identify(make_request(body=b"poison"), APP)
+                for server in ("s1", "s2", "s3"):
+                    self.backends.probe_errors[ServerId(server)] = ServerDownError()
+                    guard.note_clean_run(identity, complete=complete)
+                    guard.note_broken_run(
+                        identity, make_server(server, service=APP), events=9, went_on=True
+                    )
+                await asyncio.sleep(PROBE_DELAY_MS / 1000.0 + 0.05)
+                for other in self.guards.values():
+                    self.assertEqual(self.refuses(other), refused)
+
+    def refuses(self, guard: CrashGuard) -> bool:
+        try:
+            guard.check(guard.identify(make_request(body=b"poison"), APP))
+        except CrashingRequestError:
+            return True
+        return False
+
     async def test_a_probe_that_gets_no_answer_is_repeated(self) -> None:
         """Guards against a crash that counts for nothing because packets of the probe were lost."""
         guard = self.guards["a"]
@@ -98,8 +124,6 @@
     async def wait_until_refused(self, replaced: CrashGuard) -> None:
         async with asyncio.timeout(5.0):
             while True:
-                try:
-                    replaced.check(replaced.identify(make_request(body=b"poison"), APP))
-                except CrashingRequestError:
+                if self.refuses(replaced):
                     break
                 await asyncio.sleep(0.05)
--- a/tests/forwarding/test_crashing_parts.py
+++ b/tests/forwarding/test_crashing_parts.py
@@ -61,7 +61,8 @@
 MODEL = EngineModel()
 TRAITS = EngineTraits(MODEL.slots, MODEL.memory_tokens, 500.0, 2_000.0, 6_000.0)
 OUTPUT_TOKENS = 300
-CRASH_DELAY_S = 0.08
+# No answer of a request that crashes its engine ends before.
+CRASHING_OUTPUT_TOKENS = 3_000
 RESTART_S = 3.5
 SOUND_EVERY_MS = 120
 # The rule allows this many sends once the window after the fifth crash is over.
@@ -95,6 +96,7 @@
         replaced_host_ms: when a host is replaced by one without any state.
         unreachable_ms: time until which a host can't exchange messages with the others.
         other_crashes_ms: times at which a decode engine crashes for another reason.
+        crash_delay_s: time for which an engine answers such a request before it crashes.
     """
 
     name: str
@@ -105,6 +107,7 @@
     replaced_host_ms: int | None = None
     unreachable_ms: int | None = None
     other_crashes_ms: tuple[int, ...] = ()
+    crash_delay_s: float = 0.08
     duration_ms: int = 30_000
 
 
@@ -124,7 +127,7 @@
         answer = await super().send(server, request, dispatch)
         if CRASHING in request.shared_parts:
             loop = asyncio.get_running_loop()
-            loop.call_later(CRASH_DELAY_S, self._fleet.crash, server.server)
+            loop.call_later(self._fleet.pattern.crash_delay_s, self._fleet.crash, server.server)
         return answer
 
     async def prefill(
@@ -264,7 +267,8 @@
     async def _call(self, parts: tuple[PromptPartId, ...], body: bytes) -> bool:
         """Returns whether the answer has begun."""
         name = f"q{next(self._numbers)}"
-        self.outputs[name] = OUTPUT_TOKENS
+        output_tokens = CRASHING_OUTPUT_TOKENS if CRASHING in parts else OUTPUT_TOKENS
+        self.outputs[name] = output_tokens
         request = ClientRequest(
             RequestId(name),
             "POST",
@@ -274,7 +278,7 @@
             body,
             self._clock.now_ms(),
             6_000.0,
-            TokenCounts(5_000, 1_000, OUTPUT_TOKENS),
+            TokenCounts(5_000, 1_000, output_tokens),
             prompt_part=PromptPartId(name),
             shared_parts=parts,
         )
@@ -320,6 +324,17 @@
         ):
             self.play(pattern)
 
+    def test_a_part_that_crashes_engines_late_is_refused(self) -> None:
+        """Guards against requests that crash each engine after seconds of answers, which counted as
+        clean after one (review/3)."""
+        for delay_s in (1.3, 2.0):
+            for pattern in (
+                Pattern(f"after {delay_s} s", crash_delay_s=delay_s),
+                Pattern(f"after {delay_s} s, seldom", crash_delay_s=delay_s, every_ms=1_500),
+                Pattern(f"after {delay_s} s, many hosts", crash_delay_s=delay_s, hosts=30),
+            ):
+                self.play(pattern)
+
     def test_a_replaced_host_learns_which_parts_crash_engines(self) -> None:
         """Guards against a restarted host that sends such requests again, since it has not seen the
         crashes, and against a host that missed the messages about them."""
