Count the servers that a request crashes at all services of its route

Cause: the fingerprint of a whole request includes the service, so nothing was known of it at the other one.

Change: the table that only complete answers clear counts whole requests at all services together. The table that earlier builds share keeps its fingerprints by service, and what they count there is added when a request is checked, for each service of its route. The new fingerprint is sent only in the field that earlier builds pass over: among their evidence it would have the same losses as the request and so explain them.

--- a/bench/forwarding/load.py
+++ b/bench/forwarding/load.py
@@ -5,6 +5,7 @@
 import asyncio
 import math
 import random
+from collections.abc import Iterable
 from dataclasses import dataclass, field
 
 from multidict import CIMultiDict
@@ -129,7 +130,9 @@
 class _PermissiveGuard:
     """Guard that admits every request."""
 
-    def identify(self, request: ClientRequest, service: ServiceName) -> RequestIdentity:
+    def identify(
+        self, request: ClientRequest, service: ServiceName, targets: Iterable[Target] = ()
+    ) -> RequestIdentity:
         """Returns the same fingerprint for every request."""
         return RequestIdentity(request.request_id, (0,))
 
--- a/src/medlarvale/forwarding/context.py
+++ b/src/medlarvale/forwarding/context.py
@@ -4,14 +4,14 @@
 
 import asyncio
 import random
-from collections.abc import Callable, Coroutine
+from collections.abc import Callable, Coroutine, Iterable
 from typing import Any, Protocol
 
 import msgspec
 
 from medlarvale.clock import Clock
 from medlarvale.forwarding.interface import BackendAnswer, Backends
-from medlarvale.forwarding.messages import ClientRequest, RequestIdentity, Route, Server
+from medlarvale.forwarding.messages import ClientRequest, RequestIdentity, Route, Server, Target
 from medlarvale.forwarding.reach import ReachDetector
 from medlarvale.forwarding.servers import ServerTable
 from medlarvale.forwarding.stream_versions import StreamVersions
@@ -58,8 +58,16 @@
 class RunGuard(Protocol):
     """Decides which requests may run; implemented by ``CrashGuard``."""
 
-    def identify(self, request: ClientRequest, service: ServiceName) -> RequestIdentity:
-        """Returns what identifies a request among those that may crash servers."""
+    def identify(
+        self, request: ClientRequest, service: ServiceName, targets: Iterable[Target] = ()
+    ) -> RequestIdentity:
+        """Returns what identifies a request among those that may crash servers.
+
+        Args:
+            request: the request.
+            service: the service that it is sent to.
+            targets: all services of its route.
+        """
 
     def check(self, identity: RequestIdentity) -> None:
         """Checks that a request may run now.
--- a/src/medlarvale/forwarding/crash_evidence.py
+++ b/src/medlarvale/forwarding/crash_evidence.py
@@ -42,8 +42,8 @@
 _NO_WORKSPACE, _NO_SERVICE = WorkspaceId(""), ServiceName("")
 
 
-def fingerprint_of_request(request: ClientRequest, service: ServiceName) -> int:
-    """Returns the fingerprint of a whole request, an even number."""
+def fingerprint_of_request(request: ClientRequest, service: ServiceName = _NO_SERVICE) -> int:
+    """Returns the fingerprint of a whole request at a service or at any one, an even number."""
     # The platform does not pass a workspace; the host name identifies the caller's service.
     body = request.path.encode() + b"\0" + request.body
     return fingerprint_of(WorkspaceId(request.host), service, body) & ~1
@@ -60,7 +60,9 @@
     Attributes:
         WENT_ON: an answer that has gone on for ``CLEAN_RUN_MS``. It is known soon, which keeps the
             many requests on a lost server from being blamed for one that crashes servers at once.
-        COMPLETED: a complete answer. It clears also of crashes after a while.
+            Whole requests are counted by service, as hosts of earlier builds do.
+        COMPLETED: a complete answer. It clears also of crashes after a while. Whole requests are
+            counted at all services together.
     """
 
     WENT_ON = "went on"
@@ -76,6 +78,14 @@
         # Wall-clock time of the last clean run by fingerprint, the oldest first.
         self._clean_ms: OrderedDict[int, int] = OrderedDict()
 
+    def add_losses(self, fingerprint: int, losses: Iterable[Loss]) -> None:
+        """Counts losses that are known under another fingerprint of the same request too."""
+        self._merge(Evidence(fingerprint, tuple(losses), self._cleared_at_ms(fingerprint)))
+
+    def counted(self, fingerprint: int) -> list[Loss]:
+        """Returns the losses that count against a fingerprint, the oldest first."""
+        return counted_losses(self.evidence_of(fingerprint))
+
     def evidence_of(self, fingerprint: int) -> Evidence:
         """Returns the evidence about a fingerprint, which is empty for an unknown one."""
         return self._suspects.evidence_of(fingerprint)
--- a/src/medlarvale/forwarding/crash_guard.py
+++ b/src/medlarvale/forwarding/crash_guard.py
@@ -5,6 +5,8 @@
 import random
 from collections.abc import Callable, Iterable, Mapping
 
+import msgspec
+
 from medlarvale.clock import Clock
 from medlarvale.forwarding.context import BackgroundTasks
 from medlarvale.forwarding.crash_evidence import (
@@ -20,7 +22,7 @@
     ServerDownError,
 )
 from medlarvale.forwarding.interface import Backends
-from medlarvale.forwarding.messages import ClientRequest, RequestIdentity, Server
+from medlarvale.forwarding.messages import ClientRequest, RequestIdentity, Server, Target
 from medlarvale.ids import HostId, HostIdentity, ServiceName
 from medlarvale.logs import Event, log_info, log_warning
 from medlarvale.peers.errors import PeerError
@@ -85,13 +87,18 @@
         self._clock.every_ms(COMPARE_PERIOD_MS, self._compare_with_peers)
         self._clock.every_ms(EXPIRE_PERIOD_MS, self._expire)
 
-    def identify(self, request: ClientRequest, service: ServiceName) -> RequestIdentity:
+    def identify(
+        self, request: ClientRequest, service: ServiceName, targets: Iterable[Target] = ()
+    ) -> RequestIdentity:
         """Returns what identifies a request among those that may crash servers."""
         parts = (fingerprint_of_part(part) for part in request.shared_parts)
+        others = (target.service for target in targets if target.service != service)
         return RequestIdentity(
             request.request_id,
             (fingerprint_of_request(request, service), *parts),
             request.shared_parts,
+            fingerprint_of_request(request),
+            tuple(fingerprint_of_request(request, other) for other in others),
         )
 
     def check(self, identity: RequestIdentity) -> None:
@@ -100,15 +107,24 @@
         Raises:
             CrashingRequestError: if it has crashed too many servers.
         """
+        self._add_losses_by_service(identity)
         wall_ms = self._clock.wall_ms()
         left_ms = max(
-            evidence.quarantine_left_ms(identity, wall_ms) for evidence in self._evidence.values()
+            evidence.quarantine_left_ms(_counted_as(kind, identity), wall_ms)
+            for kind, evidence in self._evidence.items()
         )
         if left_ms > 0:
             raise CrashingRequestError(
                 "the request has crashed several backend servers", retry_after_ms=left_ms
             )
 
+    def _add_losses_by_service(self, identity: RequestIdentity) -> None:
+        """Counts at all services what hosts of earlier builds have counted at one of them."""
+        for known in (identity.fingerprints[0], *identity.at_other_services):
+            losses = self._evidence[CleanRun.WENT_ON].counted(known)
+            if losses:
+                self._evidence[CleanRun.COMPLETED].add_losses(identity.at_any_service, losses)
+
     def note_broken_run(
         self, identity: RequestIdentity, server: Server, events: int, *, went_on: bool = False
     ) -> None:
@@ -120,7 +136,10 @@
         kinds = tuple(CleanRun) if complete else (CleanRun.WENT_ON,)
         wall_ms = self._clock.wall_ms()
         self._share_soon(
-            {kind: self._evidence[kind].record_clean_run(identity, wall_ms) for kind in kinds}
+            {
+                kind: self._evidence[kind].record_clean_run(_counted_as(kind, identity), wall_ms)
+                for kind in kinds
+            }
         )
 
     async def _probe_server(
@@ -153,7 +172,8 @@
         kinds = (CleanRun.COMPLETED,) if went_on else tuple(CleanRun)
         wall_ms = self._clock.wall_ms()
         changed = {
-            kind: self._evidence[kind].record_loss(identity, event, wall_ms) for kind in kinds
+            kind: self._evidence[kind].record_loss(_counted_as(kind, identity), event, wall_ms)
+            for kind in kinds
         }
         if any(changed.values()):
             log_warning(
@@ -164,8 +184,10 @@
                 events=events,
                 went_on=went_on,
                 losses={
-                    f"{fingerprint:016x}": self._evidence[kinds[-1]].loss_count(fingerprint)
-                    for fingerprint in identity.fingerprints
+                    f"{fingerprint:016x}": self._evidence[CleanRun.COMPLETED].loss_count(
+                        fingerprint
+                    )
+                    for fingerprint in _counted_as(CleanRun.COMPLETED, identity).fingerprints
                 },
             )
         self._share_soon(changed)
@@ -249,5 +271,13 @@
         )
 
 
+def _counted_as(kind: CleanRun, identity: RequestIdentity) -> RequestIdentity:
+    """Returns the identity under which one kind of evidence counts a request."""
+    if kind is CleanRun.WENT_ON:
+        return identity
+    fingerprints = (identity.at_any_service, *identity.fingerprints[1:])
+    return msgspec.structs.replace(identity, fingerprints=fingerprints)
+
+
 def _evidence_message(parts: Mapping[CleanRun, tuple[Evidence, ...]]) -> ShareEvidence:
     return ShareEvidence(parts[CleanRun.WENT_ON], completed=parts[CleanRun.COMPLETED])
--- a/src/medlarvale/forwarding/guarded_run.py
+++ b/src/medlarvale/forwarding/guarded_run.py
@@ -5,7 +5,7 @@
 from medlarvale.clock import Clock
 from medlarvale.forwarding.context import RunGuard
 from medlarvale.forwarding.crash_evidence import CLEAN_RUN_MS
-from medlarvale.forwarding.messages import ClientRequest, Server
+from medlarvale.forwarding.messages import ClientRequest, Route, Server
 from medlarvale.ids import ServiceName
 
 
@@ -16,18 +16,24 @@
         guard: decides which requests may run.
         clock: time service.
         request: the request.
-        service: its service.
+        route: its route.
+        service: the service of the route that it is sent to.
 
     Raises:
         CrashingRequestError: if the request has crashed too many servers.
     """
 
     def __init__(
-        self, guard: RunGuard, clock: Clock, request: ClientRequest, service: ServiceName
+        self,
+        guard: RunGuard,
+        clock: Clock,
+        request: ClientRequest,
+        route: Route,
+        service: ServiceName,
     ) -> None:
         self._guard = guard
         self._clock = clock
-        self._identity = guard.identify(request, service)
+        self._identity = guard.identify(request, service, route.targets)
         self._events = 0
         self._began_ms = 0.0
         self._went_on = False
--- a/src/medlarvale/forwarding/messages.py
+++ b/src/medlarvale/forwarding/messages.py
@@ -298,11 +298,15 @@
         fingerprints: hashes of what it has in common with other requests: the first one of its
             caller, service, path and body, equal for its repeats, then those of its shared parts.
         shared_parts: parts of its prompt that other requests may share.
+        at_any_service: hash of its caller, path and body.
+        at_other_services: what the first fingerprint would be at the other services of its route.
     """
 
     request_id: RequestId
     fingerprints: tuple[int, ...]
     shared_parts: tuple[PromptPartId, ...] = ()
+    at_any_service: int = 0
+    at_other_services: tuple[int, ...] = ()
 
 
 class PrefillResult(msgspec.Struct, frozen=True):
--- a/src/medlarvale/forwarding/plain.py
+++ b/src/medlarvale/forwarding/plain.py
@@ -81,7 +81,7 @@
         self._end_ms = end_ms(request, route)
         self._budget = context.budget(service)
         self._budget.record_request()
-        self._guarded = GuardedRun(context.guard, context.clock, request, service)
+        self._guarded = GuardedRun(context.guard, context.clock, request, route, service)
         self._tried: set[ServerId] = set()
         self._sends = 0
         self._not_run = 0
--- a/src/medlarvale/forwarding/stream_run.py
+++ b/src/medlarvale/forwarding/stream_run.py
@@ -140,7 +140,7 @@
         self._end_ms = end_ms(request, route)
         self._budget = self._context.budget(service)
         self._budget.record_request()
-        self._guarded = GuardedRun(context.guard, context.clock, request, service)
+        self._guarded = GuardedRun(context.guard, context.clock, request, route, service)
         self._first_attempt_ms = request.received_ms - first_attempt_age_ms
         self._first_event_target_ms = self._first_attempt_ms + route.target_latency_ms
         self._origin = origin
--- a/tests/forwarding/fakes.py
+++ b/tests/forwarding/fakes.py
@@ -5,7 +5,7 @@
 import asyncio
 import itertools
 import random
-from collections.abc import AsyncIterator, Callable
+from collections.abc import AsyncIterator, Callable, Iterable
 from typing import Any
 
 from multidict import CIMultiDict
@@ -294,7 +294,9 @@
     def __init__(self) -> None:
         self.breaks: list[ServerId] = []
 
-    def identify(self, request: ClientRequest, service: ServiceName) -> RequestIdentity:
+    def identify(
+        self, request: ClientRequest, service: ServiceName, targets: Iterable[Target] = ()
+    ) -> RequestIdentity:
         return RequestIdentity(request.request_id, (1,))
 
     def check(self, identity: RequestIdentity) -> None:
--- a/tests/forwarding/test_crash_guard.py
+++ b/tests/forwarding/test_crash_guard.py
@@ -5,7 +5,10 @@
 import asyncio
 import unittest
 
+import msgspec
+
 from medlarvale.clock import SystemClock
+from medlarvale.forwarding.crash_evidence import fingerprint_of_request
 from medlarvale.forwarding.crash_guard import PROBE_DELAY_MS, CrashGuard
 from medlarvale.forwarding.errors import (
     BackendError,
@@ -13,12 +16,24 @@
     NotSentError,
     ServerDownError,
 )
-from medlarvale.ids import HostId, HostIdentity, Incarnation, ServerId
+from medlarvale.forwarding.messages import Target
+from medlarvale.ids import HostId, HostIdentity, Incarnation, ServerId, ServiceName
 from medlarvale.peers.transport import MemoryNetwork, MemoryTransport, MessageCodec
-from medlarvale.quarantine.messages import QUARANTINE_MESSAGES
+from medlarvale.quarantine.messages import QUARANTINE_MESSAGES, Evidence, Loss, LossEvent
 from tests.forwarding.fakes import APP, FakeBackends, make_request, make_server
 
 
+class EarlierShareEvidence(msgspec.Struct, tag="share_evidence", frozen=True):
+    """The message of builds up to 71cf027."""
+
+    evidence: tuple[Evidence, ...]
+    digest: int | None = None
+
+
+class Accepted(msgspec.Struct, tag="quarantine_accepted", frozen=True):
+    """The answer of these builds."""
+
+
 class CrashGuardTest(unittest.IsolatedAsyncioTestCase):
     def setUp(self) -> None:
         self.backends = FakeBackends()
@@ -89,6 +104,38 @@
             return True
         return False
 
+    async def test_hosts_of_two_builds_count_together(self) -> None:
+        """Guards against a request that crashes three servers for each build of a mixed fleet.
+
+        Earlier builds know evidence by service only, and an entry of a request's own that they
+        don't know would explain its losses to them."""
+        poison, other = make_request(body=b"poison"), ServiceName("other")
+        targets = (Target(APP, 1.0), Target(other, 1.0))
+        told: list[EarlierShareEvidence] = []
+
+        async def receive(sender: HostIdentity, message: EarlierShareEvidence) -> Accepted:
+            told.append(message)
+            return Accepted()
+
+        self.network.codec = MessageCodec([EarlierShareEvidence, Accepted])
+        transport = MemoryTransport(HostIdentity(HostId("b"), Incarnation(2)), self.network)
+        transport.register(EarlierShareEvidence, receive)
+        guard = self.guards["a"]
+        identity = guard.identify(poison, APP, targets)
+        self.backends.probe_errors[ServerId("s1")] = ServerDownError()
+        guard.note_broken_run(identity, make_server("s1", service=APP), events=0)
+        await asyncio.sleep(PROBE_DELAY_MS / 1000.0 + 0.05)
+        by_service = fingerprint_of_request(poison, APP)
+        self.assertEqual([entry.fingerprint for entry in told[0].evidence], [by_service])
+        wall_ms = SystemClock().wall_ms()
+        losses = tuple(Loss(wall_ms, LossEvent(ServerId(name), 0, 0)) for name in ("o1", "o2"))
+        earlier = Evidence(fingerprint_of_request(poison, other), losses)
+        self.network.codec = MessageCodec(QUARANTINE_MESSAGES)
+        await transport.request(HostId("a"), EarlierShareEvidence((earlier,)), 500.0)
+        for service in (APP, other):
+            with self.subTest(service), self.assertRaises(CrashingRequestError):
+                guard.check(guard.identify(poison, service, targets))
+
     async def test_a_probe_that_gets_no_answer_is_repeated(self) -> None:
         """Guards against a crash that counts for nothing because packets of the probe were lost."""
         guard = self.guards["a"]
--- a/tests/forwarding/test_crashing_parts.py
+++ b/tests/forwarding/test_crashing_parts.py
@@ -42,7 +42,15 @@
 from medlarvale.forwarding.servers import ServerTable
 from medlarvale.forwarding.stream_versions import versions_without_history
 from medlarvale.forwarding.streams import StreamForwarder
-from medlarvale.ids import FailureDomain, HostId, HostIdentity, Incarnation, RequestId, ServerId
+from medlarvale.ids import (
+    FailureDomain,
+    HostId,
+    HostIdentity,
+    Incarnation,
+    RequestId,
+    ServerId,
+    ServiceName,
+)
 from medlarvale.peers.transport import MemoryNetwork, MemoryTransport, MessageCodec
 from medlarvale.quarantine.messages import QUARANTINE_MESSAGES
 from tests.forwarding.fakes import (
@@ -412,6 +420,26 @@
             await self.streams.forward(request, make_route(), LLM, self.sink)
         self.assertEqual(self.backends.count("send"), 1)
 
+    async def test_a_request_is_refused_at_all_services_of_its_route(self) -> None:
+        """Guards against a request that crashes three servers of each service of a split route
+        (review/5)."""
+        other = ServiceName("other")
+        for name in ("o1", "o2", "o3"):
+            self.context.servers.upsert(make_server(name, service=other))
+        forwarder = PlainForwarder(self.context)
+        targets = (Target(APP, 1), Target(other, 1))
+        route = make_route(kind=RouteKind.UNSAFE, targets=targets, max_attempts=1)
+        self.backends.script = lambda *call: BackendError("reset")
+        for number, service in enumerate((APP, other, APP)):
+            for load in self.context.servers.of_service(service):
+                self.backends.probe_errors[load.server.server] = ServerDownError()
+            with self.assertRaises(OutcomeUnknownError):
+                await forwarder.forward(make_request(f"q{number}", body=b"bad"), route, service)
+            await asyncio.sleep(PROBE_DELAY_MS / 1000.0 + 0.05)
+        for service in (APP, other):
+            with self.subTest(service), self.assertRaises(CrashingRequestError):
+                await forwarder.forward(make_request("q9", body=b"bad"), route, service)
+
     async def test_prompts_that_crash_prefill_engines_are_refused(self) -> None:
         """Guards against prompts with a common part that crash one prefill engine after the other:
         their requests run on a decode engine instead, and nobody is blamed."""
