Refuse a request that goes on crashing servers for good

Cause: refusals lasted 1, 2, 4, 8 and then always 10 minutes, and evidence was dropped 20 minutes after the last loss, while the users' rule allows three retries in all.

Parts of prompts are tried again as before. A complete answer clears both at once.

Why it works: each end of a refusal costs a loss, and there are two of them; two hosts that try at once use both up.

--- a/src/medlarvale/forwarding/crash_evidence.py
+++ b/src/medlarvale/forwarding/crash_evidence.py
@@ -36,6 +36,10 @@
 # What has crashed as many servers as the limit is refused for this time, twice as long with each
 # further loss, up to the time of the quarantine.
 FIRST_REFUSAL_MS = 60_000
+# After this many further losses, a whole request without a complete answer is refused for a day.
+# The users allow three retries after the third loss, and two hosts may make one at the same time.
+TRIALS_OF_REQUEST = 2
+REFUSED_FOR_GOOD_MS = 86_400_000
 # Number of fingerprints whose last clean run is remembered; about 100 bytes each.
 REMEMBERED_RUNS = 16_384
 # Prompt parts are the same for all callers and services.
@@ -70,9 +74,14 @@
 
 
 class CrashEvidence:
-    """Losses and clean runs of one kind by fingerprint."""
+    """Losses and clean runs of one kind by fingerprint.
 
-    def __init__(self) -> None:
+    Args:
+        kind: what counts as a clean run.
+    """
+
+    def __init__(self, kind: CleanRun = CleanRun.WENT_ON) -> None:
+        self._kind = kind
         self._suspects = SuspectTable(QuarantineLimits())
         self._condemned: set[int] = set()
         # Wall-clock time of the last clean run by fingerprint, the oldest first.
@@ -121,7 +130,7 @@
         return [
             fingerprint
             for fingerprint in identity.fingerprints
-            if self._suspects.crash_count(fingerprint, wall_ms)
+            if self.counted(fingerprint)
             and self._merge(Evidence(fingerprint, (), wall_ms + CLEAN_WINDOW_MS))
         ]
 
@@ -154,11 +163,16 @@
 
     def _refused_for_ms(self, fingerprint: int, wall_ms: int) -> int:
         """Returns the remaining time for which a fingerprint is refused."""
-        limits = self._suspects.limits
-        left_ms = self._suspects.quarantine_left_ms(fingerprint, wall_ms)
-        further = self.loss_count(fingerprint) - limits.crash_limit
-        lasts_ms = min(limits.quarantine_ms, FIRST_REFUSAL_MS << max(0, further))
-        return max(0, left_ms - limits.quarantine_ms + lasts_ms)
+        losses = self.counted(fingerprint)
+        further = len({loss.event for loss in losses}) - self._suspects.limits.crash_limit
+        return max(0, losses[-1].lost_at_ms + self._refusal_ms(fingerprint, further) - wall_ms)
+
+    def _refusal_ms(self, fingerprint: int, further: int) -> int:
+        """Returns the length of a refusal after some losses beyond the limit."""
+        is_request = not fingerprint & 1
+        if self._kind is CleanRun.COMPLETED and is_request and further >= TRIALS_OF_REQUEST:
+            return REFUSED_FOR_GOOD_MS
+        return min(self._suspects.limits.quarantine_ms, FIRST_REFUSAL_MS << max(0, further))
 
     def condemned_evidence(self) -> tuple[Evidence, ...]:
         """Returns the evidence about everything that is refused."""
@@ -172,7 +186,8 @@
 
     def expire(self, wall_ms: int) -> None:
         """Removes old evidence."""
-        self._suspects.expire(wall_ms)
+        refused = {known for known in self._condemned if self._refused_for_ms(known, wall_ms)}
+        self._suspects.expire(wall_ms, kept=refused)
         self._condemned.intersection_update(self._suspects.fingerprints())
 
     def _cleared_at_ms(self, fingerprint: int) -> int:
--- a/src/medlarvale/forwarding/crash_guard.py
+++ b/src/medlarvale/forwarding/crash_guard.py
@@ -75,7 +75,7 @@
         self._transport = transport
         self._peers = peers
         self._clock = clock
-        self._evidence = {kind: CrashEvidence() for kind in CleanRun}
+        self._evidence = {kind: CrashEvidence(kind) for kind in CleanRun}
         self._unshared: dict[CleanRun, set[int]] = {kind: set() for kind in CleanRun}
         self._started_ms = 0.0
         self._background = BackgroundTasks()
--- a/src/medlarvale/quarantine/suspects.py
+++ b/src/medlarvale/quarantine/suspects.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Set
+
 import msgspec
 import xxhash
 
@@ -136,10 +138,10 @@
         """Returns the number of requests that are quarantined now."""
         return sum(1 for known in self._entries if self.quarantine_left_ms(known, wall_ms) > 0)
 
-    def expire(self, wall_ms: int) -> None:
-        """Removes entries older than the retention time."""
+    def expire(self, wall_ms: int, kept: Set[int] = frozenset()) -> None:
+        """Removes entries older than the retention time, except those to be kept."""
         for fingerprint, evidence in list(self._entries.items()):
-            if self._expired(evidence, wall_ms):
+            if fingerprint not in kept and self._expired(evidence, wall_ms):
                 del self._entries[fingerprint]
 
     def _expired(self, evidence: Evidence, wall_ms: int) -> bool:
--- a/tests/forwarding/test_crash_evidence.py
+++ b/tests/forwarding/test_crash_evidence.py
@@ -4,13 +4,16 @@
 
 import unittest
 
-from medlarvale.forwarding.crash_evidence import CLEAN_WINDOW_MS, CrashEvidence
+from medlarvale.forwarding.crash_evidence import CLEAN_WINDOW_MS, CleanRun, CrashEvidence
 from medlarvale.forwarding.messages import RequestIdentity
 from medlarvale.ids import RequestId, ServerId
 from medlarvale.quarantine.messages import LossEvent
 from medlarvale.quarantine.suspects import RETENTION_PER_QUARANTINE, QuarantineLimits
 
 NOW_MS = 1_750_000_000_000
+DAY_MS = 24 * 3_600_000
+# The users' rule allows three retries after the third crash, without a limit of time.
+RETRIES_OF_THE_RULE = 3
 
 
 def identity(*fingerprints: int) -> RequestIdentity:
@@ -123,6 +126,25 @@
             lasted_s.append(evidence.quarantine_left_ms(identity(98, 1), NOW_MS) // 1000)
         self.assertEqual(lasted_s, [0, 0, 60, 120, 240, 480, 600, 600])
 
+    def test_a_request_that_goes_on_crashing_servers_is_refused_for_good(self) -> None:
+        """Guards against a request that crashes one more server each time that its refusal has
+        ended, all day (review/5)."""
+        evidence, now_ms, sends = CrashEvidence(CleanRun.COMPLETED), NOW_MS, 0
+        end_ms = NOW_MS + DAY_MS
+        while now_ms < end_ms:
+            evidence.expire(now_ms)
+            left_ms = evidence.quarantine_left_ms(identity(10, 1), now_ms)
+            if left_ms:
+                now_ms += min(left_ms, 60_000)
+                continue
+            sends += 1
+            evidence.record_loss(identity(10), LossEvent(ServerId(f"s{sends}"), 1, 0), now_ms)
+            now_ms += 10_000
+        self.assertGreater(sends, QuarantineLimits().crash_limit, "refused without a second trial")
+        self.assertLessEqual(sends, QuarantineLimits().crash_limit + RETRIES_OF_THE_RULE)
+        evidence.record_clean_run(identity(10), now_ms)
+        self.assertEqual(evidence.quarantine_left_ms(identity(10), now_ms), 0)
+
     def test_old_evidence_expires(self) -> None:
         evidence = CrashEvidence()
         for name in "abc":
