Continue a stream only where its host is known to be in step

Cause: the timeline of versions dated each change by when this host heard of it, and took its list for complete.

Change: changes that are learned late may have been made since the list was last known to be current; a read of the whole list leaves a gap in which servers may have come and gone; and the list is confirmed by a call to the store, one for all that wait, before it tells the version of a stream that is younger than the last answer. If the store doesn't answer but a live peer reads it, the caches tell the version or the take-up is refused at once.

Why it works: the versions that may have begun a stream now include those of every server that may have served then, seen or not.

--- a/src/medlarvale/forwarding/fleet.py
+++ b/src/medlarvale/forwarding/fleet.py
@@ -229,10 +229,14 @@
         """
         live = self.live(now_ms)
         if not live:
-            return not self._seeds and not self._has_met_peer
+            return self.is_alone()
         majority = 2 * (len(live) + 1) > self.host_count()
         return majority and all(self.identity.host < host for host in live)
 
+    def is_alone(self) -> bool:
+        """Returns whether there has never been a sign of another host."""
+        return not self._seeds and not self._has_met_peer
+
     def unpaused_ms(self, now_ms: float) -> float:
         """Returns the time since the last pause of this process."""
         return now_ms - self._unpaused_since_ms
--- a/src/medlarvale/forwarding/follower.py
+++ b/src/medlarvale/forwarding/follower.py
@@ -36,6 +36,10 @@
 EXPIRY_PERIOD_MS = 100.0
 # Shortest wait of a watch, for changes that have already been made.
 NO_WAIT_MS = 1
+# An answer that takes longer than its wait and this time may tell of changes long after they were
+# made. So may one that arrives after a pause of the process, which is a gap of this length beyond
+# the period between two ticks.
+LATE_ANSWER_MS = 300.0
 
 
 class StateFollower:
@@ -75,6 +79,14 @@
         self._watch_wait_ms = int(min(WATCH_WAIT_MS, WATCH_HEARTBEATS * heartbeat_ms))
         # Time of the last answer of the source, or of the last report of another host.
         self._contact_ms: float | None = None
+        # Time up to which all changes are known.
+        self._current_ms = -math.inf
+        # Time at which an answer arrived that is being applied and came in time.
+        self._applied_ms: float | None = None
+        self._tick_ms = math.inf
+        self._paused_ms = -math.inf
+        self._confirmation: asyncio.Task[bool] | None = None
+        self._gap_callbacks: list[Callable[[float, float], None]] = []
         # Whether entries may be missing because their servers could not write to the source.
         self._may_have_lapsed = False
         self.reachable = True
@@ -99,12 +111,55 @@
         """Registers a callback for each new configuration."""
         self._accept_callbacks.append(callback)
 
+    def on_gap(self, callback: Callable[[float, float], None]) -> None:
+        """Registers a callback for the begin and end of each time that was not all seen."""
+        self._gap_callbacks.append(callback)
+
     def start(self) -> None:
         """Starts following."""
         self._task = asyncio.get_running_loop().create_task(self._follow())
-        self._clock.every_ms(
-            EXPIRY_PERIOD_MS, lambda: self._servers.expire_missing(self._clock.now_ms())
-        )
+        self._tick_ms = self._clock.now_ms()
+        self._clock.every_ms(EXPIRY_PERIOD_MS, self._tick)
+
+    def _tick(self) -> None:
+        self._note_pause()
+        self._tick_ms = self._clock.now_ms()
+        self._servers.expire_missing(self._tick_ms)
+
+    def _note_pause(self) -> None:
+        now_ms = self._clock.now_ms()
+        if now_ms - self._tick_ms > EXPIRY_PERIOD_MS + LATE_ANSWER_MS:
+            self._paused_ms = now_ms
+
+    def left_after_ms(self) -> float:
+        """Returns the time after which the removals that are being applied were made."""
+        return self._current_ms if self._applied_ms is None else self._applied_ms
+
+    def joined_after_ms(self, server: Server) -> float:
+        """Returns the time after which a server that is new in the list has joined.
+
+        It is seldom known exactly: an answer may be held up on its way without a sign of it.
+        """
+        if self._applied_ms is None or not server.born_ms:
+            return self._current_ms
+        born_ms = self._clock.now_ms() - self._clock.wall_ms() + server.born_ms
+        return max(self._current_ms, min(self._applied_ms, born_ms))
+
+    async def confirm(self, at_ms: float) -> bool:
+        """Returns whether all changes up to some time are known, after a call if they weren't."""
+        if self._current_ms < at_ms:
+            if self._confirmation is None or self._confirmation.done():
+                self._confirmation = asyncio.get_running_loop().create_task(self._catch_up())
+            await asyncio.shield(self._confirmation)
+        return self._current_ms >= at_ms
+
+    async def _catch_up(self) -> bool:
+        try:
+            await self._watch(NO_WAIT_MS, suspended=not self._reading.is_set())
+        except PublishedStateError as error:
+            log_info(Event.STORE_NOT_CONFIRMED, reason=error.message)
+            return False
+        return True
 
     def is_ahead_of(self, era: StoreEra, revision: StoreRevision) -> bool:
         """Returns whether this host knows changes after a revision of an era."""
@@ -120,7 +175,7 @@
         if not self.is_ahead_of(era, revision):
             self._note_era(era)
             self.revision = revision
-        self._contact_ms = self._clock.now_ms()
+        self._contact_ms = self._current_ms = self._clock.now_ms()
         self._reading.clear()
 
     def resume(self) -> None:
@@ -198,6 +253,7 @@
         return True
 
     async def _read_all(self) -> None:
+        started_ms = self._clock.now_ms()
         published = await self._source.read()
         restored = published.era != self.era
         self._note_era(published.era)
@@ -211,15 +267,33 @@
         )
         self._may_have_lapsed = False
         self.revision = published.revision
+        if self._current_ms > -math.inf:
+            for callback in self._gap_callbacks:
+                callback(self._current_ms, started_ms)
+        self._current_ms = started_ms
 
-    async def _watch(self, wait_ms: int) -> None:
+    async def _watch(self, wait_ms: int, *, suspended: bool = False) -> None:
+        started_ms = self._clock.now_ms()
         changes = await self._source.watch(self.revision, wait_ms)
         if changes.era != self.era:
             # The revisions have been given out again, so changes may be missing.
             raise HistoryGoneError(f"the store is in era {changes.era}, not {self.era}")
-        if not self._reading.is_set():
+        if self._reading.is_set() is suspended:
             # The other host may have reported newer changes while this call was in progress.
             return
+        now_ms = self._clock.now_ms()
+        self._note_pause()
+        is_late = now_ms - started_ms > wait_ms + LATE_ANSWER_MS or self._paused_ms >= started_ms
+        self._applied_ms = None if is_late else now_ms
+        try:
+            # Another call that ended first may have told of these changes.
+            if changes.revision > self.revision:
+                self._apply(changes)
+        finally:
+            self._applied_ms = None
+        self._current_ms = max(self._current_ms, started_ms if is_late else now_ms)
+
+    def _apply(self, changes: StateChanges) -> None:
         for item in changes.items:
             if isinstance(item, RouteTable):
                 self.accept(item)
@@ -227,7 +301,7 @@
                 self._servers.upsert(item)
             else:
                 self._servers.remove(ServerId(item))
-        self.revision = max(self.revision, changes.revision)
+        self.revision = changes.revision
 
     def _silent_ms(self) -> float:
         """Returns the time since the source last answered; infinite before its first answer."""
--- a/src/medlarvale/forwarding/host.py
+++ b/src/medlarvale/forwarding/host.py
@@ -30,6 +30,7 @@
 from medlarvale.forwarding.peer_sender import HttpPeerSender
 from medlarvale.forwarding.peer_state import PeerStateTask
 from medlarvale.forwarding.plain import PlainForwarder
+from medlarvale.forwarding.published_view import PublishedView
 from medlarvale.forwarding.rechecks import RecheckTask
 from medlarvale.forwarding.relay_client import Relay
 from medlarvale.forwarding.relay_messages import RelayCodec
@@ -128,6 +129,7 @@
                 self.follower.recent_history,
                 self._heartbeat_ms,
                 parameters.history_ms,
+                PublishedView(self.follower, self.fleet.view, self.clock),
             ),
         )
         self._known_traits: dict[ServiceName, EngineTraits] = {}
--- a/src/medlarvale/forwarding/stream_versions.py
+++ b/src/medlarvale/forwarding/stream_versions.py
@@ -6,6 +6,7 @@
 import math
 from collections import OrderedDict
 from collections.abc import Awaitable, Callable
+from typing import Protocol
 
 import msgspec
 
@@ -17,7 +18,7 @@
     VersionUnknownError,
 )
 from medlarvale.forwarding.interface import Backends
-from medlarvale.forwarding.messages import ClientRequest
+from medlarvale.forwarding.messages import ClientRequest, Server
 from medlarvale.forwarding.servers import DEFAULT_HEARTBEAT_MS, ServerTable
 from medlarvale.forwarding.version_history import (
     ReadingTime,
@@ -44,6 +45,41 @@
 HistoryReader = Callable[[], Awaitable[RecentHistory]]
 
 
+class ServerView(Protocol):
+    """How current the list of servers is; implemented by ``PublishedView``."""
+
+    def left_after_ms(self) -> float:
+        """Returns the time after which the servers that are gone from the list have left."""
+
+    def joined_after_ms(self, server: Server) -> float:
+        """Returns the time after which a server that is new in the list has joined."""
+
+    def on_gap(self, callback: Callable[[float, float], None]) -> None:
+        """Registers a callback for the begin and end of each time that was not all seen."""
+
+    async def is_current(self, at_ms: float) -> bool:
+        """Returns whether no peer may know of a server that served at some time and is unlisted."""
+
+
+class CurrentView:
+    """View of a host whose list changes as soon as servers do."""
+
+    def left_after_ms(self) -> float:
+        """Returns infinity: the servers have left just now."""
+        return math.inf
+
+    def joined_after_ms(self, server: Server) -> float:
+        """Returns infinity: the server has joined just now."""
+        return math.inf
+
+    def on_gap(self, callback: Callable[[float, float], None]) -> None:
+        """Never calls back."""
+
+    async def is_current(self, at_ms: float) -> bool:
+        """Returns that the list is current."""
+        return True
+
+
 class StreamOrigin(msgspec.Struct, frozen=True):
     """When and by which attempt a stream was begun.
 
@@ -68,6 +104,7 @@
         read_history: reads the history of the published state.
         heartbeat_ms: time between two heartbeats of an engine.
         history_ms: time for which the published state keeps its history; None if unknown.
+        view: tells how current the list of servers is.
     """
 
     def __init__(
@@ -78,6 +115,7 @@
         read_history: HistoryReader,
         heartbeat_ms: float,
         history_ms: float | None,
+        view: ServerView | None = None,
     ) -> None:
         self._servers = servers
         self._clock = clock
@@ -85,6 +123,7 @@
         self._read_history = read_history
         self._heartbeat_ms = heartbeat_ms
         self._history_ms = history_ms
+        self._view = view or CurrentView()
         self._timeline = VersionTimeline(RETAIN_MS)
         self._known: OrderedDict[RequestId, SoftwareVersion] = OrderedDict()
         self._history: asyncio.Task[None] | None = None
@@ -93,11 +132,17 @@
         self._own_since_ms = math.inf
         self._update()
         servers.on_change(self._update)
+        self._view.on_gap(self._timeline.note_unseen)
 
     def _update(self) -> None:
         engines = self._servers.stream_engines()
         if engines or self._timeline.known_since_ms < math.inf:
-            self._timeline.update(engines, self._clock.now_ms())
+            self._timeline.update(
+                engines,
+                self._clock.now_ms(),
+                self._view.left_after_ms(),
+                self._view.joined_after_ms,
+            )
             self._own_since_ms = min(self._own_since_ms, self._clock.now_ms())
 
     def choose(
@@ -178,6 +223,8 @@
     async def _possible(
         self, service: ServiceName, origin: StreamOrigin
     ) -> set[SoftwareVersion] | None:
+        if not await self._view.is_current(min(origin.to_ms, self._clock.now_ms())):
+            return None
         from_ms, to_ms = origin.from_ms - VIEW_LAG_MS, origin.to_ms + VIEW_LAG_MS
         if from_ms < self._own_since_ms:
             await self._extend(from_ms)
--- a/src/medlarvale/forwarding/version_timeline.py
+++ b/src/medlarvale/forwarding/version_timeline.py
@@ -8,7 +8,7 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 
 import msgspec
 
@@ -44,6 +44,10 @@
 ANY_SERVICE = ServiceName("")
 
 
+# Stands for any engines that may have joined and left unseen.
+UNSEEN = ServerId("")
+
+
 def unknown_engine(server: ServerId) -> EngineKey:
     """Returns the key of an engine of which only the id is known."""
     return EngineKey(server, 0, ANY_SERVICE, UNKNOWN_VERSION)
@@ -70,19 +74,46 @@
         self._closed: list[Spell] = []
         self.known_since_ms = math.inf
 
-    def update(self, engines: Iterable[Server], now_ms: float) -> None:
-        """Records the engines that can begin streams from now on."""
+    def update(
+        self,
+        engines: Iterable[Server],
+        now_ms: float,
+        left_after_ms: float = math.inf,
+        joined_after_ms: Callable[[Server], float] | None = None,
+    ) -> None:
+        """Records the engines that can begin streams from now on.
+
+        Args:
+            engines: the engines.
+            now_ms: monotonic time.
+            left_after_ms: time after which the engines that are gone have left; by default now.
+            joined_after_ms: returns the time after which a new engine has joined; by default
+                ``left_after_ms``.
+        """
+        first = self.known_since_ms == math.inf
         self.known_since_ms = min(self.known_since_ms, now_ms)
-        present = {engine_key(engine) for engine in engines}
+        present = {engine_key(engine): engine for engine in engines}
         for key in [known for known in self._open if known not in present]:
             spell = self._open.pop(key)
-            spell.until_ms = now_ms
+            spell.until_ms = max(spell.since_ms, min(left_after_ms, now_ms))
             self._closed.append(spell)
-        for key in present - self._open.keys():
+            self._note_uncertain(key, spell.until_ms, now_ms)
+        for key in present.keys() - self._open.keys():
             self._open[key] = Spell(key, now_ms)
+            after_ms = joined_after_ms(present[key]) if joined_after_ms else left_after_ms
+            if not first:
+                self._note_uncertain(key, max(after_ms, self.known_since_ms), now_ms)
         horizon_ms = now_ms - self._retain_ms
         self._closed = [spell for spell in self._closed if spell.until_ms >= horizon_ms]
 
+    def note_unseen(self, since_ms: float, until_ms: float) -> None:
+        """Records a time in which engines may have joined and left unseen."""
+        self._note_uncertain(unknown_engine(UNSEEN), max(since_ms, self.known_since_ms), until_ms)
+
+    def _note_uncertain(self, engine: EngineKey, since_ms: float, until_ms: float) -> None:
+        if since_ms < until_ms:
+            self._closed.append(Spell(engine, since_ms, until_ms, certain=False))
+
     def extend(self, spells: Iterable[Spell], known_since_ms: float) -> None:
         """Adds what was read about the time before the first update.
 
@@ -154,7 +185,7 @@
         return {
             spell.engine.software
             for spell in overlapping
-            if spell is first or rank(spell) > rank(first)
+            if spell is first or spell.engine.server == UNSEEN or rank(spell) > rank(first)
         }
 
     def served_on(
--- a/tests/forwarding/test_follower.py
+++ b/tests/forwarding/test_follower.py
@@ -4,7 +4,9 @@
 
 import asyncio
 import random
+import time
 import unittest
+from collections.abc import Callable
 from typing import NamedTuple
 
 from hypothesis import given
@@ -184,6 +186,75 @@
         self.assertEqual((self.version(), self.ready), (3, 1))
 
 
+class ConfirmationTest(unittest.IsolatedAsyncioTestCase):
+    """Tests of what a host knows of the time at which changes were made."""
+
+    def start(self, *results: PublishedState | StateChanges | Exception | Delayed) -> None:
+        self.clock = SystemClock()
+        self.servers = ServerTable(HERE, random.Random(1))
+        self.source = ScriptedSource(*results)
+        self.follower = StateFollower(self.source, self.servers, self.clock, lambda: None)
+        self.after_ms: list[float] = []
+        self.gaps: list[tuple[float, float]] = []
+        self.servers.on_change(lambda: self.after_ms.append(self.follower.left_after_ms()))
+        self.follower.on_gap(lambda since_ms, until_ms: self.gaps.append((since_ms, until_ms)))
+        self.follower.start()
+        self.addAsyncCleanup(self.follower.close)
+
+    async def wait_until(self, condition: Callable[[], bool]) -> None:
+        async with asyncio.timeout(5.0):
+            while True:
+                if condition():
+                    return
+                await asyncio.sleep(0.01)
+
+    async def test_a_list_is_confirmed_by_an_answer_to_a_later_call(self) -> None:
+        """Guards against a take-up at a host that has not heard of new servers, because its watch
+        is held up (a report of other operators)."""
+        table: list[tuple[str, StateChanges | Exception, bool, list[str]]] = [
+            ("news", changes(12, make_server("s2", service=APP)), True, ["s1", "s2"]),
+            ("no news", changes(10), True, ["s1"]),
+            ("down", PublishedStateError("503"), False, ["s1"]),
+        ]
+        for name, answer, confirmed, listed in table:
+            with self.subTest(name):
+                held_up = Delayed(1_000.0, changes(10))
+                self.start(published(1, "s1"), held_up, answer)
+                await self.wait_until(lambda: len(self.source.calls) == 2)
+                at_ms = self.clock.now_ms()
+                answers = [self.follower.confirm(at_ms) for _ in range(3)]
+                self.assertEqual(await asyncio.gather(*answers), [confirmed] * 3)
+                self.assertEqual(len(self.source.calls), 3, "one call for all that wait")
+                self.assertEqual(
+                    sorted(server.server for server in self.servers.all_servers()), listed
+                )
+                await self.follower.close()
+
+    async def test_the_time_of_a_change_is_known_if_its_answer_came_in_time(self) -> None:
+        """Guards against changes that count as made when a host hears of them after a pause."""
+        for paused_s in (0.0, 1.0):
+            with self.subTest(paused_s):
+                self.start(published(1, "s1"), Delayed(500.0, changes(12, ServerId("s1"))))
+                await self.wait_until(lambda: len(self.source.calls) == 2)
+                watched_ms = self.clock.now_ms()
+                time.sleep(paused_s)  # noqa: ASYNC251
+                await self.wait_until(lambda: not self.servers.all_servers())
+                removed_ms = self.clock.now_ms()
+                if paused_s:
+                    self.assertLessEqual(self.after_ms[-1], watched_ms)
+                else:
+                    self.assertAlmostEqual(self.after_ms[-1], removed_ms, delta=200.0)
+                await self.follower.close()
+
+    async def test_a_new_read_leaves_a_gap(self) -> None:
+        """Guards against servers that joined and left between two reads of the list."""
+        self.start(published(1, "s1"), HistoryGoneError("410"), published(1, "s1", revision=90))
+        await asyncio.wait_for(self.source.done.wait(), 5.0)
+        self.assertEqual(len(self.gaps), 1)
+        since_ms, until_ms = self.gaps[0]
+        self.assertLess(since_ms, until_ms)
+
+
 class VersionTest(unittest.TestCase):
     @given(st.lists(st.integers(1, 30), min_size=1, max_size=20))
     def test_the_configuration_is_never_reverted(self, versions: list[int]) -> None:
--- a/tests/forwarding/test_stream_versions.py
+++ b/tests/forwarding/test_stream_versions.py
@@ -20,6 +20,8 @@
 from medlarvale.forwarding.stream_versions import (
     HISTORY_PERIOD_MS,
     VIEW_LAG_MS,
+    CurrentView,
+    ServerView,
     StreamOrigin,
     StreamVersions,
 )
@@ -49,6 +51,18 @@
     return RecentHistory(state, StateChanges(changes, revision), StoreRevision(floor))
 
 
+class FakeView(CurrentView):
+    """A view that is current at all times, or at none."""
+
+    def __init__(self, current: bool) -> None:
+        self._current = current
+        self.asked_ms: list[float] = []
+
+    async def is_current(self, at_ms: float) -> bool:
+        self.asked_ms.append(at_ms)
+        return self._current
+
+
 class StreamVersionsTest(unittest.IsolatedAsyncioTestCase):
     def setUp(self) -> None:
         self.clock = ManualClock()
@@ -57,7 +71,7 @@
         self.reads = 0
         self.history: RecentHistory | Exception = PublishedStateError("down")
 
-    def start(self, *engines: Server) -> StreamVersions:
+    def start(self, *engines: Server, view: ServerView | None = None) -> StreamVersions:
         """Returns the versions of a host that has just read the list of servers."""
         self.clock.advance_ms(100_000.0)
         self.table.replace_all(engines, self.clock.now_ms(), after_outage=False)
@@ -70,7 +84,7 @@
 
         cache_holders = CacheHolderFinder(self.backends, self.table)
         return StreamVersions(
-            self.table, self.clock, cache_holders, read_history, HEARTBEAT_MS, HISTORY_MS
+            self.table, self.clock, cache_holders, read_history, HEARTBEAT_MS, HISTORY_MS, view
         )
 
     async def find(self, versions: StreamVersions, age_ms: float = STREAM_MS) -> str | None:
@@ -160,6 +174,24 @@
         self.assertEqual(await self.find(versions), "v1")
         self.assertEqual(self.reads, 2)
 
+    async def test_a_host_that_is_out_of_step_does_not_guess(self) -> None:
+        """Guards against a stream that began at a server which this host has not heard of, and goes
+        on at another version (a report of other operators)."""
+        table = [
+            ("in step", True, "", "v1"),
+            ("out of step", False, "", None),
+            ("out of step, cached", False, "d1", "v1"),
+        ]
+        for name, current, cached_at, expected in table:
+            with self.subTest(name):
+                self.setUp()
+                self.backends.cached = {ServerId(cached_at): {PART: 900}}
+                view = FakeView(current)
+                versions = self.start(engine("d1", "v1"), view=view)
+                self.clock.advance_ms(STREAM_MS + 2.0 * VIEW_LAG_MS)
+                self.assertEqual(await self.find(versions), expected)
+                self.assertEqual(view.asked_ms, [self.clock.now_ms() - STREAM_MS])
+
     async def test_what_was_seen_goes_before_what_is_computed(self) -> None:
         """Guards against another version than the one whose events were passed on."""
         versions = self.start(engine("d1", "v1"))
--- a/tests/forwarding/test_version_losses.py
+++ b/tests/forwarding/test_version_losses.py
@@ -136,6 +136,27 @@
     return timeline
 
 
+def _follow_out_of_step(
+    store: _Store, gap: tuple[float, float], to_ms: float, *, reads_list: bool
+) -> VersionTimeline:
+    """Returns the timeline of a host that hears of no change during a gap.
+
+    At the end of the gap it gets all changes, or it reads the list anew.
+    """
+    gap_from_ms, gap_to_ms = gap
+    timeline = VersionTimeline(DAY_MS)
+    timeline.update(store.engines(-1_000.0), -1_000.0)
+    for change in store.changes:
+        if gap_from_ms < change.at_ms <= gap_to_ms:
+            read_ms = gap_to_ms if reads_list else change.at_ms
+            timeline.update(store.engines(read_ms), gap_to_ms, gap_from_ms)
+        elif -1_000.0 < change.at_ms <= to_ms:
+            timeline.update(store.engines(change.at_ms), change.at_ms)
+    if reads_list:
+        timeline.note_unseen(gap_from_ms, gap_to_ms)
+    return timeline
+
+
 def _start(store: _Store, at_ms: float) -> VersionTimeline:
     """Returns the timeline of a host that starts and reads the history."""
     timeline = VersionTimeline(DAY_MS)
@@ -147,6 +168,35 @@
 
 
 class VersionLossesTest(unittest.TestCase):
+    def test_a_host_that_was_out_of_step_joins_no_versions(self) -> None:
+        """Guards against a stream that goes on at another version at a host that was cut off or
+        stood still while engines joined and left (a report of other operators)."""
+        for reads_list in (False, True):
+            known = total = 0
+            for seed in range(SEEDS):
+                rng = random.Random(seed)
+                store = _Store(_day(rng))
+                gap_from_ms = rng.uniform(0.0, 30_000.0)
+                gap_to_ms = gap_from_ms + rng.uniform(1_000.0, 8_000.0)
+                at_ms = gap_to_ms + rng.uniform(0.0, 3_000.0)
+                beginner = _follow(store, rng.uniform(0.0, VIEW_LAG_MS / 2.0), -1_000.0, at_ms)
+                gap = gap_from_ms, gap_to_ms
+                other = _follow_out_of_step(store, gap, at_ms, reads_list=reads_list)
+                for number in range(STREAMS):
+                    begun_ms = rng.uniform(max(0.0, at_ms - LIFE_MS), at_ms)
+                    attempt = RequestId(f"{seed}-{number}")
+                    software = beginner.choose(LLM, attempt, begun_ms)
+                    possible = other.possible(
+                        LLM, attempt, begun_ms - VIEW_LAG_MS, begun_ms + VIEW_LAG_MS
+                    )
+                    assert possible is not None
+                    with self.subTest(reads_list=reads_list, seed=seed, attempt=attempt):
+                        self.assertTrue(possible & {software, UNKNOWN_VERSION}, possible)
+                    known += len(possible) == 1
+                    total += 1
+            if not reads_list:
+                self.assertGreaterEqual(2 * known, total)
+
     def test_a_take_up_never_goes_to_another_version(self) -> None:
         """Guards against joined versions after any loss, and against refusals of most streams
         although a survivor knows the engines of their time."""
