Count the time for which a machine was suspended

Cause: the monotonic clock doesn't count the time for which a machine is suspended, so a host took what it knew before for the present: peers, leases, the age of streams. test_the_time_of_a_suspension_counts failed before: neither the time nor the view of the fleet noticed a suspension of 5 s.

Change: SystemClock reads CLOCK_BOOTTIME where there is one.

Why it works: a suspension now looks like the pause of a process, which the order coordinator, the timeline of versions and all deadlines already take into account.

--- a/src/medlarvale/clock.py
+++ b/src/medlarvale/clock.py
@@ -39,12 +39,16 @@
         """Calls ``callback`` once each period until the subscription is cancelled."""
 
 
+# Unlike the usual monotonic clock, this one counts the time for which the machine was suspended.
+STEADY_CLOCK = getattr(time, "CLOCK_BOOTTIME", time.CLOCK_MONOTONIC)
+
+
 class SystemClock:
     """Clock of the running process and its event loop."""
 
     def now_ms(self) -> float:
-        """Returns monotonic time in ms."""
-        return time.monotonic() * 1000.0
+        """Returns monotonic time in ms, with the time for which the machine was suspended."""
+        return time.clock_gettime(STEADY_CLOCK) * 1000.0
 
     def wall_ms(self) -> int:
         """Returns the wall-clock time in ms since the Unix epoch."""
