Bound the memory of all answers that are being read

Cause here: each answer had a bound of 4 MiB, and all of them together had none.

Change: answers in progress may take an eighth of the memory of the process together; beyond that the largest is given up (event 5015). The same holds for answers that peers relay. What a dropped answer had read is freed at once, not with its error.

Why it works: an endless or stalled answer is the largest sooner or later, and its end frees more than any other's; small answers are still read, as the sound one in the test.

--- a/src/medlarvale/forward_command.py
+++ b/src/medlarvale/forward_command.py
@@ -12,6 +12,7 @@
 
 import uvloop
 
+from medlarvale.body_memory import BodyMemory, limit_of_process
 from medlarvale.file_watch import FileWatch, WatchedFiles
 from medlarvale.flags import add_flag
 from medlarvale.forwarding.host import ANY_PORT, ForwardingHost, run_until_stopped
@@ -76,7 +77,7 @@
     host = ForwardingHost(
         parameters,
         PlatformStore(session, parameters.platform_address),
-        HttpBackends(session, calls),
+        HttpBackends(session, calls, BodyMemory(limit_of_process(parameters.memory_bytes))),
         decode_incoming,
         options.metrics_port,
         lambda: {"log_lines_dropped": writer.dropped},
--- a/src/medlarvale/forwarding/host.py
+++ b/src/medlarvale/forwarding/host.py
@@ -9,6 +9,7 @@
 
 from aiohttp import web
 
+from medlarvale.body_memory import BodyMemory, limit_of_process
 from medlarvale.clock import SystemClock
 from medlarvale.forwarding.cache_holders import CacheHolderFinder
 from medlarvale.forwarding.caller_server import CallerServer, RequestDecoder, build_readiness_server
@@ -155,7 +156,8 @@
     ) -> None:
         self._relay_address = f"{self._parameters.listen_control.rpartition(':')[0]}:{relay_port}"
         self._relay_port = relay_port
-        self._peer_sender = HttpPeerSender()
+        relayed = BodyMemory(limit_of_process(self._parameters.memory_bytes))
+        self._peer_sender = HttpPeerSender(relayed)
         identity = self.fleet.view.identity
         codec = RelayCodec(identity, self._new_guard(identity))
         plain = PlainForwarder(context)
--- a/src/medlarvale/forwarding/messages.py
+++ b/src/medlarvale/forwarding/messages.py
@@ -364,6 +364,7 @@
         lease_ms: minimum time between orders of two different hosts.
         heartbeat_ms: time between two heartbeats of a backend server; None if unknown.
         history_ms: time for which the platform's store keeps its changes; None if unknown.
+        memory_bytes: memory that the process may use; None if unknown.
     """
 
     host: HostId
@@ -379,3 +380,4 @@
     lease_ms: float
     heartbeat_ms: float | None = None
     history_ms: float | None = None
+    memory_bytes: int | None = None
--- a/src/medlarvale/forwarding/peer_sender.py
+++ b/src/medlarvale/forwarding/peer_sender.py
@@ -9,6 +9,7 @@
 import aiohttp
 from multidict import CIMultiDict, CIMultiDictProxy
 
+from medlarvale.body_memory import BodyMemory
 from medlarvale.forwarding.errors import BackendError, NotSentError, RejectedError
 from medlarvale.forwarding.interface import BackendAnswer
 from medlarvale.forwarding.messages import ClientRequest
@@ -54,8 +55,9 @@
 class _PeerAnswer:
     """Answer of a backend server that a peer has relayed; see ``BackendAnswer``."""
 
-    def __init__(self, response: aiohttp.ClientResponse) -> None:
+    def __init__(self, response: aiohttp.ClientResponse, memory: BodyMemory) -> None:
         self._response = response
+        self._memory = memory
         self.status = response.status
         self.headers: CIMultiDict[str] = _end_to_end(response.headers)
         # The peer accepts no successful answer without a signature.
@@ -73,13 +75,17 @@
 
     async def read(self) -> bytes:
         """Returns the whole body."""
-        body = b""
-        async for chunk in self.chunks():
-            body += chunk
-            if len(body) > MAX_ANSWER_BYTES:
-                self.close()
-                raise BackendError(f"the peer's answer is larger than {MAX_ANSWER_BYTES} bytes")
-        return body
+        parts: list[bytes] = []
+        with self._memory.reading(self.close) as body:
+            async for chunk in self.chunks():
+                body.add(len(chunk))
+                if body.dropped:
+                    raise BackendError("the peers' answers in progress take too much memory")
+                if body.size_bytes > MAX_ANSWER_BYTES:
+                    self.close()
+                    raise BackendError(f"the peer's answer is larger than {MAX_ANSWER_BYTES} bytes")
+                parts.append(chunk)
+        return b"".join(parts)
 
     def close(self) -> None:
         """Closes the connection, which cancels the request at the peer if it is in progress."""
@@ -103,9 +109,13 @@
 
     The end of a connection then cancels just one request, and a connection that the peer has closed
     meanwhile is never used.
+
+    Args:
+        memory: bounds the bytes of all answers that are being read.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, memory: BodyMemory | None = None) -> None:
+        self._memory = memory or BodyMemory()
         self._session: aiohttp.ClientSession | None = None
 
     def _open(self) -> aiohttp.ClientSession:
@@ -140,7 +150,7 @@
             raise kind(f"peer {address}: {error!r}") from error
         answer = response.headers.get(RELAYED_HEADER)
         if answer == RelayedAnswer.SERVER.value:
-            return _PeerAnswer(response)
+            return _PeerAnswer(response, self._memory)
         response.close()
         if answer == RelayedAnswer.NOT_RUN.value:
             request.possible_runs = runs
--- a/src/medlarvale/logs.py
+++ b/src/medlarvale/logs.py
@@ -67,6 +67,7 @@
     STREAM_VERSION_SOUGHT = (5012, "software version that began a stream looked up")
     REQUEST_RELAYED = (5013, "request relayed to a peer")
     RELAY_FAILED = (5014, "peer did not answer a relayed request")
+    BODY_DROPPED = (5015, "answer given up, because answers in progress take too much memory")
     CLEANUP_FAILED = (5007, "unused engine memory could not be released")
     ENGINE_EJECTED = (6001, "engine ejected")
     ENGINE_READMITTED = (6002, "engine readmitted")
--- a/src/medlarvale/platform/backends.py
+++ b/src/medlarvale/platform/backends.py
@@ -13,6 +13,7 @@
 from multidict import CIMultiDict
 from yarl import URL
 
+from medlarvale.body_memory import BodyMemory
 from medlarvale.errors import DECODE_ERRORS
 from medlarvale.forwarding.errors import (
     BackendError,
@@ -102,8 +103,9 @@
 class HttpResponse:
     """HTTP response of a backend server; see ``BackendAnswer``."""
 
-    def __init__(self, response: RelayedResponse) -> None:
+    def __init__(self, response: RelayedResponse, memory: BodyMemory) -> None:
         self._response = response
+        self._memory = memory
         self.status = response.status
         self.headers: CIMultiDict[str] = names.forwardable(response.headers, frozenset())
         self.signed = names.SIGNATURE in response.headers
@@ -113,7 +115,7 @@
     async def read(self) -> bytes:
         """Returns the whole body."""
         try:
-            body = await read_body(self._response, MAX_ANSWER_BYTES)
+            body = await read_body(self._response, MAX_ANSWER_BYTES, self._memory)
         except TRANSPORT_ERRORS as error:
             raise BackendError(f"the response body ended early: {error!r}") from error
         self._check_complete()
@@ -167,9 +169,16 @@
     Args:
         requests: connections for requests of callers.
         calls: connections for all other calls.
+        memory: bounds the bytes of all answers that are being read.
     """
 
-    def __init__(self, requests: aiohttp.ClientSession, calls: aiohttp.ClientSession) -> None:
+    def __init__(
+        self,
+        requests: aiohttp.ClientSession,
+        calls: aiohttp.ClientSession,
+        memory: BodyMemory | None = None,
+    ) -> None:
+        self._memory = memory or BodyMemory()
         self._requests = requests
         self._calls = calls
         self._grants = _Grants()
@@ -209,7 +218,7 @@
         if response.ok and response.headers.get(names.REQUEST_ID) != expected:
             response.close()
             raise BackendError(f"server {server.server}: a success without the request's id")
-        return HttpResponse(response)
+        return HttpResponse(response, self._memory)
 
     async def prefill(
         self, server: Server, request: ClientRequest, left_ms: float
@@ -220,7 +229,7 @@
         response = await self._request(server, request, headers, left_ms)
         _raise_if_rejected(response)
         try:
-            body = await read_body(response, MAX_CALL_BYTES)
+            body = await read_body(response, MAX_CALL_BYTES, self._memory)
             if response.status != 200:
                 raise BackendError(f"prefill returned status {response.status}")
             handle = HandleId(msgspec.json.decode(body, type=_PrefillFields).kv_handle)
@@ -399,7 +408,7 @@
                 if names.SERVER_LIMIT in response.headers:
                     # The absence of a limit counts only in answers to requests.
                     self._note_limit(server, response)
-                return response.status, await read_body(response, max_bytes)
+                return response.status, await read_body(response, max_bytes, self._memory)
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
             raise NotSentError(f"server {server.server}: {path}: {error!r}") from error
         except TRANSPORT_ERRORS as error:
--- a/src/medlarvale/platform/boot.py
+++ b/src/medlarvale/platform/boot.py
@@ -11,6 +11,7 @@
 from medlarvale.ids import FailureDomain, HostId
 
 ValueT = TypeVar("ValueT")
+BYTES_PER_MB = 1_000_000
 
 
 class BootSettingsError(MedlarvaleError):
@@ -103,6 +104,11 @@
             if values.get("Platform.HistoryS")
             else None
         ),
+        memory_bytes=(
+            int(_read_value(values, faults, "Limits.MemoryMb", _amount, 0.0) * BYTES_PER_MB)
+            if values.get("Limits.MemoryMb")
+            else None
+        ),
     )
     if faults:
         raise BootSettingsError("; ".join(faults))
--- a/src/medlarvale/platform/connections.py
+++ b/src/medlarvale/platform/connections.py
@@ -8,6 +8,7 @@
 
 import aiohttp
 
+from medlarvale.body_memory import BodyMemory
 from medlarvale.forwarding.errors import BackendError
 from medlarvale.http_bodies import TrackedConnection, TrackedResponse, track_connections
 from medlarvale.platform import headers as names
@@ -188,22 +189,35 @@
                 connection.close()
 
 
-async def read_body(response: aiohttp.ClientResponse, max_bytes: int) -> bytes:
+async def read_body(response: aiohttp.ClientResponse, max_bytes: int, memory: BodyMemory) -> bytes:
     """Returns the whole body of a response.
 
+    Args:
+        response: the response.
+        max_bytes: most bytes of its body.
+        memory: bounds the bytes of all bodies.
+
     Raises:
-        BackendError: if the body is larger than allowed; the connection is closed.
+        BackendError: if the body is larger than allowed, or the largest while all bodies together
+            are; the connection is closed.
         aiohttp.ClientError: if the body ends early.
     """
     parts: list[bytes] = []
-    size = 0
-    async for part in response.content.iter_any():
-        note_body(response)
-        size += len(part)
-        if size > max_bytes:
-            response.close()
-            raise BackendError(f"the response body is larger than {max_bytes} bytes")
-        parts.append(part)
+    try:
+        with memory.reading(response.close) as body:
+            async for part in response.content.iter_any():
+                note_body(response)
+                body.add(len(part))
+                if body.dropped:
+                    raise BackendError("the response bodies in progress take too much memory")
+                if body.size_bytes > max_bytes:
+                    response.close()
+                    raise BackendError(f"the response body is larger than {max_bytes} bytes")
+                parts.append(part)
+    except BaseException:
+        # The traceback keeps this frame.
+        parts.clear()
+        raise
     return b"".join(parts)
 
 
--- a/tests/platform/test_endless_answers.py
+++ b/tests/platform/test_endless_answers.py
@@ -12,7 +12,7 @@
 from medlarvale.forwarding.errors import BackendError, MedlarvaleError, PublishedStateError
 from medlarvale.forwarding.events import EventSplitter
 from medlarvale.forwarding.messages import Dispatch, Server
-from medlarvale.platform.backends import HttpBackends
+from medlarvale.platform.backends import MAX_ANSWER_BYTES, HttpBackends
 from medlarvale.platform.connections import new_session
 from medlarvale.platform.store import PlatformStore
 from tests.platform.test_backends import SIGNED, RawServer, make_request
@@ -25,6 +25,8 @@
 # Each host has a few hundred MB, and several servers may be in trouble at the same time.
 SERVERS = 8
 MAX_MEMORY_BYTES = 40 * 1024 * 1024
+# As many requests as a host may have in progress at servers in trouble.
+STALLED_SERVERS = 60
 # No call may wait longer than its deadline, and each is ended by a bound on bytes before that.
 DEADLINE_MS = 20_000.0
 LIMIT_S = 10.0
@@ -69,6 +71,27 @@
             writer.close()
 
 
+class StalledServer(EndlessServer):
+    """Sends some bytes and then nothing, until the caller closes the connection."""
+
+    def __init__(self, parts: Iterable[bytes]) -> None:
+        super().__init__(lambda: parts)
+        self.sent = asyncio.Event()
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        try:
+            await reader.readuntil(b"\r\n\r\n")
+            for part in self._parts():
+                writer.write(part)
+                await writer.drain()
+            self.sent.set()
+            await reader.read()
+        except (asyncio.IncompleteReadError, ConnectionError):
+            self.sent.set()
+        finally:
+            writer.close()
+
+
 class EndlessAnswersTest(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self) -> None:
         self.session = new_session()
@@ -120,6 +143,33 @@
                             await call(server)
                         await endless.closed.wait()
 
+    async def test_memory_is_bounded_while_many_bodies_stall_below_their_bound(self) -> None:
+        """Guards against the loss of a host: many faulty servers that each send somewhat less than
+        is allowed and then nothing (a report of other operators)."""
+        tracemalloc.start()
+        self.addCleanup(tracemalloc.stop)
+        parts = [PART] * (MAX_ANSWER_BYTES // len(PART) - 1)
+        head = HEAD + b"Content-Length: 99999999999\r\n\r\n"
+        sound = RawServer(HEAD + b"Content-Length: 4\r\n\r\ngood")
+        sound_server = await sound.start()
+        self.addCleanup(sound.server.close)
+        before, _ = tracemalloc.get_traced_memory()
+        tracemalloc.reset_peak()
+        reads = []
+        for _ in range(STALLED_SERVERS):
+            stalled = StalledServer([head, *parts])
+            server = await stalled.start()
+            self.addCleanup(stalled.server.close)
+            reads.append(asyncio.create_task(self.read(server)))
+            async with asyncio.timeout(LIMIT_S):
+                await stalled.sent.wait()
+        await self.read(sound_server)
+        _, peak = tracemalloc.get_traced_memory()
+        for task in reads:
+            task.cancel()
+        await asyncio.gather(*reads, return_exceptions=True)
+        self.assertLess(peak - before, STALLED_SERVERS * len(PART) + MAX_MEMORY_BYTES)
+
     async def test_memory_is_bounded_while_several_servers_send_without_end(self) -> None:
         """Guards against the loss of a host: one body without end took 7.8 GB in 4 s."""
         tracemalloc.start()
