Send no new requests to a server that has said that it is leaving

Cause: no code read the header Server-Leaving from a server; only its entry in the store counted.

Change: each answer to a request, prefill, reservation or other call may say so; a success to a request counts only with its signature. The server then counts as draining at this host, whatever its entry says, until it starts again.

Why it works: all choices (plain calls, reservations, prefills, take-ups, stage orders) already leave out draining servers, and the word belongs to an incarnation, so neither a heartbeat nor a late answer of an earlier one changes it.

--- a/src/medlarvale/forwarding/host.py
+++ b/src/medlarvale/forwarding/host.py
@@ -108,6 +108,7 @@
             self._heartbeat_ms,
         )
         backends.on_limit(self._note_limit)
+        backends.on_leaving(self.servers.note_leaving)
         self.follower = StateFollower(
             source, self.servers, self.clock, self._log_ready, self._heartbeat_ms
         )
--- a/src/medlarvale/forwarding/interface.py
+++ b/src/medlarvale/forwarding/interface.py
@@ -61,6 +61,7 @@
 
 # Gets a server and the requests per second that it takes from all hosts; None without a limit.
 LimitCallback = Callable[[Server, float | None], None]
+LeavingCallback = Callable[[Server], None]
 
 
 class Backends(Protocol):
@@ -69,6 +70,9 @@
     def on_limit(self, callback: LimitCallback) -> None:
         """Registers a callback for the limit, or its absence, in each answer to a request."""
 
+    def on_leaving(self, callback: LeavingCallback) -> None:
+        """Registers a callback for each answer of a server that says that it is leaving."""
+
     async def send(
         self, server: Server, request: ClientRequest, dispatch: Dispatch
     ) -> BackendAnswer:
--- a/src/medlarvale/forwarding/servers.py
+++ b/src/medlarvale/forwarding/servers.py
@@ -4,6 +4,7 @@
 
 import math
 import random
+from collections import OrderedDict
 from collections.abc import Callable, Iterable
 
 import msgspec
@@ -11,7 +12,7 @@
 from medlarvale.forwarding.backlog import PrefillBacklog
 from medlarvale.forwarding.isolation import IsolationDetector
 from medlarvale.forwarding.messages import EngineStage, Server, ServerState
-from medlarvale.forwarding.outdated_entries import OutdatedEntries
+from medlarvale.forwarding.outdated_entries import REMEMBERED_SERVERS, OutdatedEntries
 from medlarvale.forwarding.server_limits import ServerLimits
 from medlarvale.ids import FailureDomain, HostId, ServerId, ServiceName, SoftwareVersion
 from medlarvale.logs import Event, log_info, log_warning
@@ -136,6 +137,8 @@
         # Cleared by each change of the list.
         self._stream_versions: dict[ServiceName, frozenset[SoftwareVersion]] = {}
         self._outdated = OutdatedEntries(LAPSED_HEARTBEATS * heartbeat_ms)
+        # Incarnations (id and start) that have said that they are leaving, the oldest first.
+        self._leaving: OrderedDict[tuple[ServerId, int], None] = OrderedDict()
         self.isolation = IsolationDetector()
         self.limits = ServerLimits(host, failure_domain)
         # Number of changes of the list, without changes of ``cold_left_ms``.
@@ -175,8 +178,27 @@
         if self._outdated.admit(server, listed=known is not None):
             self._use(server)
 
+    def note_leaving(self, server: Server) -> None:
+        """Records that a server has said itself that it is leaving, whatever its entry says.
+
+        Args:
+            server: its entry when it was called.
+        """
+        incarnation = (server.server, server.born_ms)
+        if incarnation in self._leaving:
+            return
+        log_info(Event.SERVER_LEAVING, server=server.server)
+        self._leaving[incarnation] = None
+        if len(self._leaving) > REMEMBERED_SERVERS:
+            self._leaving.popitem(last=False)
+        known = self._loads.get(server.server)
+        if known is not None and known.server.born_ms == server.born_ms:
+            self._use(known.server)
+
     def _use(self, server: Server) -> None:
         """Takes an entry as the newest of its server."""
+        if (server.server, server.born_ms) in self._leaving:
+            server = msgspec.structs.replace(server, state=ServerState.DRAINING)
         known = self._loads.get(server.server)
         if known is not None and not server.software:
             # The list of a peer of an earlier build does not name versions.
@@ -210,6 +232,8 @@
     def remove(self, server: ServerId) -> None:
         """Removes a server whose entry was deleted."""
         self._outdated.forget(server)
+        # Another incarnation can't be told apart without its start.
+        self._leaving.pop((server, 0), None)
         if self._loads.pop(server, None) is not None:
             self.limits.forget(server)
             self._note_change()
--- a/src/medlarvale/logs.py
+++ b/src/medlarvale/logs.py
@@ -32,6 +32,7 @@
     STORE_LOST = (2201, "published state could not be read")
     STORE_REGAINED = (2202, "published state readable again")
     STORE_NOT_CONFIRMED = (2216, "list of servers could not be confirmed")
+    SERVER_LEAVING = (2217, "backend server has said that it is leaving")
     WATCH_RESUMED = (2215, "watch of the published state resumed")
     STORE_ENTRY_UNUSABLE = (2203, "store entry invalid")
     STORE_READER_CHANGED = (2207, "host that reads the store for this one changed")
--- a/src/medlarvale/platform/backends.py
+++ b/src/medlarvale/platform/backends.py
@@ -22,7 +22,7 @@
     RejectedError,
     ServerDownError,
 )
-from medlarvale.forwarding.interface import LimitCallback
+from medlarvale.forwarding.interface import LeavingCallback, LimitCallback
 from medlarvale.forwarding.messages import (
     ClientRequest,
     Count,
@@ -183,11 +183,21 @@
         self._calls = calls
         self._grants = _Grants()
         self._limit_callbacks: list[LimitCallback] = []
+        self._leaving_callbacks: list[LeavingCallback] = []
 
     def on_limit(self, callback: LimitCallback) -> None:
         """Registers a callback for the limit, or its absence, in each answer to a request."""
         self._limit_callbacks.append(callback)
 
+    def on_leaving(self, callback: LeavingCallback) -> None:
+        """Registers a callback for each answer of a server that says that it is leaving."""
+        self._leaving_callbacks.append(callback)
+
+    def _note_leaving(self, server: Server, response: aiohttp.ClientResponse) -> None:
+        if names.is_leaving(response.headers):
+            for callback in self._leaving_callbacks:
+                callback(server)
+
     def _note_limit(self, server: Server, response: aiohttp.ClientResponse) -> None:
         if response.status == names.WRONG_SERVER_STATUS:
             return
@@ -209,6 +219,9 @@
             request.possible_runs += 1
 
         response = await self._request(server, request, headers, dispatch.left_ms, note_sent)
+        if not response.ok or names.SIGNATURE in response.headers:
+            # Bytes that are no answer may look like a success, but have no signature.
+            self._note_leaving(server, response)
         try:
             _raise_if_rejected(response)
         except RejectedError:
@@ -227,6 +240,7 @@
         headers = names.encode_request(request, server.server, Dispatch(left_ms))
         headers[names.STAGE] = EngineStage.PREFILL.value
         response = await self._request(server, request, headers, left_ms)
+        self._note_leaving(server, response)
         _raise_if_rejected(response)
         try:
             body = await read_body(response, MAX_CALL_BYTES, self._memory)
@@ -408,6 +422,7 @@
                 if names.SERVER_LIMIT in response.headers:
                     # The absence of a limit counts only in answers to requests.
                     self._note_limit(server, response)
+                self._note_leaving(server, response)
                 return response.status, await read_body(response, max_bytes, self._memory)
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
             raise NotSentError(f"server {server.server}: {path}: {error!r}") from error
--- a/src/medlarvale/platform/headers.py
+++ b/src/medlarvale/platform/headers.py
@@ -19,6 +19,8 @@
 WRONG_SERVER_STATUS = 421
 # Requests per second, a decimal number, that the server takes from all hosts together.
 SERVER_LIMIT = "Server-Limit"
+# "1" in each answer of a server that is about to leave.
+SERVER_LEAVING = "Server-Leaving"
 STAGE = "X-Serving-Stage"
 # "IP:PORT/HANDLE" of the engine that ran the prefill.
 KV_SOURCE = "X-Kv-Source"
@@ -119,6 +121,11 @@
     return limit_per_s
 
 
+def is_leaving(headers: CIMultiDictProxy[str]) -> bool:
+    """Returns whether a response says that its server is leaving."""
+    return headers.get(SERVER_LEAVING) == "1"
+
+
 def _token_counts(headers: CIMultiDictProxy[str]) -> TokenCounts | None:
     prompt, _, output = headers.get(TOKEN_COUNTS, "").partition(",")
     prompt_tokens, max_output = _parse_unsigned(prompt), _parse_unsigned(output)
--- a/src/medlarvale/platform/standin.py
+++ b/src/medlarvale/platform/standin.py
@@ -125,6 +125,7 @@
         delay_s: duration of a plain call, or time between two events of a stream.
         full: whether it refuses all reservations.
         limit: limit in the answers; None to name none.
+        says_leaving: whether all its answers say that it is leaving.
         close_every: each answer of this number ends its connection; None for no such answer.
         software: version of its software.
         born_ms: Unix time of its start in ms.
@@ -154,6 +155,7 @@
         self.delay_s = 0.0
         self.full = False
         self.limit: str | None = None
+        self.says_leaving = False
         self.close_every: int | None = None
         self._answers = 0
         self.arrived: list[float] = []
@@ -169,11 +171,13 @@
         app.router.add_delete("/hold-drop/{hold}", self._release_hold)
         app.router.add_delete("/kv-handle/{handle}", self._release_handle)
         app.router.add_route("*", "/{path:.*}", self._serve)
-        app.on_response_prepare.append(self._end_connection)
+        app.on_response_prepare.append(self._mark_answer)
         return app
 
-    async def _end_connection(self, request: web.Request, response: web.StreamResponse) -> None:
+    async def _mark_answer(self, request: web.Request, response: web.StreamResponse) -> None:
         self._answers += 1
+        if self.says_leaving:
+            response.headers["Server-Leaving"] = "1"
         if self.close_every is not None and self._answers % self.close_every == 0:
             response.force_close()
             response.headers["Connection"] = "close"
--- a/tests/platform/test_backends.py
+++ b/tests/platform/test_backends.py
@@ -7,6 +7,7 @@
 import socket
 import struct
 import unittest
+from collections.abc import Awaitable, Callable
 from unittest import mock
 
 from multidict import CIMultiDict, CIMultiDictProxy
@@ -201,6 +202,40 @@
                     await self.send(server)
                 self.assertEqual(noted, expected)
 
+    async def test_the_words_of_leaving_servers_are_read_from_each_answer(self) -> None:
+        """Guards against requests to a server that has said that it is leaving, and against bytes
+        that are no answer of a server but look like one."""
+        noted: list[str] = []
+        self.backends.on_leaving(lambda server: noted.append(server.server))
+        leaving = b"Server-Leaving: 1\r\n"
+        hold, prefill = self.take_hold, self.prefill
+        table: list[tuple[Callable[[Server], Awaitable[object]], bytes, str, bool]] = [
+            (self.send, SIGNED + leaving, "200 OK", True),
+            (self.send, SIGNED + leaving, "503 Full", True),
+            (self.send, leaving, "421 Misdirected", True),
+            (self.send, leaving, "200 OK", False),
+            (self.send, SIGNED + b"Server-Leaving: 0\r\n", "200 OK", False),
+            (self.send, SIGNED, "200 OK", False),
+            (prefill, leaving, "200 OK", True),
+            (prefill, leaving, "421 Misdirected", True),
+            (hold, leaving, "200 OK", True),
+            (hold, leaving, "503 Full", True),
+            (hold, b"", "200 OK", False),
+        ]
+        for call, headers, status, expected in table:
+            with self.subTest(call=call.__name__, headers=headers, status=status):
+                noted.clear()
+                server = await self.start(RawServer(answer(status, headers)))
+                with contextlib.suppress(BackendError):
+                    await call(server)
+                self.assertEqual(bool(noted), expected)
+
+    async def take_hold(self, server: Server) -> object:
+        return await self.backends.acquire_hold(server, 100, 1_000.0)
+
+    async def prefill(self, server: Server) -> object:
+        return await self.backends.prefill(server, make_request(), 1_000.0)
+
     async def test_short_calls_name_limits_but_do_not_lift_them(self) -> None:
         """Guards against a limit that is lifted by an answer which never names one."""
         noted: list[float | None] = []
