Refuse nothing whose evidence was evicted

Found when the diff was read: the length of a refusal was taken from the last loss of a fingerprint, also if a full table had evicted it, so each check and each expiry would have failed with an IndexError. test_evidence_that_was_evicted_refuses_nothing failed before and passes.

--- a/src/medlarvale/forwarding/crash_evidence.py
+++ b/src/medlarvale/forwarding/crash_evidence.py
@@ -164,6 +164,9 @@
     def _refused_for_ms(self, fingerprint: int, wall_ms: int) -> int:
         """Returns the remaining time for which a fingerprint is refused."""
         losses = self.counted(fingerprint)
+        if not losses:
+            # Evicted from a full table.
+            return 0
         further = len({loss.event for loss in losses}) - self._suspects.limits.crash_limit
         return max(0, losses[-1].lost_at_ms + self._refusal_ms(fingerprint, further) - wall_ms)
 
--- a/tests/forwarding/test_crash_evidence.py
+++ b/tests/forwarding/test_crash_evidence.py
@@ -8,7 +8,11 @@
 from medlarvale.forwarding.messages import RequestIdentity
 from medlarvale.ids import RequestId, ServerId
 from medlarvale.quarantine.messages import LossEvent
-from medlarvale.quarantine.suspects import RETENTION_PER_QUARANTINE, QuarantineLimits
+from medlarvale.quarantine.suspects import (
+    MAX_SUSPECTS,
+    RETENTION_PER_QUARANTINE,
+    QuarantineLimits,
+)
 
 NOW_MS = 1_750_000_000_000
 DAY_MS = 24 * 3_600_000
@@ -145,6 +149,20 @@
         evidence.record_clean_run(identity(10), now_ms)
         self.assertEqual(evidence.quarantine_left_ms(identity(10), now_ms), 0)
 
+    def test_evidence_that_was_evicted_refuses_nothing(self) -> None:
+        """Guards against a host that fails every check, because what it refused was evicted from a
+        full table."""
+        evidence = CrashEvidence(CleanRun.COMPLETED)
+        for name in "abc":
+            evidence.record_loss(identity(10), LossEvent(ServerId(name), 1, 0), NOW_MS)
+        for number in range(MAX_SUSPECTS):
+            other = identity(1_000 + 2 * number)
+            for name in "defg":
+                evidence.record_loss(other, LossEvent(ServerId(name), 1, 0), NOW_MS + 1)
+        self.assertEqual(evidence.loss_count(10), 0)
+        evidence.expire(NOW_MS + 2)
+        self.assertEqual(evidence.quarantine_left_ms(identity(10), NOW_MS + 2), 0)
+
     def test_old_evidence_expires(self) -> None:
         evidence = CrashEvidence()
         for name in "abc":
