Confirm no list after an outage before it is read anew

Found when the diff was read: a caller that took up a stream right after an outage of the store made its host apply the changes of the outage, which remove servers whose entries lapsed although they live. test_a_take_up_removes_no_servers_after_an_outage failed before and passes.

--- a/src/medlarvale/forwarding/follower.py
+++ b/src/medlarvale/forwarding/follower.py
@@ -154,6 +154,10 @@
         return self._current_ms >= at_ms
 
     async def _catch_up(self) -> bool:
+        if self._may_have_lapsed or self._silent_ms() >= self._lapse_ms:
+            # Changes alone would remove the servers whose entries have lapsed; the list is read
+            # anew soon.
+            return False
         try:
             await self._watch(NO_WAIT_MS, suspended=not self._reading.is_set())
         except PublishedStateError as error:
--- a/tests/forwarding/test_follower.py
+++ b/tests/forwarding/test_follower.py
@@ -230,6 +230,14 @@
                 )
                 await self.follower.close()
 
+    async def test_a_take_up_removes_no_servers_after_an_outage(self) -> None:
+        """Guards against a host that loses all servers whose entries lapsed in an outage, because a
+        caller takes up a stream before the list is read again."""
+        self.start(published(1, "s1"), PublishedStateError("down"), changes(12, ServerId("s1")))
+        await self.wait_until(lambda: not self.follower.reachable)
+        self.assertFalse(await self.follower.confirm(self.clock.now_ms()))
+        self.assertEqual([server.server for server in self.servers.all_servers()], ["s1"])
+
     async def test_the_time_of_a_change_is_known_if_its_answer_came_in_time(self) -> None:
         """Guards against changes that count as made when a host hears of them after a pause."""
         for paused_s in (0.0, 1.0):
