--- a/src/medlarvale/forwarding/interface.py
+++ b/src/medlarvale/forwarding/interface.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import AsyncIterator, Callable
+from contextlib import AbstractContextManager
 from typing import Protocol
 
 from multidict import CIMultiDict
@@ -64,6 +65,23 @@
 LeavingCallback = Callable[[Server], None]
 
 
+class BodyInProgress(Protocol):
+    """A body of which a part has been read; implemented in ``body_memory``."""
+
+    # Whether its connection was closed to make room for others.
+    dropped: bool
+
+    def add(self, size_bytes: int) -> None:
+        """Counts a part that was read; drops the largest bodies if there is no room for it."""
+
+
+class BodyMemory(Protocol):
+    """Bounds the memory of all bodies that are being read; implemented in ``body_memory``."""
+
+    def reading(self, close: Callable[[], None]) -> AbstractContextManager[BodyInProgress]:
+        """Counts a body until the end of the block; ``close`` closes its connection."""
+
+
 class Backends(Protocol):
     """Calls to backend servers."""
 
--- a/src/medlarvale/platform/backends.py
+++ b/src/medlarvale/platform/backends.py
@@ -13,7 +13,6 @@
 from multidict import CIMultiDict
 from yarl import URL
 
-from medlarvale.body_memory import BodyMemory
 from medlarvale.errors import DECODE_ERRORS
 from medlarvale.forwarding.errors import (
     BackendError,
@@ -22,7 +21,7 @@
     RejectedError,
     ServerDownError,
 )
-from medlarvale.forwarding.interface import LeavingCallback, LimitCallback
+from medlarvale.forwarding.interface import BodyMemory, LeavingCallback, LimitCallback
 from medlarvale.forwarding.messages import (
     ClientRequest,
     Count,
@@ -103,7 +102,7 @@
 class HttpResponse:
     """HTTP response of a backend server; see ``BackendAnswer``."""
 
-    def __init__(self, response: RelayedResponse, memory: BodyMemory) -> None:
+    def __init__(self, response: RelayedResponse, memory: BodyMemory | None) -> None:
         self._response = response
         self._memory = memory
         self.status = response.status
@@ -169,7 +168,7 @@
     Args:
         requests: connections for requests of callers.
         calls: connections for all other calls.
-        memory: bounds the bytes of all answers that are being read.
+        memory: bounds the bytes of all answers that are being read; None for no such bound.
     """
 
     def __init__(
@@ -178,7 +177,7 @@
         calls: aiohttp.ClientSession,
         memory: BodyMemory | None = None,
     ) -> None:
-        self._memory = memory or BodyMemory()
+        self._memory = memory
         self._requests = requests
         self._calls = calls
         self._grants = _Grants()
--- a/src/medlarvale/platform/connections.py
+++ b/src/medlarvale/platform/connections.py
@@ -3,13 +3,14 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from contextlib import nullcontext
 from contextvars import ContextVar
 from typing import Any
 
 import aiohttp
 
-from medlarvale.body_memory import BodyMemory
 from medlarvale.forwarding.errors import BackendError
+from medlarvale.forwarding.interface import BodyMemory
 from medlarvale.http_bodies import TrackedConnection, TrackedResponse, track_connections
 from medlarvale.platform import headers as names
 
@@ -189,13 +190,15 @@
                 connection.close()
 
 
-async def read_body(response: aiohttp.ClientResponse, max_bytes: int, memory: BodyMemory) -> bytes:
+async def read_body(
+    response: aiohttp.ClientResponse, max_bytes: int, memory: BodyMemory | None = None
+) -> bytes:
     """Returns the whole body of a response.
 
     Args:
         response: the response.
         max_bytes: most bytes of its body.
-        memory: bounds the bytes of all bodies.
+        memory: bounds the bytes of all bodies together; None for no such bound.
 
     Raises:
         BackendError: if the body is larger than allowed, or the largest while all bodies together
@@ -203,14 +206,17 @@
         aiohttp.ClientError: if the body ends early.
     """
     parts: list[bytes] = []
+    size = 0
     try:
-        with memory.reading(response.close) as body:
+        with nullcontext() if memory is None else memory.reading(response.close) as body:
             async for part in response.content.iter_any():
                 note_body(response)
-                body.add(len(part))
-                if body.dropped:
-                    raise BackendError("the response bodies in progress take too much memory")
-                if body.size_bytes > max_bytes:
+                size += len(part)
+                if body is not None:
+                    body.add(len(part))
+                    if body.dropped:
+                        raise BackendError("the response bodies in progress take too much memory")
+                if size > max_bytes:
                     response.close()
                     raise BackendError(f"the response body is larger than {max_bytes} bytes")
                 parts.append(part)
--- a/src/medlarvale/platform/store.py
+++ b/src/medlarvale/platform/store.py
@@ -9,7 +9,6 @@
 import msgspec
 from yarl import URL
 
-from medlarvale.body_memory import BodyMemory
 from medlarvale.errors import DECODE_ERRORS
 from medlarvale.forwarding.errors import (
     BackendError,
@@ -85,8 +84,6 @@
 
     def __init__(self, session: aiohttp.ClientSession, address: str) -> None:
         self._session = session
-        # The store is one server, whose answers have a bound of their own.
-        self._memory = BodyMemory(MAX_PAGE_BYTES)
         self._base = URL(f"http://{address}")
         self._range_decoder = msgspec.json.Decoder(_Range)
         self._watch_decoder = msgspec.json.Decoder(_Watch)
@@ -203,7 +200,7 @@
                     )
                 if response.status != 200:
                     raise PublishedStateError(f"the store returned status {response.status}")
-                return await read_body(response, MAX_PAGE_BYTES, self._memory), _era(response)
+                return await read_body(response, MAX_PAGE_BYTES), _era(response)
         except BackendError as error:
             raise PublishedStateError(f"the store sent too much: {error.message}") from error
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
--- a/tests/platform/test_endless_answers.py
+++ b/tests/platform/test_endless_answers.py
@@ -9,6 +9,7 @@
 from collections.abc import Awaitable, Callable, Iterable, Iterator
 from typing import Any
 
+from medlarvale.body_memory import BodyMemory
 from medlarvale.forwarding.errors import BackendError, MedlarvaleError, PublishedStateError
 from medlarvale.forwarding.events import EventSplitter
 from medlarvale.forwarding.messages import Dispatch, Server
@@ -96,7 +97,7 @@
     async def asyncSetUp(self) -> None:
         self.session = new_session()
         self.addAsyncCleanup(self.session.close)
-        self.backends = HttpBackends(self.session, self.session)
+        self.backends = HttpBackends(self.session, self.session, BodyMemory())
 
     async def start(self, kind: str) -> tuple[EndlessServer, Server]:
         endless = EndlessServer(ENDLESS[kind])
