Test the bound of one answer without that of all together

With the second bound in place, a mutation that removes the first one left the tests green. Only the test of stalled answers now gives its client a bound for all; both mutations fail a test again.

--- a/tests/platform/test_endless_answers.py
+++ b/tests/platform/test_endless_answers.py
@@ -97,7 +97,7 @@
     async def asyncSetUp(self) -> None:
         self.session = new_session()
         self.addAsyncCleanup(self.session.close)
-        self.backends = HttpBackends(self.session, self.session, BodyMemory())
+        self.backends = HttpBackends(self.session, self.session)
 
     async def start(self, kind: str) -> tuple[EndlessServer, Server]:
         endless = EndlessServer(ENDLESS[kind])
@@ -149,6 +149,7 @@
         is allowed and then nothing (a report of other operators)."""
         tracemalloc.start()
         self.addCleanup(tracemalloc.stop)
+        self.backends = HttpBackends(self.session, self.session, BodyMemory())
         parts = [PART] * (MAX_ANSWER_BYTES // len(PART) - 1)
         head = HEAD + b"Content-Length: 99999999999\r\n\r\n"
         sound = RawServer(HEAD + b"Content-Length: 4\r\n\r\ngood")
