Show that streams of killed servers reach their callers as complete

Callers saw streams without their last events (rule ORDER). The stand-in's servers now frame their answers by the end of the connection if a test asks for it, end one in order between two events, report their load, and can be killed.

--- a/src/medlarvale/platform/standin.py
+++ b/src/medlarvale/platform/standin.py
@@ -19,6 +19,7 @@
 from aiohttp import web
 from aiohttp.typedefs import Middleware
 
+from medlarvale.http_bodies import BodyFraming
 from medlarvale.standins.serving import Address, serve
 
 # Port 0 lets the operating system choose a port.
@@ -130,6 +131,9 @@
         runs: ids of the requests that started to run.
         cancelled: ids of the requests whose stream was cancelled.
         break_after: number of events after which the next stream is reset; None for no reset.
+        framing: what marks the end of its answers to requests: chunks, or the end of the connection.
+        end_after: number of events after which the connection of the next stream ends in order, as
+            that of a process that is killed; None if it doesn't.
         delay_s: duration of a plain call, or time between two events of a stream.
         heartbeat_s: time between two heartbeats that its entry counts.
         event_count: number of events of a stream.
@@ -169,6 +173,8 @@
         self.holds: set[str] = set()
         self.handles: set[str] = set()
         self.break_after: int | None = None
+        self.framing = BodyFraming.CHUNKED
+        self.end_after: int | None = None
         self.delay_s = 0.0
         self.heartbeat_s = HEARTBEAT_S
         self.event_count = EVENT_COUNT
@@ -190,6 +196,7 @@
         """Returns the HTTP application of the server."""
         app = web.Application()
         app.router.add_post("/hold-take", self._acquire_hold)
+        app.router.add_get("/report", self._report)
         app.router.add_get("/kv-list", self._list_cached)
         app.router.add_get("/kv-events", self._list_cache_events)
         app.router.add_delete("/hold-drop/{hold}", self._release_hold)
@@ -205,10 +212,22 @@
         self.calls.append((now_s, request.headers.get(SENDER, ""), asks))
         if self.says_leaving:
             response.headers["Server-Leaving"] = "1"
+        if self.framing is BodyFraming.CLOSE and "X-Response-Signature" in response.headers:
+            self._end_with_connection(response)
         if self.close_every is not None and self._answers % self.close_every == 0:
             response.force_close()
             response.headers["Connection"] = "close"
 
+    def _end_with_connection(self, response: web.StreamResponse) -> None:
+        """Takes length and chunks from a response whose head has not been written yet."""
+        assert response._payload_writer is not None
+        response._payload_writer.chunked = False
+        response._payload_writer.length = None
+        response.headers.popall("Transfer-Encoding", None)
+        response.headers.popall("Content-Length", None)
+        response.headers["Connection"] = "close"
+        response.force_close()
+
     def entry(self) -> dict[str, Any]:
         """Returns the server's entry in the store."""
         age_s = time.time() - self.born_ms / 1000.0
@@ -237,6 +256,22 @@
         self.holds.add(hold)
         return web.json_response({"Hold": hold})
 
+    async def _report(self, request: web.Request) -> web.Response:
+        if request.headers.get("X-Expected-Instance") != self.name:
+            return web.Response(status=421, headers={"X-Instance-Id": self.name})
+        return web.json_response(
+            {
+                "Stage": self.stage,
+                "Busy": False,
+                "Sequence": 0,
+                "Queued": 0,
+                "Running": 0,
+                "KvUsed": 0,
+                "KvTotal": 0,
+                "born": self.born_ms,
+            }
+        )
+
     async def _list_cached(self, request: web.Request) -> web.Response:
         held = [["", part, tokens, "m"] for part, tokens in self.cached.items()]
         return web.json_response({"epoch": 1, "Next": 0, "held": held})
@@ -319,8 +354,13 @@
         )
         await response.prepare(request)
         cut_after, self.break_after = self.break_after, None
+        end_after, self.end_after = self.end_after, None
         try:
             for number in range(first, self.event_count + 1):
+                if end_after is not None and number > end_after:
+                    assert request.transport is not None
+                    request.transport.close()
+                    break
                 if cut_after is not None and number > cut_after:
                     await response.write(self._event(began_as, number)[:9])
                     assert request.transport is not None
@@ -343,13 +383,16 @@
     Attributes:
         timeout_ms: timeout of all routes.
         target_latency_ms: target latency of all routes.
+        resumable: whether streams may be resumed.
     """
 
     def __init__(self) -> None:
+        self.resumable = True
         self.timeout_ms = 3_000
         self.target_latency_ms = 500
         self.store = StandinStore()
         self._stack = AsyncExitStack()
+        self._stacks: dict[str, AsyncExitStack] = {}
         self._by_address: dict[str, StandinServer] = {}
         self.servers = {
             name: StandinServer(name, service, stage)
@@ -380,7 +423,9 @@
             await self._start_server(server)
 
     async def _start_server(self, server: StandinServer) -> None:
-        bound = await self._stack.enter_async_context(serve(server.application(), LOOPBACK))
+        stack = await self._stack.enter_async_context(AsyncExitStack())
+        bound = await stack.enter_async_context(serve(server.application(), LOOPBACK))
+        self._stacks[server.name] = stack
         server.address = str(bound)
         server.servers_by_address = self._by_address
         self._by_address[server.address] = server
@@ -395,6 +440,10 @@
         self.servers[server.name] = server
         await self._start_server(server)
 
+    async def kill(self, name: str) -> None:
+        """Stops a server without notice; its connections end in order, as the system ends them."""
+        await self._stacks[name].aclose()
+
     async def drain(self, name: str) -> None:
         """Announces that a server leaves."""
         self.servers[name].state = "draining"
@@ -437,7 +486,7 @@
                     "TargetLatencyMs": self.target_latency_ms,
                     "Service": service,
                     "MaxAttempts": 2,
-                    "Resumable": True,
+                    "Resumable": self.resumable,
                 }
             )
         engine = {"Slots": 8, "KvTokenCapacity": 60000, "KvHoldS": 0.5, "HoldMs": 2000.0}
--- /dev/null
+++ b/tests/forwarding/test_answer_ends.py
@@ -0,0 +1,148 @@
+"""Tests of answers that end with their connection, before whole hosts and servers on loopback."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import NamedTuple
+
+import aiohttp
+
+from medlarvale.forwarding.errors import OutcomeUnknownError, ServerDownError
+from medlarvale.forwarding.messages import RouteKind, ServerState, Target
+from medlarvale.forwarding.plain import PlainForwarder
+from medlarvale.http_bodies import BodyFraming
+from medlarvale.ids import ServerId
+from medlarvale.platform.standin import EVENT_COUNT, stream_body
+from tests.forwarding.fakes import APP, FakeAnswer, make_request, make_route, make_server
+from tests.forwarding.stream_case import StreamTestCase
+from tests.forwarding.test_host import IP, HostTestCase
+
+DEADLINE_MS = 3_000
+LIMIT_S = 5.0
+EVENT_S = 0.1
+# Enough that the server is killed in the middle of its stream.
+FEW_EVENTS = 3
+
+
+class Answered(NamedTuple):
+    """What a caller has received; ``complete`` if its connection did not break off."""
+
+    status: int
+    body: bytes
+    complete: bool
+
+
+class AnswerEndsTest(HostTestCase):
+    """The connections of servers that are killed end in order, without a reset."""
+
+    async def asyncSetUp(self) -> None:
+        await super().asyncSetUp()
+        self.engines = [server for server in self.servers.values() if server.stage == "decode"]
+        for server in self.servers.values():
+            server.framing = BodyFraming.CLOSE
+
+    async def start(self, *, resumable: bool = True) -> None:
+        """Publishes a configuration."""
+        self.platform.resumable = resumable
+        await self.configure()
+
+    async def call(self, route: str, name: str = "q1") -> Answered:
+        headers = {
+            "Host": "callers.example",
+            "X-Request-Id": name,
+            "X-Deadline-Ms": str(DEADLINE_MS),
+            "X-Token-Counts": "100,30",
+        }
+        url = f"http://{IP}:{self.caller_port}/{route}/1"
+        body = b""
+        async with (
+            asyncio.timeout(LIMIT_S),
+            self.client.post(url, headers=headers, data=b"x") as response,
+        ):
+            try:
+                async for part in response.content.iter_any():
+                    body += part
+            except aiohttp.ClientPayloadError:
+                return Answered(response.status, body, False)
+            return Answered(response.status, body, True)
+
+    def end_early(self, events: int = FEW_EVENTS) -> None:
+        for engine in self.engines:
+            engine.end_after = events
+
+    async def test_a_stream_that_ends_between_events_is_not_passed_on_as_complete(self) -> None:
+        """Guards against rule ORDER: the connection of an engine ends in order before the last
+        event, and the caller gets a shorter stream that looks whole."""
+        await self.start()
+        for events in range(1, EVENT_COUNT):
+            with self.subTest(events=events):
+                self.end_early(events)
+                answered = await self.call("chat", f"early-{events}")
+                self.assertEqual(answered, (200, stream_body(f"early-{events}"), True))
+
+    async def test_streams_of_engines_that_never_delimit_them_are_served(self) -> None:
+        """Guards against refusals, and against a second run of each stream, because nothing in
+        the answers of some software marks their end."""
+        await self.start()
+        names = [f"whole-{number}" for number in range(40)]
+        for name in names:
+            self.assertEqual(await self.call("chat", name), (200, stream_body(name), True))
+        runs = sum(len(engine.runs) for engine in self.engines)
+        self.assertLess(runs, 1.5 * len(names))
+        for name in ("look", "book"):
+            self.assertEqual(await self.call(name), (200, b"ok:x", True))
+
+    async def test_a_stream_of_an_engine_that_is_killed_does_not_look_complete(self) -> None:
+        """Guards against rule ORDER: an engine is killed while it writes a stream, which can't be
+        resumed or has to go on at another engine."""
+        for resumable in (True, False):
+            with self.subTest(resumable=resumable):
+                await self.asyncSetUp()
+                await self.start(resumable=resumable)
+                for engine in self.engines:
+                    engine.delay_s = EVENT_S
+                call = asyncio.create_task(self.call("chat"))
+                await self.wait_until(lambda: any(engine.runs for engine in self.engines))
+                await asyncio.sleep(FEW_EVENTS * EVENT_S)
+                await self.platform.kill(next(e.name for e in self.engines if e.runs))
+                answered = await call
+                self.assertEqual(answered.complete, resumable, answered)
+                if resumable:
+                    self.assertEqual(answered.body, stream_body("q1"))
+
+
+class KilledServersTest(StreamTestCase):
+    """Answers whose connection ends in order, of servers that can't be reached afterwards."""
+
+    async def test_a_plain_answer_of_a_server_that_is_gone_does_not_look_complete(self) -> None:
+        """Guards against rule MIXED: a server was killed in the middle of an answer without a
+        length or chunks, and the caller gets what had been written as a whole answer."""
+        gone = ServerDownError("connection refused")
+        table = [
+            ("it answers", RouteKind.UNSAFE, BodyFraming.CLOSE, None, 200),
+            ("gone", RouteKind.UNSAFE, BodyFraming.CLOSE, gone, None),
+            ("gone, repeated elsewhere", RouteKind.SAFE, BodyFraming.CLOSE, gone, 200),
+            ("gone, but the answer has a length", RouteKind.UNSAFE, BodyFraming.LENGTH, gone, 200),
+        ]
+        for name, kind, framing, error, status in table:
+            with self.subTest(name):
+                self.build()
+                for server in ("s1", "s2"):
+                    self.context.servers.upsert(make_server(server, service=APP))
+                self.backends.script = lambda server, request, dispatch, framing=framing: (
+                    FakeAnswer([b"body"], event_stream=False, framing=framing)
+                )
+                if error is not None:
+                    self.backends.probe_errors = {ServerId("s1"): error}
+                    self.context.servers.upsert(
+                        make_server("s2", service=APP, state=ServerState.DRAINING)
+                    )
+                    self.backends.on_send(
+                        lambda server: self.context.servers.upsert(make_server("s2", service=APP))
+                    )
+                route = make_route(kind=kind, targets=(Target(APP, 1.0),))
+                try:
+                    reply = await PlainForwarder(self.context).forward(make_request(), route, APP)
+                    self.assertEqual(reply.status, status)
+                except OutcomeUnknownError:
+                    self.assertIsNone(status)
