Guard against streams that engines end at their deadline

An engine stops work at the deadline that it is given, which is a whole number of milliseconds and so up to a millisecond shorter than what is left. No code of the host is changed.

--- a/src/medlarvale/platform/standin.py
+++ b/src/medlarvale/platform/standin.py
@@ -10,6 +10,7 @@
 import asyncio
 import itertools
 import json
+import math
 import time
 from base64 import b64encode
 from collections import Counter
@@ -133,6 +134,7 @@
         cancelled: ids of the requests whose stream was cancelled.
         break_after: number of events after which the next stream is reset; None for no reset.
         framing: what marks the end of its answers to requests; only CHUNKED and CLOSE.
+        stops_in_time: whether a stream ends, with its last chunk, at the deadline of its request.
         end_after: number of events after which the connection of the next stream ends in order, as
             that of a process that is killed; None if it doesn't.
         delay_s: duration of a plain call, or time between two events of a stream.
@@ -176,6 +178,7 @@
         self.break_after: int | None = None
         self.framing = BodyFraming.CHUNKED
         self.end_after: int | None = None
+        self.stops_in_time = False
         self.delay_s = 0.0
         self.heartbeat_s = HEARTBEAT_S
         self.event_count = EVENT_COUNT
@@ -356,6 +359,9 @@
         await response.prepare(request)
         cut_after, self.break_after = self.break_after, None
         end_after, self.end_after = self.end_after, None
+        limit_s = math.inf
+        if self.stops_in_time:
+            limit_s = time.monotonic() + int(request.headers["X-Deadline-Ms"]) / 1000.0
         try:
             for number in range(first, self.event_count + 1):
                 if end_after is not None and number > end_after:
@@ -368,7 +374,10 @@
                     request.transport.abort()
                     break
                 await response.write(self._event(began_as, number))
-                await asyncio.sleep(self.delay_s)
+                left_s = limit_s - time.monotonic()
+                await asyncio.sleep(max(0.0, min(self.delay_s, left_s)))
+                if left_s < self.delay_s:
+                    break
         except asyncio.CancelledError:
             self.cancelled.append(request_id)
             raise
--- a/tests/forwarding/test_answer_ends.py
+++ b/tests/forwarding/test_answer_ends.py
@@ -19,6 +19,9 @@
 
 DEADLINE_MS = 3_000
 LIMIT_S = 5.0
+# Shorter than the streams of engines with a pause between their events.
+ROUTE_TIMEOUT_MS = 400
+DEADLINES = 40
 EVENT_S = 0.1
 # Enough that the server is killed in the middle of its stream.
 FEW_EVENTS = 3
@@ -128,6 +131,27 @@
                 if resumable:
                     self.assertEqual(answered.body, stream_body("q1"))
 
+    async def test_a_stream_that_its_engine_ends_at_the_deadline_does_not_look_complete(
+        self,
+    ) -> None:
+        """Guards against rule ORDER: an engine stops at the deadline that it was given, which comes
+        up to a millisecond before the end of the caller's time."""
+        self.platform.timeout_ms = ROUTE_TIMEOUT_MS
+        await self.start()
+        for engine in self.engines:
+            engine.framing, engine.delay_s, engine.stops_in_time = (
+                BodyFraming.CHUNKED,
+                EVENT_S,
+                True,
+            )
+        calls = []
+        for number in range(DEADLINES):
+            calls.append(asyncio.create_task(self.call("chat", f"late-{number}")))
+            await asyncio.sleep(0.0103)
+        streams = [answered for answered in await asyncio.gather(*calls) if answered.status == 200]
+        self.assertGreater(len(streams), DEADLINES / 4)
+        self.assertEqual([stream for stream in streams if stream.complete], [])
+
 
 class KilledServersTest(StreamTestCase):
     """Answers whose connection ends in order, of servers that can't be reached afterwards."""
