Ask a silent server again whether it is still there

A sound server may be silent for about a second. Callers of one that was silent right after a whole answer without framing would have lost it, if the request can't be repeated: one unanswered call counted as the loss of the server. Now a refused connection or another instance shows that it is gone, and a call without an answer is made again, three times at most. For a stream that may be resumed one call is enough, since a continuation tells the rest.

--- a/src/medlarvale/forwarding/answer_ends.py
+++ b/src/medlarvale/forwarding/answer_ends.py
@@ -9,7 +9,7 @@
 import enum
 from collections import OrderedDict
 
-from medlarvale.forwarding.errors import BackendError
+from medlarvale.forwarding.errors import BackendError, ServerDownError
 from medlarvale.forwarding.interface import Backends
 from medlarvale.forwarding.messages import Server
 from medlarvale.ids import ServiceName, SoftwareVersion
@@ -18,6 +18,9 @@
 # Streams in a row that have to turn out to be whole before the ends of a software's connections are
 # trusted without a continuation of each stream.
 TRUSTED_ENDS = 8
+# Calls without an answer after which a server counts as gone. A sound server may be silent for
+# about a second, which is less than the time limits of three calls.
+MAX_UNANSWERED = 3
 # Number of software versions whose ends are remembered.
 REMEMBERED_VERSIONS = 256
 
@@ -33,22 +36,30 @@
     SERVER = "server"
 
 
-async def still_serves(backends: Backends, server: Server) -> bool:
+async def still_serves(backends: Backends, server: Server, max_calls: int = MAX_UNANSWERED) -> bool:
     """Returns whether a server can be reached as the instance that it was.
 
     Args:
         backends: calls it.
         server: its entry when the request was sent.
+        max_calls: calls without an answer after which it counts as gone.
     """
-    try:
-        if server.stage is None:
-            await backends.probe(server)
-        elif not await backends.is_same_instance(server):
-            raise BackendError("another instance answers")
-    except BackendError as error:
-        log_info(Event.INSTANCE_GONE, server=server.server, error=error.message)
-        return False
-    return True
+    reason = ""
+    for _ in range(max_calls):
+        try:
+            if server.stage is None:
+                await backends.probe(server)
+            elif not await backends.is_same_instance(server):
+                reason = "another instance answers"
+                break
+            return True
+        except ServerDownError as error:
+            reason = error.message
+            break
+        except BackendError as error:
+            reason = error.message
+    log_info(Event.INSTANCE_GONE, server=server.server, error=reason)
+    return False
 
 
 class ConnectionEnds:
--- a/src/medlarvale/forwarding/interface.py
+++ b/src/medlarvale/forwarding/interface.py
@@ -169,7 +169,8 @@
         """Returns whether an engine answers as the instance that an entry names.
 
         Raises:
-            BackendError: if it does not answer.
+            ServerDownError: no process accepts connections at its address.
+            BackendError: it does not answer.
         """
 
     async def report(self, server: Server) -> EngineReport:
--- a/src/medlarvale/forwarding/stream_end.py
+++ b/src/medlarvale/forwarding/stream_end.py
@@ -4,7 +4,12 @@
 
 from collections.abc import Callable
 
-from medlarvale.forwarding.answer_ends import TRUSTED_ENDS, EndEvidence, still_serves
+from medlarvale.forwarding.answer_ends import (
+    MAX_UNANSWERED,
+    TRUSTED_ENDS,
+    EndEvidence,
+    still_serves,
+)
 from medlarvale.forwarding.context import ForwardingContext
 from medlarvale.forwarding.guarded_run import GuardedRun
 from medlarvale.forwarding.servers import ServerLoad
@@ -116,7 +121,9 @@
 
     async def still_serves(self, load: ServerLoad) -> bool:
         """Returns whether an engine that has ended its connection is still there."""
-        serves = await still_serves(self._context.backends, load.server)
+        # A continuation is another way to find out.
+        max_calls = 1 if self._can_resume() else MAX_UNANSWERED
+        serves = await still_serves(self._context.backends, load.server, max_calls)
         if not serves:
             self._guarded.note_broken(load.server)
         return serves
--- a/src/medlarvale/platform/backends.py
+++ b/src/medlarvale/platform/backends.py
@@ -423,7 +423,12 @@
 
     async def is_same_instance(self, server: Server) -> bool:
         """Returns whether an engine answers as the instance that an entry names."""
-        status, body = await self._call(server, "GET", "/report", None)
+        try:
+            status, body = await self._call(server, "GET", "/report", None)
+        except BackendError:
+            # Tells whether the engine is down or only silent.
+            await self.probe(server)
+            raise
         if status == names.WRONG_SERVER_STATUS:
             return False
         try:
--- a/tests/forwarding/test_answer_ends.py
+++ b/tests/forwarding/test_answer_ends.py
@@ -4,11 +4,18 @@
 
 import asyncio
 from typing import NamedTuple
+from unittest import mock
 
 import aiohttp
 
-from medlarvale.forwarding.errors import OutcomeUnknownError, ServerDownError
-from medlarvale.forwarding.messages import RouteKind, ServerState, Target
+from medlarvale.forwarding.answer_ends import MAX_UNANSWERED, still_serves
+from medlarvale.forwarding.errors import (
+    BackendError,
+    NotSentError,
+    OutcomeUnknownError,
+    ServerDownError,
+)
+from medlarvale.forwarding.messages import EngineStage, RouteKind, ServerState, Target
 from medlarvale.forwarding.plain import PlainForwarder
 from medlarvale.http_bodies import BodyFraming
 from medlarvale.ids import ServerId
@@ -156,6 +163,25 @@
 class KilledServersTest(StreamTestCase):
     """Answers whose connection ends in order, of servers that can't be reached afterwards."""
 
+    async def test_a_server_that_is_silent_for_a_while_is_not_gone(self) -> None:
+        """Guards against whole answers that are thrown away because their server, which is sound,
+        does not answer at once when it is asked whether it is still there."""
+        silent, down = NotSentError("timeout"), ServerDownError("connection refused")
+        table: list[tuple[str, list[BackendError], bool]] = [
+            ("answers", [], True),
+            ("silent for a while", [silent, silent], True),
+            ("silent", [silent] * MAX_UNANSWERED, False),
+            ("down", [down], False),
+        ]
+        for name, errors, serves in table:
+            for stage in (None, EngineStage.DECODE):
+                with self.subTest(name, stage=stage):
+                    self.build()
+                    probe = mock.AsyncMock(side_effect=[*errors, True])
+                    self.backends.probe = self.backends.is_same_instance = probe
+                    server = make_server("s1", stage=stage)
+                    self.assertEqual(await still_serves(self.backends, server), serves)
+
     async def test_a_plain_answer_of_a_server_that_is_gone_does_not_look_complete(self) -> None:
         """Guards against rule MIXED: a server was killed in the middle of an answer without a
         length or chunks, and the caller gets what had been written as a whole answer."""
