Take the head for the end of an answer that can't have a body

Callers got 502 for a 204 or 304 that came through a peer, also for bookings that had run, and each such answer of a server cost a call to it: an answer without a length and chunks counted as one that ends with its connection, whatever its status or method.

--- a/src/medlarvale/http_bodies.py
+++ b/src/medlarvale/http_bodies.py
@@ -8,6 +8,7 @@
 import asyncio
 import enum
 import functools
+from http import HTTPStatus
 from typing import Any
 
 import aiohttp
@@ -24,11 +25,16 @@
     CLOSE = "close"
 
 
-def body_framing(headers: MultiMapping[str]) -> BodyFraming:
+def body_framing(
+    headers: MultiMapping[str], status: int = HTTPStatus.OK, method: str = "GET"
+) -> BodyFraming:
     """Returns the framing that the headers of a response declare.
 
     A body with transfer codings is delimited by chunks only if "chunked" is the last one.
     """
+    if status in (HTTPStatus.NO_CONTENT, HTTPStatus.NOT_MODIFIED) or method == "HEAD":
+        # The head ends an answer that can't have a body.
+        return BodyFraming.LENGTH
     codings = ",".join(headers.getall("Transfer-Encoding", ())).lower().split(",")
     if codings[-1].strip() == "chunked":
         return BodyFraming.CHUNKED
@@ -58,7 +64,7 @@
 
     def broke_off(self) -> bool:
         """Returns whether the body, which was read to its end, ended with a reset instead."""
-        framing = body_framing(self.headers)
+        framing = body_framing(self.headers, self.status, self.method)
         return framing is BodyFraming.CLOSE and self.connection_in_use.was_reset
 
 
