Take a refused report for no sign of the same instance

An engine that has started again under its id may turn calls away. Its 429 or 503 counted as the instance whose connection had ended, so a stream that was cut by its restart could reach its caller as complete. Only a report with the start of the engine shows the instance now; a refusal counts as no answer.

--- a/src/medlarvale/platform/backends.py
+++ b/src/medlarvale/platform/backends.py
@@ -133,7 +133,7 @@
         self.headers: CIMultiDict[str] = names.forwardable(response.headers, frozenset())
         self.signed = names.SIGNATURE in response.headers
         self.event_stream = response.content_type == "text/event-stream"
-        self.framing = body_framing(response.headers)
+        self.framing = body_framing(response.headers, response.status, response.method)
 
     async def read(self) -> bytes:
         """Returns the whole body."""
@@ -431,11 +431,12 @@
             raise
         if status == names.WRONG_SERVER_STATUS:
             return False
+        if status != 200:
+            raise BackendError(f"server {server.server}: load report returned status {status}")
         try:
             born_ms = msgspec.json.decode(body, type=_InstanceFields).born
-        except DECODE_ERRORS:
-            # An engine that turns the call away answers without a report.
-            born_ms = 0
+        except DECODE_ERRORS as error:
+            raise BackendError(f"server {server.server}: invalid load report: {error}") from error
         return not born_ms or not server.born_ms or born_ms == server.born_ms
 
     async def report(self, server: Server) -> EngineReport:
