Judge the ends of connections by what they were shown to be, and in time

The review of the mend showed faults in the judgement, each with a test that failed before:

- a part of an event, at which a continuation broke off, did not count as one, so the stream was complete;
- a stream whose events have no numbers was continued from its begin, and reached the caller twice;
- streams that ended before any of their software had been checked, or while no memory was free, were cut for want of a retry, and so were others after one early end, or where a continuation is refused;
- the check took as long as callers wait for an event, and an engine that was gone got the first try;
- an engine that leaves counted as evidence, or cost a trusted software the retry of another stream;
- an engine was called in the time for which it wants no calls; an empty rest could lack its head.

Cause: the ends of a software were distrusted until one was shown to be whole, instead of believed until some were shown to be early. A check is bounded by the silence after which a stream is taken over, since its caller may have all of it.

--- a/src/medlarvale/forwarding/stream_end.py
+++ b/src/medlarvale/forwarding/stream_end.py
@@ -4,12 +4,7 @@
 
 from collections.abc import Callable
 
-from medlarvale.forwarding.answer_ends import (
-    MAX_UNANSWERED,
-    TRUSTED_ENDS,
-    EndEvidence,
-    still_serves,
-)
+from medlarvale.forwarding.answer_ends import MAX_UNANSWERED, EndEvidence, still_serves
 from medlarvale.forwarding.context import ForwardingContext
 from medlarvale.forwarding.guarded_run import GuardedRun
 from medlarvale.forwarding.servers import ServerLoad
@@ -20,8 +15,9 @@
 class StreamEnd:
     """Judges the ends of a stream's runs.
 
-    An end without framing is unproven until a continuation after the last event ends empty, or the
-    ends of the engine's software have been right before and the engine is still there.
+    An end without framing is unproven until a continuation after the last event ends empty. If none
+    is possible, or the ends of the engine's software have been right so far, it is enough that the
+    engine is still there.
 
     Attributes:
         evidence: what shows that the stream is whole; None while nothing does.
@@ -56,6 +52,11 @@
         """Whether the stream may have ended with its last event."""
         return self._ended_by is not None
 
+    @property
+    def is_likely(self) -> bool:
+        """Whether the stream has an unproven end of an engine that was still there."""
+        return self._ended_by is not None and self._was_alive
+
     def is_of(self, load: ServerLoad) -> bool:
         """Returns whether the unproven end is that of an engine."""
         return self._ended_by is load
@@ -90,7 +91,7 @@
             return EndEvidence.CONTINUATION if self.is_unproven else EndEvidence.FRAMING
         serves = await self.still_serves(load)
         if empty:
-            return EndEvidence.CONTINUATION if serves else None
+            return EndEvidence.CONTINUATION if serves and not self._may_leave_early(load) else None
         self._was_alive = serves
         if not serves or self._was_early or self._needs_continuation(load):
             return None
@@ -98,21 +99,23 @@
 
     def _needs_continuation(self, load: ServerLoad) -> bool:
         ends = self._context.connection_ends
-        if not self._can_resume():
+        if not self._can_resume() or ends.are_trusted(load.server):
             return False
-        if not ends.were_whole(load.server, 1):
+        if ends.are_doubted(load.server) or self._may_leave_early(load):
             return True
-        # A server that leaves may end what it has not finished.
+        return self._budget.has_retry()
+
+    def _may_leave_early(self, load: ServerLoad) -> bool:
+        """Returns whether an engine leaves, and may end what it has not finished."""
         leaves = not self._context.servers.takes_work(load)
-        is_trusted = ends.were_whole(load.server, TRUSTED_ENDS) and not leaves
-        return not is_trusted and self._budget.has_retry()
+        return leaves and not self._context.connection_ends.are_trusted(load.server)
 
     async def is_believed(self) -> bool:
         """Returns whether the stream counts as whole although no continuation could check it."""
         engine = self._ended_by
-        if engine is None or self._was_early:
+        if engine is None or self._was_early or self._may_leave_early(engine):
             return False
-        if not self._context.connection_ends.were_whole(engine.server, 1):
+        if self._context.connection_ends.are_doubted(engine.server):
             return False
         if not await self.still_serves(engine):
             return False
@@ -123,7 +126,12 @@
         """Returns whether an engine that has ended its connection is still there."""
         # A continuation is another way to find out.
         max_calls = 1 if self._can_resume() else MAX_UNANSWERED
-        serves = await still_serves(self._context.backends, load.server, max_calls)
+        now_ms, servers = self._context.clock.now_ms(), self._context.servers
+        wants_calls = not servers.waits.left_ms(load.server, now_ms)
+        serves = await still_serves(
+            self._context.backends, load.server, max_calls, wants_calls=wants_calls
+        )
         if not serves:
             self._guarded.note_broken(load.server)
+            servers.request_check(load, now_ms)
         return serves
--- a/src/medlarvale/forwarding/stream_run.py
+++ b/src/medlarvale/forwarding/stream_run.py
@@ -178,6 +178,10 @@
         self._cached_tokens = 0
         self._fetch_from: Server | None = None
         self._rejections = 0
+        # The last answer that was a stream.
+        self._answer: BackendAnswer | None = None
+        # Ends a continuation that only checks whether the stream has ended.
+        self._check_limit = asyncio.timeout(None)
         self.end = StreamEnd(context, self._guarded, self._budget, self._can_resume)
         # Whether the end of the body may have been written.
         self._ending = False
@@ -228,8 +232,15 @@
         run: EngineRun | None = None
         while True:
             try:
-                run = run or await self._begin()
-                return await self._complete(run)
+                async with self._limit_check():
+                    run = run or await self._begin()
+                    return await self._complete(run)
+            except TimeoutError:
+                if not self._check_limit.expired():
+                    raise
+                if await self.end.is_believed():
+                    await self._finish_stream()
+                    return None
             except SilentEngineError as error:
                 self._log_failed_attempt(error, run)
                 run = self._substitute(run, error)
@@ -254,6 +265,21 @@
                 raise self._final_error(error.message) from error
             run = None
 
+    def _limit_check(self) -> asyncio.Timeout:
+        """Returns the limit of the next run: short if it only checks whether the stream has ended.
+
+        The caller may have the whole stream, and leaves if its end takes too long.
+        """
+        limit_s = SILENCE_SHARE * patience_ms(self._route) / 1000.0
+        self._check_limit = asyncio.timeout(limit_s if self.end.is_likely else None)
+        return self._check_limit
+
+    def _note_went_on(self) -> None:
+        """Records that a run has sent something after the last event."""
+        if self.end.is_unproven:
+            self.end.note_event()
+            self._check_limit.reschedule(None)
+
     def _substitute(self, run: EngineRun | None, error: SilentEngineError) -> EngineRun | None:
         """Returns the run that takes over from a silent one; None to begin another.
 
@@ -575,6 +601,7 @@
                 raise BackendError(f"status {answer.status} for the rest of a stream")
             return Reply(answer.status, answer.headers, body, load.server.server)
         self._events.begin_run()
+        self._answer = answer
         self._measured_from = None
         first_of_request = not self._is_continuation()
         try:
@@ -587,11 +614,13 @@
                 load.contact_ms = clock.now_ms()
                 if has_data(events):
                     run.heard_ms = clock.now_ms()
-                    self.end.note_event()
+                    self._note_went_on()
                     watch.note_heard()
                 with watch.paused():
                     await self._forward_events(answer, events)
         except BackendError:
+            if self._events.rest.strip():
+                self._note_went_on()
             load.note_answer(failed=True)
             self._guarded.note_broken(load.server)
             self._cache_holder = load.server.server
@@ -599,12 +628,13 @@
         watch.stop()
         load.note_answer(failed=False)
         if not await self.end.check(load, answer.framing, empty=run.heard_ms is None):
-            self._cache_holder = load.server.server
+            if self.end.is_likely:
+                self._cache_holder = load.server.server
+            else:
+                self._excluded.add(load.server.server)
             raise UnprovenEndError("nothing shows that the stream is whole")
         self._guarded.note_clean()
         await self._forward_events(answer, self._events.rest)
-        if not self._started:
-            await self._sink.start(answer.status, answer.headers)
         await self._finish_stream()
         gap_ms = self.times.median_gap_ms()
         if gap_ms is not None:
@@ -613,6 +643,8 @@
         return None
 
     async def _finish_stream(self) -> None:
+        if not self._started and self._answer is not None:
+            await self._sink.start(self._answer.status, self._answer.headers)
         self._ending = True
         await self._sink.finish()
         self.times.complete = True
@@ -635,7 +667,9 @@
         return min(limit_ms, MAX_SILENCE_SHARE * patience)
 
     def _can_resume(self) -> bool:
-        return self._route.resumable and self.runs < self._route.max_attempts
+        # A stream without numbers would begin again.
+        has_place = not self._started or self._events.last_id is not None
+        return self._route.resumable and self.runs < self._route.max_attempts and has_place
 
     async def _forward_events(self, answer: BackendAnswer, data: bytes) -> None:
         if not data:
