Take an answer that can't have a body for whole

What callers saw: an unsafe call that a peer had relayed, and whose server had answered 204 or 304, was answered 502 with an unknown outcome, although it had run and its answer had come.

Cause: such an answer has neither a length nor chunks, as it has no body (RFC 9112, section 6.3).

The end of such an answer is the end of its head, so nothing of it can be missing.

--- a/src/medlarvale/forwarding/peer_sender.py
+++ b/src/medlarvale/forwarding/peer_sender.py
@@ -63,7 +63,7 @@
         # The peer accepts no successful answer without a signature.
         self.signed = True
         self.event_stream = response.content_type == "text/event-stream"
-        self.framing: BodyFraming = body_framing(response.headers, response.status, response.method)
+        self.framing: BodyFraming = body_framing(response)
 
     async def chunks(self) -> AsyncIterator[bytes]:
         """Yields the body as it arrives."""
--- a/src/medlarvale/http_bodies.py
+++ b/src/medlarvale/http_bodies.py
@@ -8,12 +8,12 @@
 import asyncio
 import enum
 import functools
-from http import HTTPStatus
 from typing import Any
 
 import aiohttp
 from aiohttp.client_proto import ResponseHandler
-from multidict import MultiMapping
+
+_STATUSES_WITHOUT_BODY = (204, 304)
 
 
 class BodyFraming(enum.Enum):
@@ -25,16 +25,15 @@
     CLOSE = "close"
 
 
-def body_framing(
-    headers: MultiMapping[str], status: int = HTTPStatus.OK, method: str = "GET"
-) -> BodyFraming:
-    """Returns the framing that the headers of a response declare.
+def body_framing(response: aiohttp.ClientResponse) -> BodyFraming:
+    """Returns the framing that the head of a response declares.
 
-    A body with transfer codings is delimited by chunks only if "chunked" is the last one.
+    A body with transfer codings is delimited by chunks only if "chunked" is the last one. A head
+    after which there can't be a body needs no length.
     """
-    if status in (HTTPStatus.NO_CONTENT, HTTPStatus.NOT_MODIFIED) or method == "HEAD":
-        # The head ends an answer that can't have a body.
+    if response.method == "HEAD" or response.status in _STATUSES_WITHOUT_BODY:
         return BodyFraming.LENGTH
+    headers = response.headers
     codings = ",".join(headers.getall("Transfer-Encoding", ())).lower().split(",")
     if codings[-1].strip() == "chunked":
         return BodyFraming.CHUNKED
@@ -64,8 +63,7 @@
 
     def broke_off(self) -> bool:
         """Returns whether the body, which was read to its end, ended with a reset instead."""
-        framing = body_framing(self.headers, self.status, self.method)
-        return framing is BodyFraming.CLOSE and self.connection_in_use.was_reset
+        return body_framing(self) is BodyFraming.CLOSE and self.connection_in_use.was_reset
 
 
 def track_connections(connector: aiohttp.BaseConnector, kind: type[TrackedConnection]) -> None:
--- a/src/medlarvale/platform/backends.py
+++ b/src/medlarvale/platform/backends.py
@@ -133,7 +133,7 @@
         self.headers: CIMultiDict[str] = names.forwardable(response.headers, frozenset())
         self.signed = names.SIGNATURE in response.headers
         self.event_stream = response.content_type == "text/event-stream"
-        self.framing = body_framing(response.headers, response.status, response.method)
+        self.framing = body_framing(response)
 
     async def read(self) -> bytes:
         """Returns the whole body."""
--- a/tests/forwarding/test_relay_peers.py
+++ b/tests/forwarding/test_relay_peers.py
@@ -28,7 +28,7 @@
 from medlarvale.forwarding.peer_sender import HttpPeerSender, PeerSender
 from medlarvale.forwarding.reach import ReachDetector
 from medlarvale.forwarding.relay_client import Relay
-from medlarvale.forwarding.relay_messages import RelayCodec
+from medlarvale.forwarding.relay_messages import RELAYED_HEADER, RelayCodec, RelayedAnswer
 from medlarvale.forwarding.servers import ServerTable
 from medlarvale.ids import (
     ConfigVersion,
@@ -254,6 +254,29 @@
                     await relay.forward(make_request("q1"), route, APP, FakeSink())
                 self.assertEqual(len(sender.asked), 2 if repeatable else 1)
 
+    async def test_an_answer_without_a_body_is_whole(self) -> None:
+        """Guards against a booking that has run and counts as unknown, since its answer has neither
+        a length nor chunks: it can't have a body (RFC 9112, section 6.3)."""
+        status = 204
+
+        async def answer(request: web.BaseRequest) -> web.Response:
+            return web.Response(status=status, headers={RELAYED_HEADER: RelayedAnswer.SERVER.value})
+
+        runner = web.ServerRunner(web.Server(answer))
+        await runner.setup()
+        self.addAsyncCleanup(runner.cleanup)
+        await web.TCPSite(runner, IP, 0).start()
+        sender = HttpPeerSender()
+        self.addAsyncCleanup(sender.close)
+        address = f"{IP}:{runner.addresses[0][1]}"
+        relay = self.build({"b1": "b"}, {"b1": address}, sender)
+        route = make_route(kind=RouteKind.UNSAFE, targets=(Target(APP, 1.0),))
+        for status in (204, 304):
+            with self.subTest(status):
+                reply = await relay.forward(make_request("q1"), route, APP, FakeSink())
+                assert reply is not None
+                self.assertEqual((reply.status, reply.body), (status, b""))
+
     async def test_what_no_peer_has_accepted_in_time_has_not_run(self) -> None:
         """Guards against "may have run" for a booking whose time ended before there was a
         connection to a peer."""
--- a/tests/platform/test_broken_answers.py
+++ b/tests/platform/test_broken_answers.py
@@ -8,6 +8,7 @@
 from typing import NamedTuple
 
 from aiohttp import web
+from multidict import CIMultiDict
 
 from medlarvale.clock import SystemClock
 from medlarvale.forwarding.caller_server import CallerServer
@@ -22,6 +23,7 @@
 from medlarvale.forwarding.plain import PlainForwarder
 from medlarvale.forwarding.routes import RouteIndex
 from medlarvale.forwarding.streams import StreamForwarder
+from medlarvale.http_bodies import BodyFraming
 from medlarvale.platform.backends import HttpBackends, HttpResponse
 from medlarvale.platform.connections import new_session
 from medlarvale.platform.headers import decode_request
@@ -31,6 +33,7 @@
     TRAITS,
     FakeBackends,
     make_context,
+    make_request,
     make_route,
     make_server,
     make_table,
@@ -208,6 +211,26 @@
     async def test_broken_streams_do_not_look_complete(self) -> None:
         await self.check(RouteKind.STREAM, BROKEN, WHOLE)
 
+    async def test_answers_that_cannot_have_a_body_are_whole(self) -> None:
+        """Guards against a booking that has run and counts as unknown, since its server is gone
+        after an answer without a body."""
+        table = [
+            ("POST", 204, True),
+            ("POST", 304, True),
+            ("HEAD", 200, True),
+            ("POST", 200, False),
+        ]
+        for method, status, whole in table:
+            with self.subTest(method=method, status=status):
+                head = b"HTTP/1.1 %d Status\r\n" % status
+                raw_server = RawServer(head + SIGNED + b"\r\n", reset=True, close=True)
+                target = await raw_server.start()
+                self.addCleanup(raw_server.server.close)
+                request = make_request(method=method, headers=CIMultiDict({"X-Request-Id": "q1"}))
+                backends = HttpBackends(self.session, self.session)
+                answer = await backends.send(target, request, Dispatch(5_000.0))
+                self.assertEqual(answer.framing is not BodyFraming.CLOSE, whole)
+
     async def test_resets_under_any_transfer_coding_break_an_answer(self) -> None:
         """Guards against a reset that counts as the end of an answer which declares neither a
         length nor chunks but some other transfer coding."""
