Take an answer of a plain server that its connection ends for whole only if the server answers

What callers saw: with `medlarvale serve`, a part of an answer with status 200 and outcome "answered", if the plain server was killed while it wrote an answer without a length or chunks. A booking whose answer was cut looked complete; an idempotent call was not repeated.

Evidence: before the change, test_an_answer_without_a_length_needs_its_server fails in two cases, and test_a_killed_process_does_not_end_an_answer, whose server is a process that kills itself.

Change: after such an answer, the server has to answer GET /v1/load, which every plain server is sent twice a second already; any status counts, and a second is allowed. Answers with a length, chunks or no body need no call.

A connection alone does not show it: the listener of a killed process accepts until the system has ended its connections.

What remains: a server whose parent goes on answering, or that was started again at once, counts as there.

--- a/src/medlarvale/plain/client.py
+++ b/src/medlarvale/plain/client.py
@@ -16,8 +16,15 @@
 from medlarvale.completions.fingerprint import fingerprint_of
 from medlarvale.completions.watchdog import deadline
 from medlarvale.errors import MedlarvaleError, Outcome
-from medlarvale.http_bodies import TrackedConnection, TrackedResponse, track_connections
+from medlarvale.http_bodies import (
+    BodyFraming,
+    TrackedConnection,
+    TrackedResponse,
+    body_framing,
+    track_connections,
+)
 from medlarvale.ids import FailureDomain, RegionName, ServerId
+from medlarvale.logs import Event, log_info
 from medlarvale.membership.servers import BackendServer, ServerDirectory
 from medlarvale.plain.budget import RetryBudget
 from medlarvale.plain.errors import (
@@ -29,12 +36,15 @@
     PlainUnreachableError,
 )
 from medlarvale.plain.messages import PlainAnswer, PlainCall
+from medlarvale.plain.polling import LOAD_PATH
 from medlarvale.quarantine.interface import CrashGuard
 from medlarvale.settings.interface import SettingsProvider
 from medlarvale.settings.schema import PoolRole
 from medlarvale.tracing import TRACEPARENT, context_from, open_span, traceparent_of
 
 CONNECT_TIMEOUT_S = 1.0
+# Time in which a server has to show that it is still there.
+CHECK_TIMEOUT_S = 1.0
 MAX_ANSWER_BYTES = 8 * 1_048_576
 
 # A paused server does not answer; after this time an idempotent call is sent to another server.
@@ -280,16 +290,43 @@
                 middlewares=(delivery.send_once,),
             ) as answer:
                 body = await _read_answer(answer)
-                return PlainAnswer(
-                    status=answer.status,
-                    headers=end_to_end_headers(answer.headers.items()),
-                    body=body,
-                )
+            if body_framing(answer) is BodyFraming.CLOSE:
+                await self._check_end(server)
+            return PlainAnswer(
+                status=answer.status,
+                headers=end_to_end_headers(answer.headers.items()),
+                body=body,
+            )
         except (aiohttp.ClientError, OSError) as error:
             if delivery.connected:
                 raise PlainOutcomeUnknownError(f"{server.server}: {error!r}") from error
             raise PlainUnreachableError(f"{server.server}: {error!r}") from error
 
+    async def _check_end(self, server: BackendServer) -> None:
+        """Checks that a server which has ended its answer with its connection still answers.
+
+        The system ends the connections of a killed process in order, so what had been written looks
+        whole. Its listener may accept until the last of them has ended, so only an answer counts.
+
+        Raises:
+            PlainOutcomeUnknownError: the server is gone, and the answer may not be whole.
+        """
+        delivery = Delivery()
+        try:
+            async with self._session.get(
+                server.address + LOAD_PATH,
+                allow_redirects=False,
+                timeout=aiohttp.ClientTimeout(total=CHECK_TIMEOUT_S),
+                trace_request_ctx=delivery,
+                middlewares=(delivery.send_once,),
+            ):
+                pass
+        except (aiohttp.ClientError, OSError, TimeoutError) as error:
+            log_info(Event.INSTANCE_GONE, server=server.server, error=repr(error))
+            raise PlainOutcomeUnknownError(
+                f"{server.server} was gone after an answer without a length"
+            ) from error
+
 
 async def _read_answer(answer: aiohttp.ClientResponse) -> bytes:
     parts = []
--- a/tests/plain/test_client.py
+++ b/tests/plain/test_client.py
@@ -3,6 +3,7 @@
 import asyncio
 import socket
 import struct
+import sys
 import unittest
 
 import msgspec
@@ -23,13 +24,29 @@
 MOVED = b"HTTP/1.1 307 Moved\r\nLocation: /elsewhere\r\nContent-Length: 0\r\n\r\n"
 HALF = b"HTTP/1.1 200 OK\r\nContent-Length: 20\r\n\r\nhalf"
 UNTIL_CLOSE = b"HTTP/1.1 200 OK\r\n\r\nok"
+EMPTY = b"HTTP/1.1 204 No Content\r\n\r\n"
+# Writes a part of an answer and is killed. The system takes some ms to end its many connections,
+# and its listener accepts meanwhile.
+KILLED_SERVER = r"""
+import os, signal, socket
+listener = socket.create_server(("127.0.0.1", 0), backlog=400)
+clients = [socket.create_connection(listener.getsockname()) for _ in range(400)]
+kept = [listener.accept() for _ in clients]
+print(listener.getsockname()[1], flush=True)
+connection, _ = listener.accept()
+connection.recv(65536)
+connection.sendall(b"HTTP/1.1 200 OK\r\n\r\nha")
+os.kill(os.getpid(), signal.SIGKILL)
+"""
+KILLS = 5
 
 
 class RawServer:
     """Server on a plain socket that accepts, reads the head of one request, answers and closes.
 
     With ``answer`` None it sends no answer, with ``read`` False it closes without reading, and with
-    ``keep`` it keeps the connection open. With ``reset`` it closes with a reset.
+    ``keep`` it keeps the connection open. With ``reset`` it closes with a reset. With ``gone`` it
+    stops to listen before it closes, as a server that is killed does.
     """
 
     def __init__(
@@ -39,8 +56,10 @@
         read: bool = True,
         keep: bool = False,
         reset: bool = False,
+        gone: bool = False,
     ) -> None:
         self.answer, self.read, self.keep, self.reset = answer, read, keep, reset
+        self.gone = gone
         self.connections = 0
         self.heads: list[bytes] = []
 
@@ -63,6 +82,8 @@
         except (asyncio.IncompleteReadError, ConnectionError):
             pass
         finally:
+            if self.gone:
+                self.server.close()
             if self.reset:
                 linger = struct.pack("ii", 1, 0)
                 connection = writer.get_extra_info("socket")
@@ -152,6 +173,42 @@
                 for work in (self.client.dispatch_once, self.client.dispatch_idempotent):
                     self.assertEqual(await self.outcome(work(call("GET"))), expected)
 
+    async def test_an_answer_without_a_length_needs_its_server(self) -> None:
+        """Guards against a part of an answer of a killed server that passes for the whole.
+
+        The system ends the connections of a killed process in order.
+        """
+        unknown, served = (Outcome.UNKNOWN, "plain_outcome_unknown"), (Outcome.ANSWERED, "200")
+        once, again = self.client.dispatch_once, self.client.dispatch_idempotent
+        table = [
+            ("still there", UNTIL_CLOSE, False, once, served, 0),
+            ("gone", UNTIL_CLOSE, True, once, unknown, 0),
+            ("gone, repeated elsewhere", UNTIL_CLOSE, True, again, served, 1),
+            ("gone after a length", OK, True, once, served, 0),
+            ("gone after an answer without a body", EMPTY, True, once, (served[0], "204"), 0),
+        ]
+        for name, answer, gone, work, expected, repeats in table:
+            with self.subTest(name):
+                first, other = RawServer(answer, gone=gone), RawServer()
+                await self.use(first, other)
+                while not first.connections:
+                    other.connections = 0
+                    result = await self.outcome(work(call("GET")))
+                self.assertEqual((result, other.connections), (expected, repeats))
+
+    async def test_a_killed_process_does_not_end_an_answer(self) -> None:
+        """Guards against a listener that still accepts while the system ends a killed process."""
+        for _ in range(KILLS):
+            process = await asyncio.create_subprocess_exec(
+                sys.executable, "-c", KILLED_SERVER, stdout=asyncio.subprocess.PIPE
+            )
+            assert process.stdout is not None
+            address = f"http://127.0.0.1:{int(await process.stdout.readline())}"
+            self.directory.replace([server("s0", PoolRole.PLAIN, PLAIN_SERVICE, address)])
+            result = await self.outcome(self.client.dispatch_once(call("GET")))
+            await process.wait()
+            self.assertEqual(result, (Outcome.UNKNOWN, "plain_outcome_unknown"))
+
     async def test_once_uses_a_new_connection_each_time(self) -> None:
         """Guards against a reused connection, whose failure does not show what was written."""
         raw = RawServer(OK, keep=True)
