Resume a watch of the store whose answer the end of its connection has cut

The state was never wrong: no part of the JSON of an answer decodes.

Cause: an answer without a length or chunks that ends early in order is no error of the connection for aiohttp. Its body can't be decoded, which counted as an outage of the store.

Evidence: the new test cuts the answer after each of its 63 bytes before the last. A read failed each time before the change too; each watch failed with PublishedStateError, not as cut.

Change: an answer without framing that can't be decoded counts as lost with its connection. One with a length or chunks that can't be decoded remains a fault of the store.

--- a/src/medlarvale/platform/store.py
+++ b/src/medlarvale/platform/store.py
@@ -4,6 +4,7 @@
 
 import binascii
 from collections import OrderedDict
+from typing import TypeVar
 
 import aiohttp
 import msgspec
@@ -25,6 +26,7 @@
     StoreEra,
     StoreRevision,
 )
+from medlarvale.http_bodies import BodyFraming, body_framing
 from medlarvale.ids import ServerId
 from medlarvale.logs import Event, log_warning
 from medlarvale.platform.connections import read_body
@@ -77,6 +79,9 @@
     current: Count = msgspec.field(name="CurrentRev")
 
 
+_Answer = TypeVar("_Answer")
+
+
 class PlatformStore:
     """Reads and watches the configuration and the backend servers.
 
@@ -104,11 +109,10 @@
         after = ""
         for _ in range(MAX_PAGES):
             query = {"PathPrefix": "", "after": after} if after else {"PathPrefix": ""}
-            body, era = await self._get("/kv-range", query, READ_TIMEOUT_MS)
+            page, era = await self._get("/kv-range", query, READ_TIMEOUT_MS, self._range_decoder)
             if first_era is not None and era != first_era:
                 raise PublishedStateError("the store came back from a copy between two pages")
             first_era = era
-            page = self._decode_range(body)
             # The pages are not one snapshot: the watch starts at the lowest revision, so that it
             # repeats the changes made while later pages were read.
             revision = page.current if revision is None else min(revision, page.current)
@@ -137,13 +141,11 @@
         """Waits for changes; see ``StateSource.watch``."""
         query = {"PathPrefix": "", "after": str(after), "WaitMs": str(wait_ms)}
         try:
-            body, era = await self._get("/kv-watch", query, wait_ms + WATCH_SLACK_MS)
+            watched, era = await self._get(
+                "/kv-watch", query, wait_ms + WATCH_SLACK_MS, self._watch_decoder
+            )
         except _ConnectionLostError as error:
             raise WatchCutError(f"the watch was cut: {error.message}") from error
-        try:
-            watched = self._watch_decoder.decode(body)
-        except DECODE_ERRORS as error:
-            raise PublishedStateError(f"invalid response to a watch: {error}") from error
         items: list[RouteTable | Server | ServerId] = []
         for event in watched.events:
             record = self._decode_item(event)
@@ -151,12 +153,6 @@
                 items.append(record)
         return StateChanges(tuple(items), StoreRevision(watched.current), era)
 
-    def _decode_range(self, body: bytes) -> _Range:
-        try:
-            return self._range_decoder.decode(body)
-        except DECODE_ERRORS as error:
-            raise PublishedStateError(f"invalid response to a read: {error}") from error
-
     def _decode_item(self, item: _Item) -> RouteTable | Server | ServerId | None:
         """Decodes an item; returns None for unrelated keys and for invalid values."""
         if item.key.startswith(SERVER_PREFIX):
@@ -187,9 +183,13 @@
         )
 
     async def _get(
-        self, path: str, query: dict[str, str], timeout_ms: float
-    ) -> tuple[bytes, StoreEra]:
-        """Returns the body of an answer and the era of the store."""
+        self,
+        path: str,
+        query: dict[str, str],
+        timeout_ms: float,
+        decoder: msgspec.json.Decoder[_Answer],
+    ) -> tuple[_Answer, StoreEra]:
+        """Returns an answer and the era of the store."""
         self.calls += 1
         timeout = aiohttp.ClientTimeout(
             total=timeout_ms / 1000.0, sock_connect=CONNECT_TIMEOUT_MS / 1000.0
@@ -203,7 +203,14 @@
                     )
                 if response.status != 200:
                     raise PublishedStateError(f"the store returned status {response.status}")
-                return await read_body(response, MAX_PAGE_BYTES), _era(response)
+                body = await read_body(response, MAX_PAGE_BYTES)
+                try:
+                    return decoder.decode(body), _era(response)
+                except DECODE_ERRORS as error:
+                    # No part of a JSON object is one, so the end of the connection may have cut it.
+                    is_cut = body_framing(response) is BodyFraming.CLOSE
+                    kind = _ConnectionLostError if is_cut else PublishedStateError
+                    raise kind(f"invalid response to {path}: {error}") from error
         except BackendError as error:
             raise PublishedStateError(f"the store sent too much: {error.message}") from error
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import unittest
 from base64 import b64encode
 from typing import Any
@@ -192,6 +193,32 @@
                     with self.assertRaises(expected):
                         await self.store.read()
 
+    async def test_an_answer_whose_connection_ends_early_is_not_taken_in_part(self) -> None:
+        """Guards against a part of the store's answer that passes for all of it, and against a cut
+        watch that counts as an outage of the store."""
+        answer = encoded(page(revision=12) | {"events": []})
+        size = 0
+
+        async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(b"HTTP/1.1 200 OK\r\n\r\n" + answer[:size])
+            writer.close()
+
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        self.addCleanup(server.close)
+        session = new_session()
+        self.addAsyncCleanup(session.close)
+        store = PlatformStore(session, f"127.0.0.1:{server.sockets[0].getsockname()[1]}")
+        for size in range(len(answer)):
+            with self.subTest(size):
+                with self.assertRaises(PublishedStateError):
+                    await store.read()
+                with self.assertRaises(WatchCutError):
+                    await store.watch(StoreRevision(1), 10)
+        size = len(answer)
+        self.assertEqual((await store.read()).revision, 12)
+        self.assertEqual((await store.watch(StoreRevision(1), 10)).revision, 12)
+
     async def test_only_a_connection_that_is_lost_cuts_a_watch(self) -> None:
         """Guards against a cut watch that counts as an outage of the store, and the reverse."""
         table: list[tuple[str, tuple[int, Any], bool]] = [
