Show that a killed plain server may still accept the connection that checks it

What callers may see: a part of a plain answer without a length or chunks, as a whole one, if its server was killed while it had many connections.

Cause: answer_ends.py takes an accepted connection for evidence that a plain server is still there. The system ends the connections of a killed process before its listener, one after the other; until then it accepts.

--- a/tests/platform/test_broken_answers.py
+++ b/tests/platform/test_broken_answers.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import random
+import sys
 import unittest
 from typing import NamedTuple
 
@@ -11,6 +12,7 @@
 from multidict import CIMultiDict
 
 from medlarvale.clock import SystemClock
+from medlarvale.forwarding.answer_ends import still_serves
 from medlarvale.forwarding.caller_server import CallerServer
 from medlarvale.forwarding.messages import (
     ClientRequest,
@@ -38,7 +40,8 @@
     make_server,
     make_table,
 )
-from tests.platform.test_backends import SIGNED, RawServer
+from tests.plain.test_client import KILLED_SERVER, KILLS
+from tests.platform.test_backends import SIGNED, RawServer, server_at
 
 EVENTS = b"id: 1\ndata: a\n\nid: 2\ndata: b\n\n"
 HALF_EVENT = b"id: 3\ndata: to"
@@ -231,6 +234,24 @@
                 answer = await backends.send(target, request, Dispatch(5_000.0))
                 self.assertEqual(answer.framing is not BodyFraming.CLOSE, whole)
 
+    async def test_a_killed_process_does_not_still_serve(self) -> None:
+        """Guards against a listener that still accepts while the system ends a killed process, so
+        that a part of its answer passes for the whole."""
+        backends = HttpBackends(self.session, self.session)
+        for _ in range(KILLS):
+            process = await asyncio.create_subprocess_exec(
+                sys.executable, "-c", KILLED_SERVER, stdout=asyncio.subprocess.PIPE
+            )
+            assert process.stdout is not None
+            port = int(await process.stdout.readline())
+            reader, writer = await asyncio.open_connection("127.0.0.1", port)
+            writer.write(b"GET / HTTP/1.1\r\n\r\n")
+            await reader.read()
+            serves = await still_serves(backends, server_at(port))
+            writer.close()
+            await process.wait()
+            self.assertFalse(serves)
+
     async def test_resets_under_any_transfer_coding_break_an_answer(self) -> None:
         """Guards against a reset that counts as the end of an answer which declares neither a
         length nor chunks but some other transfer coding."""
