Kill servers in the soak, and leave the ends of some answers unmarked

What was missed: streams that end as complete before their last event (rule ORDER). All servers of the soak sent chunks, and those that crashed reset their connections.

Change: a share of a seed's servers, drawn from the seed, has neither a length nor chunks in its answers. The new trouble "server-kill" ends a server as a process: its connections end in order after whole events, its port refuses connections, and it starts again there as another process that knows nothing of before. The draws of the other kinds stay as they were; the framing of servers is new in all seeds.

--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -19,7 +19,7 @@
 from medlarvale.platform.standin import StandinServer
 from scripts.forward_hosts import ForwardHost
 from soak.network import Network, RelayedPlatform, Way, draw_state
-from soak.plan import EVENT_COUNT, EVENT_INTERVAL_S, Fault, Release, Trouble
+from soak.plan import EVENT_COUNT, EVENT_INTERVAL_S, Fault, Release, Trouble, draw_framings
 from soak.records import Case, Disruption, Route, Span
 from soak.reloads import Reloads
 from soak.server_faults import ServerFaults
@@ -45,6 +45,7 @@
 OF_SETTINGS = (Trouble.SETTINGS, Trouble.CONFIGURATION)
 OF_SERVERS = (
     Trouble.SERVER_CRASH,
+    Trouble.SERVER_KILL,
     Trouble.SERVER_SILENCE,
     Trouble.SERVER_LEAVING,
     Trouble.SERVER_BUSY,
@@ -85,6 +86,7 @@
             host.source = source
         self._links = StoreLinks(seed, self._processes)
         self._draws = random.Random(f"{seed} servers")
+        self._framings = draw_framings(seed)
         self._all_servers: list[StandinServer] = []
         self._started_s = time.monotonic()
         self.disruptions: list[Disruption] = []
@@ -162,6 +164,7 @@
         server = StandinServer(f"{service}{self._names}", service, stage, software=software)
         server.delay_s = EVENT_INTERVAL_S if stage else self._draws.uniform(*CALL_S)
         server.event_count, server.slots = EVENT_COUNT, SLOTS
+        server.framing = next(self._framings)
         # The hosts date the store's history by it; their settings don't name another one.
         server.heartbeat_s = DEFAULT_HEARTBEAT_MS / 1000.0
         self._all_servers.append(server)
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -8,6 +8,7 @@
 
 import msgspec
 
+from medlarvale.http_bodies import BodyFraming
 from soak.records import Route
 
 HOST_COUNT = 4
@@ -35,6 +36,8 @@
 # Share of kinds that excuse much of what happens meanwhile.
 RARE_SHARE = 0.3
 QUIET_START_S = 1.0
+# Share of the servers whose answers have neither a length nor chunks.
+UNFRAMED_SHARE = (0.4, 0.9)
 
 
 class Trouble(Enum):
@@ -56,6 +59,7 @@
     SERVER_BUSY = "server-busy"
     SETTINGS = "settings"
     CONFIGURATION = "configuration"
+    SERVER_KILL = "server-kill"
 
 
 class FaultTimes(msgspec.Struct, frozen=True):
@@ -85,6 +89,7 @@
     Trouble.SERVER_SILENCE: FaultTimes((2.0, 6.0), (0.5, 4.0), RARE_SHARE),
     Trouble.SERVER_LEAVING: FaultTimes((3.0, 8.0), (1.0, 6.0), RARE_SHARE),
     Trouble.SERVER_BUSY: FaultTimes((1.0, 4.0), (0.5, 3.0), RARE_SHARE),
+    Trouble.SERVER_KILL: FaultTimes((0.3, 1.5), (0.3, 2.0), RARE_SHARE),
     Trouble.SETTINGS: FaultTimes((0.3, 3.0), (0.0, 0.0), RARE_SHARE),
     Trouble.CONFIGURATION: FaultTimes((0.5, 5.0), (0.0, 0.0), RARE_SHARE),
 }
@@ -249,6 +254,14 @@
         start_s += lasts_s + draws.uniform(*times.gap_s)
 
 
+def draw_framings(seed: int) -> Iterator[BodyFraming]:
+    """Yields what marks the end of the answers of each server of a seed."""
+    draws = random.Random(f"{seed} framing")
+    share = draws.uniform(*UNFRAMED_SHARE)
+    while True:
+        yield BodyFraming.CLOSE if draws.random() < share else BodyFraming.CHUNKED
+
+
 def _releases(seed: int, duration_s: float) -> Iterator[Release]:
     draws = random.Random(f"{seed} releases")
     start_s = draws.uniform(*RELEASE_GAP_S)
--- a/soak/server_faults.py
+++ b/soak/server_faults.py
@@ -1,12 +1,11 @@
-"""Faults of servers: crash, silence, answers that say it leaves, and 503 with ``Retry-After``."""
+"""Faults of servers: crash, kill, silence, answers that say it leaves, 503 with ``Retry-After``."""
 
 from __future__ import annotations
 
 import asyncio
 import random
-import time
-from collections.abc import Awaitable, Callable, Iterable, Sequence
-from contextlib import AbstractContextManager
+from collections.abc import AsyncIterator, Awaitable, Callable, Iterable, Sequence
+from contextlib import AbstractContextManager, asynccontextmanager
 
 from medlarvale.forwarding.servers import DEFAULT_HEARTBEAT_MS
 from medlarvale.ids import HostId
@@ -70,6 +69,8 @@
         self._harmed.add(server.name)
         if fault.trouble is Trouble.SERVER_CRASH:
             await self._crash(server, fault.lasts_s)
+        elif fault.trouble is Trouble.SERVER_KILL:
+            await self._kill(server, fault.lasts_s)
         elif fault.trouble is Trouble.SERVER_SILENCE:
             with self._disrupted(server.name):
                 await self._cut_off(server, LinkMode.HOLD, fault.lasts_s)
@@ -91,18 +92,30 @@
 
     async def _crash(self, server: StandinServer, lasts_s: float) -> None:
         """Ends a server, which starts again under its name and knows nothing of before."""
+        async with self._gone(server):
+            await self._cut_off(server, LinkMode.CLOSE, lasts_s)
+        server.start_anew()
+        if server.name in self._platform.servers:
+            await self._platform.publish(server)
+
+    async def _kill(self, server: StandinServer, lasts_s: float) -> None:
+        """Kills a server, whose connections end in order; it starts again as another process."""
+        async with self._gone(server):
+            await self._platform.kill(server.name)
+            await asyncio.sleep(lasts_s)
+        # A release may have taken it away meanwhile.
+        if server.name in self._platform.servers:
+            await self._platform.restart(server.name)
+
+    @asynccontextmanager
+    async def _gone(self, server: StandinServer) -> AsyncIterator[None]:
+        """Lets a server publish nothing, so that its entry expires."""
         with self._disrupted(server.name):
             self._platform.crashed.add(server.name)
             expiry = asyncio.create_task(self._expire(server))
-            await self._cut_off(server, LinkMode.CLOSE, lasts_s)
+            yield
             expiry.cancel()
-            server.born_ms = time.time_ns() // 1_000_000
-            server.holds.clear()
-            server.handles.clear()
-            server.cached.clear()
             self._platform.crashed.discard(server.name)
-            if server.name in self._platform.servers:
-                await self._platform.publish(server)
 
     async def _expire(self, server: StandinServer) -> None:
         await asyncio.sleep(EXPIRY_S)
--- a/src/medlarvale/platform/standin.py
+++ b/src/medlarvale/platform/standin.py
@@ -11,6 +11,7 @@
 import itertools
 import json
 import math
+import socket
 import time
 from base64 import b64encode
 from collections import Counter
@@ -232,6 +233,14 @@
         response.headers["Connection"] = "close"
         response.force_close()
 
+    def start_anew(self) -> None:
+        """Forgets what a process that has ended held."""
+        self.born_ms = time.time_ns() // 1_000_000
+        self.holds.clear()
+        self.handles.clear()
+        self.cached.clear()
+        self._once_cached.clear()
+
     def entry(self) -> dict[str, Any]:
         """Returns the server's entry in the store."""
         age_s = time.time() - self.born_ms / 1000.0
@@ -404,6 +413,7 @@
         self.store = StandinStore()
         self._stack = AsyncExitStack()
         self._stacks: dict[str, AsyncExitStack] = {}
+        self._bound: dict[str, Address] = {}
         self._by_address: dict[str, StandinServer] = {}
         self.servers = {
             name: StandinServer(name, service, stage)
@@ -434,14 +444,17 @@
             await self._start_server(server)
 
     async def _start_server(self, server: StandinServer) -> None:
-        stack = await self._stack.enter_async_context(AsyncExitStack())
-        bound = await stack.enter_async_context(serve(server.application(), LOOPBACK))
-        self._stacks[server.name] = stack
-        server.address = str(bound)
+        self._stacks[server.name] = await self._stack.enter_async_context(AsyncExitStack())
+        self._bound[server.name] = await self._listen(server, LOOPBACK)
+        server.address = str(self._bound[server.name])
         server.servers_by_address = self._by_address
         self._by_address[server.address] = server
         await self.publish(server)
 
+    async def _listen(self, server: StandinServer, address: Address) -> Address:
+        stack = self._stacks[server.name]
+        return await stack.enter_async_context(serve(server.application(), address))
+
     async def release(self, name: str, service: str, stage: str | None, software: str) -> None:
         """Adds a server with another software version."""
         await self.add(StandinServer(name, service, stage, software=software))
@@ -454,6 +467,18 @@
     async def kill(self, name: str) -> None:
         """Stops a server without notice; its connections end in order, as the system ends them."""
         await self._stacks[name].aclose()
+        # Until it starts again, its port refuses connections and nobody else gets it.
+        kept = self._stacks[name].enter_context(socket.socket())
+        kept.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        kept.bind((self._bound[name].host, self._bound[name].port))
+
+    async def restart(self, name: str) -> None:
+        """Starts a server that was killed at its address, as another process under its name."""
+        server = self.servers[name]
+        server.start_anew()
+        await self._stacks[name].aclose()
+        await self._listen(server, self._bound[name])
+        await self.publish(server)
 
     async def drain(self, name: str) -> None:
         """Announces that a server leaves."""
--- a/tests/soak/test_plan.py
+++ b/tests/soak/test_plan.py
@@ -3,11 +3,22 @@
 from __future__ import annotations
 
 import unittest
+from itertools import islice
 
-from soak.plan import FAULT_TIMES, HOST_COUNT, MANY_HOSTS, USUAL_HOSTS, Trouble, draw_plan
+from medlarvale.http_bodies import BodyFraming
+from soak.plan import (
+    FAULT_TIMES,
+    HOST_COUNT,
+    MANY_HOSTS,
+    USUAL_HOSTS,
+    Trouble,
+    draw_framings,
+    draw_plan,
+)
 from soak.records import Route
 
 DURATION_S = 25.0
+FRAMINGS = (BodyFraming.CHUNKED, BodyFraming.CLOSE)
 
 
 class PlanTest(unittest.TestCase):
@@ -42,6 +53,11 @@
             faults = {fault.trouble for fault in draw_plan(seed, DURATION_S).faults}
             self.assertEqual(faults, {Trouble.STOP})
 
+    def test_some_servers_of_each_seed_don_t_mark_the_ends_of_answers(self) -> None:
+        """Guards against servers that all end their answers in the same way."""
+        for seed in range(10):
+            self.assertEqual(set(islice(draw_framings(seed), 20)), set(FRAMINGS))
+
     def test_only_callers_of_streams_leave(self) -> None:
         """Guards against streams that are never taken up."""
         for exchange in draw_plan(1, DURATION_S).exchanges:
--- a/tests/soak/test_server_faults.py
+++ b/tests/soak/test_server_faults.py
@@ -11,8 +11,9 @@
 
 import aiohttp
 
+from medlarvale.http_bodies import BodyFraming
 from medlarvale.ids import HostId, RequestId
-from medlarvale.platform.standin import StandinServer
+from medlarvale.platform.standin import StandinServer, stream_body
 from medlarvale.standins.link import LinkMode, LinkState
 from soak.network import Network, RelayedPlatform, Way
 from soak.plan import Fault, Trouble
@@ -105,6 +106,27 @@
         server = self.platform.servers[name]
         self.assertTrue(server.born_ms > 1 and not server.handles and self.faults.sound(server))
 
+    async def test_connections_of_a_killed_server_end_in_order(self) -> None:
+        """Guards against kills that reset streams, as no killed process does, and against servers
+        that are the same process afterwards."""
+        server = self.platform.servers["d1"]
+        server.framing, server.delay_s, server.born_ms = BodyFraming.CLOSE, 0.05, 1
+        headers = {"X-Expected-Instance": "d1", "X-Request-Id": "q1"}
+        async with (
+            aiohttp.ClientSession() as session,
+            session.post(f"http://{server.address}/x", headers=headers) as response,
+        ):
+            events = await response.content.readuntil(b"\n\n")
+            kill = asyncio.create_task(self.faults._kill(server, FAULT_S))
+            events += await response.read()
+        self.assertTrue(events.endswith(b"\n\n"))
+        self.assertLess(len(events), len(stream_body("q1")))
+        with self.assertRaises(aiohttp.ClientError):
+            await self._call("d1")
+        await kill
+        self.assertEqual(await self._call("d1"), 421)
+        self.assertGreater(server.born_ms, 1)
+
     async def test_server_that_leaves_is_replaced_and_one_that_is_busy_stays(self) -> None:
         """Guards against faults that leave no server in the end, or that no answer shows."""
         for trouble, stays in ((Trouble.SERVER_BUSY, True), (Trouble.SERVER_LEAVING, False)):
