Kill hosts of the soak in groups, in up to three failure domains

What was missed: the soak killed hosts one at a time, and all were of one failure domain, so the record of a stream never went with all its keepers.

Change: a seed has one, two or three failure domains, for hosts in turn and for servers by chance. The new trouble "group-kill" kills two hosts, half of them or all of one domain in the same moment, as far as two others run; they start again together. ForwardHost has the domain as an argument.

The unit test of the groups is red with a mutation that never takes a whole domain.

--- a/scripts/forward_hosts.py
+++ b/scripts/forward_hosts.py
@@ -23,7 +23,7 @@
 SOURCE = REPOSITORY / "src"
 SETTINGS_TEMPLATE = """
 NodeName={name}
-Zone=a
+Zone={domain}
 Listen.Front={front}
 Listen.Ready={ready}
 Listen.Control={control}
@@ -56,6 +56,7 @@
         name: name of the host.
         folder: directory of its settings file and log.
         keep_log: whether its output is kept in a file.
+        domain: its failure domain.
 
     Attributes:
         source: directory of the packages that it runs from its next start on.
@@ -63,8 +64,10 @@
         own_ends: exit statuses of processes that ended without being told to.
     """
 
-    def __init__(self, name: str, folder: Path, *, keep_log: bool = False) -> None:
-        self.name = name
+    def __init__(
+        self, name: str, folder: Path, *, keep_log: bool = False, domain: str = "a"
+    ) -> None:
+        self.name, self._domain = name, domain
         self.own_ends: list[int] = []
         self.source = SOURCE
         self.log_file: Path | None = folder / f"{name}.log" if keep_log else None
@@ -78,6 +81,7 @@
         """Writes the settings file."""
         text = SETTINGS_TEMPLATE.format(
             name=self.name,
+            domain=self._domain,
             front=self.front,
             ready=self.ready,
             control=self.control,
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -13,13 +13,23 @@
 from pathlib import Path
 
 import aiohttp
+import msgspec
 
 from medlarvale.forwarding.servers import DEFAULT_HEARTBEAT_MS
 from medlarvale.ids import HostId, SoftwareVersion
 from medlarvale.platform.standin import StandinServer
 from scripts.forward_hosts import ForwardHost
 from soak.network import Network, RelayedPlatform, Way, draw_state
-from soak.plan import EVENT_COUNT, EVENT_INTERVAL_S, Fault, Release, Trouble, draw_framings
+from soak.plan import (
+    EVENT_COUNT,
+    EVENT_INTERVAL_S,
+    Fault,
+    Release,
+    Trouble,
+    draw_domains,
+    draw_framings,
+    draw_group,
+)
 from soak.records import Case, Disruption, Route, Span
 from soak.reloads import Reloads
 from soak.server_faults import ServerFaults
@@ -78,15 +88,17 @@
         self.platform = RelayedPlatform()
         self.platform.servers.clear()
         self.platform.timeout_ms = ROUTE_TIMEOUT_MS
+        self._domains = draw_domains(seed, len(sources))
         self.hosts = [
-            ForwardHost(f"a{number}", folder, keep_log=True)
-            for number in range(1, len(sources) + 1)
+            ForwardHost(f"a{number}", folder, keep_log=True, domain=domain)
+            for number, domain in enumerate(self._domains, start=1)
         ]
         for host, source in zip(self.hosts, sources, strict=True):
             host.source = source
         self._links = StoreLinks(seed, self._processes)
         self._draws = random.Random(f"{seed} servers")
         self._framings = draw_framings(seed)
+        self._server_domains = random.Random(f"{seed} server domains")
         self._all_servers: list[StandinServer] = []
         self._started_s = time.monotonic()
         self.disruptions: list[Disruption] = []
@@ -111,6 +123,7 @@
             **dict.fromkeys(OF_LINKS, self._disturb_link),
             **dict.fromkeys(OF_SERVERS, self.server_faults.harm),
             **dict.fromkeys(OF_SETTINGS, self.reloads.harm),
+            Trouble.GROUP_KILL: self._kill_group,
         }
 
     @asynccontextmanager
@@ -161,7 +174,8 @@
 
     async def _add_server(self, service: str, stage: str | None, software: str) -> None:
         self._names += 1
-        server = StandinServer(f"{service}{self._names}", service, stage, software=software)
+        name, domain = f"{service}{self._names}", self._server_domains.choice(self._domains)
+        server = StandinServer(name, service, stage, domain, software)
         server.delay_s = EVENT_INTERVAL_S if stage else self._draws.uniform(*CALL_S)
         server.event_count, server.slots = EVENT_COUNT, SLOTS
         server.framing = next(self._framings)
@@ -245,6 +259,14 @@
             await self._end_and_start(host, fault)
         disruption.to_s = self.now_s()
 
+    async def _kill_group(self, fault: Fault) -> None:
+        """Kills hosts at once, as far as enough others run."""
+        kills = (
+            msgspec.structs.replace(fault, trouble=Trouble.KILL, host=host)
+            for host in draw_group(fault, self._domains)
+        )
+        await asyncio.gather(*map(self.harm, kills))
+
     async def _disturb_link(self, fault: Fault) -> None:
         host = HostId(self.hosts[fault.host].name)
         to_callers = fault.trouble is Trouble.CALLER_LINK
--- a/soak/mutations.py
+++ b/soak/mutations.py
@@ -29,12 +29,14 @@
         promise: the promise that it breaks.
         first_seed: the first seed that is played.
         seeds: number of seeds, one of which must show it.
+        hosts: number of hosts.
         troubles: kinds of trouble in them.
     """
 
     promise: Promise
     first_seed: int = 1
     seeds: int = 1
+    hosts: int = HOST_COUNT
     troubles: tuple[Trouble, ...] = (
         Trouble.MIXED_DEADLINES,
         Trouble.STANDSTILL,
@@ -50,9 +52,11 @@
 
 
 @cache
-def broken_promises(seed: int, troubles: tuple[Trouble, ...], source: Path) -> dict[Promise, int]:
+def broken_promises(
+    seed: int, troubles: tuple[Trouble, ...], hosts: int, source: Path
+) -> dict[Promise, int]:
     """Plays a seed; returns how often each promise that broke was broken."""
-    plan, sources = draw_plan(seed, DURATION_S, troubles, HOST_COUNT), [source] * HOST_COUNT
+    plan, sources = draw_plan(seed, DURATION_S, troubles, hosts), [source] * hosts
     with tempfile.TemporaryDirectory() as folder:
         _, timeline = asyncio.run(play(plan, Path(folder), sources))
     return {item.promise: len(item.broken) for item in timeline.verdicts if item.broken}
@@ -69,10 +73,12 @@
         shutil.copytree(SOURCE, folder / "src")
         mutation.apply(folder)
         for seed in range(mutation.first_seed, mutation.first_seed + mutation.seeds):
-            broken = broken_promises(seed, mutation.troubles, folder / "src")
+            broken = broken_promises(seed, mutation.troubles, mutation.hosts, folder / "src")
             shown = ", ".join(f"{promise} {number}" for promise, number in broken.items())
             print(f"  seed {seed}: {shown or 'nothing broken'}", flush=True)
-            sound = broken_promises(seed, mutation.troubles, SOURCE) if broken else {}
+            sound = (
+                broken_promises(seed, mutation.troubles, mutation.hosts, SOURCE) if broken else {}
+            )
             if mutation.promise in broken and mutation.promise not in sound:
                 print(f"red at seed {seed}: {mutation.promise}, {mutation.name}", flush=True)
                 return True
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Collection, Iterator
+from collections.abc import Collection, Iterator, Sequence
 from enum import Enum
 
 import msgspec
@@ -12,6 +12,7 @@
 from soak.records import Route
 
 HOST_COUNT = 4
+DOMAINS = "abc"
 USUAL_HOSTS = (4, 12)
 MANY_HOSTS = (13, 24)
 MANY_HOSTS_SHARE = 0.1
@@ -60,6 +61,7 @@
     SETTINGS = "settings"
     CONFIGURATION = "configuration"
     SERVER_KILL = "server-kill"
+    GROUP_KILL = "group-kill"
 
 
 class FaultTimes(msgspec.Struct, frozen=True):
@@ -90,6 +92,7 @@
     Trouble.SERVER_LEAVING: FaultTimes((3.0, 8.0), (1.0, 6.0), RARE_SHARE),
     Trouble.SERVER_BUSY: FaultTimes((1.0, 4.0), (0.5, 3.0), RARE_SHARE),
     Trouble.SERVER_KILL: FaultTimes((0.3, 1.5), (0.3, 2.0), RARE_SHARE),
+    Trouble.GROUP_KILL: FaultTimes((2.0, 6.0), (0.2, 2.0), RARE_SHARE),
     Trouble.SETTINGS: FaultTimes((0.3, 3.0), (0.0, 0.0), RARE_SHARE),
     Trouble.CONFIGURATION: FaultTimes((0.5, 5.0), (0.0, 0.0), RARE_SHARE),
 }
@@ -254,6 +257,27 @@
         start_s += lasts_s + draws.uniform(*times.gap_s)
 
 
+def draw_domains(seed: int, host_count: int) -> list[str]:
+    """Returns the failure domain of each host: one for all, or two or three in turn."""
+    count = random.Random(f"{seed} domains").randint(1, len(DOMAINS))
+    return [DOMAINS[number % count] for number in range(host_count)]
+
+
+def draw_group(fault: Fault, domains: Sequence[str]) -> list[int]:
+    """Returns the hosts that are killed at once: two, half of them, or a failure domain.
+
+    Args:
+        domains: failure domain of each host.
+    """
+    draws, hosts = random.Random(fault.choice), range(len(domains))
+    kind = draws.choice(("two", "half", "domain"))
+    if kind == "domain" and len(set(domains)) > 1:
+        return [host for host in hosts if domains[host] == domains[fault.host]]
+    others = [host for host in hosts if host != fault.host]
+    count = 2 if kind == "two" else max(2, len(domains) // 2)
+    return [fault.host, *draws.sample(others, min(count - 1, len(others)))]
+
+
 def draw_framings(seed: int) -> Iterator[BodyFraming]:
     """Yields what marks the end of the answers of each server of a seed."""
     draws = random.Random(f"{seed} framing")
--- a/tests/soak/test_plan.py
+++ b/tests/soak/test_plan.py
@@ -12,7 +12,9 @@
     MANY_HOSTS,
     USUAL_HOSTS,
     Trouble,
+    draw_domains,
     draw_framings,
+    draw_group,
     draw_plan,
 )
 from soak.records import Route
@@ -53,6 +55,21 @@
             faults = {fault.trouble for fault in draw_plan(seed, DURATION_S).faults}
             self.assertEqual(faults, {Trouble.STOP})
 
+    def test_hosts_that_are_killed_at_once(self) -> None:
+        """Guards against groups that are always alike, or that leave no host."""
+        sizes, whole_domains = set(), 0
+        for seed in range(20):
+            domains = draw_domains(seed, 12)
+            for fault in draw_plan(seed, DURATION_S, [Trouble.GROUP_KILL], 12).faults:
+                group = draw_group(fault, domains)
+                self.assertIn(fault.host, group)
+                sizes.add(len(set(group)))
+                of_domain = [host for host in range(12) if domains[host] == domains[fault.host]]
+                whole_domains += group == of_domain
+        self.assertEqual(sizes, {2, 4, 6})
+        self.assertGreater(whole_domains, 0)
+        self.assertEqual({len(set(draw_domains(seed, 12))) for seed in range(20)}, {1, 2, 3})
+
     def test_some_servers_of_each_seed_don_t_mark_the_ends_of_answers(self) -> None:
         """Guards against servers that all end their answers in the same way."""
         for seed in range(10):
