Kill only servers of the soak that have started

It now counts as sound from the time when it has an address. A server that a release takes away while it starts again is not published any more, either. The new test fails without it; a mutation that takes the condition out is red.

--- a/soak/server_faults.py
+++ b/soak/server_faults.py
@@ -54,8 +54,9 @@
         self.leavings: list[tuple[StandinServer, float]] = []
 
     def sound(self, server: StandinServer) -> bool:
-        """Returns whether a server takes requests."""
-        return server.state == "ready" and server.name not in self._harmed
+        """Returns whether a server has started and takes requests."""
+        is_ready = server.state == "ready" and server.address != ""
+        return is_ready and server.name not in self._harmed
 
     async def harm(self, fault: Fault) -> None:
         """Lets a fault happen to a server, unless no other of its kind would be sound."""
--- a/src/medlarvale/platform/standin.py
+++ b/src/medlarvale/platform/standin.py
@@ -478,7 +478,8 @@
         server.start_anew()
         await self._stacks[name].aclose()
         await self._listen(server, self._bound[name])
-        await self.publish(server)
+        if name in self.servers:
+            await self.publish(server)
 
     async def drain(self, name: str) -> None:
         """Announces that a server leaves."""
--- a/tests/soak/test_server_faults.py
+++ b/tests/soak/test_server_faults.py
@@ -127,6 +127,14 @@
         self.assertEqual(await self._call("d1"), 421)
         self.assertGreater(server.born_ms, 1)
 
+    async def test_server_that_is_starting_is_not_harmed(self) -> None:
+        """Guards against runs that end because a server is killed before it has an address."""
+        self.platform.servers = {
+            name: StandinServer(name, "llm", "decode") for name in ("d8", "d9")
+        }
+        await self._fault(Trouble.SERVER_KILL)
+        self.assertEqual(self.disrupted, [])
+
     async def test_server_that_leaves_is_replaced_and_one_that_is_busy_stays(self) -> None:
         """Guards against faults that leave no server in the end, or that no answer shows."""
         for trouble, stays in ((Trouble.SERVER_BUSY, True), (Trouble.SERVER_LEAVING, False)):
