Let callers of the soak name prompts that several streams share

What was missed: callers named no parts of their prompts, so the caches and cache events of engines never were witnesses of the version of a stream.

The other draws of a seed stay as they were.

The unit test is red if callers name no prompts.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -54,7 +54,7 @@
 
     async def exchange(self, plan: ExchangePlan) -> None:
         """Calls until the answer is complete, may not be asked for again or would be too late."""
-        exchange = Exchange(plan.route)
+        exchange = Exchange(plan.route, prompt=plan.prompt)
         self.exchanges.append(exchange)
         end_s = time.monotonic() + plan.deadline_ms / 1000.0
         for attempt_plan in plan.attempts:
@@ -80,6 +80,9 @@
             "X-Deadline-Ms": str(int(stated_ms)),
             "X-Token-Counts": "100,30",
         }
+        if exchange.prompt is not None:
+            # All prompts begin with the same part.
+            headers["X-Prompt-Prefix"] = f"{0:08x}:40,{exchange.prompt + 1:08x}:60"
         if exchange.began_as is not None:
             headers |= {"Resumes": exchange.began_as, "Last-Event-Id": str(attempt.resume_after)}
         url = f"http://{self._fleet.front(host)}/{exchange.route.value}/1"
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -37,6 +37,10 @@
 # Share of kinds that excuse much of what happens meanwhile.
 RARE_SHARE = 0.3
 QUIET_START_S = 1.0
+# Number of prompts that the callers of streams share.
+PROMPT_COUNT = 40
+# Share of the engines that tell which prompts they have read.
+CACHE_EVENTS_SHARE = 0.7
 # Share of the servers whose answers have neither a length nor chunks.
 UNFRAMED_SHARE = (0.4, 0.9)
 
@@ -62,6 +66,7 @@
     CONFIGURATION = "configuration"
     SERVER_KILL = "server-kill"
     GROUP_KILL = "group-kill"
+    SHARED_PROMPTS = "prompts"
 
 
 class FaultTimes(msgspec.Struct, frozen=True):
@@ -123,12 +128,17 @@
 
 
 class ExchangePlan(msgspec.Struct, frozen=True):
-    """One stream or call, with the attempts that its caller may make."""
+    """One stream or call, with the attempts that its caller may make.
+
+    Attributes:
+        prompt: number of its prompt, which other streams may have as well; None to name none.
+    """
 
     route: Route
     start_s: float
     deadline_ms: int
     attempts: tuple[AttemptPlan, ...]
+    prompt: int | None = None
 
 
 class Fault(msgspec.Struct, frozen=True):
@@ -218,7 +228,8 @@
 def _exchanges(
     seed: int, duration_s: float, troubles: frozenset[Trouble], route: Route, per_s: float
 ) -> Iterator[ExchangePlan]:
-    draws = random.Random(f"{seed} {route.value}")
+    draws, prompts = random.Random(f"{seed} {route.value}"), random.Random(f"{seed} prompts")
+    names_prompt = route is Route.CHAT and Trouble.SHARED_PROMPTS in troubles
     for number in range(int(duration_s * per_s)):
         mixed_ms = draws.choice(MIXED_DEADLINES_MS)
         breaks = draws.randint(1, MAX_BREAKS) if route is Route.CHAT else 0
@@ -227,7 +238,8 @@
             for index in range(MAX_ATTEMPTS)
         )
         deadline_ms = mixed_ms if Trouble.MIXED_DEADLINES in troubles else DEADLINE_MS
-        yield ExchangePlan(route, number / per_s, deadline_ms, attempts)
+        prompt = prompts.randrange(PROMPT_COUNT) if names_prompt else None
+        yield ExchangePlan(route, number / per_s, deadline_ms, attempts, prompt)
 
 
 def _attempt(draws: random.Random, breaks: bool, may_be_late: bool) -> AttemptPlan:
--- a/soak/records.py
+++ b/soak/records.py
@@ -83,11 +83,13 @@
 
     Attributes:
         began_as: id of the attempt that received the first event.
+        prompt: number of its prompt; None if it names none.
     """
 
     route: Route
     attempts: list[Attempt] = msgspec.field(default_factory=list)
     began_as: RequestId | None = None
+    prompt: int | None = None
 
     @property
     def events(self) -> list[SeenEvent]:
--- a/tests/soak/test_plan.py
+++ b/tests/soak/test_plan.py
@@ -10,6 +10,7 @@
     FAULT_TIMES,
     HOST_COUNT,
     MANY_HOSTS,
+    PROMPT_COUNT,
     USUAL_HOSTS,
     Trouble,
     draw_domains,
@@ -70,6 +71,15 @@
         self.assertGreater(whole_domains, 0)
         self.assertEqual({len(set(draw_domains(seed, 12))) for seed in range(20)}, {1, 2, 3})
 
+    def test_streams_share_prompts_if_chosen(self) -> None:
+        """Guards against caches that are never asked, or that know each stream by its prompt."""
+        for chosen in ([], [Trouble.SHARED_PROMPTS]):
+            plan = draw_plan(1, DURATION_S, chosen)
+            prompts = [item.prompt for item in plan.exchanges if item.route is Route.CHAT]
+            others = {item.prompt for item in plan.exchanges if item.route is not Route.CHAT}
+            self.assertEqual((None in prompts, others), (not chosen, {None}))
+            self.assertEqual(len(set(prompts)), PROMPT_COUNT if chosen else 1)
+
     def test_some_servers_of_each_seed_don_t_mark_the_ends_of_answers(self) -> None:
         """Guards against servers that all end their answers in the same way."""
         for seed in range(10):
