--- a/Makefile
+++ b/Makefile
@@ -44,7 +44,7 @@
 	$(PYTHON) -m soak --seeds $(SEEDS)
 
 soak-ci: $(VENV)/.installed
-	$(PYTHON) -m soak --hosts 4 --troubles deadlines standstill kill late-store --seeds 1
+	$(PYTHON) -m soak --hosts 4 --troubles deadlines standstill kill late-store server-kill --seeds 1
 	$(PYTHON) -m soak --hosts 4 --troubles late deadlines standstill stop --first-seed 2 --seeds 1
 	$(PYTHON) -m soak --hosts 4 --troubles late stop --first-seed 31 --seeds 1
 
