Handle signals from the first lines of the program to its end

Cause: the handlers were installed in the event loop, after all libraries had been imported, and the loop took them away when it closed.

Change: process_signals.py imports no library and installs the handlers before the command line is imported, in the zip application too. Until the host takes them over, a stop ends the process at once (nothing is open yet) with status 0, and SIGHUP is kept, so that the settings are read again when the host is built. In the end the signals are ignored. There is no gap at the hand-over, since the handlers of the process stay the same. Other commands keep their handlers; `serve` still has none for SIGHUP.

--- a/scripts/zipapp_main.py
+++ b/scripts/zipapp_main.py
@@ -55,6 +55,9 @@
     """Runs the program and returns its exit status."""
     archive_path = os.path.abspath(sys.argv[0])
     sys.path.insert(0, os.path.join(archive_path, LIBRARY_FOLDER.rstrip("/")))
+    from medlarvale.process_signals import process_signals
+
+    process_signals.install(sys.argv[1:])
     sys.meta_path.insert(0, MemoryExtensionFinder(archive_path))
     from medlarvale.cli import main
 
--- a/src/medlarvale/forward_command.py
+++ b/src/medlarvale/forward_command.py
@@ -24,6 +24,7 @@
 from medlarvale.platform.connections import BackendConnection, new_session
 from medlarvale.platform.incoming import decode_incoming
 from medlarvale.platform.store import PlatformStore
+from medlarvale.process_signals import STOPS, process_signals
 
 METRICS_PORT = 7380
 DROP_REPORT_MS = 5_000.0
@@ -85,12 +86,12 @@
     )
     host.clock.every_ms(DROP_REPORT_MS, _DropReport(writer).tick)
     stop = asyncio.Event()
-    loop = asyncio.get_running_loop()
-    for signal_number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(signal_number, stop.set)
     settings = _watch_settings(host, Path(options.boot))
+    process_signals.take_over(
+        asyncio.get_running_loop().call_soon_threadsafe,
+        {**dict.fromkeys(STOPS, stop.set), signal.SIGHUP: settings.reload},
+    )
     # The file may also change without a signal.
-    loop.add_signal_handler(signal.SIGHUP, settings.reload)
     settings.start()
     try:
         await run_until_stopped(stop, host)
@@ -98,6 +99,7 @@
         settings.close()
         await session.close()
         await calls.close()
+        process_signals.ignore("forward")
 
 
 def _watch_settings(host: ForwardingHost, boot: Path) -> FileWatch:
--- a/src/medlarvale/serve.py
+++ b/src/medlarvale/serve.py
@@ -4,7 +4,6 @@
 
 import argparse
 import asyncio
-import signal
 import sys
 from typing import Any
 
@@ -18,6 +17,7 @@
     add_serve_flags,
     read_process_settings,
 )
+from medlarvale.process_signals import STOPS, process_signals
 
 EXIT_SETTINGS = 2
 EXIT_NOT_STARTED = 1
@@ -55,9 +55,8 @@
     def stop() -> None:
         (stop_requested if drain_requested.is_set() else drain_requested).set()
 
-    loop = asyncio.get_running_loop()
-    for signal_number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(signal_number, stop)
+    call_soon = asyncio.get_running_loop().call_soon_threadsafe
+    process_signals.take_over(call_soon, dict.fromkeys(STOPS, stop))
     try:
         await host.start()
         scheme = "https" if process.tls.caller else "http"
@@ -70,3 +69,4 @@
         stopped.cancel()
     finally:
         await host.close()
+        process_signals.ignore("serve")
