Believe the end of a stream by an engine that leaves but still accepts connections

Cause: the end of a stream by an engine that leaves needed a continuation until the software was trusted, and the last engine of a version has nobody to continue its streams.

Change: it is continued if that is possible; otherwise it is believed if the engine still serves, which has to accept a new connection too: a process that stops closes its listener first, while it may still answer on open connections.

--- a/src/medlarvale/forwarding/answer_ends.py
+++ b/src/medlarvale/forwarding/answer_ends.py
@@ -45,6 +45,7 @@
     max_calls: int = MAX_UNANSWERED,
     *,
     wants_calls: bool = True,
+    leaves: bool = False,
 ) -> bool:
     """Returns whether a server can be reached as the instance that it was.
 
@@ -53,13 +54,15 @@
         server: its entry when the request was sent.
         max_calls: calls without an answer after which it counts as gone.
         wants_calls: whether it may be called; otherwise only a connection is opened.
+        leaves: whether it leaves. A process that stops accepts no new connections, but may still
+            answer on others, so a new one has to be accepted too.
     """
     reason = ""
     for _ in range(max_calls):
         try:
-            if not wants_calls:
+            if leaves or not wants_calls:
                 await backends.probe(server)
-            elif not await backends.is_same_instance(server):
+            if wants_calls and not await backends.is_same_instance(server):
                 reason = "another instance answers"
                 break
             return True
--- a/src/medlarvale/forwarding/stream_end.py
+++ b/src/medlarvale/forwarding/stream_end.py
@@ -91,7 +91,7 @@
             return EndEvidence.CONTINUATION if self.is_unproven else EndEvidence.FRAMING
         serves = await self.still_serves(load)
         if empty:
-            return EndEvidence.CONTINUATION if serves and not self._may_leave_early(load) else None
+            return EndEvidence.CONTINUATION if serves else None
         self._was_alive = serves
         if not serves or self._was_early or self._needs_continuation(load):
             return None
@@ -101,19 +101,12 @@
         ends = self._context.connection_ends
         if not self._can_resume() or ends.are_trusted(load.server):
             return False
-        if ends.are_doubted(load.server) or self._may_leave_early(load):
-            return True
-        return self._budget.has_retry()
-
-    def _may_leave_early(self, load: ServerLoad) -> bool:
-        """Returns whether an engine leaves, and may end what it has not finished."""
-        leaves = not self._context.servers.takes_work(load)
-        return leaves and not self._context.connection_ends.are_trusted(load.server)
+        return ends.are_doubted(load.server) or self._budget.has_retry()
 
     async def is_believed(self) -> bool:
         """Returns whether the stream counts as whole although no continuation could check it."""
         engine = self._ended_by
-        if engine is None or self._was_early or self._may_leave_early(engine):
+        if engine is None or self._was_early:
             return False
         if self._context.connection_ends.are_doubted(engine.server):
             return False
@@ -129,7 +122,11 @@
         now_ms, servers = self._context.clock.now_ms(), self._context.servers
         wants_calls = not servers.waits.left_ms(load.server, now_ms)
         serves = await still_serves(
-            self._context.backends, load.server, max_calls, wants_calls=wants_calls
+            self._context.backends,
+            load.server,
+            max_calls,
+            wants_calls=wants_calls,
+            leaves=not servers.takes_work(load),
         )
         if not serves:
             self._guarded.note_broken(load.server)
