--- a/tests/forwarding/test_answer_end_faults.py
+++ b/tests/forwarding/test_answer_end_faults.py
@@ -126,6 +126,17 @@
         )
         self.assertEqual(sum(sink.finished for sink in sinks), len(sinks))
 
+    async def test_a_software_that_ends_streams_early_is_not_believed(self) -> None:
+        """Guards against rule ORDER: engines that go on serving end their streams early, and those
+        for which there is no retry reach their callers as complete."""
+        self.build("p1", "d1")
+        self.context.connection_ends.note(make_server("d1"), whole=False)
+        self.context.budget(LLM)._saved = 0.0
+        self.answer_in_turn(unframed(events(1, 3)))
+        result = await self.forward("q1", self.sink)
+        self.assertIsInstance(result, StreamBrokenError)
+        self.assertFalse(self.sink.finished)
+
     async def test_the_first_stream_is_served_without_memory_to_check_it(self) -> None:
         """Guards against cut streams while all memory is taken, as nothing was shown of the
         software yet and no continuation gets memory."""
