Decode workspaces, API keys, quotas and the sizes of prompt parts

Cause: nothing on the platform's path reads a key, a workspace or a quota. Nothing uses them yet: the identity headers are still forwarded. The names are added to the test of the boundary.

--- a/src/medlarvale/forwarding/caller_server.py
+++ b/src/medlarvale/forwarding/caller_server.py
@@ -378,6 +378,7 @@
             raise NoRouteError(f"no route for {request.host}{request.path}")
         if not request.request_id:
             raise RequestIdMissingError("the request has no id")
+        request.headers.extend(request.identity_headers)
         if len(request.body) > index.table.limits.max_body_bytes:
             raise BodyTooLargeError("the body is larger than the configuration allows")
         service = self._choose_service(request, route)
--- a/src/medlarvale/forwarding/messages.py
+++ b/src/medlarvale/forwarding/messages.py
@@ -15,10 +15,12 @@
     ConfigVersion,
     FailureDomain,
     HostId,
+    KeyDigest,
     RequestId,
     ServerId,
     ServiceName,
     SoftwareVersion,
+    WorkspaceId,
 )
 
 HoldId = NewType("HoldId", str)
@@ -89,6 +91,7 @@
         max_attempts: maximum number of backend servers on which one request may run.
         resumable: whether a stream may resume on another engine.
         gap_target_ms: longest gap between two events that callers accept; 0 if unknown.
+        public: whether requests need no API key where the configuration lists workspaces.
     """
 
     name: str
@@ -102,6 +105,45 @@
     max_attempts: int
     resumable: bool = False
     gap_target_ms: float = 0.0
+    public: bool = False
+
+
+class QuotaUnit(enum.Enum):
+    """What a quota counts."""
+
+    REQUESTS = "requests"
+    TOKENS = "tokens"
+
+
+class Quota(msgspec.Struct, frozen=True):
+    """What a workspace may ask of all hosts together.
+
+    Attributes:
+        rate_per_s: amount per second.
+        burst: amount beyond the rate that may be asked at once.
+        unit: what is counted.
+        plain_tokens: amount of a request without token counts, if tokens are counted.
+    """
+
+    rate_per_s: float
+    burst: float
+    unit: QuotaUnit = QuotaUnit.REQUESTS
+    plain_tokens: int = 0
+
+
+class Workspace(msgspec.Struct, frozen=True):
+    """A workspace of the configuration.
+
+    Attributes:
+        key_digests: digests of its API keys.
+        priority: takes precedence over that of a route; None if it has none.
+        quota: None without a limit.
+    """
+
+    workspace: WorkspaceId
+    key_digests: tuple[KeyDigest, ...]
+    priority: int | None = None
+    quota: Quota | None = None
 
 
 class EngineTraits(msgspec.Struct, frozen=True):
@@ -146,12 +188,18 @@
 
 
 class RouteTable(msgspec.Struct, frozen=True):
-    """One version of the configuration."""
+    """One version of the configuration.
+
+    Attributes:
+        workspaces: empty if requests need no API keys; None in a table from a host of an earlier
+            build, which does not decode them.
+    """
 
     version: ConfigVersion
     routes: tuple[Route, ...]
     services: Mapping[ServiceName, Service]
     limits: RequestLimits
+    workspaces: tuple[Workspace, ...] | None = None
 
 
 class Server(msgspec.Struct, frozen=True):
@@ -267,6 +315,11 @@
         path: path and query, as received.
         headers: headers to forward, without hop-by-hop headers and those that only this system
             sets.
+        identity_headers: headers with the caller's API key or a workspace, which are forwarded only
+            if the configuration lists no workspaces.
+        key_digest: digest of the API key; None without one.
+        workspace: workspace that holds the key; None before that is known, and without one.
+        priority: 0 is the most urgent; None before it is known.
         deadline_ms: time that the caller waits, from ``received_ms``.
         prompt_part: last part of the prompt, which is unique to the request and its session.
         shared_parts: the parts before the last, in order, which requests may share.
@@ -292,6 +345,12 @@
     began_as: RequestId | None = None
     possible_runs: int = 0
     relayed: RelayedFrom | None = None
+    identity_headers: CIMultiDict[str] = msgspec.field(default_factory=CIMultiDict)
+    key_digest: KeyDigest | None = None
+    workspace: WorkspaceId | None = None
+    priority: int | None = None
+    # Tokens of each part of the prompt in ``shared_parts``, then of ``prompt_part``; 0 if unknown.
+    part_tokens: tuple[int, ...] = ()
 
     @property
     def is_continuation(self) -> bool:
@@ -333,6 +392,8 @@
         fetch_from: engine that may still hold the KV cache, without a handle.
         hold: reserved memory at the server.
         resume_after: number of the last event that the caller has received.
+        priority: rank of the request at the engine, 0 to 9, where 0 is the most urgent; None to
+            leave it to the engine.
     """
 
     left_ms: float
@@ -340,6 +401,7 @@
     fetch_from: Server | None = None
     hold: HoldId | None = None
     resume_after: int | None = None
+    priority: int | None = None
 
 
 class EngineReport(msgspec.Struct, frozen=True):
@@ -374,6 +436,11 @@
         history_ms: time for which the platform's store keeps its changes; None if unknown.
         memory_bytes: memory that the process may use; None if unknown.
         announced_control: address at which peers reach ``listen_control``, if it is another one.
+        max_descriptors: descriptors that the process may use; None if unknown.
+        revoke_ms: time after which no request with a removed API key may be accepted, also at hosts
+            that can't read the published state; None without such a bound.
+        quota_window_ms: time over which the use of a quota is judged; None if unknown.
+        quota_overage: share of a quota by which its use may exceed it.
     """
 
     host: HostId
@@ -391,6 +458,10 @@
     history_ms: float | None = None
     memory_bytes: int | None = None
     announced_control: str | None = None
+    max_descriptors: int | None = None
+    revoke_ms: float | None = None
+    quota_window_ms: float | None = None
+    quota_overage: float = 0.0
 
     @property
     def peer_address(self) -> str:
--- a/src/medlarvale/ids.py
+++ b/src/medlarvale/ids.py
@@ -21,6 +21,8 @@
 StreamKey = NewType("StreamKey", bytes)
 PoolName = NewType("PoolName", str)
 WorkspaceId = NewType("WorkspaceId", str)
+# SHA-256 of an API key.
+KeyDigest = NewType("KeyDigest", bytes)
 ShardId = NewType("ShardId", int)
 BookingKey = NewType("BookingKey", str)
 ConfigVersion = NewType("ConfigVersion", int)
--- a/src/medlarvale/platform/boot.py
+++ b/src/medlarvale/platform/boot.py
@@ -114,6 +114,26 @@
             if values.get("Announce.Control")
             else None
         ),
+        max_descriptors=(
+            int(_read_value(values, faults, "Limits.MaxFds", _amount, 0.0))
+            if values.get("Limits.MaxFds")
+            else None
+        ),
+        revoke_ms=(
+            _read_value(values, faults, "Bounds.RevokeMs", _amount, 0.0)
+            if values.get("Bounds.RevokeOffline") == "true" and values.get("Bounds.RevokeMs")
+            else None
+        ),
+        quota_window_ms=(
+            _read_value(values, faults, "Bounds.QuotaWindowS", _seconds_as_ms, 0.0)
+            if values.get("Bounds.QuotaWindowS")
+            else None
+        ),
+        quota_overage=(
+            _read_value(values, faults, "Bounds.QuotaOverage", _amount, 0.0)
+            if values.get("Bounds.QuotaOverage")
+            else 0.0
+        ),
     )
     if faults:
         raise BootSettingsError("; ".join(faults))
--- a/src/medlarvale/platform/entries.py
+++ b/src/medlarvale/platform/entries.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import hashlib
 from typing import Annotated
 
 import msgspec
@@ -14,6 +15,8 @@
     Count,
     EngineStage,
     EngineTraits,
+    Quota,
+    QuotaUnit,
     RequestLimits,
     Route,
     RouteKind,
@@ -22,10 +25,19 @@
     ServerState,
     Service,
     Target,
+    Workspace,
     is_usable_address,
     is_usable_id,
 )
-from medlarvale.ids import ConfigVersion, FailureDomain, ServerId, ServiceName, SoftwareVersion
+from medlarvale.ids import (
+    ConfigVersion,
+    FailureDomain,
+    KeyDigest,
+    ServerId,
+    ServiceName,
+    SoftwareVersion,
+    WorkspaceId,
+)
 
 CONFIG_KEY = "op/config"
 SERVER_PREFIX = "servers/"
@@ -70,6 +82,7 @@
     max_attempts: Count = 1
     resumable: bool = False
     gap_target_ms: Amount = 0.0
+    public: bool = False
 
 
 class _EngineFields(msgspec.Struct, rename="pascal", kw_only=True):
@@ -95,11 +108,22 @@
     idle_timeout_ms: Amount
 
 
+class _WorkspaceFields(msgspec.Struct, rename="pascal"):
+    name: _RequiredName
+    api_keys: list[str] = []
+    priority: Count | None = None
+    unit: str = ""
+    plain_tokens: Count = 0
+    rate_per_s: Amount = 0.0
+    burst: Amount = 0.0
+
+
 class _ConfigFields(msgspec.Struct, rename="pascal"):
     version: Count
     routes: list[_RouteFields]
     services: list[_ServiceFields]
     limits: _LimitFields
+    workspaces: list[_WorkspaceFields] = msgspec.field(name="Tenants", default_factory=list)
 
 
 class _ServerFields(msgspec.Struct, rename="pascal", kw_only=True):
@@ -139,6 +163,7 @@
                 fields.limits.header_timeout_ms,
                 fields.limits.idle_timeout_ms,
             ),
+            tuple(map(_to_workspace, fields.workspaces)),
         )
     except (*DECODE_ERRORS, KeyError) as error:
         raise EntryError(f"{CONFIG_KEY}: {error}") from error
@@ -158,6 +183,28 @@
         max(1, fields.max_attempts),
         fields.resumable,
         fields.gap_target_ms,
+        fields.public,
+    )
+
+
+def key_digest(key: str) -> KeyDigest:
+    """Returns the digest by which an API key is compared; the key itself is not kept."""
+    return KeyDigest(hashlib.sha256(key.encode("utf-8", "surrogateescape")).digest())
+
+
+def _to_workspace(fields: _WorkspaceFields) -> Workspace:
+    if not is_usable_id(fields.name):
+        # It is sent in a header.
+        raise EntryError(f"{CONFIG_KEY}: unusable name of a workspace")
+    quota = None
+    if fields.rate_per_s > 0:
+        unit = QuotaUnit.TOKENS if fields.unit == QuotaUnit.TOKENS.value else QuotaUnit.REQUESTS
+        quota = Quota(fields.rate_per_s, fields.burst, unit, fields.plain_tokens)
+    return Workspace(
+        WorkspaceId(fields.name),
+        tuple(map(key_digest, fields.api_keys)),
+        fields.priority,
+        quota,
     )
 
 
--- a/src/medlarvale/platform/headers.py
+++ b/src/medlarvale/platform/headers.py
@@ -8,7 +8,8 @@
 from multidict import CIMultiDict, CIMultiDictProxy, MultiMapping
 
 from medlarvale.forwarding.messages import ClientRequest, Dispatch, PromptPartId, TokenCounts
-from medlarvale.ids import RequestId, ServerId
+from medlarvale.ids import KeyDigest, RequestId, ServerId
+from medlarvale.platform.entries import key_digest
 
 REQUEST_ID = "X-Request-Id"
 DEADLINE = "X-Deadline-Ms"
@@ -40,6 +41,17 @@
 # Id of the caller's attempt that received the first event of the stream.
 BEGAN_AS = "Resumes"
 
+# "Token KEY": the API key of the caller.
+AUTHORIZATION = "Authorization"
+KEY_SCHEME = "token"
+# Name of the workspace that holds the key.
+WORKSPACE = "X-Tenant"
+# 0 to 9, where 0 is the most urgent.
+PRIORITY = "X-Request-Priority"
+LEAST_URGENT = 9
+
+# Kept apart from the other headers of a caller's request.
+IDENTITY = frozenset((AUTHORIZATION.lower(), WORKSPACE.lower()))
 # Removed from callers' requests: with them, a caller could act on the engine memory and the servers
 # of other callers.
 SYSTEM_ONLY = frozenset(
@@ -50,7 +62,7 @@
         STAGE,
         KV_SOURCE,
         KV_HOLD,
-        "X-Request-Priority",
+        PRIORITY,
         "X-Expected-Version",
         "X-Pin-Ms",
         "X-Kv-Backup",
@@ -163,13 +175,26 @@
 
 def _prompt_parts(
     headers: CIMultiDictProxy[str],
-) -> tuple[PromptPartId | None, tuple[PromptPartId, ...]]:
-    """Returns the last part of the prompt and the parts before it."""
-    *shared, last = (
-        PromptPartId(entry.partition(":")[0].strip().lower())
-        for entry in headers.get(PROMPT_PARTS, "").split(",")
-    )
-    return last or None, tuple(part for part in shared if part)
+) -> tuple[PromptPartId | None, tuple[PromptPartId, ...], tuple[int, ...]]:
+    """Returns the last part of the prompt, the parts before it, and the tokens of all of them."""
+    parts, tokens = list[PromptPartId](), list[int]()
+    *shared, last = headers.get(PROMPT_PARTS, "").split(",")
+    for entry in (*shared, last):
+        name, _, size = entry.partition(":")
+        part = PromptPartId(name.strip().lower())
+        if part or entry is last:
+            parts.append(part)
+            tokens.append(_parse_unsigned(size) or 0)
+    return parts[-1] or None, tuple(parts[:-1]), tuple(tokens)
+
+
+def _key_digest(headers: CIMultiDictProxy[str]) -> KeyDigest | None:
+    """Returns the digest of the API key; None without a single one."""
+    values = headers.getall(AUTHORIZATION, ())
+    if len(values) != 1:
+        return None
+    scheme, _, key = values[0].strip().partition(" ")
+    return key_digest(key.strip()) if scheme.lower() == KEY_SCHEME and key.strip() else None
 
 
 def decode_request(
@@ -181,14 +206,17 @@
 ) -> ClientRequest:
     """Returns the request of a caller; an invalid optional header is treated as absent."""
     deadline_ms = _parse_unsigned(headers.get(DEADLINE))
-    last_part, shared_parts = _prompt_parts(headers)
+    last_part, shared_parts, part_tokens = _prompt_parts(headers)
+    identity: CIMultiDict[str] = CIMultiDict(
+        (name, value) for name, value in headers.items() if name.lower() in IDENTITY
+    )
     began_as = headers.get(BEGAN_AS, "").strip(" \t")
     return ClientRequest(
         request_id=RequestId(headers.get(REQUEST_ID, "")),
         method=method,
         host=headers.get("Host", ""),
         path=path,
-        headers=forwardable(headers, SYSTEM_ONLY),
+        headers=forwardable(headers, SYSTEM_ONLY | IDENTITY),
         body=body,
         received_ms=received_ms,
         deadline_ms=DEFAULT_DEADLINE_MS if deadline_ms is None else float(deadline_ms),
@@ -197,6 +225,9 @@
         shared_parts=shared_parts,
         resume_after=_parse_unsigned(headers.get(RESUME_AFTER)),
         began_as=RequestId(began_as) if began_as else None,
+        identity_headers=identity,
+        key_digest=_key_digest(headers),
+        part_tokens=part_tokens,
     )
 
 
@@ -216,4 +247,8 @@
         headers[KV_HOLD] = dispatch.hold
     if dispatch.resume_after is not None:
         headers[RESUME_AFTER] = str(dispatch.resume_after)
+    if dispatch.priority is not None:
+        headers[PRIORITY] = str(min(LEAST_URGENT, dispatch.priority))
+    if request.workspace is not None:
+        headers[WORKSPACE] = request.workspace
     return headers
--- a/tests/platform/test_imports.py
+++ b/tests/platform/test_imports.py
@@ -9,6 +9,7 @@
     r"X-Serving-Stage|X-Kv-|Kv-Fetch|X-Expected-Instance|X-Response-Signature|X-Not-Executed"
     r"|X-Token-Counts|X-Length-Hint|X-Instance-Id|KvTokenCapacity|KvHandle|kv-range|kv-watch"
     r"|hold-take|hold-drop|op/config|CurrentRev|PathPrefix|TargetLatencyMs|TimeoutMs"
+    r"|X-Tenant|ApiKeys|RatePerS|PlainTokens"
 )
 # The adapter may import the interfaces and types that it translates to, and general utilities.
 ALLOWED_IMPORTS = re.compile(
