access: first version

Cause: API keys were decoded and never checked, and the headers with a key reached the servers. Change: the package access decides by the configuration's workspaces and by a confirmation time, for callers and for relayed requests; servers get the workspace alone; relays carry the digest; readers and peers tell the age of their confirmation time.

--- /dev/null
+++ b/src/medlarvale/access/__init__.py
@@ -0,0 +1,1 @@
+"""Decides which requests of callers are accepted, by the API keys of the configuration."""
--- a/src/medlarvale/forwarding/caller_server.py
+++ b/src/medlarvale/forwarding/caller_server.py
@@ -14,6 +14,8 @@
 from aiohttp import HttpVersion11, web
 from multidict import CIMultiDict
 
+from medlarvale.access.confirmation import ConfigConfirmation
+from medlarvale.access.gate import AccessGate
 from medlarvale.clock import Clock
 from medlarvale.errors import MedlarvaleError
 from medlarvale.forwarding.errors import (
@@ -130,6 +132,7 @@
         ready: returns whether this host accepts new connections.
         relay: relays requests that this host can't serve itself; None if the requests come from
             peers, which are told whose each answer is.
+        gate: checks API keys; None for one that needs no confirmation of the configuration.
     """
 
     def __init__(
@@ -144,7 +147,9 @@
         relay: Relay | None = None,
         *,
         for_peers: bool = False,
+        gate: AccessGate | None = None,
     ) -> None:
+        self._gate = gate or AccessGate(ConfigConfirmation(), clock)
         self._ready = ready
         self._relay = relay
         self._for_peers = for_peers
@@ -378,7 +383,7 @@
             raise NoRouteError(f"no route for {request.host}{request.path}")
         if not request.request_id:
             raise RequestIdMissingError("the request has no id")
-        request.headers.extend(request.identity_headers)
+        self._gate.admit(request, route, index.table)
         if len(request.body) > index.table.limits.max_body_bytes:
             raise BodyTooLargeError("the body is larger than the configuration allows")
         service = self._choose_service(request, route)
--- a/src/medlarvale/forwarding/domain_reader.py
+++ b/src/medlarvale/forwarding/domain_reader.py
@@ -142,17 +142,24 @@
             return False
         before_ms, changes = self._follower.left_after_ms(), self._engine_changes
         if reply.mark != self._mark:
-            if reply.table is not None:
-                self._follower.accept(reply.table)
+            if reply.table is not None and not self._follower.accept(reply.table, reader):
+                return False
             servers = usable_servers(reply.servers, reader)
             self._servers.replace_all(
                 servers, self._clock.now_ms(), after_outage=False, missing=set(reply.missing)
             )
         if self._has_unseen(reply, self._engine_changes - changes):
-            self._follower.note_gap(before_ms, self._clock.now_ms())
+            self._follower.gaps.note(before_ms, self._clock.now_ms())
         self._mark, self._heard_changes = reply.mark, reply.engine_changes
         age_ms = DEFAULT_AGE_MS if reply.age_ms is None else reply.age_ms
         self._follower.suspend(reply.era, reply.revision, asked_ms - age_ms)
+        self._follower.confirmation.note_peer(
+            asked_ms,
+            reply.config_age_ms,
+            reply.mark.config_version,
+            self._follower.version,
+            same_era=reply.era == self._follower.era,
+        )
         self._note_gap(reply, asked_ms, before_ms)
         return True
 
@@ -185,9 +192,9 @@
         until_ms = self._clock.now_ms() - reply.gap_ages_ms[1]
         if reply.gap_number is None:
             # A reader of an earlier build. The begin may be estimated too early.
-            last_gap = self._follower.last_gap
+            last_gap = self._follower.gaps.last
             if last_gap is None or since_ms > last_gap[1]:
-                self._follower.note_gap(since_ms, until_ms)
+                self._follower.gaps.note(since_ms, until_ms)
             return
         heard, self._heard_gap = self._heard_gap, (reply.mark.incarnation, reply.gap_number)
         if heard == self._heard_gap:
@@ -195,9 +202,10 @@
         if heard is not None and heard != (reply.mark.incarnation, reply.gap_number - 1):
             # Gaps before the named one have not been named.
             since_ms = min(since_ms, before_ms)
-        self._follower.note_gap(since_ms, until_ms)
+        self._follower.gaps.note(since_ms, until_ms)
 
     async def _answer(self, sender: HostIdentity, message: SharedStateRequest) -> SharedState:
+        arrived_ms = self._clock.now_ms()
         if self._present_mark() == message.mark:
             try:
                 async with asyncio.timeout(min(message.wait_ms, ANSWER_AFTER_MS) / 1000.0):
@@ -218,14 +226,15 @@
             self._follower.age_ms(),
             self._gap_ages_ms(),
             self._servers.missing_servers() if changed else (),
-            self._follower.gap_number,
+            self._follower.gaps.number,
             self._engine_changes,
+            self._follower.confirmation.age_to_send(arrived_ms, mark.config_version),
         )
 
     def _gap_ages_ms(self) -> tuple[float, float] | None:
-        if self._follower.last_gap is None:
+        if self._follower.gaps.last is None:
             return None
-        since_ms, until_ms = self._follower.last_gap
+        since_ms, until_ms = self._follower.gaps.last
         now_ms = self._clock.now_ms()
         return now_ms - since_ms, now_ms - until_ms
 
--- a/src/medlarvale/forwarding/fleet_messages.py
+++ b/src/medlarvale/forwarding/fleet_messages.py
@@ -6,7 +6,14 @@
 
 import msgspec
 
-from medlarvale.forwarding.messages import RouteTable, Server, StoreEra, StoreRevision, Summand
+from medlarvale.forwarding.messages import (
+    Finite,
+    RouteTable,
+    Server,
+    StoreEra,
+    StoreRevision,
+    Summand,
+)
 from medlarvale.forwarding.server_limits import NamedLimit
 from medlarvale.ids import (
     ConfigVersion,
@@ -102,6 +109,8 @@
         search: whether it shall ask its peers for them.
         question: a stream of which nobody has a record.
         keep_disputed: streams for which several versions were noted; earlier builds do not read it.
+        known: version of the configuration that the sender has; the peer then names no servers, and
+            its configuration only if it is newer. None to get all; earlier builds do not read it.
     """
 
     keep: dict[StreamKey, SoftwareVersion] = {}
@@ -109,6 +118,7 @@
     search: bool = False
     question: StreamQuestion | None = None
     keep_disputed: dict[StreamKey, tuple[SoftwareVersion, ...]] = {}
+    known: ConfigVersion | None = None
 
     @property
     def is_about_streams(self) -> bool:
@@ -129,6 +139,9 @@
             followed all engines since before, and from an earlier build.
         disputed: versions of the streams that the request names and for which several were noted;
             earlier builds do not read it.
+        config_version: version of the peer's configuration; 0 without one.
+        config_age_ms: age of the confirmation time of the peer's configuration when the request
+            arrived, negative if it is later; None without one, and from an earlier build.
     """
 
     table: RouteTable | None
@@ -138,6 +151,8 @@
     remembers_ms: float | None = None
     possible: tuple[SoftwareVersion, ...] | None = None
     disputed: dict[StreamKey, tuple[SoftwareVersion, ...]] = {}
+    config_version: ConfigVersion = ConfigVersion(0)
+    config_age_ms: Finite | None = None
 
 
 class StateMark(msgspec.Struct, frozen=True, array_like=True):
@@ -185,6 +200,8 @@
         gap_number: number of such times since the sender has started; None from an earlier build.
         engine_changes: number of engines that have begun or ceased to take streams since the sender
             has started, each time counted; None from an earlier build.
+        config_age_ms: age of the confirmation time of the sender's configuration when the request
+            arrived, negative if it is later; None without one, and from an earlier build.
     """
 
     mark: StateMark
@@ -198,6 +215,7 @@
     missing: tuple[ServerId, ...] = ()
     gap_number: int | None = None
     engine_changes: int | None = None
+    config_age_ms: Finite | None = None
 
 
 FLEET_MESSAGES = (Hello, StateRequest, StateReply, SharedStateRequest, SharedState)
--- a/src/medlarvale/forwarding/follower.py
+++ b/src/medlarvale/forwarding/follower.py
@@ -6,10 +6,12 @@
 import math
 from collections.abc import Callable
 
+from medlarvale.access.confirmation import ConfigConfirmation
 from medlarvale.clock import Clock
 from medlarvale.forwarding.background_tasks import end_tasks
 from medlarvale.forwarding.errors import HistoryGoneError, PublishedStateError, WatchCutError
-from medlarvale.forwarding.interface import StateSource
+from medlarvale.forwarding.interface import NO_WAIT_MS, StateSource
+from medlarvale.forwarding.list_gaps import ListGaps, PauseDetector
 from medlarvale.forwarding.messages import (
     DEFAULT_HEARTBEAT_MS,
     RouteTable,
@@ -20,8 +22,12 @@
 )
 from medlarvale.forwarding.routes import RouteIndex
 from medlarvale.forwarding.servers import ServerTable
-from medlarvale.forwarding.version_history import LAPSE_HEARTBEATS, RecentHistory
-from medlarvale.ids import ConfigVersion, ServerId
+from medlarvale.forwarding.version_history import (
+    LAPSE_HEARTBEATS,
+    RecentHistory,
+    read_recent_history,
+)
+from medlarvale.ids import ConfigVersion, HostId, ServerId
 from medlarvale.logs import Event, log_info, log_warning
 
 # A watch on a dead connection must end well within 2 s, because a change must take effect by then.
@@ -34,8 +40,6 @@
 RETRY_FIRST_MS = 50.0
 RETRY_MAX_MS = 500.0
 EXPIRY_PERIOD_MS = 100.0
-# Shortest wait of a watch, for changes that have already been made.
-NO_WAIT_MS = 1
 # An answer that takes longer than its wait and this time may tell of changes long after they were
 # made. So may one that arrives after a pause of the process, which is a gap of this length beyond
 # the period between two ticks.
@@ -53,8 +57,8 @@
         reachable: whether the last call to the source succeeded.
         revision: revision of the source up to which changes are known.
         era: era of the source to which the revision belongs.
-        last_gap: begin and end of the last time of which not all changes were seen.
-        gap_number: number of such times since the start.
+        gaps: times of which not all changes were seen.
+        confirmation: whether the configuration is known to be recent.
 
     Args:
         source: published state.
@@ -62,6 +66,7 @@
         clock: time service.
         on_ready: called once, with the first configuration.
         heartbeat_ms: time between two heartbeats of a backend server.
+        confirmation: whether the configuration is known to be recent.
     """
 
     def __init__(
@@ -71,7 +76,9 @@
         clock: Clock,
         on_ready: Callable[[], None],
         heartbeat_ms: float = DEFAULT_HEARTBEAT_MS,
+        confirmation: ConfigConfirmation | None = None,
     ) -> None:
+        self.confirmation = confirmation or ConfigConfirmation()
         self._source = source
         self._servers = servers
         self._clock = clock
@@ -87,15 +94,10 @@
         self._listed_ms = math.inf
         # Time at which an answer arrived that is being applied and came in time.
         self._applied_ms: float | None = None
-        self._tick_ms = math.inf
-        self._paused_ms = -math.inf
-        # Begin of the newest call that was answered; all changes before it are known for certain.
-        self._confirmed_ms = -math.inf
+        self._pauses = PauseDetector(clock, EXPIRY_PERIOD_MS + LATE_ANSWER_MS)
         self._confirmation: asyncio.Task[bool] | None = None
         self._confirming_ms = -math.inf
-        self._gap_callbacks: list[Callable[[float, float], None]] = []
-        self.last_gap: tuple[float, float] | None = None
-        self.gap_number = 0
+        self.gaps = ListGaps()
         # Whether entries may be missing because their servers could not write to the source.
         self._may_have_lapsed = False
         self.reachable = True
@@ -123,14 +125,7 @@
 
     def on_gap(self, callback: Callable[[float, float], None]) -> None:
         """Registers a callback for the begin and end of each time that was not all seen."""
-        self._gap_callbacks.append(callback)
-
-    def note_gap(self, since_ms: float, until_ms: float) -> None:
-        """Records a time in which this host, or the one that reads for it, saw no changes."""
-        self.last_gap = since_ms, until_ms
-        self.gap_number += 1
-        for callback in self._gap_callbacks:
-            callback(since_ms, until_ms)
+        self.gaps.on_gap(callback)
 
     def _note_listed(self) -> None:
         self._listed_ms = min(self._listed_ms, self._clock.now_ms())
@@ -139,23 +134,17 @@
         """Records that changes are known from some time on, but not those before it."""
         known_ms = self._current_ms if self._current_ms > -math.inf else self._listed_ms
         if known_ms < since_ms:
-            self.note_gap(known_ms, since_ms)
+            self.gaps.note(known_ms, since_ms)
 
     def start(self) -> None:
         """Starts following."""
         self._task = asyncio.get_running_loop().create_task(self._follow())
-        self._tick_ms = self._clock.now_ms()
+        self._pauses.tick()
         self._clock.every_ms(EXPIRY_PERIOD_MS, self._tick)
 
     def _tick(self) -> None:
-        self._note_pause()
-        self._tick_ms = self._clock.now_ms()
-        self._servers.expire_missing(self._tick_ms)
-
-    def _note_pause(self) -> None:
-        now_ms = self._clock.now_ms()
-        if now_ms - self._tick_ms > EXPIRY_PERIOD_MS + LATE_ANSWER_MS:
-            self._paused_ms = now_ms
+        self._pauses.tick()
+        self._servers.expire_missing(self._clock.now_ms())
 
     def age_ms(self) -> float:
         """Returns the time since which changes may be unknown; infinite before the first answer."""
@@ -184,7 +173,7 @@
         Args:
             at_ms: monotonic time, not in the future.
         """
-        while self._confirmed_ms < at_ms:
+        while self.confirmation.answered_ms < at_ms:
             starts = self._confirmation is None or self._confirmation.done()
             if self._confirmation is None or starts:
                 self._confirming_ms = self._clock.now_ms()
@@ -193,7 +182,7 @@
             await asyncio.shield(self._confirmation)
             if starts or began_ms >= at_ms:
                 break
-        return self._confirmed_ms >= at_ms
+        return self.confirmation.answered_ms >= at_ms
 
     async def _catch_up(self) -> bool:
         if self._may_have_lapsed or self._silent_ms() >= self._lapse_ms:
@@ -237,24 +226,42 @@
         if self._task is not None:
             await end_tasks([self._task])
 
-    def accept(self, table: RouteTable) -> None:
-        """Activates a configuration if it is newer than the current one."""
+    def _accept_published(self, table: RouteTable | None) -> None:
+        if table is not None:
+            self.accept(table)
+        self.confirmation.note_published(table, self.index.table if self.index else None)
+
+    def accept(self, table: RouteTable, peer: HostId | None = None) -> bool:
+        """Activates a configuration if it is newer; returns whether it, or a newer one, is known.
+
+        Args:
+            table: the configuration.
+            peer: the peer that has sent it; None if the source has. A peer of an earlier build does
+                not tell whether there are workspaces.
+        """
         previous = self.version
         first = self.index is None
         if not first and table.version <= previous:
-            return
+            return True
+        if peer is not None and table.workspaces is None:
+            log_info(Event.PEER_TABLE_REFUSED, peer=peer, version=table.version)
+            return False
         self.index = RouteIndex(table)
         log_info(Event.CONFIG_ACCEPTED, version=table.version, previous=previous)
         if first:
             self._on_ready()
         for callback in self._accept_callbacks:
             callback()
+        return True
 
     async def _follow(self) -> None:
         synchronized = False
         retry_ms = RETRY_FIRST_MS
         while True:
-            await self._reading.wait()
+            if not self._reading.is_set():
+                await self._reading.wait()
+                # Changes alone would not show what the store lists.
+                synchronized = synchronized and self.confirmation.lists(self.version)
             started_ms = self._clock.now_ms()
             try:
                 if synchronized:
@@ -289,7 +296,11 @@
             Whether all changes since the last answer are known.
         """
         try:
-            await self._watch(self._watch_wait_ms)
+            await self._watch(
+                self.confirmation.watch_wait_ms(
+                    self._watch_wait_ms, self._clock.now_ms(), self.version
+                )
+            )
             return True
         except WatchCutError as error:
             reason = error.message
@@ -306,8 +317,7 @@
         published = await self._source.read()
         restored = published.era != self.era
         self._note_era(published.era)
-        if published.table is not None:
-            self.accept(published.table)
+        self._accept_published(published.table)
         after_outage = (
             restored or self._may_have_lapsed or self._silent_ms() >= self._lapse_ms
         ) and len(self._servers) > 0
@@ -318,7 +328,7 @@
         self.revision = published.revision
         self._note_current(started_ms)
         self._current_ms = started_ms
-        self._confirmed_ms = max(self._confirmed_ms, started_ms)
+        self.confirmation.note_answer(started_ms, self.version)
 
     async def _watch(self, wait_ms: int, *, suspended: bool = False) -> None:
         started_ms = self._clock.now_ms()
@@ -330,8 +340,8 @@
             # The other host may have reported newer changes while this call was in progress.
             return
         now_ms = self._clock.now_ms()
-        self._note_pause()
-        is_late = now_ms - started_ms > wait_ms + LATE_ANSWER_MS or self._paused_ms >= started_ms
+        is_paused = self._pauses.has_paused_since(started_ms)
+        is_late = now_ms - started_ms > wait_ms + LATE_ANSWER_MS or is_paused
         self._applied_ms = None if is_late else now_ms
         try:
             # Another call that ended first may have told of these changes.
@@ -340,12 +350,12 @@
         finally:
             self._applied_ms = None
         self._current_ms = max(self._current_ms, started_ms if is_late else now_ms)
-        self._confirmed_ms = max(self._confirmed_ms, started_ms)
+        self.confirmation.note_answer(started_ms, self.version)
 
     def _apply(self, changes: StateChanges) -> None:
         for item in changes.items:
             if isinstance(item, RouteTable):
-                self.accept(item)
+                self._accept_published(item)
             elif isinstance(item, Server):
                 self._servers.upsert(item)
             else:
@@ -368,25 +378,12 @@
         Raises:
             PublishedStateError: if they can't be read.
         """
-        state = await self._source.read()
-        changes = StateChanges((), state.revision, state.era)
-        available, gone, step = int(state.revision), -1, 1
-        while available - gone > 1:
-            # Goes back in growing steps, and then halves the gap to what is no longer available.
-            after = max(available - step, 0) if gone < 0 else (available + gone) // 2
-            try:
-                changes = await self._source.watch(StoreRevision(after), NO_WAIT_MS)
-            except HistoryGoneError:
-                gone = after
-                continue
-            if changes.era != state.era:
-                raise PublishedStateError("the store came back from a copy while it was read")
-            available, step = after, step * 2
-        return RecentHistory(state, changes, StoreRevision(available))
+        return await read_recent_history(self._source)
 
     def _note_era(self, era: StoreEra) -> None:
         if era != self.era and self.index is not None:
             log_warning(Event.STORE_RESTORED, era=era, before=self.era, revision=self.revision)
+            self.confirmation.note_restored(self._clock.now_ms())
         self.era = era
 
     def _note_reachable(self, reachable: bool, reason: str) -> None:
--- a/src/medlarvale/forwarding/host.py
+++ b/src/medlarvale/forwarding/host.py
@@ -9,6 +9,8 @@
 
 from aiohttp import web
 
+from medlarvale.access.confirmation import ConfigConfirmation
+from medlarvale.access.gate import AccessGate
 from medlarvale.body_memory import BodyMemory, limit_of_process
 from medlarvale.clock import SystemClock
 from medlarvale.forwarding.cache_holders import CacheHolderFinder
@@ -118,7 +120,12 @@
             )
         )
         self.follower = StateFollower(
-            source, self.servers, self.clock, self._log_ready, self._heartbeat_ms
+            source,
+            self.servers,
+            self.clock,
+            self._log_ready,
+            self._heartbeat_ms,
+            ConfigConfirmation(parameters.revoke_ms),
         )
         self.follower.on_contact(lambda: self.servers.isolation.note_contact(self.clock.now_ms()))
         self._build_peers(parameters)
@@ -171,6 +178,7 @@
         identity = self.fleet.view.identity
         codec = RelayCodec(identity, self._new_guard(identity))
         plain = PlainForwarder(context)
+        gate = AccessGate(self.follower.confirmation, self.clock)
         relay = Relay(
             context.reach,
             lambda: self.fleet.view.live(self.clock.now_ms()),
@@ -193,6 +201,7 @@
             self._rng,
             self.ready,
             relay,
+            gate=gate,
         )
         self.relay_server = CallerServer(
             self.follower,
@@ -205,6 +214,7 @@
             self._rng,
             lambda: True,
             for_peers=True,
+            gate=gate,
         )
         self._request_servers = (self.caller_server, self.relay_server)
 
@@ -281,6 +291,9 @@
             "services_unreached": len(self._context.reach.unreached),
             "config_version": self.follower.version,
             "store_reachable": self.follower.reachable,
+            "config_confirmed_age_ms": self.follower.confirmation.age_ms(
+                self.clock.now_ms(), self.follower.version
+            ),
             "backend_servers": len(self.servers),
             "live_peers": len(self._live_peers()),
             "peer_frames_dropped": self._transport.dropped_frames,
--- a/src/medlarvale/forwarding/interface.py
+++ b/src/medlarvale/forwarding/interface.py
@@ -24,6 +24,9 @@
 )
 from medlarvale.http_bodies import BodyFraming
 
+# Shortest wait of a watch, for changes that have already been made.
+NO_WAIT_MS = 1
+
 
 class BackendAnswer(Protocol):
     """The answer of a backend server; its body has not been read yet.
--- a/src/medlarvale/forwarding/messages.py
+++ b/src/medlarvale/forwarding/messages.py
@@ -320,6 +320,8 @@
         key_digest: digest of the API key; None without one.
         workspace: workspace that holds the key; None before that is known, and without one.
         priority: 0 is the most urgent; None before it is known.
+        withholds_identity: whether no header with a key or a workspace of the caller is forwarded,
+            also none that a peer has relayed among ``headers``.
         deadline_ms: time that the caller waits, from ``received_ms``.
         prompt_part: last part of the prompt, which is unique to the request and its session.
         shared_parts: the parts before the last, in order, which requests may share.
@@ -349,6 +351,7 @@
     key_digest: KeyDigest | None = None
     workspace: WorkspaceId | None = None
     priority: int | None = None
+    withholds_identity: bool = False
     # Tokens of each part of the prompt in ``shared_parts``, then of ``prompt_part``; 0 if unknown.
     part_tokens: tuple[int, ...] = ()
 
--- a/src/medlarvale/forwarding/peer_state.py
+++ b/src/medlarvale/forwarding/peer_state.py
@@ -1,7 +1,8 @@
 """Gets from a peer what this host can't read from the store, and answers such requests.
 
 That is the configuration and the servers while the store can't be read, and a newer configuration
-while the store has come back from an older copy.
+while the store has come back from an older copy. Where revocation of API keys is bounded, also when
+the configuration was confirmed last.
 """
 
 from __future__ import annotations
@@ -14,7 +15,7 @@
 from medlarvale.forwarding.servers import ServerTable
 from medlarvale.forwarding.stream_records import StreamRecords
 from medlarvale.forwarding.usable_servers import usable_servers
-from medlarvale.ids import HostId, HostIdentity
+from medlarvale.ids import ConfigVersion, HostId, HostIdentity
 from medlarvale.logs import Event, log_info
 from medlarvale.peers.errors import PeerError
 from medlarvale.peers.transport import Transport
@@ -22,6 +23,8 @@
 # A change must take effect within 2 s, so half of that is the longest useful period.
 QUERY_PERIOD_MS = 1_000.0
 QUERY_TIMEOUT_MS = 800.0
+# Peers that are asked at a time whether the configuration is recent, in case that one is lost.
+CONFIRMING_PEERS = 2
 
 
 class PeerStateTask:
@@ -52,6 +55,7 @@
         self._records = records
         self._clock = clock
         self._background = BackgroundTasks()
+        self._turn = 0
         transport.register(StateRequest, self._answer)
 
     def start(self) -> None:
@@ -59,32 +63,60 @@
         self._clock.every_ms(QUERY_PERIOD_MS, self._tick)
 
     def _tick(self) -> None:
-        now_ms = self._clock.now_ms()
-        readers = {
-            host: hello.config_version
-            for host, hello in self._view.live(now_ms).items()
-            if hello.store_reachable and hello.config_version
-        }
-        newest = max(readers, key=lambda host: (readers[host], host), default=None)
-        if newest is None:
-            return
-        if self._needs_state() or readers[newest] > self._follower.version:
-            self._background.start(self._query(newest))
+        now_ms, confirmation = self._clock.now_ms(), self._follower.confirmation
+        live = self._view.live(now_ms)
+        versions = {host: hello.config_version for host, hello in live.items()}
+        newest = max(versions.values(), default=ConfigVersion(0))
+        confirmation.note_heard(newest, self._follower.version, now_ms)
+        readers = {host for host in versions if live[host].store_reachable and versions[host]}
+        best = max(readers, key=lambda host: (versions[host], host), default=None)
+        if best is not None and (self._needs_state() or versions[best] > self._follower.version):
+            self._background.start(self._query(best))
+        if confirmation.asks_peers(now_ms, self._follower.version):
+            # A peer that can't reach the store may know of one that does.
+            for host in self._next_peers(sorted(readers) or sorted(versions)):
+                self._background.start(self._query_confirmation(host))
 
     def _needs_state(self) -> bool:
         return not self._follower.reachable or self._follower.index is None
 
-    async def _query(self, host: HostId) -> None:
+    def _next_peers(self, hosts: list[HostId]) -> list[HostId]:
+        """Returns some hosts, in turns, so that no single one decides."""
+        first, self._turn = self._turn, self._turn + CONFIRMING_PEERS
+        chosen = (hosts[number % len(hosts)] for number in range(first, self._turn) if hosts)
+        return list(dict.fromkeys(chosen))
+
+    async def _ask(self, host: HostId, request: StateRequest) -> tuple[StateReply | None, float]:
+        """Returns the reply of a peer, or None, and the time at which it was asked."""
+        asked_ms = self._clock.now_ms()
         try:
-            reply = await self._transport.request(host, StateRequest(), QUERY_TIMEOUT_MS)
+            reply = await self._transport.request(host, request, QUERY_TIMEOUT_MS)
         except PeerError as error:
             log_info(Event.PEER_STATE_FAILED, peer=host, error=error.message)
+            return None, asked_ms
+        return (reply if isinstance(reply, StateReply) else None), asked_ms
+
+    async def _query_confirmation(self, host: HostId) -> None:
+        reply, asked_ms = await self._ask(host, StateRequest(known=self._follower.version))
+        if reply is None or reply.config_age_ms is None:
+            return
+        if reply.table is not None and not self._follower.accept(reply.table, host):
             return
-        if not isinstance(reply, StateReply) or not reply.store_reachable:
+        self._note_confirmation(reply, asked_ms)
+
+    def _note_confirmation(self, reply: StateReply, asked_ms: float) -> None:
+        self._follower.confirmation.note_peer(
+            asked_ms, reply.config_age_ms, reply.config_version, self._follower.version
+        )
+
+    async def _query(self, host: HostId) -> None:
+        reply, asked_ms = await self._ask(host, StateRequest())
+        if reply is None or not reply.store_reachable:
             return
         needs_state = self._needs_state()
         if reply.table is not None:
-            self._follower.accept(reply.table)
+            self._follower.accept(reply.table, host)
+        self._note_confirmation(reply, asked_ms)
         if not needs_state:
             # The store answers, or has answered in the meantime: its list takes precedence.
             return
@@ -94,9 +126,13 @@
     async def _answer(self, sender: HostIdentity, message: StateRequest) -> StateReply:
         if message.is_about_streams:
             return await self._records.answer(message)
-        index = self._follower.index
+        follower, wants_all = self._follower, message.known is None
+        table = follower.index.table if follower.index is not None else None
+        is_wanted = wants_all or follower.version > (message.known or 0)
         return StateReply(
-            index.table if index is not None else None,
-            self._servers.all_servers(),
-            self._follower.reachable,
+            table if is_wanted else None,
+            self._servers.all_servers() if wants_all else (),
+            follower.reachable,
+            config_version=follower.version,
+            config_age_ms=follower.confirmation.age_to_send(self._clock.now_ms(), follower.version),
         )
--- a/src/medlarvale/forwarding/relay_messages.py
+++ b/src/medlarvale/forwarding/relay_messages.py
@@ -15,6 +15,7 @@
     ConfigVersion,
     HostId,
     HostIdentity,
+    KeyDigest,
     RequestId,
     ServiceName,
     SoftwareVersion,
@@ -62,6 +63,8 @@
     service: str
     config_version: int
     software: str | None
+    # Frames of earlier builds have no further fields.
+    key_digest: bytes | None = None
 
 
 def _pack(text: str) -> bytes:
@@ -121,6 +124,7 @@
             routed.service,
             routed.config_version,
             routed.software,
+            request.key_digest,
         )
         frame = Frame(
             self._identity.host,
@@ -172,4 +176,5 @@
                 relayed.left_ms,
                 SoftwareVersion(software) if software is not None else None,
             ),
+            key_digest=KeyDigest(relayed.key_digest) if relayed.key_digest is not None else None,
         )
--- a/src/medlarvale/forwarding/version_history.py
+++ b/src/medlarvale/forwarding/version_history.py
@@ -14,6 +14,8 @@
 
 import msgspec
 
+from medlarvale.forwarding.errors import HistoryGoneError, PublishedStateError
+from medlarvale.forwarding.interface import NO_WAIT_MS, StateSource
 from medlarvale.forwarding.messages import (
     EngineStage,
     PublishedState,
@@ -48,6 +50,29 @@
     floor: StoreRevision
 
 
+async def read_recent_history(source: StateSource) -> RecentHistory:
+    """Reads the published state with the changes that the source still has.
+
+    Raises:
+        PublishedStateError: if they can't be read.
+    """
+    state = await source.read()
+    changes = StateChanges((), state.revision, state.era)
+    available, gone, step = int(state.revision), -1, 1
+    while available - gone > 1:
+        # Goes back in growing steps, and then halves the gap to what is no longer available.
+        after = max(available - step, 0) if gone < 0 else (available + gone) // 2
+        try:
+            changes = await source.watch(StoreRevision(after), NO_WAIT_MS)
+        except HistoryGoneError:
+            gone = after
+            continue
+        if changes.era != state.era:
+            raise PublishedStateError("the store came back from a copy while it was read")
+        available, step = after, step * 2
+    return RecentHistory(state, changes, StoreRevision(available))
+
+
 class ReadingTime(msgspec.Struct, frozen=True):
     """When a history was read, and what its dates depend on.
 
--- a/src/medlarvale/platform/headers.py
+++ b/src/medlarvale/platform/headers.py
@@ -236,6 +236,9 @@
 ) -> CIMultiDict[str]:
     """Returns the headers for forwarding a request to a backend server."""
     headers = request.headers.copy()
+    if request.withholds_identity:
+        for name in IDENTITY:
+            headers.popall(name, None)
     headers[DEADLINE] = str(max(1, int(dispatch.left_ms)))
     headers[EXPECTED_SERVER] = server
     if dispatch.source is not None:
--- a/src/medlarvale/platform/standin.py
+++ b/src/medlarvale/platform/standin.py
@@ -22,6 +22,7 @@
 from aiohttp import web
 from aiohttp.http import StreamWriter
 from aiohttp.typedefs import Middleware
+from multidict import CIMultiDictProxy
 
 from medlarvale.forwarding.messages import DEFAULT_HEARTBEAT_MS
 from medlarvale.http_bodies import BodyFraming
@@ -178,6 +179,7 @@
         retry_after: time for which it turns away what it gets and wants nothing; None to accept it.
         turns_holds_away: whether ``retry_after`` is for reservations too.
         calls: time and sender of all that it got, and whether it asked for no more.
+        heads: path and headers of all that it got.
     """
 
     def __init__(
@@ -212,6 +214,7 @@
         self.retry_after: str | None = None
         self.turns_holds_away = True
         self.calls: list[tuple[float, str, bool]] = []
+        self.heads: list[tuple[str, CIMultiDictProxy[str]]] = []
         self.close_every: int | None = None
         self._answers = 0
         self.arrived: list[float] = []
@@ -234,6 +237,7 @@
 
     async def _mark_answer(self, request: web.Request, response: web.StreamResponse) -> None:
         self._answers += 1
+        self.heads.append((request.path, request.headers))
         asks = response.status == 503 and "Retry-After" in response.headers
         now_s = asyncio.get_running_loop().time()
         self.calls.append((now_s, request.headers.get(SENDER, ""), asks))
@@ -447,6 +451,8 @@
         target_latency_ms: target latency of all routes.
         resumable: whether streams may be resumed.
         max_attempts: most servers on which a request may run.
+        workspaces: workspaces of the configuration, as the store lists them.
+        public_routes: names of the routes that need no API key.
         heartbeat_s: time between two heartbeats of a server, which its entry counts without being
             published for them. A host whose parameters name none assumes the default.
     """
@@ -455,6 +461,8 @@
         self.resumable, self.max_attempts = True, 2
         self.timeout_ms = 3_000
         self.target_latency_ms = 500
+        self.workspaces: list[dict[str, Any]] = []
+        self.public_routes: frozenset[str] = frozenset()
         self.heartbeat_s = DEFAULT_HEARTBEAT_MS / 1000.0
         self.store = StandinStore()
         self._stack = AsyncExitStack()
@@ -570,6 +578,7 @@
                     "Service": service,
                     "MaxAttempts": self.max_attempts,
                     "Resumable": self.resumable,
+                    "Public": name in self.public_routes,
                 }
             )
         engine = {"Slots": 8, "KvTokenCapacity": 60000, "KvHoldS": 0.5, "HoldMs": 2000.0}
@@ -578,6 +587,7 @@
             {
                 "Version": version,
                 "Routes": decoded_routes,
+                "Tenants": self.workspaces,
                 "Services": [
                     {"Name": "llm", "MaxConns": 360, "Engine": engine},
                     {"Name": "app", "MaxConns": 100},
--- a/tests/forwarding/fakes.py
+++ b/tests/forwarding/fakes.py
@@ -35,6 +35,7 @@
     Service,
     Target,
     TokenCounts,
+    Workspace,
 )
 from medlarvale.forwarding.servers import ServerTable
 from medlarvale.forwarding.stream_versions import versions_without_history
@@ -85,12 +86,15 @@
     return Route(name, **(fields | changes))
 
 
-def make_table(*routes: Route, version: int = 1) -> RouteTable:
+def make_table(
+    *routes: Route, version: int = 1, workspaces: tuple[Workspace, ...] | None = ()
+) -> RouteTable:
     return RouteTable(
         ConfigVersion(version),
         routes,
         {LLM: Service(LLM, 360, TRAITS), APP: Service(APP, 100)},
         RequestLimits(16_384, 4_194_304, 3_000.0, 15_000.0),
+        workspaces=workspaces,
     )
 
 
