Bound the bodies, heads and connections that callers hold

Cause: a host read each body whole, up to 8 MiB, whatever the configuration allowed, and counted neither the bodies in progress nor what callers left open in heads, trailers and idle connections. Bodies were also decompressed, so that a server got a plain body under Content-Encoding: gzip.

Change: medlarvale.uploads counts all bodies of a host together from the first byte until the request has ended and its answer is taken. Beyond an eighth of the memory of the process, stalled large bodies give way (503, not run, connection closed); small ones and those that may have been sent to a server never do. A declared length beyond MaxBodyBytes is refused at the head (413), before 100 Continue; a body without progress for IdleTimeoutMs gets 408. Heads, chunk extensions and trailers are bounded in bytes, heads also in time. The number of callers' connections is bounded by Limits.MaxFds. Bodies are forwarded as they are encoded.

--- a/src/medlarvale/forwarding/caller_server.py
+++ b/src/medlarvale/forwarding/caller_server.py
@@ -33,6 +33,7 @@
 from medlarvale.forwarding.messages import (
     MAX_REQUEST_HEADER_BYTES,
     ClientRequest,
+    RequestLimits,
     Route,
     RouteKind,
 )
@@ -44,9 +45,10 @@
 from medlarvale.forwarding.streams import StreamForwarder
 from medlarvale.ids import ServiceName
 from medlarvale.logs import Event, log_info, log_warning
+from medlarvale.uploads.body_budget import BodyBudget, upload_limit_bytes
+from medlarvale.uploads.connections import CallerConnection, CallerConnectionServer, Uploads
+from medlarvale.uploads.reader import DEFAULT_LIMITS, read_body
 
-# Maximum body size before the limit of a configuration is known.
-MAX_BODY_BYTES = 8 * 1024 * 1024
 NOT_READY_RETRY_MS = 500
 # Callers may still use a connection after four fifths of the configured idle time, so connections
 # stay open for longer.
@@ -130,6 +132,7 @@
         ready: returns whether this host accepts new connections.
         relay: relays requests that this host can't serve itself; None if the requests come from
             peers, which are told whose each answer is.
+        uploads: bounds what callers hold of this host; None for the default bounds.
     """
 
     def __init__(
@@ -144,10 +147,12 @@
         relay: Relay | None = None,
         *,
         for_peers: bool = False,
+        uploads: Uploads | None = None,
     ) -> None:
         self._ready = ready
         self._relay = relay
         self._for_peers = for_peers
+        self._uploads = uploads
         self._follower = follower
         self._plain = plain
         self._streams = streams
@@ -176,6 +181,7 @@
         """Returns the HTTP server for callers."""
 
         def new_request(message, payload, protocol, writer, task):  # type: ignore[no-untyped-def]
+            protocol.begin_request()
             request = web.BaseRequest(
                 message,
                 payload,
@@ -183,16 +189,20 @@
                 writer,
                 task,
                 asyncio.get_running_loop(),
-                client_max_size=MAX_BODY_BYTES,
             )
             self._arrived[protocol] = request
             return request
 
-        self._server = web.Server(
+        uploads = self._uploads or Uploads(BodyBudget(upload_limit_bytes(None), self._clock.now_ms))
+        self._server = CallerConnectionServer(
             self._handle,
+            uploads,
+            self._limits_of_bodies,
             request_factory=new_request,
             handler_cancellation=True,
             access_log=None,
+            # Servers get bodies as they are, under the header that names their encoding.
+            auto_decompress=False,
             keepalive_timeout=KEEPALIVE_S,
             max_line_size=MAX_REQUEST_HEADER_BYTES,
             max_field_size=MAX_REQUEST_HEADER_BYTES,
@@ -277,16 +287,17 @@
             self._busy.discard(incoming.protocol)
 
     async def _answer(self, incoming: web.BaseRequest, received_ms: float) -> web.StreamResponse:
-        if incoming.headers.get("Expect", "").lower() == "100-continue":
-            await incoming.writer.write(b"HTTP/1.1 100 Continue\r\n\r\n")
         try:
-            body = await self._run_until_stop(incoming.read())
-        except web.HTTPRequestEntityTooLarge:
-            return self._error_response(BodyTooLargeError("the body is too large"))
+            body = await self._run_until_stop(self._read_body(incoming))
         except HostStoppedError:
-            return self._error_response(_refusal_of_stopped_host())
+            return self._refuse_upload(_refusal_of_stopped_host())
+        except ForwardingError as error:
+            log_warning(Event.REQUEST_REFUSED, code=error.code, reason=error.message)
+            return self._refuse_upload(error)
         try:
             request = self._decode(incoming, body, received_ms)
+            # The frame of a relayed request is a second copy of its body.
+            del body
         except ForwardingError as error:
             log_warning(Event.REQUEST_REFUSED, code=error.code, reason=error.message)
             return self._error_response(error)
@@ -314,6 +325,25 @@
         headers.update(self._marks(RelayedAnswer.SERVER))
         return self._response(reply.status, headers, reply.body)
 
+    async def _read_body(self, incoming: web.BaseRequest) -> bytes:
+        connection = incoming.protocol
+        assert isinstance(connection, CallerConnection)
+        body = await read_body(incoming, connection.upload, self._limits_of_bodies())
+        connection.note_whole()
+        return body
+
+    def _limits_of_bodies(self) -> RequestLimits:
+        index = self._follower.index
+        # Relayed frames also carry headers, and peers may have a newer configuration.
+        return DEFAULT_LIMITS if index is None or self._for_peers else index.table.limits
+
+    def _refuse_upload(self, error: MedlarvaleError) -> web.Response:
+        """Returns the answer to a request whose body has not been read to its end."""
+        response = self._error_response(error)
+        # The rest of the body must not be taken for a further request.
+        response.force_close()
+        return response
+
     def _marks(self, answer: RelayedAnswer) -> dict[str, str]:
         """Returns the headers that tell a peer whose an answer is."""
         return {RELAYED_HEADER: answer.value} if self._for_peers else {}
--- a/src/medlarvale/forwarding/host.py
+++ b/src/medlarvale/forwarding/host.py
@@ -47,6 +47,8 @@
 from medlarvale.peers.pynng_transport import PynngTransport
 from medlarvale.peers.transport import MessageCodec
 from medlarvale.quarantine.messages import QuarantineAccepted, ShareEvidence
+from medlarvale.uploads.body_budget import BodyBudget, upload_limit_bytes
+from medlarvale.uploads.connections import Uploads, max_caller_connections
 
 # For streams of a service without engines: nothing is reserved, because its servers reject excess
 # requests.
@@ -184,6 +186,9 @@
             self._rng,
         )
         context.relay = relay
+        parameters = self._parameters
+        bodies = BodyBudget(upload_limit_bytes(parameters.memory_bytes), self.clock.now_ms)
+        self._uploads = Uploads(bodies, max_caller_connections(parameters.max_descriptors))
         self.caller_server = CallerServer(
             self.follower,
             plain,
@@ -193,6 +198,7 @@
             self._rng,
             self.ready,
             relay,
+            uploads=self._uploads,
         )
         self.relay_server = CallerServer(
             self.follower,
@@ -205,6 +211,8 @@
             self._rng,
             lambda: True,
             for_peers=True,
+            # Bodies of both servers share the memory; connections of peers are not bounded.
+            uploads=Uploads(bodies),
         )
         self._request_servers = (self.caller_server, self.relay_server)
 
@@ -287,6 +295,7 @@
             "peer_connections_replaced": self._transport.replaced_connections,
             "peer_bytes_sent": self._transport.sent_bytes,
             "ready": self.ready(),
+            **self._uploads.gauges(),
             **self._extra_gauges(),
         }
 
