--- a/src/medlarvale/forwarding/host.py
+++ b/src/medlarvale/forwarding/host.py
@@ -49,6 +49,8 @@
 from medlarvale.peers.pynng_transport import PynngTransport
 from medlarvale.peers.transport import MessageCodec
 from medlarvale.quarantine.messages import QuarantineAccepted, ShareEvidence
+from medlarvale.uploads.body_budget import BodyBudget, upload_limit_bytes
+from medlarvale.uploads.connections import Uploads, max_caller_connections
 
 # For streams of a service without engines: nothing is reserved, because its servers reject excess
 # requests.
@@ -192,6 +194,9 @@
             self._rng,
         )
         context.relay = relay
+        parameters = self._parameters
+        bodies = BodyBudget(upload_limit_bytes(parameters.memory_bytes), self.clock.now_ms)
+        self._uploads = Uploads(bodies, max_caller_connections(parameters.max_descriptors))
         self.caller_server = CallerServer(
             self.follower,
             plain,
@@ -202,6 +207,7 @@
             self.ready,
             relay,
             gate=gate,
+            uploads=self._uploads,
         )
         self.relay_server = CallerServer(
             self.follower,
@@ -215,6 +221,8 @@
             lambda: True,
             for_peers=True,
             gate=gate,
+            # Bodies of both servers share the memory; connections of peers are not bounded.
+            uploads=Uploads(bodies),
         )
         self._request_servers = (self.caller_server, self.relay_server)
 
@@ -300,6 +308,7 @@
             "peer_connections_replaced": self._transport.replaced_connections,
             "peer_bytes_sent": self._transport.sent_bytes,
             "ready": self.ready(),
+            **self._uploads.gauges(),
             **self._extra_gauges(),
         }
 
