--- a/tests/forwarding/test_cut_answers.py
+++ b/tests/forwarding/test_cut_answers.py
@@ -7,6 +7,7 @@
 import json
 import socket
 import struct
+from collections import Counter
 from collections.abc import Iterator
 from contextlib import ExitStack
 from typing import Any, NamedTuple
@@ -118,6 +119,7 @@
     Attributes:
         cases: answers by path.
         earlier_requests: number of earlier requests on the connection of each path.
+        arrivals: number of requests for each path of a case.
         warming: holds answers back until as many requests have arrived as are sent at once, so
             that each uses a connection of its own.
     """
@@ -125,6 +127,7 @@
     def __init__(self) -> None:
         self.cases: dict[str, Case] = {}
         self.earlier_requests: dict[str, int] = {}
+        self.arrivals: Counter[str] = Counter()
         self._holds = itertools.count()
         self.warming: asyncio.Barrier | None = None
 
@@ -144,6 +147,7 @@
                     writer.write(self._usual_answer(path))
                     continue
                 self.earlier_requests[path] = earlier
+                self.arrivals[path] += 1
                 writer.write(case.sent)
                 await writer.drain()
                 if case.reset:
@@ -171,7 +175,9 @@
         return b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body) + body
 
 
-class CutAnswersTest(HostTestCase):
+class CutAnswersTestCase(HostTestCase):
+    """A host whose servers for calls and streams are one ``CuttingServer``."""
+
     async def asyncSetUp(self) -> None:
         await super().asyncSetUp()
         self._numbers = itertools.count()
@@ -190,15 +196,6 @@
             await self.platform.publish(self.servers[name])
         await self.configure()
 
-    async def test_answers_that_end_in_their_head_do_not_look_complete(self) -> None:
-        await self._check_all(cases_in_heads)
-
-    async def test_answers_that_end_in_their_body_do_not_look_complete(self) -> None:
-        await self._check_all(cases_in_bodies)
-
-    async def test_complete_answers_look_complete(self) -> None:
-        await self._check_all(whole_cases)
-
     async def _check_all(self, table: Any) -> None:
         for parser in PARSERS:
             with mock.patch("aiohttp.client_proto.HttpResponseParser", PARSERS[parser]):
@@ -251,3 +248,14 @@
         writer.close()
         start, _, rest = received.partition(b"\r\n\r\n")
         return Received(start, rest, reset)
+
+
+class CutAnswersTest(CutAnswersTestCase):
+    async def test_answers_that_end_in_their_head_do_not_look_complete(self) -> None:
+        await self._check_all(cases_in_heads)
+
+    async def test_answers_that_end_in_their_body_do_not_look_complete(self) -> None:
+        await self._check_all(cases_in_bodies)
+
+    async def test_complete_answers_look_complete(self) -> None:
+        await self._check_all(whole_cases)
