Break off responses with impossible statuses, and bodies that a reset cuts

Cause: aiohttp accepts any three digits as a status and returns a 101 that was not requested, and takes a reset for the end of a body without a length. Only plain calls and streams checked the latter. Where the connection class was aiohttp's own, a closed connection kept the unread rest of an upload.

Change: TrackedConnection, which all sessions that carry requests now use, breaks off a response whose status is outside 200 to 599 and not interim before anything reads its headers, so it promises nothing, counts as a run and is not forwarded. Bodies of calls to engines, the store and the product's engines that end with a reset are broken. Closing a connection with an unsent rest resets it on all paths. The callers' interface refuses such a status in the answer of a peer that runs an earlier build.

--- a/src/medlarvale/callers/plain_api.py
+++ b/src/medlarvale/callers/plain_api.py
@@ -18,9 +18,11 @@
 )
 from medlarvale.callers.workspaces import WORKSPACE_HEADER
 from medlarvale.errors import MedlarvaleError, Outcome
+from medlarvale.http_bodies import FINAL_STATUSES
 from medlarvale.ids import BookingKey, ServiceName, WorkspaceId
 from medlarvale.operators.reports import RequestReport
 from medlarvale.plain.client import end_to_end_headers
+from medlarvale.plain.errors import PlainOutcomeUnknownError
 from medlarvale.plain.messages import PlainAnswer, PlainCall
 from medlarvale.settings.schema import Repeat, RetryPolicy, ServiceDeclaration
 from medlarvale.tracing import TRACEPARENT, context_from, open_span, traceparent_of
@@ -122,6 +124,9 @@
                 answer = await self._deps.dispatcher.dispatch_idempotent(call)
             else:
                 answer = await self._submit_booking(BookingKey(key), call)
+            if answer.status not in FINAL_STATUSES:
+                # Hosts that run an earlier build pass on what a server sends.
+                raise PlainOutcomeUnknownError(f"a response with status {answer.status:03}")
             status = answer.status
             return answer
         except MedlarvaleError as error:
--- a/src/medlarvale/completions/engine_client.py
+++ b/src/medlarvale/completions/engine_client.py
@@ -19,6 +19,7 @@
     TransferFailedError,
 )
 from medlarvale.errors import DECODE_ERRORS
+from medlarvale.http_bodies import TrackedConnection, TrackedResponse, track_connections
 from medlarvale.ids import AttemptNumber, HostIdentity, RequestId, ServerId
 from medlarvale.membership.servers import BackendServer
 
@@ -296,7 +297,10 @@
 
 async def _read(server: ServerId, response: aiohttp.ClientResponse) -> bytes:
     try:
-        return await response.read()
+        body = await response.read()
+        assert isinstance(response, TrackedResponse)
+        response.raise_if_broke_off()
+        return body
     except (aiohttp.ClientError, OSError) as error:
         raise EngineLostError(server, f"response was interrupted: {error}") from error
 
@@ -335,8 +339,11 @@
         tls: verifies engines whose address starts with ``https://``; None uses the certificates
             trusted by the system.
     """
+    connector = aiohttp.TCPConnector(limit=0, ssl=tls or True)
+    track_connections(connector, TrackedConnection)
     return aiohttp.ClientSession(
-        connector=aiohttp.TCPConnector(limit=0, ssl=tls or True),
+        connector=connector,
+        response_class=TrackedResponse,
         timeout=aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_TIMEOUT_S),
         read_bufsize=READ_BUFFER_BYTES,
         auto_decompress=False,
--- a/src/medlarvale/forwarding/peer_sender.py
+++ b/src/medlarvale/forwarding/peer_sender.py
@@ -14,7 +14,12 @@
 from medlarvale.forwarding.interface import BackendAnswer
 from medlarvale.forwarding.messages import MAX_ANSWER_HEADER_BYTES, ClientRequest
 from medlarvale.forwarding.relay_messages import RELAY_PATH, RELAYED_HEADER, RelayedAnswer
-from medlarvale.http_bodies import BodyFraming, body_framing
+from medlarvale.http_bodies import (
+    BodyFraming,
+    TrackedConnection,
+    body_framing,
+    track_connections,
+)
 
 # Peers answer in a few ms; one that was lost may still be listed.
 CONNECT_TIMEOUT_MS = 200
@@ -125,8 +130,10 @@
         if self._session is None:
             trace = aiohttp.TraceConfig()
             trace.on_connection_create_end.append(_note_connected)
+            connector = aiohttp.TCPConnector(limit=0, force_close=True)
+            track_connections(connector, TrackedConnection)
             self._session = aiohttp.ClientSession(
-                connector=aiohttp.TCPConnector(limit=0, force_close=True),
+                connector=connector,
                 auto_decompress=False,
                 cookie_jar=aiohttp.DummyCookieJar(),
                 skip_auto_headers=("User-Agent", "Accept", "Accept-Encoding"),
--- a/src/medlarvale/http_bodies.py
+++ b/src/medlarvale/http_bodies.py
@@ -1,6 +1,7 @@
-"""Framing of HTTP/1.1 response bodies (RFC 9112, section 6), and whether they broke off.
+"""Validity of HTTP/1.1 responses: status, framing (RFC 9112, section 6) and whether they broke off.
 
-aiohttp takes a reset for the regular end of a body that ends with its connection.
+aiohttp accepts any three digits as a status, and takes a reset for the regular end of a body that
+ends with its connection.
 """
 
 from __future__ import annotations
@@ -13,6 +14,11 @@
 import aiohttp
 from aiohttp.client_proto import ResponseHandler
 
+# A response with another status is broken: its request may have run, and its headers mean nothing.
+FINAL_STATUSES = range(200, 600)
+_INTERIM_STATUSES = range(100, 200)
+# No request asks for another protocol, so nothing says what follows on the connection.
+_SWITCHING_PROTOCOLS = 101
 _STATUSES_WITHOUT_BODY = (204, 304)
 
 
@@ -40,8 +46,13 @@
     return BodyFraming.LENGTH if "Content-Length" in headers else BodyFraming.CLOSE
 
 
+def is_interim(status: int) -> bool:
+    """Returns whether a status announces that the final response follows."""
+    return status in _INTERIM_STATUSES and status != _SWITCHING_PROTOCOLS
+
+
 class TrackedConnection(ResponseHandler):
-    """Client connection that records whether it was reset."""
+    """Client connection that records whether it was reset, and breaks off invalid responses."""
 
     was_reset = False
 
@@ -50,6 +61,36 @@
         self.was_reset = exc is not None
         super().connection_lost(exc)
 
+    def feed_data(self, data: Any, size: int = 0) -> None:
+        """Passes on the head of a response if its status is possible."""
+        message, _ = data
+        if message.code not in FINAL_STATUSES and not is_interim(message.code):
+            self.close_with_error(f"a response with status {message.code:03}")
+            return
+        super().feed_data(data, size)
+
+    def close(self) -> None:
+        """Closes the connection, with a reset if the server has not taken all of a request."""
+        transport = self.transport
+        if transport is not None and transport.get_write_buffer_size() > 0:
+            # A regular end would wait until the server has taken the rest.
+            transport.abort()
+        super().close()
+
+    def close_with_error(self, reason: str) -> None:
+        """Closes the connection; the response on it, if any, is broken.
+
+        Args:
+            reason: what is wrong with the response.
+        """
+        error = aiohttp.ClientPayloadError(reason)
+        payload, transport = self._payload, self.transport
+        if payload is not None and not payload.is_eof():
+            payload.set_exception(error)
+        self.set_exception(error)
+        if transport is not None:
+            transport.abort()
+
 
 class TrackedResponse(aiohttp.ClientResponse):
     """Response whose connection stays known after the end of its body."""
@@ -65,6 +106,15 @@
         """Returns whether the body, which was read to its end, ended with a reset instead."""
         return body_framing(self) is BodyFraming.CLOSE and self.connection_in_use.was_reset
 
+    def raise_if_broke_off(self) -> None:
+        """Checks a body that was read to its end.
+
+        Raises:
+            aiohttp.ClientPayloadError: if it ended with a reset instead.
+        """
+        if self.broke_off():
+            raise aiohttp.ClientPayloadError("the connection was reset")
+
 
 def track_connections(connector: aiohttp.BaseConnector, kind: type[TrackedConnection]) -> None:
     """Makes a connector of a running event loop create connections of a class."""
--- a/src/medlarvale/plain/client.py
+++ b/src/medlarvale/plain/client.py
@@ -337,8 +337,7 @@
             raise PlainAnswerTooLargeError
         parts.append(part)
     assert isinstance(answer, TrackedResponse)
-    if answer.broke_off():
-        raise aiohttp.ClientPayloadError("the connection was reset")
+    answer.raise_if_broke_off()
     return b"".join(parts)
 
 
--- a/src/medlarvale/platform/backends.py
+++ b/src/medlarvale/platform/backends.py
@@ -125,11 +125,9 @@
     async def read(self) -> bytes:
         """Returns the whole body."""
         try:
-            body = await read_body(self._response, MAX_ANSWER_BYTES, self._memory)
+            return await read_body(self._response, MAX_ANSWER_BYTES, self._memory)
         except TRANSPORT_ERRORS as error:
             raise BackendError(f"the response body ended early: {error!r}") from error
-        self._check_complete()
-        return body
 
     async def chunks(self) -> AsyncIterator[bytes]:
         """Yields the body as it arrives."""
@@ -137,14 +135,9 @@
             async for chunk in self._response.content.iter_any():
                 note_body(self._response)
                 yield chunk
+            self._response.raise_if_broke_off()
         except TRANSPORT_ERRORS as error:
             raise BackendError(f"the response body ended early: {error!r}") from error
-        self._check_complete()
-
-    def _check_complete(self) -> None:
-        """Raises BackendError if a body that ends with its connection ended with a reset."""
-        if self._response.broke_off():
-            raise BackendError("the response body ended early: the connection was reset")
 
     def close(self) -> None:
         """Closes the connection unless the body was read completely."""
--- a/src/medlarvale/platform/connections.py
+++ b/src/medlarvale/platform/connections.py
@@ -12,7 +12,12 @@
 from medlarvale.forwarding.errors import BackendError
 from medlarvale.forwarding.interface import BodyMemory
 from medlarvale.forwarding.messages import MAX_ANSWER_HEADER_BYTES
-from medlarvale.http_bodies import TrackedConnection, TrackedResponse, track_connections
+from medlarvale.http_bodies import (
+    TrackedConnection,
+    TrackedResponse,
+    is_interim,
+    track_connections,
+)
 from medlarvale.platform import headers as names
 from medlarvale.platform.running_timeout import running_timeout
 
@@ -65,12 +70,12 @@
         """Passes on the head of a response, unless no request waits for one."""
         message, _ = data
         if not self._awaits_response:
-            self._close_with_error("a response without a request")
+            self.close_with_error("a response without a request")
             return
-        if 100 <= message.code < 200:
+        if is_interim(message.code):
             self._interim_responses += 1
             if self._interim_responses > MAX_INTERIM_RESPONSES:
-                self._close_with_error("too many interim responses")
+                self.close_with_error("too many interim responses")
                 return
         else:
             self._awaits_response = False
@@ -80,31 +85,14 @@
         """Counts the bytes of which no reader has received a part."""
         self._bytes_without_body += len(data)
         if self._bytes_without_body > MAX_BYTES_WITHOUT_BODY:
-            self._close_with_error("too many bytes that are no part of a body")
+            self.close_with_error("too many bytes that are no part of a body")
             return
         super().data_received(data)
 
-    def close(self) -> None:
-        """Closes the connection, with a reset if the server has not taken all of a request."""
-        transport = self.transport
-        if transport is not None and transport.get_write_buffer_size() > 0:
-            # A regular end would wait until the server has taken the rest.
-            transport.abort()
-        super().close()
-
     def note_body(self) -> None:
         """Records that a reader has received a part of the body."""
         self._bytes_without_body = 0
 
-    def _close_with_error(self, reason: str) -> None:
-        error = aiohttp.ClientPayloadError(reason)
-        payload, transport = self._payload, self.transport
-        if payload is not None and not payload.is_eof():
-            payload.set_exception(error)
-        self.set_exception(error)
-        if transport is not None:
-            transport.abort()
-
 
 # Called when the request of the present task has got its connection, before it is sent.
 ON_CONNECTED: ContextVar[Callable[[BackendConnection], None] | None] = ContextVar(
@@ -241,6 +229,8 @@
                     response.close()
                     raise BackendError(f"the response body is larger than {max_bytes} bytes")
                 parts.append(part)
+        if isinstance(response, TrackedResponse):
+            response.raise_if_broke_off()
     except BaseException:
         # The traceback keeps this frame.
         parts.clear()
--- a/tests/callers/support.py
+++ b/tests/callers/support.py
@@ -37,12 +37,13 @@
         self.release: asyncio.Event | None = None
         self.started = asyncio.Event()
         self.error: Exception | None = None
+        self.answer = ANSWER
 
     async def dispatch_idempotent(self, call: PlainCall) -> PlainAnswer:
         self.idempotent_calls.append(call)
         if self.error is not None:
             raise self.error
-        return ANSWER
+        return self.answer
 
     async def dispatch_once(self, call: PlainCall) -> PlainAnswer:
         raise AssertionError("the callers' interface must not dispatch bookings itself")
@@ -53,7 +54,7 @@
         if self.release is not None:
             await self.release.wait()
         self.finished_bookings.append(key)
-        return ANSWER
+        return self.answer
 
 
 class CallerTestCase(unittest.IsolatedAsyncioTestCase):
--- a/tests/callers/test_plain_api.py
+++ b/tests/callers/test_plain_api.py
@@ -6,7 +6,7 @@
 
 from medlarvale.callers.plain_api import allowed_repeat
 from medlarvale.plain.errors import PlainTimeoutError
-from medlarvale.plain.messages import PlainCall
+from medlarvale.plain.messages import PlainAnswer, PlainCall
 from medlarvale.settings.schema import Repeat
 from tests.callers.support import CallerTestCase
 from tests.completions.fakes import TREE
@@ -80,3 +80,11 @@
             self.plain.error = error
             self.assertEqual(await self.send("GET", "/stock"), expected)
             self.assertEqual(self.path.observer.reports[-1].code, expected[1])
+
+    async def test_an_impossible_status_reaches_no_caller(self) -> None:
+        """Guards against the answer of a server that a peer of an earlier build has accepted."""
+        for status in (0, 99, 101, 600, 999):
+            with self.subTest(status):
+                self.plain.answer = PlainAnswer(status, [], b"done")
+                answer = await self.send("GET", "/stock")
+                self.assertEqual(answer, (502, "plain_outcome_unknown", "unknown"))
--- a/tests/platform/response_paths.py
+++ b/tests/platform/response_paths.py
@@ -22,7 +22,7 @@
 )
 from medlarvale.forwarding.messages import Dispatch, EngineStage
 from medlarvale.forwarding.peer_sender import HttpPeerSender
-from medlarvale.ids import AttemptNumber, RequestId, ServerId
+from medlarvale.ids import AttemptNumber, RequestId
 from medlarvale.membership.servers import ServerDirectory
 from medlarvale.plain.client import PlainClient, new_plain_session
 from medlarvale.platform.backends import HttpBackends
