Overload: serve urgent requests first

Cause: waiting requests were ordered without regard to priority or workspace, and engines were not told which prompts are urgent. Change: the order of the memory queue moves to overload/order.py and takes priority and the fair share of the workspace into account where the configuration distinguishes them; X-Request-Priority is sent for prefill and decode if the streams of a service differ in priority. Fakes of the backends take the priority of a prefill.

--- a/bench/forwarding/engines.py
+++ b/bench/forwarding/engines.py
@@ -387,7 +387,11 @@
         return EmulatedAnswer(engine, run, self._delay_s(server))
 
     async def prefill(
-        self, server: Server, request: ClientRequest, left_ms: float
+        self,
+        server: Server,
+        request: ClientRequest,
+        left_ms: float,
+        priority: int | None = None,
     ) -> PrefillResult:
         """Prefills a prompt."""
         engine = await self._reach(server)
--- a/src/medlarvale/forwarding/context.py
+++ b/src/medlarvale/forwarding/context.py
@@ -17,6 +17,7 @@
 from medlarvale.forwarding.servers import ServerTable
 from medlarvale.forwarding.stream_versions import StreamVersions
 from medlarvale.ids import ServiceName, SoftwareVersion
+from medlarvale.overload.priorities import ConfiguredPriorities
 from medlarvale.scheduling.retry_budget import RetryBudget
 
 # Answers are sent this long before the deadline of the route or the caller.
@@ -141,6 +142,8 @@
         self.guard = guard
         # Set by the host that relays requests; None in a host without peers.
         self.relay: PeerRelay | None = None
+        # Set by the host that follows a configuration.
+        self.priorities = ConfiguredPriorities()
         self.reach = ReachDetector(servers, clock, rng)
         self._budgets: dict[ServiceName, RetryBudget] = {}
 
--- a/src/medlarvale/forwarding/host.py
+++ b/src/medlarvale/forwarding/host.py
@@ -25,6 +25,7 @@
     EngineStage,
     EngineTraits,
     HostParameters,
+    RouteTable,
     Server,
 )
 from medlarvale.forwarding.metrics import ForwardingMetrics
@@ -43,6 +44,7 @@
 from medlarvale.http_heads import keep_header_bytes
 from medlarvale.ids import FailureDomain, HostId, HostIdentity, ServiceName, new_incarnation
 from medlarvale.logs import Event, log_info
+from medlarvale.overload.priorities import ConfiguredPriorities
 from medlarvale.peers.auth import FrameGuard, SharedKeys
 from medlarvale.peers.pynng_transport import PynngTransport
 from medlarvale.peers.transport import MessageCodec
@@ -143,6 +145,7 @@
                 PublishedView(self.follower, self.fleet.view, self.clock),
             ),
         )
+        context.priorities = ConfiguredPriorities(self._table)
         self._known_traits: dict[ServiceName, EngineTraits] = {}
         self._rechecks = RecheckTask(self.servers, backends, self.clock)
         self.streams = StreamForwarder(context, self._traits)
@@ -208,6 +211,10 @@
         )
         self._request_servers = (self.caller_server, self.relay_server)
 
+    def _table(self) -> RouteTable | None:
+        index = self.follower.index
+        return index.table if index is not None else None
+
     def _traits(self, service: ServiceName) -> EngineTraits:
         index = self.follower.index
         listed = index.table.services.get(service) if index is not None else None
--- a/src/medlarvale/forwarding/interface.py
+++ b/src/medlarvale/forwarding/interface.py
@@ -112,9 +112,13 @@
         """
 
     async def prefill(
-        self, server: Server, request: ClientRequest, left_ms: float
+        self,
+        server: Server,
+        request: ClientRequest,
+        left_ms: float,
+        priority: int | None = None,
     ) -> PrefillResult:
-        """Prefills the prompt of a request.
+        """Prefills the prompt of a request; engines read urgent prompts first.
 
         Raises:
             NotSentError: the server has not received the call.
--- a/src/medlarvale/forwarding/memory.py
+++ b/src/medlarvale/forwarding/memory.py
@@ -19,6 +19,7 @@
 from medlarvale.forwarding.servers import ERROR_PENALTY, ServerLoad
 from medlarvale.ids import ServerId, ServiceName, SoftwareVersion
 from medlarvale.logs import Event, log_warning
+from medlarvale.overload.order import AGED_SHARE, Standing, WaitingOrder
 
 # Retry interval for an engine that refused a reservation, unless this host freed memory there. With
 # more than RETRYING_HOSTS hosts the interval grows, which keeps the total rate at an engine
@@ -36,6 +37,8 @@
 RETRY_SHARE_OF_TIME = 1.0 / 3.0
 # Retry delay until hold times have been measured.
 DEFAULT_RETRY_AFTER_MS = 1_000.0
+# Hold time until one has been measured; it only weighs requests against each other.
+DEFAULT_HOLD_MS = 1_000.0
 # Share of the streams whose time to the first event does not exceed the usual one.
 USUAL_SHARE = 0.5
 # Load, as a share of engine memory, added to engines in other failure domains, because events from
@@ -57,8 +60,9 @@
 class _Waiter:
     """A request that waits for memory."""
 
-    def __init__(self, request: MemoryRequest) -> None:
+    def __init__(self, request: MemoryRequest, since_ms: float) -> None:
         self.request = request
+        self.since_ms = since_ms
         self.future: asyncio.Future[Reservation] = asyncio.get_running_loop().create_future()
         # Engines that have not answered yet whether they have memory for it.
         self.asked: set[ServerId] = set()
@@ -90,6 +94,7 @@
         self._context = context
         self._service = service
         self._traits = traits
+        self._order = WaitingOrder()
         self._waiting: list[_Waiter] = []
         self._refused: dict[ServerId, tuple[float, int]] = {}
         self._freed = asyncio.Event()
@@ -127,7 +132,7 @@
                 "the memory queue is too long",
                 retry_after_ms=self._retry_after_ms(request, now_ms),
             )
-        waiter = _Waiter(request)
+        waiter = _Waiter(request, now_ms)
         self._waiting.append(waiter)
         if self._queue_task is None or self._queue_task.done():
             self._queue_task = asyncio.get_running_loop().create_task(self._serve_queue())
@@ -210,21 +215,36 @@
         delay_ms = self._meter.model.first_event_ms(now_ms, USUAL_SHARE) or 0.0
         return request.first_event_target_ms < now_ms + delay_ms
 
-    def _rank(self, request: MemoryRequest, now_ms: float) -> tuple[bool, bool, float]:
-        """Returns the sort key of a request; the lowest is served first."""
-        return not request.urgent, self._is_late(request, now_ms), request.output_tokens
+    def _standing(self, request: MemoryRequest, since_ms: float, now_ms: float) -> Standing:
+        late = self._is_late(request, now_ms)
+        limit_ms = request.end_ms if late else request.first_event_target_ms
+        hold_ms = self._meter.model.hold_ms(now_ms) or DEFAULT_HOLD_MS
+        return Standing(
+            request.urgent,
+            late,
+            request.output_tokens,
+            request.priority,
+            request.workspace,
+            hold_ms * request.tokens / self._traits().memory_tokens,
+            aged=now_ms - since_ms > AGED_SHARE * (limit_ms - since_ms),
+        )
+
+    def _arrange(self, waiters: list[_Waiter], now_ms: float) -> list[int]:
+        return self._order.arrange(
+            [self._standing(waiter.request, waiter.since_ms, now_ms) for waiter in waiters],
+            now_ms,
+            distinguish=self._context.priorities.distinguishes(self._service),
+        )
 
     def _sorted_waiters(self) -> list[_Waiter]:
-        now_ms = self._context.clock.now_ms()
-        return sorted(self._waiting, key=lambda waiter: self._rank(waiter.request, now_ms))
+        waiting = self._waiting
+        return [waiting[number] for number in self._arrange(waiting, self._context.clock.now_ms())]
 
     def _expected_wait_ms(self, request: MemoryRequest, now_ms: float) -> float:
         """Returns the expected wait of a request behind those that are served before it."""
-        rank = self._rank(request, now_ms)
-        ahead = sum(
-            waiter.request is not request and self._rank(waiter.request, now_ms) <= rank
-            for waiter in self._waiting
-        )
+        others = [waiter for waiter in self._waiting if waiter.request is not request]
+        # The last of those that are equal.
+        ahead = self._arrange([*others, _Waiter(request, now_ms)], now_ms).index(len(others))
         while self._granted_ms and now_ms - self._granted_ms[0] > RATE_MS:
             self._granted_ms.popleft()
         hold_ms = self._meter.model.hold_ms(now_ms)
@@ -303,7 +323,9 @@
             self.release(reservation, release_hold=True)
         else:
             waiter.future.set_result(reservation)
-            self._granted_ms.append(self._context.clock.now_ms())
+            now_ms = self._context.clock.now_ms()
+            self._granted_ms.append(now_ms)
+            self._order.note_served(self._standing(waiter.request, waiter.since_ms, now_ms), now_ms)
 
     async def _reserve(self, waiter: _Waiter) -> Reservation | None:
         context, now_ms = self._context, self._context.clock.now_ms()
--- a/src/medlarvale/forwarding/memory_request.py
+++ b/src/medlarvale/forwarding/memory_request.py
@@ -6,7 +6,7 @@
 
 from medlarvale.forwarding.messages import HoldId, Route
 from medlarvale.forwarding.servers import ServerLoad
-from medlarvale.ids import ServerId, SoftwareVersion
+from medlarvale.ids import ServerId, SoftwareVersion, WorkspaceId
 
 # KV cache memory is allocated in blocks of this many tokens.
 BLOCK_TOKENS = 16
@@ -60,6 +60,8 @@
             it would evict the KV cache of other requests that are about to resume.
         urgent: whether the caller has received part of the stream and waits for the next event.
         software: version of the software that the engine must run; None for any.
+        priority: 0 is the most urgent.
+        workspace: None without one.
     """
 
     tokens: int
@@ -72,3 +74,5 @@
     cached_tokens: int = 0
     urgent: bool = False
     software: SoftwareVersion | None = None
+    priority: int = 0
+    workspace: WorkspaceId | None = None
--- a/src/medlarvale/forwarding/prefill.py
+++ b/src/medlarvale/forwarding/prefill.py
@@ -68,7 +68,12 @@
         self._calls = 0
 
     async def run(
-        self, decode: ServerLoad, gap_target_ms: float, end_ms: float, limit_ms: float
+        self,
+        decode: ServerLoad,
+        gap_target_ms: float,
+        end_ms: float,
+        limit_ms: float,
+        priority: int | None = None,
     ) -> PrefillResult | None:
         """Runs the prefill; returns None if the decode engine should run it itself.
 
@@ -77,6 +82,7 @@
             gap_target_ms: longest gap between two events that callers accept; 0 if unknown.
             end_ms: monotonic time at which the request ends.
             limit_ms: time after which a prefill that was expected to be done is given up.
+            priority: rank of the request at the prefill engine; None to leave it to the engine.
         """
         clock = self._context.clock
         tried: set[ServerId] = set()
@@ -94,7 +100,7 @@
             load.backlog.begin(due_ms)
             prefilled = False
             try:
-                result = await self._prefill_at(load, due_ms, limit_ms, end_ms - sent_ms)
+                result = await self._prefill_at(load, due_ms, limit_ms, end_ms - sent_ms, priority)
                 prefilled = True
                 self._note_success(load, clock.now_ms() - sent_ms)
                 if speed is not None:
@@ -110,7 +116,7 @@
         return None
 
     async def _prefill_at(
-        self, load: ServerLoad, due_ms: float, limit_ms: float, left_ms: float
+        self, load: ServerLoad, due_ms: float, limit_ms: float, left_ms: float, priority: int | None
     ) -> PrefillResult:
         """Runs the prefill at an engine, as long as it can be reached.
 
@@ -120,7 +126,7 @@
         servers, clock = self._context.servers, self._context.clock
         sent_ms = clock.now_ms()
         call = asyncio.ensure_future(
-            self._context.backends.prefill(load.server, self._request, left_ms)
+            self._context.backends.prefill(load.server, self._request, left_ms, priority)
         )
         try:
             while not (await asyncio.wait({call}, timeout=CHECK_PERIOD_MS / 1000.0))[0]:
--- a/src/medlarvale/forwarding/stream_run.py
+++ b/src/medlarvale/forwarding/stream_run.py
@@ -57,6 +57,7 @@
 from medlarvale.http_bodies import BodyFraming
 from medlarvale.ids import ServerId, ServiceName, SoftwareVersion
 from medlarvale.logs import Event, log_warning
+from medlarvale.overload.priorities import request_priority
 
 # Assumed size of a request without token counts.
 DEFAULT_TOKENS = TokenCounts(prompt=5_000, max_output=1_000)
@@ -482,6 +483,8 @@
                 min(self._cached_tokens, self._tokens.prompt),
                 urgent=self._is_continuation(),
                 software=self._version(),
+                priority=request_priority(self._request, self._route),
+                workspace=self._request.workspace,
             )
         )
 
@@ -527,10 +530,14 @@
             self._route.gap_target_ms,
             self._end_ms,
             MAX_SILENCE_SHARE * patience_ms(self._route),
+            self._engine_priority(),
         )
         self.times.prefills += source is not None
         return source
 
+    def _engine_priority(self) -> int | None:
+        return self._context.priorities.at_engine(self._service, self._request, self._route)
+
     async def _send(self, run: EngineRun) -> BackendAnswer:
         load, source = run.load, run.source
         dispatch = Dispatch(
@@ -539,6 +546,7 @@
             self._fetch_from,
             run.reservation.hold,
             self._events.last_id,
+            self._engine_priority(),
         )
         self._fetch_from = None
         try:
--- a/src/medlarvale/platform/backends.py
+++ b/src/medlarvale/platform/backends.py
@@ -267,10 +267,14 @@
         return HttpResponse(response, self._memory)
 
     async def prefill(
-        self, server: Server, request: ClientRequest, left_ms: float
+        self,
+        server: Server,
+        request: ClientRequest,
+        left_ms: float,
+        priority: int | None = None,
     ) -> PrefillResult:
         """Runs the prefill of a request's prompt."""
-        headers = names.encode_request(request, server.server, Dispatch(left_ms))
+        headers = names.encode_request(request, server.server, Dispatch(left_ms, priority=priority))
         headers[names.STAGE] = EngineStage.PREFILL.value
         response = await self._request(server, request, headers, left_ms)
         self._note_leaving(server, response)
--- a/src/medlarvale/scheduling/fairness.py
+++ b/src/medlarvale/scheduling/fairness.py
@@ -175,12 +175,17 @@
         for other, prefill_ms in served:
             record[other] += (now_ms - since_ms) * prefill_ms / max(1e-9, total_ms)
 
-    def _served_since(self, since_ms: float) -> list[tuple[WorkspaceId, float]]:
+    def served_by_workspace(self, since_ms: float) -> ShareMs:
+        """Returns the time served to each workspace since ``since_ms``, to whole buckets."""
         total_ms: ShareMs = defaultdict(float)
         for start_ms, served in reversed(self._buckets):
             if start_ms + BUCKET_MS < since_ms:
                 break
             for workspace, prefill_ms in served.items():
                 total_ms[workspace] += prefill_ms
+        return total_ms
+
+    def _served_since(self, since_ms: float) -> list[tuple[WorkspaceId, float]]:
+        total_ms = self.served_by_workspace(since_ms)
         most_first = sorted(total_ms.items(), key=itemgetter(1), reverse=True)
         return most_first[:WAITED_FOR_LIMIT]
--- a/tests/forwarding/fakes.py
+++ b/tests/forwarding/fakes.py
@@ -226,7 +226,11 @@
         return answer
 
     async def prefill(
-        self, server: Server, request: ClientRequest, left_ms: float
+        self,
+        server: Server,
+        request: ClientRequest,
+        left_ms: float,
+        priority: int | None = None,
     ) -> PrefillResult:
         self.calls.append(("prefill", server.server))
         result = self.prefill_script(server)
--- a/tests/forwarding/test_crashing_parts.py
+++ b/tests/forwarding/test_crashing_parts.py
@@ -139,10 +139,14 @@
         return answer
 
     async def prefill(
-        self, server: Server, request: ClientRequest, left_ms: float
+        self,
+        server: Server,
+        request: ClientRequest,
+        left_ms: float,
+        priority: int | None = None,
     ) -> PrefillResult:
         self._fleet.note_send(request, self._counted_from_ms)
-        return await super().prefill(server, request, left_ms)
+        return await super().prefill(server, request, left_ms, priority)
 
 
 class Fleet:
