Overload: refuse by class, stagger returns and leave memory to urgent requests

Change: decisions of the memory queue move to overload/admission.py; a less urgent request retries refusing engines less often and leaves a tenth of an engine free for each more urgent priority while memory is short; refused callers return one by one, urgent ones first; refusals are logged (5060) and counted by reason.

--- a/bench/forwarding/engines.py
+++ b/bench/forwarding/engines.py
@@ -6,6 +6,8 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
+import heapq
 import itertools
 from collections.abc import AsyncIterator
 from dataclasses import dataclass, field
@@ -35,6 +37,8 @@
 
 # Decode steps that are simulated together, or parts into which an event of many steps is divided.
 STEPS_AT_ONCE = 3
+# Priority of requests that name none.
+USUAL_PRIORITY = 5
 # Marks the end of a stream in its event queue.
 _END = b""
 
@@ -99,6 +103,42 @@
         return 0 if self.preempted else max(self.hold_tokens, self.cached_tokens)
 
 
+class _PrefillTurns:
+    """Lets one prompt at a time be prefilled, the most urgent first."""
+
+    def __init__(self) -> None:
+        self.busy = False
+        self._waiting: list[tuple[int, int, asyncio.Future[None]]] = []
+        self._numbers = itertools.count()
+
+    @contextlib.asynccontextmanager
+    async def turn(self, priority: int) -> AsyncIterator[None]:
+        """Waits for the turn of a prompt, which ends with the block."""
+        if self.busy:
+            future: asyncio.Future[None] = asyncio.get_running_loop().create_future()
+            heapq.heappush(self._waiting, (priority, next(self._numbers), future))
+            try:
+                await future
+            except asyncio.CancelledError:
+                if future.done() and not future.cancelled():
+                    self._pass_on()
+                raise
+        self.busy = True
+        try:
+            yield
+        finally:
+            self._pass_on()
+
+    def _pass_on(self) -> None:
+        self.busy = False
+        while self._waiting:
+            _, _, future = heapq.heappop(self._waiting)
+            if not future.done():
+                self.busy = True
+                future.set_result(None)
+                return
+
+
 @dataclass(slots=True)
 class EngineCounts:
     """Counters of an engine.
@@ -144,7 +184,7 @@
         self._runs: list[_Run] = []
         self._holds: dict[HoldId, int] = {}
         self._numbers = itertools.count()
-        self._prefill_lock = asyncio.Lock()
+        self._prefills = _PrefillTurns()
         self._worker: asyncio.Task[None] | None = None
 
     @property
@@ -160,7 +200,7 @@
     @property
     def idle(self) -> bool:
         """Whether the engine has neither runs nor a prefill."""
-        return not self._runs and not self._prefill_lock.locked()
+        return not self._runs and not self._prefills.busy
 
     def crash(self) -> None:
         """Aborts all work; calls fail until the engine is alive again."""
@@ -179,10 +219,10 @@
         self.stage = stage
         self.changing = False
 
-    async def prefill(self, tokens: int) -> None:
-        """Prefills a prompt after the prompts that arrived before it."""
+    async def prefill(self, tokens: int, priority: int | None = None) -> None:
+        """Prefills a prompt after more urgent ones and those that arrived before it."""
         self._check(EngineStage.PREFILL)
-        async with self._prefill_lock:
+        async with self._prefills.turn(USUAL_PRIORITY if priority is None else priority):
             self.counts.prefilled_tokens += tokens
             duration_ms = self.model.prefill_setup_ms + tokens / self.model.prefill_tokens_per_ms
             await asyncio.sleep(duration_ms * self.slowdown / 1000.0)
@@ -396,7 +436,7 @@
         """Prefills a prompt."""
         engine = await self._reach(server)
         assert request.tokens is not None
-        await engine.prefill(request.tokens.prompt)
+        await engine.prefill(request.tokens.prompt, priority)
         return PrefillResult(server, HandleId(request.request_id))
 
     async def acquire_hold(self, server: Server, tokens: int, ttl_ms: float) -> HoldId | None:
--- a/bench/forwarding/load.py
+++ b/bench/forwarding/load.py
@@ -8,9 +8,11 @@
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 
+import msgspec
 from multidict import CIMultiDict
 
 from bench.forwarding.engines import EmulatedBackends, EmulatedEngine, EngineModel
+from bench.forwarding.groups import CallerGroup, CallerRecord, Outcome
 from bench.forwarding.virtual_time import VirtualClock, run_virtual
 from medlarvale.forwarding.context import ForwardingContext, RetryLimits
 from medlarvale.forwarding.errors import ForwardingError, OverloadedError
@@ -20,17 +22,28 @@
     EngineStage,
     EngineTraits,
     RequestIdentity,
+    RequestLimits,
     Route,
     RouteKind,
+    RouteTable,
     Server,
     ServerState,
     Target,
     TokenCounts,
+    Workspace,
 )
 from medlarvale.forwarding.servers import ServerTable
 from medlarvale.forwarding.stream_versions import versions_without_history
 from medlarvale.forwarding.streams import StreamForwarder
-from medlarvale.ids import FailureDomain, HostId, RequestId, ServerId, ServiceName
+from medlarvale.ids import (
+    ConfigVersion,
+    FailureDomain,
+    HostId,
+    RequestId,
+    ServerId,
+    ServiceName,
+)
+from medlarvale.overload.priorities import ConfiguredPriorities
 
 SERVICE = ServiceName("llm")
 FIRST_EVENT_TARGET_MS = 900.0
@@ -38,6 +51,8 @@
 DEADLINE_MS = 14_000.0
 # Share of its value that a late answer retains.
 LATE_VALUE_SHARE = 0.2
+# Time after which a caller that heeds no Retry-After returns.
+RETURN_MS = 20.0
 # Period in which two hosts exchange what they have measured.
 FIGURES_PERIOD_S = 1.0
 
@@ -56,6 +71,8 @@
         events_mean: events of an answer.
         events_spread: standard deviation of the logarithm of the number of events.
         hint_error: standard deviation of the logarithm of output hints against outputs.
+        groups: groups of callers, instead of ``rate_per_s`` and ``bursts``.
+        drains: name of each engine that drains and comes back, with both times in s.
     """
 
     name: str
@@ -76,6 +93,8 @@
     events_spread: float = 0.7
     events_max: int = 160
     hint_error: float = 0.5
+    groups: tuple[CallerGroup, ...] = ()
+    drains: tuple[tuple[str, float, float], ...] = ()
 
 
 @dataclass(slots=True)
@@ -94,6 +113,7 @@
     preempted: int = 0
     pauses: int = 0
     first_event_ms: list[float] = field(default_factory=list)
+    records: list[CallerRecord] = field(default_factory=list)
 
     @property
     def value_share(self) -> float:
@@ -127,6 +147,15 @@
         self.finished = True
 
 
+class _Told:
+    """Refusals of one request, see ``CallerRecord``."""
+
+    def __init__(self) -> None:
+        self.reasons: list[str] = []
+        self.after_ms: list[float] = []
+        self.retry_after_ms: list[float] = []
+
+
 class _PermissiveGuard:
     """Guard that admits every request."""
 
@@ -191,12 +220,15 @@
             engine = self._engines[ServerId(name)]
             loop.call_later(lost_s, engine.crash)
             loop.call_later(back_s, setattr, engine, "alive", True)
+        for name, drained_s, back_s in self._pattern.drains:
+            loop.call_later(drained_s, self._list, ServerId(name), ServerState.DRAINING)
+            loop.call_later(back_s, self._list, ServerId(name), ServerState.READY)
         sharing = loop.create_task(self._share_figures())
         number = 0
         while loop.time() < self._pattern.duration_s:
             await asyncio.sleep(self._rng.expovariate(self._rate_per_s(loop.time())))
             number += 1
-            callers.append(loop.create_task(self._call(number)))
+            callers.append(loop.create_task(self._call(number, self._draw_group(loop.time()))))
         await asyncio.gather(*callers)
         sharing.cancel()
         for engine in self._engines.values():
@@ -214,7 +246,20 @@
                     if other is not host:
                         other.note_peer(HostId(f"h{number}"), figures)
 
+    def _list(self, name: ServerId, state: ServerState) -> None:
+        entry = msgspec.structs.replace(_server_entry(self._engines[name]), state=state)
+        for table in self._tables:
+            table.upsert(entry)
+
+    def _draw_group(self, now_s: float) -> CallerGroup | None:
+        groups = self._pattern.groups
+        if not groups:
+            return None
+        return self._rng.choices(groups, [group.rate_at(now_s) for group in groups])[0]
+
     def _rate_per_s(self, now_s: float) -> float:
+        if self._pattern.groups:
+            return sum(group.rate_at(now_s) for group in self._pattern.groups)
         rate = self._pattern.rate_per_s
         for start_s, duration_s, factor in self._pattern.bursts:
             if start_s <= now_s < start_s + duration_s:
@@ -237,6 +282,7 @@
         traits = EngineTraits(
             pattern.model.slots, pattern.model.memory_tokens, 500.0, 2_000.0, 6_000.0
         )
+        configured = _route_table(pattern.groups, self._route)
         for number in range(pattern.hosts):
             domain = FailureDomain(pattern.domains[number % len(pattern.domains)])
             table = ServerTable(domain, random.Random(self._rng.random()))
@@ -253,6 +299,7 @@
                 lambda: pattern.hosts,
                 versions_without_history(backends, table, clock),
             )
+            context.priorities = ConfiguredPriorities(lambda: configured)
             self._tables.append(table)
             self._hosts.append(StreamForwarder(context, lambda service: traits))
 
@@ -261,12 +308,15 @@
         weights[: len(self._pattern.host_weights)] = self._pattern.host_weights
         return self._rng.choices(self._hosts, weights[: len(self._hosts)])[0]
 
-    async def _call(self, number: int) -> None:
+    async def _call(self, number: int, group: CallerGroup | None) -> None:
         rng, pattern = self._rng, self._pattern
-        prompt = int(_lognormal(rng, pattern.prompt_mean, 0.5, pattern.prompt_max)) + 200
+        prompt_factor = group.prompt_factor if group is not None else 1.0
+        events_factor = group.events_factor if group is not None else 1.0
+        prompt_mean = pattern.prompt_mean * prompt_factor
+        prompt = int(_lognormal(rng, prompt_mean, 0.5, pattern.prompt_max)) + 200
+        events_mean = pattern.events_mean * events_factor
         events = max(
-            1,
-            int(_lognormal(rng, pattern.events_mean, pattern.events_spread, pattern.events_max)),
+            1, int(_lognormal(rng, events_mean, pattern.events_spread, pattern.events_max))
         )
         per_event = pattern.model.tokens_per_event
         output = events * per_event
@@ -280,7 +330,29 @@
         figures.prompt_tokens += prompt
         loop = asyncio.get_running_loop()
         arrived_ms = loop.time() * 1000.0
-        for attempt in range(2):
+        leaves_ms = math.inf
+        if group is not None and rng.random() < group.leaving_share:
+            leaves_ms = arrived_ms + rng.uniform(0.0, DEADLINE_MS / 2.0)
+        told = _Told()
+
+        def note(outcome: Outcome) -> None:
+            if group is not None:
+                ended_ms = loop.time() * 1000.0
+                figures.records.append(
+                    CallerRecord(
+                        group,
+                        arrived_ms,
+                        prompt + output,
+                        outcome,
+                        ended_ms,
+                        tuple(told.reasons),
+                        tuple(told.after_ms),
+                        tuple(told.retry_after_ms),
+                    )
+                )
+
+        attempts = group.attempts if group is not None else 2
+        for attempt in range(attempts):
             now_ms = loop.time() * 1000.0
             request = ClientRequest(
                 RequestId(f"{number}-{attempt}"),
@@ -292,10 +364,12 @@
                 now_ms,
                 DEADLINE_MS - (now_ms - arrived_ms),
                 TokenCounts(prompt, pattern.events_max * per_event, hint),
+                workspace=group.workspace if group is not None else None,
+                priority=group.priority if group is not None else None,
             )
             self._outputs[request.request_id] = output
             caller = _Caller()
-            retry_after_ms = await self._attempt(request, caller)
+            retry_after_ms = await self._attempt(request, caller, told, leaves_ms)
             if caller.finished:
                 assert caller.started_ms is not None
                 figures.first_event_ms.append(caller.started_ms - arrived_ms)
@@ -307,16 +381,23 @@
                 figures.pauses += caller.gap_ms > GAP_TARGET_MS
                 figures.late += not in_time
                 figures.earned_value += value * (1.0 if in_time else LATE_VALUE_SHARE)
+                note(Outcome.IN_TIME if in_time else Outcome.LATE)
                 return
             if retry_after_ms is None:
                 figures.failed += 1
+                note(Outcome.LEFT if loop.time() * 1000.0 >= leaves_ms else Outcome.FAILED)
                 return
-            if attempt == 0:
+            if group is not None and group.returns_at_once:
+                await asyncio.sleep(RETURN_MS / 1000.0)
+            elif attempt < attempts - 1:
                 left_ms = DEADLINE_MS - (loop.time() * 1000.0 - arrived_ms)
                 await asyncio.sleep(min(retry_after_ms, left_ms / 3.0) / 1000.0)
         figures.refused += 1
+        note(Outcome.REFUSED)
 
-    async def _attempt(self, request: ClientRequest, caller: _Caller) -> float | None:
+    async def _attempt(
+        self, request: ClientRequest, caller: _Caller, told: _Told, leaves_ms: float
+    ) -> float | None:
         """Sends one attempt; returns the delay before a retry, or None if there is no retry."""
         host = self._draw_host()
         task = asyncio.get_running_loop().create_task(
@@ -327,12 +408,16 @@
                 await asyncio.wait({task}, timeout=0.1)
                 since_ms = caller.last_ms or request.received_ms
                 waited_ms = asyncio.get_running_loop().time() * 1000.0 - since_ms
-                if not task.done() and waited_ms > patience_ms(self._route):
+                left = asyncio.get_running_loop().time() * 1000.0 >= leaves_ms
+                if not task.done() and (left or waited_ms > patience_ms(self._route)):
                     task.cancel()
                     await asyncio.wait({task})
                     return None
             task.result()
         except OverloadedError as error:
+            told.reasons.append(error.message)
+            told.after_ms.append(asyncio.get_running_loop().time() * 1000.0 - request.received_ms)
+            told.retry_after_ms.append(float(error.retry_after_ms or 0.0))
             return float(error.retry_after_ms or 0.0)
         except ForwardingError:
             return None
@@ -352,6 +437,23 @@
     )
 
 
+def _route_table(groups: tuple[CallerGroup, ...], route: Route) -> RouteTable | None:
+    if not groups:
+        return None
+    priorities = {group.workspace: group.priority for group in groups}
+    workspaces = tuple(
+        Workspace(workspace, (), priority)
+        for workspace, priority in priorities.items()
+        if workspace is not None
+    )
+    routes = tuple(
+        msgspec.structs.replace(route, priority=priority)
+        for priority in sorted({group.priority for group in groups})
+    )
+    limits = RequestLimits(16_384, 4_194_304, 3_000.0, 15_000.0)
+    return RouteTable(ConfigVersion(1), routes, {}, limits, workspaces)
+
+
 def run_pattern(pattern: LoadPattern, seed: int) -> Figures:
     """Runs a pattern in virtual time."""
 
--- a/src/medlarvale/forwarding/host.py
+++ b/src/medlarvale/forwarding/host.py
@@ -294,6 +294,7 @@
             "peer_connections_replaced": self._transport.replaced_connections,
             "peer_bytes_sent": self._transport.sent_bytes,
             "ready": self.ready(),
+            **self.streams.queue_gauges(),
             **self._extra_gauges(),
         }
 
--- a/src/medlarvale/forwarding/memory.py
+++ b/src/medlarvale/forwarding/memory.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections import Counter, deque
+from collections import Counter
 from collections.abc import Callable
 
 from medlarvale.forwarding.context import ForwardingContext
@@ -19,28 +19,13 @@
 from medlarvale.forwarding.servers import ERROR_PENALTY, ServerLoad
 from medlarvale.ids import ServerId, ServiceName, SoftwareVersion
 from medlarvale.logs import Event, log_warning
-from medlarvale.overload.order import AGED_SHARE, Standing, WaitingOrder
+from medlarvale.overload.admission import QueueRules, Refusal, WaitingRequest
 
 # Retry interval for an engine that refused a reservation, unless this host freed memory there. With
 # more than RETRYING_HOSTS hosts the interval grows, which keeps the total rate at an engine
 # constant.
 REFUSED_PAUSE_MS = 30.0
 RETRYING_HOSTS = 4
-# Window over which the rate of reservations is measured.
-RATE_MS = 2_000.0
-# Fraction of an equal share of the engines that a host can rely on: load is uneven across hosts.
-FAIR_SHARE = 0.5
-MIN_RATE_PER_S = 0.1
-# A queue of this length is too short to estimate the wait.
-SHORT_QUEUE = 2
-# Callers wait up to this share of their remaining time before they retry.
-RETRY_SHARE_OF_TIME = 1.0 / 3.0
-# Retry delay until hold times have been measured.
-DEFAULT_RETRY_AFTER_MS = 1_000.0
-# Hold time until one has been measured; it only weighs requests against each other.
-DEFAULT_HOLD_MS = 1_000.0
-# Share of the streams whose time to the first event does not exceed the usual one.
-USUAL_SHARE = 0.5
 # Load, as a share of engine memory, added to engines in other failure domains, because events from
 # there cost more.
 REMOTE_PENALTY = 0.05
@@ -54,15 +39,13 @@
 # Number of waiting requests that are tried after one that does not fit.
 BACKFILL_REQUESTS = 2
 
-ALL_ASKED_TO_WAIT = "no engine wants requests in time"
-
 
 class _Waiter:
     """A request that waits for memory."""
 
     def __init__(self, request: MemoryRequest, since_ms: float) -> None:
         self.request = request
-        self.since_ms = since_ms
+        self.place = WaitingRequest(request, since_ms)
         self.future: asyncio.Future[Reservation] = asyncio.get_running_loop().create_future()
         # Engines that have not answered yet whether they have memory for it.
         self.asked: set[ServerId] = set()
@@ -90,15 +73,15 @@
         traits: Callable[[], EngineTraits],
         meter: DemandMeter,
     ) -> None:
-        self._meter = meter
         self._context = context
         self._service = service
         self._traits = traits
-        self._order = WaitingOrder()
+        self.rules = QueueRules(
+            service, meter.model, traits, lambda: context.priorities, self._engine_share
+        )
         self._waiting: list[_Waiter] = []
         self._refused: dict[ServerId, tuple[float, int]] = {}
         self._freed = asyncio.Event()
-        self._granted_ms: deque[float] = deque()
         self._queue_task: asyncio.Task[None] | None = None
 
     @property
@@ -109,6 +92,10 @@
     def __len__(self) -> int:
         return len(self._waiting)
 
+    def waiting_by_priority(self) -> Counter[int]:
+        """Returns the number of waiting requests of each priority."""
+        return Counter(waiter.request.priority for waiter in self._waiting)
+
     async def acquire(self, request: MemoryRequest) -> Reservation:
         """Waits for a reservation.
 
@@ -118,21 +105,18 @@
         """
         if not self._has_version(request):
             raise VersionGoneError("no engine runs the version that began the stream")
-        if request.tokens > self._traits().memory_tokens:
-            raise OverloadedError("the request exceeds the memory of an engine")
         now_ms = self._context.clock.now_ms()
-        if request.end_ms <= now_ms:
-            raise OverloadedError("the remaining time is too short for the answer")
-        asked_ms = self._asked_wait_ms(request.software, now_ms)
-        if asked_ms > request.end_ms - now_ms:
-            raise OverloadedError(ALL_ASKED_TO_WAIT, retry_after_ms=int(asked_ms))
-        wait_ms = self._expected_wait_ms(request, now_ms)
-        if wait_ms > request.end_ms - now_ms:
-            raise OverloadedError(
-                "the memory queue is too long",
-                retry_after_ms=self._retry_after_ms(request, now_ms),
-            )
         waiter = _Waiter(request, now_ms)
+        asked_ms = self._asked_wait_ms(request.software, now_ms)
+        left_ms = request.end_ms - now_ms
+        if request.tokens > self._traits().memory_tokens:
+            raise self._refusal(waiter, Refusal.TOO_LARGE, now_ms)
+        if left_ms <= 0:
+            raise self._refusal(waiter, Refusal.NO_TIME, now_ms)
+        if asked_ms > left_ms:
+            raise self._refusal(waiter, Refusal.ASKED_TO_WAIT, now_ms, int(asked_ms))
+        if self.rules.expected_wait_ms(request, self._places(), now_ms) > left_ms:
+            raise self._refusal(waiter, Refusal.TOO_LONG, now_ms)
         self._waiting.append(waiter)
         if self._queue_task is None or self._queue_task.done():
             self._queue_task = asyncio.get_running_loop().create_task(self._serve_queue())
@@ -197,6 +181,8 @@
             tried[software] += 1
             if tried[software] <= 1 + BACKFILL_REQUESTS and await self._serve(waiter):
                 return True
+            if self.rules.is_aged(waiter.place, self._context.clock.now_ms()):
+                tried[software] += BACKFILL_REQUESTS
         return False
 
     def _has_version(self, request: MemoryRequest) -> bool:
@@ -210,64 +196,24 @@
             self._service, now_ms, stage=EngineStage.DECODE, software=software
         )
 
-    def _is_late(self, request: MemoryRequest, now_ms: float) -> bool:
-        """Returns whether a request that gets memory now would miss its first event target."""
-        delay_ms = self._meter.model.first_event_ms(now_ms, USUAL_SHARE) or 0.0
-        return request.first_event_target_ms < now_ms + delay_ms
-
-    def _standing(self, request: MemoryRequest, since_ms: float, now_ms: float) -> Standing:
-        late = self._is_late(request, now_ms)
-        limit_ms = request.end_ms if late else request.first_event_target_ms
-        hold_ms = self._meter.model.hold_ms(now_ms) or DEFAULT_HOLD_MS
-        return Standing(
-            request.urgent,
-            late,
-            request.output_tokens,
-            request.priority,
-            request.workspace,
-            hold_ms * request.tokens / self._traits().memory_tokens,
-            aged=now_ms - since_ms > AGED_SHARE * (limit_ms - since_ms),
+    def _engine_share(self) -> float:
+        """Returns the number of engines, divided by the number of hosts."""
+        engines = self._context.servers.candidates(
+            self._service, self._context.clock.now_ms(), stage=EngineStage.DECODE
         )
+        return len(engines) / self._context.host_count()
 
-    def _arrange(self, waiters: list[_Waiter], now_ms: float) -> list[int]:
-        return self._order.arrange(
-            [self._standing(waiter.request, waiter.since_ms, now_ms) for waiter in waiters],
-            now_ms,
-            distinguish=self._context.priorities.distinguishes(self._service),
-        )
+    def _places(self) -> list[WaitingRequest]:
+        return [waiter.place for waiter in self._waiting]
 
     def _sorted_waiters(self) -> list[_Waiter]:
-        waiting = self._waiting
-        return [waiting[number] for number in self._arrange(waiting, self._context.clock.now_ms())]
-
-    def _expected_wait_ms(self, request: MemoryRequest, now_ms: float) -> float:
-        """Returns the expected wait of a request behind those that are served before it."""
-        others = [waiter for waiter in self._waiting if waiter.request is not request]
-        # The last of those that are equal.
-        ahead = self._arrange([*others, _Waiter(request, now_ms)], now_ms).index(len(others))
-        while self._granted_ms and now_ms - self._granted_ms[0] > RATE_MS:
-            self._granted_ms.popleft()
-        hold_ms = self._meter.model.hold_ms(now_ms)
-        if ahead <= SHORT_QUEUE or hold_ms is None:
-            return 0.0
-        granted_per_s = len(self._granted_ms) * 1000.0 / RATE_MS
-        # After a period of low load the measured rate is far below the capacity.
-        fair_per_s = FAIR_SHARE * self._fair_rate_per_s(request.tokens, hold_ms)
-        return ahead * 1000.0 / max(granted_per_s, fair_per_s, MIN_RATE_PER_S)
-
-    def _fair_rate_per_s(self, tokens: int, hold_ms: float) -> float:
-        """Returns the requests of a size that this host can start per second by an equal share."""
-        traits = self._traits()
-        engines = self._context.servers.candidates(
-            self._service, self._context.clock.now_ms(), stage=EngineStage.DECODE
-        )
-        streams = min(traits.memory_tokens / max(1, tokens), traits.slots)
-        return len(engines) * streams * 1000.0 / hold_ms / self._context.host_count()
+        order = self.rules.arrange(self._places(), self._context.clock.now_ms())
+        return [self._waiting[number] for number in order]
 
     def _expire(self) -> None:
         now_ms = self._context.clock.now_ms()
         for waiter in [waiting for waiting in self._waiting if waiting.request.end_ms <= now_ms]:
-            self._refuse(waiter, "no engine had free memory in time", now_ms)
+            self._refuse(waiter, Refusal.NO_MEMORY, now_ms)
         self._refuse_asked_to_wait(now_ms)
         for waiter in [other for other in self._waiting if not self._has_version(other.request)]:
             self._waiting.remove(waiter)
@@ -276,11 +222,12 @@
                 waiter.future.set_exception(gone)
         if self._context.needs_relay(self._service):
             for waiter in list(self._waiting):
-                self._refuse(waiter, "the engines can't be reached from this host", now_ms)
+                self._refuse(waiter, Refusal.UNREACHED, now_ms)
         if self._waiting:
             last = self._sorted_waiters()[-1]
-            if self._expected_wait_ms(last.request, now_ms) > last.request.end_ms - now_ms:
-                self._refuse(last, "the memory queue has become too long", now_ms)
+            wait_ms = self.rules.expected_wait_ms(last.request, self._places(), now_ms)
+            if wait_ms > last.request.end_ms - now_ms:
+                self._refuse(last, Refusal.BECAME_TOO_LONG, now_ms)
 
     def _refuse_asked_to_wait(self, now_ms: float) -> None:
         """Refuses the requests that end before an engine wants requests again."""
@@ -290,23 +237,19 @@
             if software not in waits_ms:
                 waits_ms[software] = self._asked_wait_ms(software, now_ms)
             if waits_ms[software] > waiter.request.end_ms - now_ms:
-                self._refuse(waiter, ALL_ASKED_TO_WAIT, now_ms, int(waits_ms[software]))
+                self._refuse(waiter, Refusal.ASKED_TO_WAIT, now_ms, int(waits_ms[software]))
 
     def _refuse(
-        self, waiter: _Waiter, reason: str, now_ms: float, retry_after_ms: int | None = None
+        self, waiter: _Waiter, reason: Refusal, now_ms: float, retry_after_ms: int | None = None
     ) -> None:
         self._waiting.remove(waiter)
         if not waiter.future.done():
-            if retry_after_ms is None:
-                retry_after_ms = self._retry_after_ms(waiter.request, now_ms)
-            waiter.future.set_exception(OverloadedError(reason, retry_after_ms=retry_after_ms))
+            waiter.future.set_exception(self._refusal(waiter, reason, now_ms, retry_after_ms))
 
-    def _retry_after_ms(self, request: MemoryRequest, now_ms: float) -> int:
-        """Returns when memory is expected: the streams that hold it now have ended by then."""
-        hold_ms = self._meter.model.hold_ms(now_ms) or DEFAULT_RETRY_AFTER_MS
-        wait_ms = max(hold_ms, self._expected_wait_ms(request, now_ms))
-        longest_ms = RETRY_SHARE_OF_TIME * (request.caller_end_ms - now_ms)
-        return max(0, int(min(wait_ms, longest_ms)))
+    def _refusal(
+        self, waiter: _Waiter, reason: Refusal, now_ms: float, retry_after_ms: int | None = None
+    ) -> OverloadedError:
+        return self.rules.refuse(waiter.place, reason, self._places(), now_ms, retry_after_ms)
 
     async def _serve(self, waiter: _Waiter) -> bool:
         reservation = await self._reserve(waiter)
@@ -323,14 +266,13 @@
             self.release(reservation, release_hold=True)
         else:
             waiter.future.set_result(reservation)
-            now_ms = self._context.clock.now_ms()
-            self._granted_ms.append(now_ms)
-            self._order.note_served(self._standing(waiter.request, waiter.since_ms, now_ms), now_ms)
+            self.rules.note_granted(waiter.place, self._context.clock.now_ms())
 
     async def _reserve(self, waiter: _Waiter) -> Reservation | None:
         context, now_ms = self._context, self._context.clock.now_ms()
         request = waiter.request
         pause_ms = REFUSED_PAUSE_MS * max(1.0, context.host_count() / RETRYING_HOSTS)
+        pause_ms *= 1.0 + self.rules.urgency_rank(request)
         needed_free_tokens = self._free_memory_needed(request, now_ms)
         candidates = context.servers.candidates(
             self._service,
@@ -353,9 +295,8 @@
     def _free_memory_needed(self, request: MemoryRequest, now_ms: float) -> int:
         """Returns the free memory that an engine must have for a request to be placed there."""
         memory = self._traits().memory_tokens
-        if request.urgent or not self._is_late(request, now_ms):
-            return request.tokens
-        return min(memory, request.tokens + int(LATE_HEADROOM * memory))
+        headroom = self.rules.headroom_share(request, now_ms, LATE_HEADROOM)
+        return max(request.tokens, min(memory, request.tokens + int(headroom * memory)))
 
     async def _reserve_at(
         self, load: ServerLoad, waiter: _Waiter, needed_free_tokens: int
@@ -439,6 +380,7 @@
             servers.note_success(load, now_ms())
         if hold is None:
             self._refused[load.server.server] = (now_ms(), tokens)
+            self.rules.note_engine_refusal(now_ms())
         return hold
 
     def _record_reservation(
--- a/src/medlarvale/forwarding/streams.py
+++ b/src/medlarvale/forwarding/streams.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import math
+from collections import Counter
 from collections.abc import Callable, Mapping
 
 from medlarvale.forwarding.context import ForwardingContext
@@ -62,6 +63,16 @@
         """Returns the load meter of a service."""
         return self._meters.setdefault(service, DemandMeter())
 
+    def queue_gauges(self) -> dict[str, float]:
+        """Returns the streams that wait by priority, and those refused so far by reason."""
+        gauges: Counter[str] = Counter()
+        for queue in self._queues.values():
+            for priority, number in queue.waiting_by_priority().items():
+                gauges[f"streams_waiting_priority_{priority}"] += number
+            for reason, number in queue.rules.refused.items():
+                gauges[f"streams_refused_{reason.name.lower()}"] += number
+        return dict(gauges)
+
     def demands(self) -> dict[ServiceName, Demand]:
         """Returns the load on each service."""
         now_ms = self.context.clock.now_ms()
--- /dev/null
+++ b/src/medlarvale/overload/admission.py
@@ -0,0 +1,261 @@
+"""Decides which requests for decode memory are refused, and when their callers may return."""
+
+from __future__ import annotations
+
+import enum
+from collections import Counter, deque
+from collections.abc import Callable, Sequence
+
+import msgspec
+
+from medlarvale.forwarding.engine_model import EngineModel
+from medlarvale.forwarding.errors import OverloadedError
+from medlarvale.forwarding.memory_request import MemoryRequest
+from medlarvale.forwarding.messages import EngineTraits
+from medlarvale.ids import ServiceName, WorkspaceId
+from medlarvale.logs import Event, log_info
+from medlarvale.overload.order import AGED_SHARE, Standing, WaitingOrder
+from medlarvale.overload.priorities import ConfiguredPriorities
+
+# Window over which the rate of reservations is measured.
+RATE_MS = 2_000.0
+# Fraction of an equal share of the engines that a host can rely on: load is uneven across hosts.
+FAIR_SHARE = 0.5
+MIN_RATE_PER_S = 0.1
+# A queue of this length is too short to estimate the wait.
+SHORT_QUEUE = 2
+# Callers wait up to this share of their remaining time before they retry.
+RETRY_SHARE_OF_TIME = 1.0 / 3.0
+# Retry delay until hold times have been measured.
+DEFAULT_RETRY_AFTER_MS = 1_000.0
+# Hold time until one has been measured; it only weighs requests against each other.
+DEFAULT_HOLD_MS = 1_000.0
+# Share of the streams whose time to the first event does not exceed the usual one.
+USUAL_SHARE = 0.5
+# Retry delays that exceed the longest one are spread over this share of it. Multiples of the golden
+# ratio spread any number of callers evenly.
+SPREAD_SHARE = 0.5
+GOLDEN_RATIO = 0.618034
+# Share of an engine's memory that a request leaves free for each more urgent priority of its
+# service, while engines refuse reservations: other hosts may have more urgent requests waiting.
+CLASS_HEADROOM = 0.1
+# A refusal of an engine shows for this time that memory is short.
+SHORT_OF_MEMORY_MS = 1_000.0
+
+
+class Refusal(enum.Enum):
+    """Why the memory queue refuses a request."""
+
+    TOO_LARGE = "the request exceeds the memory of an engine"
+    NO_TIME = "the remaining time is too short for the answer"
+    ASKED_TO_WAIT = "no engine wants requests in time"
+    TOO_LONG = "the memory queue is too long"
+    BECAME_TOO_LONG = "the memory queue has become too long"
+    NO_MEMORY = "no engine had free memory in time"
+    UNREACHED = "the engines can't be reached from this host"
+
+
+class WaitingRequest(msgspec.Struct, frozen=True):
+    """A request in the queue and the monotonic time at which it came."""
+
+    request: MemoryRequest
+    since_ms: float
+
+
+class QueueRules:
+    """Decisions about the waiting requests of one service; makes no calls.
+
+    Args:
+        service: the service.
+        model: speeds and times of its engines.
+        traits: returns their configuration.
+        priorities: returns the priorities of the configuration.
+        engine_share: returns the number of usable engines, divided by the number of hosts.
+    """
+
+    def __init__(
+        self,
+        service: ServiceName,
+        model: EngineModel,
+        traits: Callable[[], EngineTraits],
+        priorities: Callable[[], ConfiguredPriorities],
+        engine_share: Callable[[], float],
+    ) -> None:
+        self._service = service
+        self._model = model
+        self._traits = traits
+        self._priorities = priorities
+        self._engine_share = engine_share
+        self._order = WaitingOrder()
+        self._granted_ms: deque[float] = deque()
+        # When callers that were refused return, with their priority.
+        self._returns: deque[tuple[float, int]] = deque()
+        self._refusals = 0
+        self._engine_refused_ms = -SHORT_OF_MEMORY_MS
+        self.refused: Counter[Refusal] = Counter()
+
+    @property
+    def distinguishes(self) -> bool:
+        """Whether the streams of the service differ in priority or workspace."""
+        return self._priorities().distinguishes(self._service)
+
+    def is_late(self, request: MemoryRequest, now_ms: float) -> bool:
+        """Returns whether a request that gets memory now would miss its first event target."""
+        delay_ms = self._model.first_event_ms(now_ms, USUAL_SHARE) or 0.0
+        return request.first_event_target_ms < now_ms + delay_ms
+
+    def _standing(self, waiting: WaitingRequest, now_ms: float) -> Standing:
+        request, since_ms = waiting.request, waiting.since_ms
+        late = self.is_late(request, now_ms)
+        limit_ms = request.end_ms if late else request.first_event_target_ms
+        hold_ms = self._model.hold_ms(now_ms) or DEFAULT_HOLD_MS
+        return Standing(
+            request.urgent,
+            late,
+            request.output_tokens,
+            request.priority,
+            request.workspace,
+            hold_ms * request.tokens / self._traits().memory_tokens,
+            aged=now_ms - since_ms > AGED_SHARE * (limit_ms - since_ms),
+        )
+
+    def arrange(self, waiting: Sequence[WaitingRequest], now_ms: float) -> list[int]:
+        """Returns the indices of the requests in the order in which they get memory."""
+        standings = [self._standing(each, now_ms) for each in waiting]
+        return self._order.arrange(standings, now_ms, distinguish=self.distinguishes)
+
+    def is_aged(self, waiting: WaitingRequest, now_ms: float) -> bool:
+        """Returns whether no other request may be tried after this one if it does not fit."""
+        return self.distinguishes and self._standing(waiting, now_ms).aged
+
+    def note_granted(self, waiting: WaitingRequest, now_ms: float) -> None:
+        """Records that a request has got memory."""
+        self._granted_ms.append(now_ms)
+        self._order.note_served(self._standing(waiting, now_ms), now_ms)
+
+    def note_engine_refusal(self, now_ms: float) -> None:
+        """Records that an engine had no memory for a request."""
+        self._engine_refused_ms = now_ms
+
+    def served_most(self, since_ms: float) -> list[WorkspaceId]:
+        """Returns the workspaces that got most since a time."""
+        return self._order.served.waited_for(since_ms)
+
+    def ahead(
+        self, request: MemoryRequest, waiting: Sequence[WaitingRequest], now_ms: float
+    ) -> list[WaitingRequest]:
+        """Returns the requests that are served before one that comes, or is, last among equals."""
+        others = [each for each in waiting if each.request is not request]
+        order = self.arrange([*others, WaitingRequest(request, now_ms)], now_ms)
+        return [others[number] for number in order[: order.index(len(others))]]
+
+    def rate_per_s(self, tokens: int, now_ms: float) -> float | None:
+        """Returns the requests per second that get memory; None before hold times are known."""
+        while self._granted_ms and now_ms - self._granted_ms[0] > RATE_MS:
+            self._granted_ms.popleft()
+        hold_ms = self._model.hold_ms(now_ms)
+        if hold_ms is None:
+            return None
+        traits = self._traits()
+        streams = min(traits.memory_tokens / max(1, tokens), traits.slots)
+        granted_per_s = len(self._granted_ms) * 1000.0 / RATE_MS
+        # After a period of low load the measured rate is far below the capacity.
+        fair_per_s = FAIR_SHARE * self._engine_share() * streams * 1000.0 / hold_ms
+        return max(granted_per_s, fair_per_s, MIN_RATE_PER_S)
+
+    def expected_wait_ms(
+        self, request: MemoryRequest, waiting: Sequence[WaitingRequest], now_ms: float
+    ) -> float:
+        """Returns the expected wait of a request behind those that are served before it."""
+        number = len(self.ahead(request, waiting, now_ms))
+        rate_per_s = self.rate_per_s(request.tokens, now_ms)
+        if number <= SHORT_QUEUE or rate_per_s is None:
+            return 0.0
+        return number * 1000.0 / rate_per_s
+
+    def refuse(
+        self,
+        place: WaitingRequest,
+        reason: Refusal,
+        waiting: Sequence[WaitingRequest],
+        now_ms: float,
+        retry_after_ms: int | None = None,
+    ) -> OverloadedError:
+        """Returns the error of a request that is refused, and records why.
+
+        Args:
+            place: the request.
+            reason: why.
+            waiting: the requests that go on waiting.
+            now_ms: monotonic time.
+            retry_after_ms: when its caller may return; None to derive it from the queue.
+        """
+        request = place.request
+        if retry_after_ms is None and reason not in (Refusal.TOO_LARGE, Refusal.NO_TIME):
+            retry_after_ms = self.retry_after_ms(request, waiting, now_ms)
+        self.refused[reason] += 1
+        if self.distinguishes:
+            ahead = Counter(
+                other.request.priority for other in self.ahead(request, waiting, now_ms)
+            )
+            log_info(
+                Event.MEMORY_REFUSED,
+                service=self._service,
+                reason=reason.value,
+                priority=request.priority,
+                workspace=request.workspace,
+                tokens=request.tokens,
+                waited_ms=int(now_ms - place.since_ms),
+                ahead=dict(sorted(ahead.items())),
+                served_most=self.served_most(place.since_ms),
+                retry_after_ms=retry_after_ms,
+            )
+        return OverloadedError(reason.value, retry_after_ms=retry_after_ms)
+
+    def retry_after_ms(
+        self, request: MemoryRequest, waiting: Sequence[WaitingRequest], now_ms: float
+    ) -> int:
+        """Returns when memory is expected: the streams that hold it now have ended by then.
+
+        Where requests are distinguished, the callers that were refused return one by one at the
+        rate at which requests are served, the more urgent ones first.
+        """
+        hold_ms = self._model.hold_ms(now_ms) or DEFAULT_RETRY_AFTER_MS
+        wait_ms = max(hold_ms, self.expected_wait_ms(request, waiting, now_ms))
+        longest_ms = max(0.0, RETRY_SHARE_OF_TIME * (request.caller_end_ms - now_ms))
+        if self.distinguishes:
+            wait_ms = self._in_turn_ms(request, wait_ms, longest_ms, now_ms)
+        return int(min(wait_ms, longest_ms))
+
+    def _in_turn_ms(
+        self, request: MemoryRequest, wait_ms: float, longest_ms: float, now_ms: float
+    ) -> float:
+        self._returns = deque(entry for entry in self._returns if entry[0] > now_ms)
+        before = sum(priority <= request.priority for _, priority in self._returns)
+        rate_per_s = self.rate_per_s(request.tokens, now_ms) or MIN_RATE_PER_S
+        wait_ms += before * 1000.0 / rate_per_s
+        if wait_ms > longest_ms:
+            self._refusals += 1
+            wait_ms = longest_ms * (1.0 - SPREAD_SHARE * (self._refusals * GOLDEN_RATIO % 1.0))
+        self._returns.append((now_ms + wait_ms, request.priority))
+        return wait_ms
+
+    def urgency_rank(self, request: MemoryRequest) -> int:
+        """Returns the number of more urgent priorities of the service."""
+        if request.urgent or not self.distinguishes:
+            return 0
+        configured = self._priorities().of(self._service)
+        return sum(priority < request.priority for priority in configured)
+
+    def headroom_share(self, request: MemoryRequest, now_ms: float, late_share: float) -> float:
+        """Returns the share of an engine's memory that a request leaves free there.
+
+        Args:
+            late_share: what a late request leaves free.
+        """
+        if request.urgent:
+            return 0.0
+        share = late_share if self.is_late(request, now_ms) else 0.0
+        if now_ms - self._engine_refused_ms < SHORT_OF_MEMORY_MS:
+            share += CLASS_HEADROOM * self.urgency_rank(request)
+        return share
