--- a/src/medlarvale/forwarding/host.py
+++ b/src/medlarvale/forwarding/host.py
@@ -27,6 +27,7 @@
     EngineStage,
     EngineTraits,
     HostParameters,
+    RouteTable,
     Server,
 )
 from medlarvale.forwarding.metrics import ForwardingMetrics
@@ -45,6 +46,7 @@
 from medlarvale.http_heads import keep_header_bytes
 from medlarvale.ids import FailureDomain, HostId, HostIdentity, ServiceName, new_incarnation
 from medlarvale.logs import Event, log_info
+from medlarvale.overload.priorities import ConfiguredPriorities
 from medlarvale.peers.auth import FrameGuard, SharedKeys
 from medlarvale.peers.pynng_transport import PynngTransport
 from medlarvale.peers.transport import MessageCodec
@@ -152,6 +154,7 @@
                 PublishedView(self.follower, self.fleet.view, self.clock),
             ),
         )
+        context.priorities = ConfiguredPriorities(self._table)
         self._known_traits: dict[ServiceName, EngineTraits] = {}
         self._rechecks = RecheckTask(self.servers, backends, self.clock)
         self.streams = StreamForwarder(context, self._traits)
@@ -226,6 +229,10 @@
         )
         self._request_servers = (self.caller_server, self.relay_server)
 
+    def _table(self) -> RouteTable | None:
+        index = self.follower.index
+        return index.table if index is not None else None
+
     def _traits(self, service: ServiceName) -> EngineTraits:
         index = self.follower.index
         listed = index.table.services.get(service) if index is not None else None
@@ -309,6 +316,7 @@
             "peer_bytes_sent": self._transport.sent_bytes,
             "ready": self.ready(),
             **self._uploads.gauges(),
+            **self.streams.queue_gauges(),
             **self._extra_gauges(),
         }
 
--- a/src/medlarvale/logs.py
+++ b/src/medlarvale/logs.py
@@ -85,6 +85,7 @@
     CONNECTIONS_CLOSED = (5042, "connections of callers closed, because there are too many")
     HEAD_REFUSED = (5043, "connection closed because of the head of a request")
     ANSWER_NOT_TAKEN = (5044, "connection closed, because its caller does not take an answer")
+    MEMORY_REFUSED = (5060, "stream refused for lack of engine memory")
     CLEANUP_FAILED = (5007, "unused engine memory could not be released")
     ENGINE_EJECTED = (6001, "engine ejected")
     ENGINE_READMITTED = (6002, "engine readmitted")
