Quotas: first version

Workspaces have a quota across all hosts, and no store is available to count in. The host with the highest rendezvous weight grants it; a host asks the owner, then the next one, then uses its equal share. Requests of callers are charged before they are forwarded and get their quota back if they have not run.

--- a/src/medlarvale/forwarding/caller_server.py
+++ b/src/medlarvale/forwarding/caller_server.py
@@ -44,6 +44,7 @@
 from medlarvale.forwarding.streams import StreamForwarder
 from medlarvale.ids import ServiceName
 from medlarvale.logs import Event, log_info, log_warning
+from medlarvale.quotas.charging import RequestCharges
 
 # Maximum body size before the limit of a configuration is known.
 MAX_BODY_BYTES = 8 * 1024 * 1024
@@ -130,6 +131,7 @@
         ready: returns whether this host accepts new connections.
         relay: relays requests that this host can't serve itself; None if the requests come from
             peers, which are told whose each answer is.
+        quotas: quotas of workspaces; None if the requests come from peers, which have charged them.
     """
 
     def __init__(
@@ -144,7 +146,9 @@
         relay: Relay | None = None,
         *,
         for_peers: bool = False,
+        quotas: RequestCharges | None = None,
     ) -> None:
+        self._quotas = quotas
         self._ready = ready
         self._relay = relay
         self._for_peers = for_peers
@@ -383,7 +387,9 @@
             raise BodyTooLargeError("the body is larger than the configuration allows")
         service = self._choose_service(request, route)
         self._stop_admission.check(request, route, service)
-        reply = await self._serve(request, route, service, sink)
+        charged = self._quotas.charged(request, route) if self._quotas else contextlib.nullcontext()
+        async with charged:
+            reply = await self._serve(request, route, service, sink)
         log_info(
             Event.REQUEST_FORWARDED,
             request=request.request_id,
--- a/src/medlarvale/forwarding/fleet.py
+++ b/src/medlarvale/forwarding/fleet.py
@@ -33,6 +33,10 @@
 # fleet.
 ANNOUNCE_HOSTS_MS = 10_000.0
 ANNOUNCED_HOSTS = 8
+# A peer counts as heard recently for at least this time, and for this many times the mean time
+# between two pieces of evidence: a live one is then missing with a probability of e^-2.5.
+RECENT_MS = 1_000.0
+RECENT_INTERVALS = 2.5
 # A host that was silent for this long is removed and no longer counts towards the majority.
 FORGET_AFTER_MS = 30_000.0
 # Time for which is remembered when a host was in touch.
@@ -217,14 +221,29 @@
         hosts = len(self.addresses())
         if hosts <= HELLO_FANOUT:
             return SILENT_PERIODS * HELLO_PERIOD_MS
-        # Each period, a host sends and receives HELLO_FANOUT hellos, and as many answers. Each
-        # names the hosts from which its sender got one in the period before.
-        messages = 2 * HELLO_FANOUT
-        evidence = messages * (1 + min(messages, hosts)) / hosts
+        evidence = self._evidence(hosts)
         shortest_ms = SILENT_PERIODS_IN_TURNS * HELLO_PERIOD_MS
         # Evidence that is passed on is up to a period old.
         return max(shortest_ms, HELLO_PERIOD_MS * (1.0 + SILENT_INTERVALS / evidence))
 
+    @staticmethod
+    def _evidence(hosts: int) -> float:
+        """Returns the mean number of pieces of evidence of a live host in a period."""
+        # Each period, a host sends and receives HELLO_FANOUT hellos, and as many answers. Each
+        # names the hosts from which its sender got one in the period before.
+        messages = 2 * HELLO_FANOUT
+        return messages * (1 + min(messages, hosts)) / hosts
+
+    def recently_heard(self, now_ms: float) -> int:
+        """Returns how many peers gave evidence of life recently, sooner than ``live`` notices.
+
+        In a large fleet a small share of the live peers is missing.
+        """
+        hosts = max(1, len(self.addresses()))
+        interval_ms = HELLO_PERIOD_MS / self._evidence(hosts)
+        limit_ms = max(RECENT_MS, HELLO_PERIOD_MS + RECENT_INTERVALS * interval_ms)
+        return sum(now_ms - peer.alive_ms <= limit_ms for peer in self._peers.values())
+
     def live(self, now_ms: float) -> dict[HostId, Hello]:
         """Returns the last hellos of the live peers, without this host."""
         limit_ms = self.silent_after_ms()
--- a/src/medlarvale/forwarding/fleet_messages.py
+++ b/src/medlarvale/forwarding/fleet_messages.py
@@ -59,6 +59,7 @@
         relay_port: port of the sender for requests that peers relay; 0 if it takes none.
         unreached: services whose servers the sender can't reach.
         keeps_streams: whether the sender remembers streams for its peers.
+        grants_quotas: whether the sender grants quotas of workspaces; not in an earlier build.
     """
 
     sender: HostIdentity
@@ -75,6 +76,7 @@
     relay_port: Annotated[int, msgspec.Meta(ge=0, le=65_535)] = 0
     unreached: frozenset[ServiceName] = frozenset()
     keeps_streams: bool = False
+    grants_quotas: bool = False
 
 
 class StreamQuestion(msgspec.Struct, frozen=True):
--- a/src/medlarvale/forwarding/host.py
+++ b/src/medlarvale/forwarding/host.py
@@ -47,6 +47,8 @@
 from medlarvale.peers.pynng_transport import PynngTransport
 from medlarvale.peers.transport import MessageCodec
 from medlarvale.quarantine.messages import QuarantineAccepted, ShareEvidence
+from medlarvale.quotas.charging import RequestCharges
+from medlarvale.quotas.messages import QUOTA_MESSAGES
 
 # For streams of a service without engines: nothing is reserved, because its servers reject excess
 # requests.
@@ -193,6 +195,7 @@
             self._rng,
             self.ready,
             relay,
+            quotas=self._quotas,
         )
         self.relay_server = CallerServer(
             self.follower,
@@ -223,7 +226,7 @@
             identity,
             f"tcp://{parameters.listen_control}",
             self._new_guard(identity),
-            MessageCodec((*FLEET_MESSAGES, ShareEvidence, QuarantineAccepted)),
+            MessageCodec((*FLEET_MESSAGES, *QUOTA_MESSAGES, ShareEvidence, QuarantineAccepted)),
             self.clock,
             f"tcp://{parameters.peer_address}",
         )
@@ -244,6 +247,14 @@
             self._transport,
             self.clock,
         )
+        self._quotas = RequestCharges(
+            self.follower,
+            view,
+            self._transport,
+            self.clock,
+            self._rng,
+            parameters.quota_overage,
+        )
         self._peer_state = PeerStateTask(
             view, self._transport, self.follower, self.servers, self._records, self.clock
         )
@@ -287,6 +298,7 @@
             "peer_connections_replaced": self._transport.replaced_connections,
             "peer_bytes_sent": self._transport.sent_bytes,
             "ready": self.ready(),
+            **self._quotas.gauges(),
             **self._extra_gauges(),
         }
 
@@ -310,6 +322,7 @@
             self._relay_port,
             self._context.reach.unreached,
             keeps_streams=True,
+            grants_quotas=self._quotas.task.owners.grants,
         )
 
     def _figures_to_send(self) -> dict[ServiceName, bytes]:
@@ -376,6 +389,7 @@
         self.fleet.start()
         self.orders.start()
         self._domain_reader.start()
+        self._quotas.task.start()
         self._peer_state.start()
         self._guard.start()
         self._rechecks.start()
@@ -450,6 +464,7 @@
         await self.orders.close()
         await self._rechecks.close()
         await self._domain_reader.close()
+        await self._quotas.task.close()
         await self.follower.close()
         await self.fleet.close()
         await self._records.close()
--- /dev/null
+++ b/src/medlarvale/quotas/__init__.py
@@ -0,0 +1,1 @@
+"""Quotas of workspaces across all hosts, without a store."""
