--- a/src/medlarvale/forwarding/caller_server.py
+++ b/src/medlarvale/forwarding/caller_server.py
@@ -50,6 +50,7 @@
 from medlarvale.uploads.body_budget import BodyBudget, upload_limit_bytes
 from medlarvale.uploads.connections import CallerConnection, CallerConnectionServer, Uploads
 from medlarvale.uploads.reader import DEFAULT_LIMITS, read_body
+from medlarvale.quotas.charging import RequestCharges
 
 NOT_READY_RETRY_MS = 500
 # Callers may still use a connection after four fifths of the configured idle time, so connections
@@ -136,6 +137,7 @@
             peers, which are told whose each answer is.
         gate: checks API keys; None for one that needs no confirmation of the configuration.
         uploads: bounds what callers hold of this host; None for the default bounds.
+        quotas: quotas of workspaces; None if the requests come from peers, which have charged them.
     """
 
     def __init__(
@@ -154,6 +156,9 @@
         uploads: Uploads | None = None,
     ) -> None:
         self._gate = gate or AccessGate(ConfigConfirmation(), clock)
+        quotas: RequestCharges | None = None,
+    ) -> None:
+        self._quotas = quotas
         self._ready = ready
         self._relay = relay
         self._for_peers = for_peers
@@ -418,7 +423,9 @@
             raise BodyTooLargeError("the body is larger than the configuration allows")
         service = self._choose_service(request, route)
         self._stop_admission.check(request, route, service)
-        reply = await self._serve(request, route, service, sink)
+        charged = self._quotas.charged(request, route) if self._quotas else contextlib.nullcontext()
+        async with charged:
+            reply = await self._serve(request, route, service, sink)
         log_info(
             Event.REQUEST_FORWARDED,
             request=request.request_id,
--- a/src/medlarvale/forwarding/host.py
+++ b/src/medlarvale/forwarding/host.py
@@ -53,6 +53,8 @@
 from medlarvale.quarantine.messages import QuarantineAccepted, ShareEvidence
 from medlarvale.uploads.body_budget import BodyBudget, upload_limit_bytes
 from medlarvale.uploads.connections import Uploads, max_caller_connections
+from medlarvale.quotas.charging import RequestCharges
+from medlarvale.quotas.messages import QUOTA_MESSAGES
 
 # For streams of a service without engines: nothing is reserved, because its servers reject excess
 # requests.
@@ -211,6 +213,7 @@
             relay,
             gate=gate,
             uploads=self._uploads,
+            quotas=self._quotas,
         )
         self.relay_server = CallerServer(
             self.follower,
@@ -248,7 +251,7 @@
             identity,
             f"tcp://{parameters.listen_control}",
             self._new_guard(identity),
-            MessageCodec((*FLEET_MESSAGES, ShareEvidence, QuarantineAccepted)),
+            MessageCodec((*FLEET_MESSAGES, *QUOTA_MESSAGES, ShareEvidence, QuarantineAccepted)),
             self.clock,
             f"tcp://{parameters.peer_address}",
         )
@@ -269,6 +272,14 @@
             self._transport,
             self.clock,
         )
+        self._quotas = RequestCharges(
+            self.follower,
+            view,
+            self._transport,
+            self.clock,
+            self._rng,
+            parameters.quota_overage,
+        )
         self._peer_state = PeerStateTask(
             view, self._transport, self.follower, self.servers, self._records, self.clock
         )
@@ -317,6 +328,7 @@
             "ready": self.ready(),
             **self._uploads.gauges(),
             **self.streams.queue_gauges(),
+            **self._quotas.gauges(),
             **self._extra_gauges(),
         }
 
@@ -340,6 +352,7 @@
             self._relay_port,
             self._context.reach.unreached,
             keeps_streams=True,
+            grants_quotas=self._quotas.task.owners.grants,
         )
 
     def _figures_to_send(self) -> dict[ServiceName, bytes]:
@@ -406,6 +419,7 @@
         self.fleet.start()
         self.orders.start()
         self._domain_reader.start()
+        self._quotas.task.start()
         self._peer_state.start()
         self._guard.start()
         self._rechecks.start()
@@ -480,6 +494,7 @@
         await self.orders.close()
         await self._rechecks.close()
         await self._domain_reader.close()
+        await self._quotas.task.close()
         await self.follower.close()
         await self.fleet.close()
         await self._records.close()
