--- a/src/medlarvale/forwarding/caller_server.py
+++ b/src/medlarvale/forwarding/caller_server.py
@@ -47,10 +47,10 @@
 from medlarvale.forwarding.streams import StreamForwarder
 from medlarvale.ids import ServiceName
 from medlarvale.logs import Event, log_info, log_warning
+from medlarvale.quotas.charging import RequestCharges
 from medlarvale.uploads.body_budget import BodyBudget, upload_limit_bytes
 from medlarvale.uploads.connections import CallerConnection, CallerConnectionServer, Uploads
 from medlarvale.uploads.reader import DEFAULT_LIMITS, read_body
-from medlarvale.quotas.charging import RequestCharges
 
 NOT_READY_RETRY_MS = 500
 # Callers may still use a connection after four fifths of the configured idle time, so connections
@@ -154,10 +154,9 @@
         for_peers: bool = False,
         gate: AccessGate | None = None,
         uploads: Uploads | None = None,
-    ) -> None:
-        self._gate = gate or AccessGate(ConfigConfirmation(), clock)
         quotas: RequestCharges | None = None,
     ) -> None:
+        self._gate = gate or AccessGate(ConfigConfirmation(), clock)
         self._quotas = quotas
         self._ready = ready
         self._relay = relay
--- a/src/medlarvale/forwarding/host.py
+++ b/src/medlarvale/forwarding/host.py
@@ -51,10 +51,10 @@
 from medlarvale.peers.pynng_transport import PynngTransport
 from medlarvale.peers.transport import MessageCodec
 from medlarvale.quarantine.messages import QuarantineAccepted, ShareEvidence
-from medlarvale.uploads.body_budget import BodyBudget, upload_limit_bytes
-from medlarvale.uploads.connections import Uploads, max_caller_connections
 from medlarvale.quotas.charging import RequestCharges
 from medlarvale.quotas.messages import QUOTA_MESSAGES
+from medlarvale.uploads.body_budget import BodyBudget, upload_limit_bytes
+from medlarvale.uploads.connections import Uploads, max_caller_connections
 
 # For streams of a service without engines: nothing is reserved, because its servers reject excess
 # requests.
