--- a/src/medlarvale/forwarding/host.py
+++ b/src/medlarvale/forwarding/host.py
@@ -317,6 +317,7 @@
             self._relay_port,
             self._context.reach.unreached,
             keeps_streams=True,
+            slow_engines=self.streams.slow_engines(),
         )
 
     def _figures_to_send(self) -> dict[ServiceName, bytes]:
@@ -344,6 +345,7 @@
         for server, named in hello.limits.items():
             if self.servers.get(server) is not None:
                 self.servers.limits.merge(server, named, self.clock.now_ms())
+        self.streams.note_slow_engines(hello.slow_engines)
         if hello.failure_domain != self._parameters.failure_domain:
             self.servers.isolation.note_contact(self.clock.now_ms())
 
--- a/src/medlarvale/forwarding/memory.py
+++ b/src/medlarvale/forwarding/memory.py
@@ -20,6 +20,7 @@
 from medlarvale.ids import ServerId, ServiceName, SoftwareVersion
 from medlarvale.logs import Event, log_warning
 from medlarvale.overload.order import AGED_SHARE, Standing, WaitingOrder
+from medlarvale.placement.engine_gaps import sees_few_streams
 
 # Retry interval for an engine that refused a reservation, unless this host freed memory there. With
 # more than RETRYING_HOSTS hosts the interval grows, which keeps the total rate at an engine
@@ -453,14 +454,17 @@
     def _sort_engines(
         self, candidates: list[ServerLoad], preferred: ServerId | None
     ) -> list[ServerLoad]:
-        memory = self._traits().memory_tokens
-
+        memory, servers = self._traits().memory_tokens, self._context.servers
+        now_ms, usual_gap_ms = self._context.clock.now_ms(), None
+        if sees_few_streams(self._context.host_count()):
+            usual_gap_ms = self._meter.model.event_ms(now_ms, USUAL_SHARE)
         best_error = min((load.error_share for load in candidates), default=0.0)
 
         def cost(load: ServerLoad) -> tuple[bool, float, float]:
             other = load.server.server != preferred
             share = load.tokens / memory + ERROR_PENALTY * (load.error_share - best_error)
-            share += REMOTE_PENALTY * self._context.servers.is_remote(load)
+            share += REMOTE_PENALTY * servers.is_remote(load)
+            share += servers.gaps.penalty(load.server, usual_gap_ms, now_ms)
             return other, share, self._context.rng.random()
 
         return sorted(candidates, key=cost)
--- a/src/medlarvale/forwarding/prefill.py
+++ b/src/medlarvale/forwarding/prefill.py
@@ -29,6 +29,10 @@
 LOCAL_PREFILL_STRETCH = 5.0
 # Largest such chunk. An event of many steps contains all chunks of a prompt.
 LOCAL_CHUNK_TOKENS = 512
+# Share of the streams whose gap is at most that of an engine which this host doesn't know. In a
+# large fleet these are most engines, and a prefill on a slow one interrupts the streams of other
+# hosts.
+UNKNOWN_GAP_SHARE = 0.9
 # Wait for a prefill engine, beyond the slower prefill of the decode engine, up to which the prefill
 # engine is preferred. The first value holds if the streams of the decode engine stay within the gap
 # target during prefill, the second if they don't. In bursts in bench.forwarding 300 ms made 9% of
@@ -180,13 +184,16 @@
 
     def _local_gap_ms(self, decode: ServerLoad, tokens_per_ms: float, now_ms: float) -> float:
         """Returns the gap between events of the decode engine's streams during a prefill there."""
-        stretched_ms = decode.event_gap_ms * LOCAL_PREFILL_STRETCH
+        gap_ms = self._context.servers.gaps.gap_ms(decode.server, now_ms)
+        if gap_ms is None:
+            gap_ms = self._meter.model.event_ms(now_ms, UNKNOWN_GAP_SHARE) or 0.0
+        stretched_ms = gap_ms * LOCAL_PREFILL_STRETCH
         steps_per_event = self._meter.model.tokens_per_event(now_ms)
         if steps_per_event is None or 2.0 * self._tokens > steps_per_event * LOCAL_CHUNK_TOKENS:
             return stretched_ms
         # All chunks fall between two events.
         whole_ms = self._tokens / (tokens_per_ms * DECODE_PREFILL_SPEED)
-        return max(stretched_ms, decode.event_gap_ms + whole_ms)
+        return max(stretched_ms, gap_ms + whole_ms)
 
     def _note_success(self, load: ServerLoad, took_ms: float) -> None:
         self._context.servers.note_success(load, self._context.clock.now_ms())
