--- a/src/medlarvale/forwarding/fleet_messages.py
+++ b/src/medlarvale/forwarding/fleet_messages.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from medlarvale.forwarding.messages import (
+    Count,
     Finite,
     RouteTable,
     Server,
@@ -67,6 +68,7 @@
         unreached: services whose servers the sender can't reach.
         keeps_streams: whether the sender remembers streams for its peers.
         grants_quotas: whether the sender grants quotas of workspaces; not in an earlier build.
+        slow_engines: gaps in ms between the events of slow engines, as the sender measured them.
     """
 
     sender: HostIdentity
@@ -84,6 +86,7 @@
     unreached: frozenset[ServiceName] = frozenset()
     keeps_streams: bool = False
     grants_quotas: bool = False
+    slow_engines: dict[ServerId, Count] = {}
 
 
 class StreamQuestion(msgspec.Struct, frozen=True):
