--- a/src/medlarvale/quotas/ownership.py
+++ b/src/medlarvale/quotas/ownership.py
@@ -7,8 +7,8 @@
 from medlarvale.hashing import rank
 from medlarvale.ids import HostId, WorkspaceId
 
-# A host that did not reply in time to this many messages in a row is skipped for this time. With one,
-# lost messages alone made substitutes grant half of a quota beside its owner.
+# A host that did not reply in time to this many messages in a row is skipped for this time. With
+# one, and 2 % of lost messages, a window was 1.36 times its bound.
 SKIP_AFTER = 2
 SKIP_MS = 1_000.0
 # A host that has just started does not grant: it does not know its peers yet, and would take itself
@@ -19,8 +19,8 @@
 # Time for which the number of known hosts is remembered. FleetView forgets silent hosts after 30 s,
 # and each side of a longer partition would then grant the whole quota.
 REMEMBERED_MS = 120_000.0
-# Share of the overage that the sides of a partition use up together for as long as it lasts. The rest
-# covers the second until they notice it, and the half burst of each new owner.
+# Share of the overage that the sides of a partition use up together for as long as it lasts. The
+# rest covers the second until they notice it, and the half burst of each new owner.
 LASTING_OVERAGE = 0.5
 # Age of the list of candidates.
 MEMBERS_MS = 100.0
--- a/src/medlarvale/quotas/task.py
+++ b/src/medlarvale/quotas/task.py
@@ -279,6 +279,11 @@
             self._pass_on_all([*tickets, *queue.tickets])
             queue.tickets.clear()
             return
+        except BaseException:
+            # Their requests would wait for ever.
+            for ticket in tickets:
+                ticket.decision.cancel()
+            raise
         self.owners.note_reply(host)
         grants = reply.grants if isinstance(reply, QuotaReply) else ()
         if len(grants) != len(needs):
