--- a/src/medlarvale/forwarding/memory.py
+++ b/src/medlarvale/forwarding/memory.py
@@ -179,8 +179,11 @@
         for waiter in self._sorted_waiters():
             software = waiter.request.software
             tried[software] += 1
-            if tried[software] <= 1 + BACKFILL_REQUESTS and await self._serve(waiter):
-                return True
+            if tried[software] <= 1 + BACKFILL_REQUESTS:
+                reservation = await self._reserve(waiter)
+                if reservation is not None:
+                    self._grant(waiter, reservation)
+                    return True
             if self.rules.is_aged(waiter.place, self._context.clock.now_ms()):
                 tried[software] += BACKFILL_REQUESTS
         return False
@@ -251,13 +254,6 @@
     ) -> OverloadedError:
         return self.rules.refuse(waiter.place, reason, self._places(), now_ms, retry_after_ms)
 
-    async def _serve(self, waiter: _Waiter) -> bool:
-        reservation = await self._reserve(waiter)
-        if reservation is None:
-            return False
-        self._grant(waiter, reservation)
-        return True
-
     def _grant(self, waiter: _Waiter, reservation: Reservation) -> None:
         """Gives a reservation to a request, or releases it if the request needs none any more."""
         if waiter in self._waiting:
@@ -273,7 +269,7 @@
         request = waiter.request
         pause_ms = REFUSED_PAUSE_MS * max(1.0, context.host_count() / RETRYING_HOSTS)
         pause_ms *= 1.0 + self.rules.urgency_rank(request)
-        needed_free_tokens = self._free_memory_needed(request, now_ms)
+        needed_free_tokens = self.rules.free_memory_needed(request, now_ms, LATE_HEADROOM)
         candidates = context.servers.candidates(
             self._service,
             now_ms,
@@ -292,12 +288,6 @@
                 return reservation
         return None
 
-    def _free_memory_needed(self, request: MemoryRequest, now_ms: float) -> int:
-        """Returns the free memory that an engine must have for a request to be placed there."""
-        memory = self._traits().memory_tokens
-        headroom = self.rules.headroom_share(request, now_ms, LATE_HEADROOM)
-        return max(request.tokens, min(memory, request.tokens + int(headroom * memory)))
-
     async def _reserve_at(
         self, load: ServerLoad, waiter: _Waiter, needed_free_tokens: int
     ) -> Reservation | None:
--- a/src/medlarvale/overload/admission.py
+++ b/src/medlarvale/overload/admission.py
@@ -32,8 +32,9 @@
 DEFAULT_HOLD_MS = 1_000.0
 # Share of the streams whose time to the first event does not exceed the usual one.
 USUAL_SHARE = 0.5
-# Retry delays that exceed the longest one are spread over this share of it. Multiples of the golden
-# ratio spread any number of callers evenly.
+# Each priority has an equal part of this share of the longest retry delay, the most urgent the
+# first; delays outside of it are spread over it. Multiples of the golden ratio spread any number of
+# callers evenly.
 SPREAD_SHARE = 0.5
 GOLDEN_RATIO = 0.618034
 # Share of an engine's memory that a request leaves free for each more urgent priority of its
@@ -234,9 +235,13 @@
         before = sum(priority <= request.priority for _, priority in self._returns)
         rate_per_s = self.rate_per_s(request.tokens, now_ms) or MIN_RATE_PER_S
         wait_ms += before * 1000.0 / rate_per_s
-        if wait_ms > longest_ms:
+        priorities = max(1, len(self._priorities().of(self._service)))
+        width_ms = longest_ms * SPREAD_SHARE / priorities
+        rank = self.urgency_rank(request)
+        earliest_ms = longest_ms * (1.0 - SPREAD_SHARE) + width_ms * rank
+        if wait_ms > earliest_ms + width_ms or (rank and wait_ms < earliest_ms):
             self._refusals += 1
-            wait_ms = longest_ms * (1.0 - SPREAD_SHARE * (self._refusals * GOLDEN_RATIO % 1.0))
+            wait_ms = earliest_ms + width_ms * (self._refusals * GOLDEN_RATIO % 1.0)
         self._returns.append((now_ms + wait_ms, request.priority))
         return wait_ms
 
@@ -247,12 +252,20 @@
         configured = self._priorities().of(self._service)
         return sum(priority < request.priority for priority in configured)
 
-    def headroom_share(self, request: MemoryRequest, now_ms: float, late_share: float) -> float:
-        """Returns the share of an engine's memory that a request leaves free there.
+    def free_memory_needed(self, request: MemoryRequest, now_ms: float, late_share: float) -> int:
+        """Returns the free memory that an engine must have for a request to be placed there.
 
         Args:
-            late_share: what a late request leaves free.
+            request: the request.
+            now_ms: monotonic time.
+            late_share: share of the memory that a late request leaves free.
         """
+        memory = self._traits().memory_tokens
+        headroom = self._headroom_share(request, now_ms, late_share)
+        return max(request.tokens, min(memory, request.tokens + int(headroom * memory)))
+
+    def _headroom_share(self, request: MemoryRequest, now_ms: float, late_share: float) -> float:
+        """Returns the share of an engine's memory that a request leaves free there."""
         if request.urgent:
             return 0.0
         share = late_share if self.is_late(request, now_ms) else 0.0
