Overload: count what waits at other hosts

Cause: with 26 hosts a request seldom saw those before it: half of the refusals came only after 3.5 s. Less urgent large requests found no engine with their size and the reserve free: with 4 hosts 0.20 of the largest tenth of the least urgent class were served, of the class 0.43. Change: hellos name how many streams wait by priority (Hello.waiting, empty by default); the reserve is counted from the usual size of a request.

--- a/bench/forwarding/load.py
+++ b/bench/forwarding/load.py
@@ -245,6 +245,7 @@
                 for other in self._hosts:
                     if other is not host:
                         other.note_peer(HostId(f"h{number}"), figures)
+                        other.note_peer_waiting(HostId(f"h{number}"), host.waiting())
 
     def _list(self, name: ServerId, state: ServerState) -> None:
         entry = msgspec.structs.replace(_server_entry(self._engines[name]), state=state)
--- a/src/medlarvale/forwarding/fleet_messages.py
+++ b/src/medlarvale/forwarding/fleet_messages.py
@@ -6,7 +6,14 @@
 
 import msgspec
 
-from medlarvale.forwarding.messages import RouteTable, Server, StoreEra, StoreRevision, Summand
+from medlarvale.forwarding.messages import (
+    Count,
+    RouteTable,
+    Server,
+    StoreEra,
+    StoreRevision,
+    Summand,
+)
 from medlarvale.forwarding.server_limits import NamedLimit
 from medlarvale.ids import (
     ConfigVersion,
@@ -59,6 +66,8 @@
         relay_port: port of the sender for requests that peers relay; 0 if it takes none.
         unreached: services whose servers the sender can't reach.
         keeps_streams: whether the sender remembers streams for its peers.
+        waiting: number of streams that wait at the sender, by service and priority; only where the
+            streams of a service differ in priority or workspace.
     """
 
     sender: HostIdentity
@@ -75,6 +84,7 @@
     relay_port: Annotated[int, msgspec.Meta(ge=0, le=65_535)] = 0
     unreached: frozenset[ServiceName] = frozenset()
     keeps_streams: bool = False
+    waiting: dict[ServiceName, dict[int, Count]] = {}
 
 
 class StreamQuestion(msgspec.Struct, frozen=True):
--- a/src/medlarvale/forwarding/host.py
+++ b/src/medlarvale/forwarding/host.py
@@ -318,6 +318,7 @@
             self._relay_port,
             self._context.reach.unreached,
             keeps_streams=True,
+            waiting=self.streams.waiting(),
         )
 
     def _figures_to_send(self) -> dict[ServiceName, bytes]:
@@ -342,6 +343,7 @@
 
     def _note_peer(self, hello: Hello) -> None:
         self.streams.note_peer(hello.sender.host, hello.figures)
+        self.streams.note_peer_waiting(hello.sender.host, hello.waiting)
         for server, named in hello.limits.items():
             if self.servers.get(server) is not None:
                 self.servers.limits.merge(server, named, self.clock.now_ms())
--- a/src/medlarvale/forwarding/memory.py
+++ b/src/medlarvale/forwarding/memory.py
@@ -77,7 +77,12 @@
         self._service = service
         self._traits = traits
         self.rules = QueueRules(
-            service, meter.model, traits, lambda: context.priorities, self._engine_share
+            service,
+            meter.model,
+            traits,
+            lambda: context.priorities,
+            self._engine_count,
+            context.host_count,
         )
         self._waiting: list[_Waiter] = []
         self._refused: dict[ServerId, tuple[float, int]] = {}
@@ -106,9 +111,8 @@
         if not self._has_version(request):
             raise VersionGoneError("no engine runs the version that began the stream")
         now_ms = self._context.clock.now_ms()
-        waiter = _Waiter(request, now_ms)
+        waiter, left_ms = _Waiter(request, now_ms), request.end_ms - now_ms
         asked_ms = self._asked_wait_ms(request.software, now_ms)
-        left_ms = request.end_ms - now_ms
         if request.tokens > self._traits().memory_tokens:
             raise self._refusal(waiter, Refusal.TOO_LARGE, now_ms)
         if left_ms <= 0:
@@ -199,12 +203,11 @@
             self._service, now_ms, stage=EngineStage.DECODE, software=software
         )
 
-    def _engine_share(self) -> float:
-        """Returns the number of engines, divided by the number of hosts."""
+    def _engine_count(self) -> int:
         engines = self._context.servers.candidates(
             self._service, self._context.clock.now_ms(), stage=EngineStage.DECODE
         )
-        return len(engines) / self._context.host_count()
+        return len(engines)
 
     def _places(self) -> list[WaitingRequest]:
         return [waiter.place for waiter in self._waiting]
@@ -386,7 +389,6 @@
         self, candidates: list[ServerLoad], preferred: ServerId | None
     ) -> list[ServerLoad]:
         memory = self._traits().memory_tokens
-
         best_error = min((load.error_share for load in candidates), default=0.0)
 
         def cost(load: ServerLoad) -> tuple[bool, float, float]:
--- a/src/medlarvale/forwarding/streams.py
+++ b/src/medlarvale/forwarding/streams.py
@@ -73,6 +73,22 @@
                 gauges[f"streams_refused_{reason.name.lower()}"] += number
         return dict(gauges)
 
+    def waiting(self) -> dict[ServiceName, dict[int, int]]:
+        """Returns the streams that wait by service and priority, for the peers."""
+        return {
+            service: dict(queue.waiting_by_priority())
+            for service, queue in self._queues.items()
+            if len(queue) and queue.rules.distinguishes
+        }
+
+    def note_peer_waiting(
+        self, host: HostId, waiting: Mapping[ServiceName, Mapping[int, int]]
+    ) -> None:
+        """Replaces what is known of the streams that wait at a peer."""
+        now_ms = self.context.clock.now_ms()
+        for service, queue in self._queues.items():
+            queue.rules.note_peer_waiting(host, waiting.get(service, {}), now_ms)
+
     def demands(self) -> dict[ServiceName, Demand]:
         """Returns the load on each service."""
         now_ms = self.context.clock.now_ms()
--- a/src/medlarvale/overload/admission.py
+++ b/src/medlarvale/overload/admission.py
@@ -4,7 +4,7 @@
 
 import enum
 from collections import Counter, deque
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Mapping, Sequence
 
 import msgspec
 
@@ -12,7 +12,7 @@
 from medlarvale.forwarding.errors import OverloadedError
 from medlarvale.forwarding.memory_request import MemoryRequest
 from medlarvale.forwarding.messages import EngineTraits
-from medlarvale.ids import ServiceName, WorkspaceId
+from medlarvale.ids import HostId, ServiceName, WorkspaceId
 from medlarvale.logs import Event, log_info
 from medlarvale.overload.order import AGED_SHARE, Standing, WaitingOrder
 from medlarvale.overload.priorities import ConfiguredPriorities
@@ -40,6 +40,13 @@
 # Share of an engine's memory that a request leaves free for each more urgent priority of its
 # service, while engines refuse reservations: other hosts may have more urgent requests waiting.
 CLASS_HEADROOM = 0.1
+# Numbers of waiting requests of a peer count for this time: three hellos between two hosts of a
+# large fleet.
+PEER_WAITING_MS = 3_000.0
+# Share of the peers' requests of the same priority that are taken to be served first.
+EQUAL_SHARE = 0.5
+# Weight of the last request in the usual size.
+USUAL_WEIGHT = 0.05
 # A refusal of an engine shows for this time that memory is short.
 SHORT_OF_MEMORY_MS = 1_000.0
 
@@ -71,7 +78,8 @@
         model: speeds and times of its engines.
         traits: returns their configuration.
         priorities: returns the priorities of the configuration.
-        engine_share: returns the number of usable engines, divided by the number of hosts.
+        engines: returns the number of usable engines.
+        hosts: returns the number of hosts that share them.
     """
 
     def __init__(
@@ -80,18 +88,24 @@
         model: EngineModel,
         traits: Callable[[], EngineTraits],
         priorities: Callable[[], ConfiguredPriorities],
-        engine_share: Callable[[], float],
+        engines: Callable[[], int],
+        hosts: Callable[[], int],
     ) -> None:
         self._service = service
         self._model = model
         self._traits = traits
         self._priorities = priorities
-        self._engine_share = engine_share
+        self._engines = engines
+        self._hosts = hosts
+        # When each peer last said how many of its requests of each priority wait.
+        self._at_peers: dict[HostId, tuple[float, Mapping[int, int]]] = {}
         self._order = WaitingOrder()
         self._granted_ms: deque[float] = deque()
         # When callers that were refused return, with their priority.
         self._returns: deque[tuple[float, int]] = deque()
         self._refusals = 0
+        # Moving average of the sizes that got memory; 0 before the first.
+        self._usual_tokens = 0.0
         self._engine_refused_ms = -SHORT_OF_MEMORY_MS
         self.refused: Counter[Refusal] = Counter()
 
@@ -132,6 +146,8 @@
     def note_granted(self, waiting: WaitingRequest, now_ms: float) -> None:
         """Records that a request has got memory."""
         self._granted_ms.append(now_ms)
+        change = (waiting.request.tokens - self._usual_tokens) * USUAL_WEIGHT
+        self._usual_tokens += change if self._usual_tokens else waiting.request.tokens
         self._order.note_served(self._standing(waiting, now_ms), now_ms)
 
     def note_engine_refusal(self, now_ms: float) -> None:
@@ -157,11 +173,9 @@
         hold_ms = self._model.hold_ms(now_ms)
         if hold_ms is None:
             return None
-        traits = self._traits()
-        streams = min(traits.memory_tokens / max(1, tokens), traits.slots)
         granted_per_s = len(self._granted_ms) * 1000.0 / RATE_MS
         # After a period of low load the measured rate is far below the capacity.
-        fair_per_s = FAIR_SHARE * self._engine_share() * streams * 1000.0 / hold_ms
+        fair_per_s = FAIR_SHARE * self._all_hosts_per_s(tokens, hold_ms) / self._hosts()
         return max(granted_per_s, fair_per_s, MIN_RATE_PER_S)
 
     def expected_wait_ms(
@@ -170,9 +184,46 @@
         """Returns the expected wait of a request behind those that are served before it."""
         number = len(self.ahead(request, waiting, now_ms))
         rate_per_s = self.rate_per_s(request.tokens, now_ms)
-        if number <= SHORT_QUEUE or rate_per_s is None:
+        if rate_per_s is None:
+            return 0.0
+        wait_ms = number * 1000.0 / rate_per_s if number > SHORT_QUEUE else 0.0
+        if not self.distinguishes or request.urgent:
+            return wait_ms
+        return max(wait_ms, self._wait_behind_peers_ms(request, number, now_ms))
+
+    def _all_hosts_per_s(self, tokens: int, hold_ms: float) -> float:
+        """Returns the requests of a size per second that the engines can start for all hosts."""
+        traits = self._traits()
+        streams = min(traits.memory_tokens / max(1, tokens), traits.slots)
+        return self._engines() * streams * 1000.0 / hold_ms
+
+    def note_peer_waiting(self, host: HostId, waiting: Mapping[int, int], now_ms: float) -> None:
+        """Replaces the numbers of waiting requests of a peer, by priority."""
+        self._at_peers[host] = (now_ms, waiting)
+
+    def _wait_behind_peers_ms(self, request: MemoryRequest, number: int, now_ms: float) -> float:
+        """Returns the expected wait behind the requests of all hosts.
+
+        Of the peers' requests, more urgent ones and half of the equal ones are taken to go first.
+
+        Args:
+            request: the request.
+            number: number of requests before it at this host.
+            now_ms: monotonic time.
+        """
+        before = float(number)
+        for host, (at_ms, waiting) in list(self._at_peers.items()):
+            if now_ms - at_ms > PEER_WAITING_MS:
+                del self._at_peers[host]
+                continue
+            for priority, count in waiting.items():
+                if priority <= request.priority:
+                    before += count if priority < request.priority else EQUAL_SHARE * count
+        hold_ms = self._model.hold_ms(now_ms)
+        if before <= SHORT_QUEUE or hold_ms is None:
             return 0.0
-        return number * 1000.0 / rate_per_s
+        per_s = max(MIN_RATE_PER_S, self._all_hosts_per_s(request.tokens, hold_ms))
+        return before * 1000.0 / per_s
 
     def refuse(
         self,
@@ -261,14 +312,13 @@
             late_share: share of the memory that a late request leaves free.
         """
         memory = self._traits().memory_tokens
-        headroom = self._headroom_share(request, now_ms, late_share)
-        return max(request.tokens, min(memory, request.tokens + int(headroom * memory)))
-
-    def _headroom_share(self, request: MemoryRequest, now_ms: float, late_share: float) -> float:
-        """Returns the share of an engine's memory that a request leaves free there."""
         if request.urgent:
-            return 0.0
-        share = late_share if self.is_late(request, now_ms) else 0.0
-        if now_ms - self._engine_refused_ms < SHORT_OF_MEMORY_MS:
-            share += CLASS_HEADROOM * self.urgency_rank(request)
-        return share
+            return request.tokens
+        late_tokens = late_share * memory if self.is_late(request, now_ms) else 0.0
+        needed = request.tokens + int(late_tokens)
+        rank = self.urgency_rank(request)
+        if rank and now_ms - self._engine_refused_ms < SHORT_OF_MEMORY_MS:
+            # Counted from the usual size, or large requests would find no engine.
+            usual = self._usual_tokens or request.tokens
+            needed = max(needed, int(usual + late_tokens + CLASS_HEADROOM * rank * memory))
+        return max(request.tokens, min(memory, needed))
--- a/tests/overload/test_admission.py
+++ b/tests/overload/test_admission.py
@@ -7,8 +7,8 @@
 
 from medlarvale.forwarding.memory_request import MemoryRequest
 from medlarvale.forwarding.messages import Server, TokenCounts
-from medlarvale.ids import WorkspaceId
-from medlarvale.overload.admission import QueueRules, Refusal, WaitingRequest
+from medlarvale.ids import HostId, WorkspaceId
+from medlarvale.overload.admission import PEER_WAITING_MS, QueueRules, Refusal, WaitingRequest
 from medlarvale.overload.priorities import ConfiguredPriorities
 from tests.forwarding.fakes import (
     LLM,
@@ -29,7 +29,7 @@
     table = make_table(tuple((priority, False) for priority in priorities), ())
     configured = ConfiguredPriorities(lambda: table)
     meter = learned_meter(now_ms=NOW_MS)
-    return QueueRules(LLM, meter.model, lambda: TRAITS, lambda: configured, lambda: 1.0)
+    return QueueRules(LLM, meter.model, lambda: TRAITS, lambda: configured, lambda: 1, lambda: 1)
 
 
 def make_place(priority: int, *, late: bool = False, urgent: bool = False) -> WaitingRequest:
@@ -99,6 +99,17 @@
         )
         self.assertAlmostEqual(least_ms, 2.0 * urgent_ms)
 
+    def test_requests_that_wait_at_peers_count_as_ahead(self) -> None:
+        """Guards against a host with a short queue that lets callers wait in vain behind those of
+        other hosts, and against numbers of a peer that has long been silent."""
+        rules, request = make_rules(0, 3), make_place(3).request
+        rules.note_peer_waiting(HostId("h1"), {0: 20, 3: 20, 9: 100}, NOW_MS)
+        behind_ms = rules.expected_wait_ms(request, [], NOW_MS)
+        self.assertGreater(behind_ms, 0.0)
+        urgent_ms = rules.expected_wait_ms(make_place(0).request, [], NOW_MS)
+        self.assertAlmostEqual(urgent_ms, behind_ms / 3.0)
+        self.assertEqual(rules.expected_wait_ms(request, [], NOW_MS + PEER_WAITING_MS + 1.0), 0.0)
+
 
 class EnginePriorityTest(StreamTestCase):
     async def test_engines_are_told_the_priority_only_if_it_differs(self) -> None:
