Overload: check that workspaces take turns in one arrangement

Cause: the mutation that charges nothing within an arrangement turned no test red. Change: a property test of the turns.

--- a/tests/overload/test_order.py
+++ b/tests/overload/test_order.py
@@ -75,6 +75,21 @@
         for number in range(len(costs_ms)):
             self.assertGreaterEqual(given_ms[f"w{number}"], LEAST_SHARE * mean_ms)
 
+    @given(st.integers(1, 20), st.integers(1, 20))
+    def test_workspaces_take_turns_in_one_arrangement(self, many: int, few: int) -> None:
+        """Guards against a workspace whose requests all go before the first of another one."""
+        waiting = [
+            Standing(False, False, 10, 0, WorkspaceId(name), 100.0)
+            for name, number in (("a", many), ("b", few))
+            for _ in range(number)
+        ]
+        names = [
+            waiting[n].workspace for n in WaitingOrder().arrange(waiting, 0.0, distinguish=True)
+        ]
+        both = 2 * min(many, few)
+        for place in range(0, both, 2):
+            self.assertEqual(set(names[place : place + 2]), {"a", "b"})
+
     @given(st.integers(1, 2_000), st.integers(1, 2_000))
     def test_a_request_that_has_waited_long_goes_before_shorter_ones(
         self, long: int, short: int
