--- a/src/medlarvale/forwarding/fleet_messages.py
+++ b/src/medlarvale/forwarding/fleet_messages.py
@@ -69,6 +69,8 @@
         keeps_streams: whether the sender remembers streams for its peers.
         grants_quotas: whether the sender grants quotas of workspaces; not in an earlier build.
         slow_engines: gaps in ms between the events of slow engines, as the sender measured them.
+        waiting: number of streams that wait at the sender, by service and priority; only where the
+            streams of a service differ in priority or workspace.
     """
 
     sender: HostIdentity
@@ -87,6 +89,7 @@
     keeps_streams: bool = False
     grants_quotas: bool = False
     slow_engines: dict[ServerId, Count] = {}
+    waiting: dict[ServiceName, dict[int, Count]] = {}
 
 
 class StreamQuestion(msgspec.Struct, frozen=True):
--- a/src/medlarvale/forwarding/host.py
+++ b/src/medlarvale/forwarding/host.py
@@ -354,6 +354,7 @@
             keeps_streams=True,
             grants_quotas=self._quotas.task.owners.grants,
             slow_engines=self.streams.slow_engines(),
+            waiting=self.streams.waiting(),
         )
 
     def _figures_to_send(self) -> dict[ServiceName, bytes]:
@@ -378,6 +379,7 @@
 
     def _note_peer(self, hello: Hello) -> None:
         self.streams.note_peer(hello.sender.host, hello.figures)
+        self.streams.note_peer_waiting(hello.sender.host, hello.waiting)
         for server, named in hello.limits.items():
             if self.servers.get(server) is not None:
                 self.servers.limits.merge(server, named, self.clock.now_ms())
--- a/src/medlarvale/forwarding/memory.py
+++ b/src/medlarvale/forwarding/memory.py
@@ -79,7 +79,12 @@
         self._traits = traits
         self._model = meter.model
         self.rules = QueueRules(
-            service, meter.model, traits, lambda: context.priorities, self._engine_share
+            service,
+            meter.model,
+            traits,
+            lambda: context.priorities,
+            self._engine_count,
+            context.host_count,
         )
         self._waiting: list[_Waiter] = []
         self._refused: dict[ServerId, tuple[float, int]] = {}
@@ -108,9 +113,8 @@
         if not self._has_version(request):
             raise VersionGoneError("no engine runs the version that began the stream")
         now_ms = self._context.clock.now_ms()
-        waiter = _Waiter(request, now_ms)
+        waiter, left_ms = _Waiter(request, now_ms), request.end_ms - now_ms
         asked_ms = self._asked_wait_ms(request.software, now_ms)
-        left_ms = request.end_ms - now_ms
         if request.tokens > self._traits().memory_tokens:
             raise self._refusal(waiter, Refusal.TOO_LARGE, now_ms)
         if left_ms <= 0:
@@ -181,8 +185,11 @@
         for waiter in self._sorted_waiters():
             software = waiter.request.software
             tried[software] += 1
-            if tried[software] <= 1 + BACKFILL_REQUESTS and await self._serve(waiter):
-                return True
+            if tried[software] <= 1 + BACKFILL_REQUESTS:
+                reservation = await self._reserve(waiter)
+                if reservation is not None:
+                    self._grant(waiter, reservation)
+                    return True
             if self.rules.is_aged(waiter.place, self._context.clock.now_ms()):
                 tried[software] += BACKFILL_REQUESTS
         return False
@@ -198,12 +205,11 @@
             self._service, now_ms, stage=EngineStage.DECODE, software=software
         )
 
-    def _engine_share(self) -> float:
-        """Returns the number of engines, divided by the number of hosts."""
+    def _engine_count(self) -> int:
         engines = self._context.servers.candidates(
             self._service, self._context.clock.now_ms(), stage=EngineStage.DECODE
         )
-        return len(engines) / self._context.host_count()
+        return len(engines)
 
     def _places(self) -> list[WaitingRequest]:
         return [waiter.place for waiter in self._waiting]
@@ -253,13 +259,6 @@
     ) -> OverloadedError:
         return self.rules.refuse(waiter.place, reason, self._places(), now_ms, retry_after_ms)
 
-    async def _serve(self, waiter: _Waiter) -> bool:
-        reservation = await self._reserve(waiter)
-        if reservation is None:
-            return False
-        self._grant(waiter, reservation)
-        return True
-
     def _grant(self, waiter: _Waiter, reservation: Reservation) -> None:
         """Gives a reservation to a request, or releases it if the request needs none any more."""
         if waiter in self._waiting:
@@ -275,7 +274,7 @@
         request = waiter.request
         pause_ms = REFUSED_PAUSE_MS * max(1.0, context.host_count() / RETRYING_HOSTS)
         pause_ms *= 1.0 + self.rules.urgency_rank(request)
-        needed_free_tokens = self._free_memory_needed(request, now_ms)
+        needed_free_tokens = self.rules.free_memory_needed(request, now_ms, LATE_HEADROOM)
         candidates = context.servers.candidates(
             self._service,
             now_ms,
@@ -294,12 +293,6 @@
                 return reservation
         return None
 
-    def _free_memory_needed(self, request: MemoryRequest, now_ms: float) -> int:
-        """Returns the free memory that an engine must have for a request to be placed there."""
-        memory = self._traits().memory_tokens
-        headroom = self.rules.headroom_share(request, now_ms, LATE_HEADROOM)
-        return max(request.tokens, min(memory, request.tokens + int(headroom * memory)))
-
     async def _reserve_at(
         self, load: ServerLoad, waiter: _Waiter, needed_free_tokens: int
     ) -> Reservation | None:
@@ -401,6 +394,7 @@
         now_ms, usual_gap_ms = self._context.clock.now_ms(), None
         if sees_few_streams(self._context.host_count()):
             usual_gap_ms = self._model.event_ms(now_ms, USUAL_SHARE)
+        memory = self._traits().memory_tokens
         best_error = min((load.error_share for load in candidates), default=0.0)
 
         def cost(load: ServerLoad) -> tuple[bool, float, float]:
