Bound the bodies of callers of medlarvale serve together

Cause: the product's own interface limited each body, but not how many were in progress: any number of callers could leave bodies of max_body_bytes open for 30 s each.

Change: its reader is that of medlarvale.uploads, and all bodies are counted together until their requests have ended. Beyond 32 MiB, or two of the largest bodies that the settings allow, stalled ones give way with 503, not run, and a closed connection.

--- a/src/medlarvale/callers/app.py
+++ b/src/medlarvale/callers/app.py
@@ -19,10 +19,11 @@
 )
 from medlarvale.callers.model_api import ModelApi
 from medlarvale.callers.plain_api import PlainApi
-from medlarvale.callers.validation import check_framing
+from medlarvale.callers.validation import UPLOAD, check_framing
 from medlarvale.errors import MedlarvaleError
 from medlarvale.ids import new_request_id
 from medlarvale.logs import Event, log_warning
+from medlarvale.uploads.errors import NoRoomError
 
 Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
 
@@ -67,7 +68,7 @@
         return await handler(request)
     except MedlarvaleError as error:
         response = error_response(error, request_id)
-        if isinstance(error, MalformedRequestError):
+        if isinstance(error, (MalformedRequestError, NoRoomError)):
             response.force_close()
         return response
     except web.HTTPException as error:
@@ -76,6 +77,10 @@
         # The request may have been dispatched, so the outcome is unknown.
         log_warning(Event.REQUEST_FAILED, request_id=request_id, error=repr(error), exc_info=error)
         return error_response(MedlarvaleError(type(error).__name__), request_id)
+    finally:
+        upload = request.get(UPLOAD)
+        if upload is not None:
+            upload.end()
 
 
 async def _handle_expect(request: web.Request) -> web.StreamResponse | None:
--- a/src/medlarvale/callers/dependencies.py
+++ b/src/medlarvale/callers/dependencies.py
@@ -14,6 +14,7 @@
 from medlarvale.operators.reports import RequestObserver
 from medlarvale.plain.interface import BookingService, PlainDispatcher
 from medlarvale.settings.interface import SettingsProvider
+from medlarvale.uploads.body_budget import BodyBudget
 
 REQUEST_ID: web.RequestKey[RequestId] = web.RequestKey("request_id", RequestId)
 
@@ -25,6 +26,7 @@
     Attributes:
         region: region of this host.
         failure_domain: failure domain of this host.
+        uploads: bounds the memory of all bodies of callers.
     """
 
     region: RegionName
@@ -37,6 +39,7 @@
     bookings: BookingService
     observer: RequestObserver
     tracer: Tracer
+    uploads: BodyBudget
 
     def value(self, name: str, service: ServiceName | None = None) -> int:
         """Returns the value of a setting on this host."""
--- a/src/medlarvale/callers/model_api.py
+++ b/src/medlarvale/callers/model_api.py
@@ -73,7 +73,8 @@
         return self._json(request, msgspec.json.encode({"object": "list", "data": models}))
 
     async def _read(self, request: web.Request) -> bytes:
-        return await read_body(request, self._deps.value("max_body_bytes"), self._deps.clock)
+        deps = self._deps
+        return await read_body(request, deps.value("max_body_bytes"), deps.clock, deps.uploads)
 
     def _model_request(
         self,
--- a/src/medlarvale/callers/plain_api.py
+++ b/src/medlarvale/callers/plain_api.py
@@ -74,7 +74,8 @@
                 "this call may run at most once and needs an Idempotency-Key",
             )
         limit_ms = deadline_ms(request, deps.value("request_deadline_ms", service))
-        body = await read_body(request, deps.value("max_body_bytes", service), deps.clock)
+        max_bytes = deps.value("max_body_bytes", service)
+        body = await read_body(request, max_bytes, deps.clock, deps.uploads)
         attributes = {"request_id": request[REQUEST_ID], "service": name, "workspace": workspace}
         parent = context_from(request.headers)
         with open_span(deps.tracer, "caller request", parent, attributes) as span:
--- a/src/medlarvale/callers/validation.py
+++ b/src/medlarvale/callers/validation.py
@@ -23,11 +23,17 @@
 from medlarvale.clock import Clock
 from medlarvale.completions.tokens import MAX_TOKEN
 from medlarvale.completions.watchdog import deadline
+from medlarvale.forwarding.errors import BodyTooLargeError as ForwardedBodyTooLargeError
 from medlarvale.scheduling.messages import WorkClass
+from medlarvale.uploads.body_budget import BodyBudget, Upload
+from medlarvale.uploads.errors import NoRoomError
+from medlarvale.uploads.reader import read_pieces
 
 # Limits how long a caller that sends its body too slowly occupies a connection.
 BODY_TIMEOUT_MS = 30_000
 MAX_DEADLINE_MS = 86_400_000
+# The body of a request, from its first byte to the end of the request.
+UPLOAD: web.RequestKey[Upload] = web.RequestKey("upload", Upload)
 MAX_IDEMPOTENCY_KEY_CHARACTERS = 255
 MAX_MESSAGES = 10_000
 
@@ -275,25 +281,29 @@
     return target, decoded
 
 
-async def read_body(request: web.Request, limit_bytes: int, clock: Clock) -> bytes:
-    """Returns the complete body.
+async def read_body(
+    request: web.Request, limit_bytes: int, clock: Clock, uploads: BodyBudget
+) -> bytes:
+    """Returns the complete body, which is counted until its request has ended.
 
     Raises:
         BodyTooLargeError: it is larger than ``limit_bytes``.
         BodyTimeoutError: it did not arrive within ``BODY_TIMEOUT_MS``.
         MalformedRequestError: its chunked encoding is malformed.
+        NoRoomError: it has given way to other bodies.
     """
-    if (request.content_length or 0) > limit_bytes:
+    length_bytes = request.content_length or 0
+    if length_bytes > limit_bytes:
         raise BodyTooLargeError(f"the body is larger than {limit_bytes} bytes")
-    parts = []
-    size = 0
+    uploads.keep_room_for(limit_bytes)
+    upload = request[UPLOAD] = uploads.begin(lambda: None)
+    if not upload.fits(length_bytes):
+        raise NoRoomError("requests in progress leave no room for the body")
     try:
         async with deadline(clock, BODY_TIMEOUT_MS, BodyTimeoutError):
-            async for part in request.content.iter_any():
-                size += len(part)
-                if size > limit_bytes:
-                    raise BodyTooLargeError(f"the body is larger than {limit_bytes} bytes")
-                parts.append(part)
+            # The limit on the whole time ends a body that makes no progress as well.
+            return await read_pieces(request.content, upload, limit_bytes, 2.0 * BODY_TIMEOUT_MS)
+    except ForwardedBodyTooLargeError as error:
+        raise BodyTooLargeError(f"the body is larger than {limit_bytes} bytes") from error
     except web.RequestPayloadError as error:
         raise MalformedRequestError("the body is malformed") from error
-    return b"".join(parts)
--- a/src/medlarvale/composition.py
+++ b/src/medlarvale/composition.py
@@ -73,6 +73,7 @@
 from medlarvale.settings.tree import BranchPath
 from medlarvale.tls import TlsContexts
 from medlarvale.tracing import Tracing, span_as_json
+from medlarvale.uploads.body_budget import BodyBudget, upload_limit_bytes
 
 PEER_MESSAGES = (
     *MEMBERSHIP_MESSAGES,
@@ -152,6 +153,7 @@
                     self.bookings,
                     self.accounting,
                     self.tracing.tracer,
+                    BodyBudget(upload_limit_bytes(None), self.clock.now_ms),
                 )
             )
         )
--- a/src/medlarvale/uploads/reader.py
+++ b/src/medlarvale/uploads/reader.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable
 
 from aiohttp import web
+from aiohttp.streams import StreamReader
 
 from medlarvale.forwarding.errors import BodyTooLargeError
 from medlarvale.forwarding.messages import MAX_REQUEST_HEADER_BYTES, RequestLimits
@@ -85,9 +86,30 @@
     check_head(incoming, upload, limits)
     if incoming.headers.get("Expect", "").lower() == "100-continue":
         await incoming.writer.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+    return await read_pieces(
+        incoming.content, upload, _max_body_bytes(limits), limits.idle_timeout_ms
+    )
+
+
+async def read_pieces(
+    content: StreamReader, upload: Upload, max_body_bytes: int, idle_timeout_ms: float
+) -> bytes:
+    """Returns the whole body, which is counted until ``upload`` ends.
+
+    Args:
+        content: the body.
+        upload: counts it.
+        max_body_bytes: its largest size.
+        idle_timeout_ms: longest time without any progress; up to a tenth more may pass.
+
+    Raises:
+        BodyTooLargeError: it is larger.
+        NoRoomError: it has given way to other bodies.
+        UploadStalledError: it has made no progress.
+    """
     parts = _Parts()
     try:
-        await _read_parts(incoming, upload, limits, parts)
+        await _read_parts(content, upload, max_body_bytes, idle_timeout_ms, parts)
     except BaseException:
         # The traceback keeps the frames of the readers.
         parts.clear()
@@ -97,10 +119,14 @@
 
 
 async def _read_parts(
-    incoming: web.BaseRequest, upload: Upload, limits: RequestLimits, parts: _Parts
+    content: StreamReader,
+    upload: Upload,
+    max_body_bytes: int,
+    idle_timeout_ms: float,
+    parts: _Parts,
 ) -> None:
     loop = asyncio.get_running_loop()
-    idle_s = limits.idle_timeout_ms / 1000.0
+    idle_s = idle_timeout_ms / 1000.0
     # The limit is moved after a tenth of its time rather than with each of many small pieces.
     step_s = 0.1 * idle_s
     idle = asyncio.timeout(idle_s + step_s)
@@ -115,14 +141,14 @@
     upload.on_give_way(give_way)
     try:
         async with idle:
-            while piece := await incoming.content.readany():
+            while piece := await content.readany():
                 if loop.time() - moved_s >= step_s:
                     moved_s = loop.time()
                     idle.reschedule(moved_s + idle_s + step_s)
                 upload.add(len(piece))
                 if upload.dropped:
                     break
-                if upload.size_bytes > _max_body_bytes(limits):
+                if upload.size_bytes > max_body_bytes:
                     raise BodyTooLargeError("the body is larger than the configuration allows")
                 parts.add(piece)
     except TimeoutError as error:
--- a/tests/callers/support.py
+++ b/tests/callers/support.py
@@ -10,6 +10,7 @@
 import aiohttp
 from aiohttp import web
 
+from medlarvale.body_memory import DEFAULT_LIMIT_BYTES
 from medlarvale.callers.app import CallerServerRunner, build_app
 from medlarvale.callers.dependencies import CallerDependencies
 from medlarvale.callers.workspaces import WorkspaceDirectory
@@ -18,6 +19,7 @@
 from medlarvale.completions.runner import CompletionRunner
 from medlarvale.ids import BookingKey
 from medlarvale.plain.messages import PlainAnswer, PlainCall
+from medlarvale.uploads.body_budget import BodyBudget
 from tests.completions.fakes import DOMAIN, REGION, FakeSettings, RequestPath
 
 ANSWER = PlainAnswer(201, [("Set-Cookie", "a=1"), ("Set-Cookie", "b=2")], b"done")
@@ -60,6 +62,7 @@
     """Serves the callers' interface on loopback."""
 
     values: dict[str, int] = {}
+    upload_limit_bytes = DEFAULT_LIMIT_BYTES
 
     async def asyncSetUp(self) -> None:
         clock = SystemClock()
@@ -71,7 +74,8 @@
         directory = WorkspaceDirectory(settings)
         environment = REGION, DOMAIN, clock, settings, directory, self.runner
         collaborators = self.plain, self.plain, self.path.observer, self.path.tracing.tracer
-        dependencies = CallerDependencies(*environment, *collaborators)
+        self.uploads = BodyBudget(self.upload_limit_bytes, clock.now_ms)
+        dependencies = CallerDependencies(*environment, *collaborators, self.uploads)
         self.server = CallerServerRunner(build_app(dependencies), shutdown_timeout_s=1.0)
         await self.server.setup()
         await web.TCPSite(self.server, "127.0.0.1", 0).start()
