--- a/src/medlarvale/uploads/connections.py
+++ b/src/medlarvale/uploads/connections.py
@@ -154,20 +154,21 @@
         elif body is not None and body.total_bytes != body_bytes:
             self._loose_bytes = 0
         elif not self._buffer_paused and not self._reading_paused:
-            self._note_loose(len(data), body is not None and not body.is_eof())
+            self._note_loose(data, body is not None and not body.is_eof())
         if self._messages and self._current_request is not None:
             self._ahead.add(len(data))
 
-    def _note_loose(self, size_bytes: int, in_body: bool) -> None:
+    def _note_loose(self, data: bytes, in_body: bool) -> None:
         """Counts bytes of an incomplete head, or of chunk extensions and trailers."""
-        if not size_bytes:
-            return
-        self._loose_bytes += size_bytes
+        self._loose_bytes += len(data)
         if self._loose_bytes > max(MAX_HEAD_BYTES, 2 * self._limits().max_header_bytes):
             if not in_body and self._current_request is None and self.transport is not None:
                 self.transport.write(HEAD_REFUSAL)
             self._end_head("too large")
         elif self._head_timer is None and not in_body and self._current_request is None:
+            if not data.strip(b"\r\n"):
+                # Line breaks before a request begin no head (RFC 9112, section 2.2).
+                return
             self._head_timer = self._loop.call_later(
                 self._limits().header_timeout_ms / 1000.0, self._end_head, "incomplete"
             )
--- a/tests/uploads/test_connections.py
+++ b/tests/uploads/test_connections.py
@@ -119,6 +119,9 @@
 CASES = {
     "nothing": Sent([], False),
     "a part of a head": Sent([HEAD], True),
+    "line breaks before a head": Sent([b"\r\n", b"\r\n"], False),
+    "line breaks and a part of a head": Sent([b"\r\n", HEAD], True),
+    "line breaks without an end": Sent([b"\r\n" * MAX_HEAD_BYTES], True, b"HTTP/1.1 431 "),
     "a head in two parts": Sent([HEAD, b"Content-Length: 0\r\n\r\n"], False),
     "a head too large": Sent([HEAD, *[LONG_LINE] * 4], True, b"HTTP/1.1 431 "),
     "a part of a body": Sent([HEAD + b"Content-Length: 9\r\n\r\n", b"a"], False),
