--- a/src/medlarvale/forwarding/memory.py
+++ b/src/medlarvale/forwarding/memory.py
@@ -394,7 +394,6 @@
         now_ms, usual_gap_ms = self._context.clock.now_ms(), None
         if sees_few_streams(self._context.host_count()):
             usual_gap_ms = self._model.event_ms(now_ms, USUAL_SHARE)
-        memory = self._traits().memory_tokens
         best_error = min((load.error_share for load in candidates), default=0.0)
 
         def cost(load: ServerLoad) -> tuple[bool, float, float]:
