--- a/src/medlarvale/access/confirmation.py
+++ b/src/medlarvale/access/confirmation.py
@@ -30,9 +30,13 @@
 # The same where revocation is not bounded and a watch waits for 2 s: two waits, the interval of the
 # answers of a reader, and some time for the answers themselves.
 UNBOUNDED_UNKNOWN_KEY_MS = 6_000.0
-# A restored store may lack configurations that hosts know. The hellos of all live hosts arrive
-# within this time and name theirs.
+# A restored store may lack configurations that hosts know. Hellos of several hosts arrive within
+# this time and name theirs.
 RESTORED_MS = 2_000.0
+# Told to peers without a confirmation time; an earlier build tells none.
+UNCONFIRMED_AGE_MS = 1e15
+# The periods at which hosts ask each other fit this bound; a shorter one shortens them.
+USUAL_REVOKE_MS = 5_000.0
 
 
 class ConfigConfirmation:
@@ -95,8 +99,8 @@
             self._confirmed_ms = max(self._confirmed_ms, started_ms)
 
     def lists(self, known: ConfigVersion) -> bool:
-        """Returns whether the store lists a version at least as new as the known one."""
-        return self._listed is not None and self._listed >= known > 0
+        """Returns whether the store lists just the known version, not an older or newer one."""
+        return self._listed == known > 0
 
     def note_peer(
         self,
@@ -112,12 +116,12 @@
         Args:
             asked_ms: start of the query.
             age_ms: age of the peer's confirmation time when the query arrived there, negative if it
-                is later; None if the peer has none, or is of an earlier build.
+                is later; None from an earlier build.
             version: version of the peer's configuration.
             known: version of the newest known one, with that of the peer taken into account.
             same_era: whether the peer reads the store in the era that this host knows.
         """
-        if age_ms is None or version != known or not known:
+        if age_ms is None or age_ms >= UNCONFIRMED_AGE_MS or version != known or not known:
             return
         self._confirmed_ms = max(self._confirmed_ms, asked_ms - age_ms)
         if same_era:
@@ -145,15 +149,14 @@
         """Returns the time since the confirmation time; infinite without one."""
         return now_ms - self.confirmed_ms(known)
 
-    def age_to_send(self, asked_ms: float, known: ConfigVersion) -> float | None:
-        """Returns the age that a peer is told; None without a confirmation time.
+    def age_to_send(self, asked_ms: float, known: ConfigVersion) -> float:
+        """Returns the age that a peer is told.
 
         Args:
             asked_ms: when the query of the peer arrived.
             known: version of the newest known configuration.
         """
-        age_ms = self.age_ms(asked_ms, known)
-        return age_ms if age_ms < math.inf else None
+        return min(UNCONFIRMED_AGE_MS, self.age_ms(asked_ms, known))
 
     def accepts_keys(self, now_ms: float, known: ConfigVersion) -> bool:
         """Returns whether requests with a listed key may be accepted."""
@@ -174,6 +177,12 @@
             return False
         return self.age_ms(now_ms, known) > ASK_SHARE * self._revoke_ms
 
+    def period_ms(self, usual_ms: float) -> float:
+        """Returns a period at which hosts ask each other."""
+        if self._revoke_ms is None:
+            return usual_ms
+        return min(1.0, self._revoke_ms / USUAL_REVOKE_MS) * usual_ms
+
     def watch_wait_ms(self, usual_ms: int, now_ms: float, known: ConfigVersion) -> int:
         """Returns how long a watch of the store waits for changes."""
         if self._revoke_ms is None:
--- a/src/medlarvale/access/gate.py
+++ b/src/medlarvale/access/gate.py
@@ -59,6 +59,16 @@
         if workspace.priority is not None:
             request.priority = workspace.priority
 
+    def check_missing_route(self, table: RouteTable) -> None:
+        """Refuses a request without a route if a newer configuration may have one.
+
+        Raises:
+            ConfigUnconfirmedError: if it may.
+        """
+        recent = self._confirmation.tells_unknown_keys(self._clock.now_ms(), table.version)
+        if table.workspaces and not recent:
+            raise _unconfirmed("a newer configuration may have a route")
+
     def _find(self, request: ClientRequest, index: KeyIndex) -> Workspace:
         workspace = index.find(request.key_digest)
         if request.relayed is not None:
--- a/src/medlarvale/forwarding/caller_server.py
+++ b/src/medlarvale/forwarding/caller_server.py
@@ -380,6 +380,7 @@
             )
         route = index.find(request.host, request.path)
         if route is None:
+            self._gate.check_missing_route(index.table)
             raise NoRouteError(f"no route for {request.host}{request.path}")
         if not request.request_id:
             raise RequestIdMissingError("the request has no id")
--- a/src/medlarvale/forwarding/crash_evidence.py
+++ b/src/medlarvale/forwarding/crash_evidence.py
@@ -48,7 +48,7 @@
 
 def fingerprint_of_request(request: ClientRequest, service: ServiceName = _NO_SERVICE) -> int:
     """Returns the fingerprint of a whole request at a service or at any one, an even number."""
-    # The platform does not pass a workspace; the host name identifies the caller's service.
+    # Routes may be public, so the host name stands for the workspace; headers are not part of it.
     body = request.path.encode() + b"\0" + request.body
     return fingerprint_of(WorkspaceId(request.host), service, body) & ~1
 
--- a/src/medlarvale/forwarding/domain_reader.py
+++ b/src/medlarvale/forwarding/domain_reader.py
@@ -126,17 +126,21 @@
         if reader != self.reader:
             self._mark = None
         asked_ms = self._clock.now_ms()
+        wait_ms = self._follower.confirmation.period_ms(ANSWER_AFTER_MS)
         try:
             reply = await self._transport.request(
                 reader,
-                SharedStateRequest(self._mark, int(ANSWER_AFTER_MS)),
-                ANSWER_AFTER_MS + ANSWER_SLACK_MS,
+                SharedStateRequest(self._mark, int(wait_ms)),
+                wait_ms + ANSWER_SLACK_MS,
             )
         except PeerError as error:
             log_info(Event.PEER_STATE_FAILED, peer=reader, error=error.message)
             return False
         if not isinstance(reply, SharedState) or not reply.store_reachable:
             return False
+        if reply.config_age_ms is None and self._follower.confirmation.bounded:
+            # A reader of an earlier build does not tell how recent the configuration is.
+            return False
         if self._follower.is_ahead_of(reply.era, reply.revision):
             # The reader was paused or has just started; what this host knows is newer.
             return False
--- a/src/medlarvale/forwarding/fleet_messages.py
+++ b/src/medlarvale/forwarding/fleet_messages.py
@@ -141,7 +141,7 @@
             earlier builds do not read it.
         config_version: version of the peer's configuration; 0 without one.
         config_age_ms: age of the confirmation time of the peer's configuration when the request
-            arrived, negative if it is later; None without one, and from an earlier build.
+            arrived, negative if it is later; None from an earlier build.
     """
 
     table: RouteTable | None
@@ -201,7 +201,7 @@
         engine_changes: number of engines that have begun or ceased to take streams since the sender
             has started, each time counted; None from an earlier build.
         config_age_ms: age of the confirmation time of the sender's configuration when the request
-            arrived, negative if it is later; None without one, and from an earlier build.
+            arrived, negative if it is later; None from an earlier build.
     """
 
     mark: StateMark
--- a/src/medlarvale/forwarding/peer_state.py
+++ b/src/medlarvale/forwarding/peer_state.py
@@ -60,7 +60,10 @@
 
     def start(self) -> None:
         """Starts the periodic check."""
-        self._clock.every_ms(QUERY_PERIOD_MS, self._tick)
+        self._clock.every_ms(self._period_ms(QUERY_PERIOD_MS), self._tick)
+
+    def _period_ms(self, usual_ms: float) -> float:
+        return self._follower.confirmation.period_ms(usual_ms)
 
     def _tick(self) -> None:
         now_ms, confirmation = self._clock.now_ms(), self._follower.confirmation
@@ -90,7 +93,7 @@
         """Returns the reply of a peer, or None, and the time at which it was asked."""
         asked_ms = self._clock.now_ms()
         try:
-            reply = await self._transport.request(host, request, QUERY_TIMEOUT_MS)
+            reply = await self._transport.request(host, request, self._period_ms(QUERY_TIMEOUT_MS))
         except PeerError as error:
             log_info(Event.PEER_STATE_FAILED, peer=host, error=error.message)
             return None, asked_ms
--- a/tests/forwarding/test_domain_reader.py
+++ b/tests/forwarding/test_domain_reader.py
@@ -27,7 +27,7 @@
     StoreRevision,
 )
 from medlarvale.forwarding.servers import ServerTable
-from medlarvale.ids import FailureDomain, HostId, ServerId
+from medlarvale.ids import ConfigVersion, FailureDomain, HostId, ServerId
 from medlarvale.peers.transport import MemoryNetwork, MemoryTransport, MessageCodec
 from tests.forwarding.fakes import APP, HERE, make_route, make_server, make_table
 from tests.forwarding.test_fleet import hello, identity
@@ -236,6 +236,39 @@
             self.assertEqual(host.task.reader, "a")
             self.assertGreaterEqual(host.follower.age_ms(), 1000.0 * (silent_s - WATCH_S))
 
+    async def test_a_configuration_is_confirmed_as_far_as_by_the_reader(self) -> None:
+        """Guards against a neighbour that takes what its reader knows for newer than it is, and
+        against one that refuses keys although its reader is in contact with the store."""
+        reader = self.hosts[0]
+        self.store.publish(3)
+        await self.eventually(lambda: all(host.follower.version == 3 for host in self.hosts))
+        await asyncio.sleep(2.5 * domain_reader.ANSWER_AFTER_MS / 1000.0)
+        reader.source.answers.clear()
+        await asyncio.sleep(2.5 * domain_reader.ANSWER_AFTER_MS / 1000.0)
+        confirmed_ms = reader.follower.confirmation.confirmed_ms(ConfigVersion(3))
+        for host in self.hosts[1:]:
+            self.assertEqual(host.task.reader, "a")
+            own_ms = host.follower.confirmation.confirmed_ms(ConfigVersion(3))
+            # A query takes some time to arrive, by which the evidence is dated earlier.
+            self.assertLessEqual(own_ms, confirmed_ms)
+            self.assertGreater(own_ms, confirmed_ms - domain_reader.ANSWER_SLACK_MS)
+
+    async def test_a_table_of_an_earlier_build_is_not_accepted(self) -> None:
+        """Guards against a host that takes a configuration for one without workspaces, because its
+        reader does not decode them (KEY, REVOKED)."""
+        follower = self.hosts[0].follower
+        await self.hosts[0].task.close()
+        follower.suspend(follower.era, follower.revision, follower._clock.now_ms())
+        undecoded = make_table(make_route(), version=7, workspaces=None)
+        self.assertTrue(follower.accept(undecoded))
+        await self.eventually(lambda: all(host.task.reader is None for host in self.hosts[1:]))
+        self.assertEqual({host.follower.version for host in self.hosts[1:]}, {1})
+        self.store.publish(7)
+        await self.eventually(lambda: all(host.follower.version == 7 for host in self.hosts))
+        for host in self.hosts[1:]:
+            assert host.follower.index is not None
+            self.assertEqual(host.follower.index.table.workspaces, ())
+
     async def test_an_unreachable_store_makes_all_hosts_read_themselves(self) -> None:
         """Guards against hosts that rely on a reader whose own access to the store is cut."""
         await self.hosts[0].task.close()
--- a/tests/forwarding/test_follower.py
+++ b/tests/forwarding/test_follower.py
@@ -14,7 +14,7 @@
 
 from medlarvale.clock import SystemClock
 from medlarvale.forwarding.errors import HistoryGoneError, PublishedStateError, WatchCutError
-from medlarvale.forwarding.follower import StateFollower
+from medlarvale.forwarding.follower import WATCH_INTERVAL_MS, StateFollower
 from medlarvale.forwarding.messages import (
     DEFAULT_HEARTBEAT_MS,
     PublishedState,
@@ -127,6 +127,17 @@
         self.assertEqual(self.source.calls, ["read", 10, 12, 15])
         self.assertEqual((self.listed(), self.version(), self.ready), (["s2"], 4, 1))
 
+    async def test_an_answer_confirms_the_configuration_up_to_its_call(self) -> None:
+        """Guards against an answer that was held up, and after which a removed key is accepted for
+        too long (REVOKED)."""
+        held_up_ms = 200.0
+        began_ms = SystemClock().now_ms()
+        await self.follow(published(1, revision=10), Delayed(held_up_ms, changes(10)))
+        confirmed_ms = self.follower.confirmation.confirmed_ms(self.follower.version)
+        # The watch began at least one interval after the read.
+        self.assertGreaterEqual(confirmed_ms, began_ms + WATCH_INTERVAL_MS)
+        self.assertLessEqual(confirmed_ms, SystemClock().now_ms() - held_up_ms)
+
     async def test_outages_and_lost_history_lead_to_a_new_read(self) -> None:
         """Guards against changes that are missed during an outage of the store, against servers
         that are removed because their entries expired meanwhile, and against requests to a server
@@ -260,6 +271,24 @@
                     self.assertAlmostEqual(self.after_ms[-1], removed_ms, delta=200.0)
                 await self.follower.close()
 
+    async def test_the_store_is_read_again_if_what_it_lists_is_unknown(self) -> None:
+        """Guards against a host that refuses all keys for good after its reader was lost, because
+        the store has listed the known version before; and against a read of the whole store by
+        each neighbour when a reader is lost."""
+        table = [("listed", 1, 10), ("accepted meanwhile", 2, "read")]
+        for name, version, call in table:
+            with self.subTest(name):
+                self.start(published(1, "s1"), Delayed(100.0, changes(10)))
+                await self.wait_until(lambda: len(self.source.calls) == 2)
+                self.follower.suspend(self.follower.era, StoreRevision(10), self.clock.now_ms())
+                self.follower.accept(make_table(make_route(), version=version))
+                await asyncio.sleep(0.4)
+                self.assertEqual(self.source.calls, ["read", 10])
+                self.follower.resume()
+                await self.wait_until(lambda: len(self.source.calls) == 3)
+                self.assertEqual(self.source.calls[2], call)
+                await self.follower.close()
+
     async def test_a_new_read_leaves_a_gap(self) -> None:
         """Guards against servers that joined and left between two reads of the list."""
         self.start(published(1, "s1"), HistoryGoneError("410"), published(1, "s1", revision=90))
--- a/tests/forwarding/test_host.py
+++ b/tests/forwarding/test_host.py
@@ -90,6 +90,8 @@
 class HostTestCase(unittest.IsolatedAsyncioTestCase):
     """Starts a host and opens a caller's session."""
 
+    revoke_ms: float | None = None
+
     async def asyncSetUp(self) -> None:
         self.platform = StandinPlatform()
         self.platform.heartbeat_s = HEARTBEAT_S
@@ -121,6 +123,7 @@
             heartbeat_ms=self.platform.heartbeat_s * 1000.0,
             history_ms=HISTORY_MS,
             announced_control=f"{announced_ip}:{control_port}" if announced_ip else None,
+            revoke_ms=self.revoke_ms,
         )
         session, calls = new_session(), new_session(BackendConnection)
         for opened in (session, calls):
