Weigh prompt caches in the choice of the prefill engine

Cause: engines are chosen by their queues only, and the fastest prefill, from which waits are estimated, may be one of a cached prompt: with 63 sessions of 13,300 shared tokens waits seemed to be several times too long.

Change: a host records which parts of prompts it has sent to which instance of an engine, learns from the durations of prefills how probably a part of an age is still cached, and weighs the expected saving against the extra wait, for prefill engines and for the decode engine itself. Until enough is measured, and where less than a fifth of a prompt is shared, nothing changes. The prefill speed is measured without cached parts. Event 5050, and expected_saved_tokens in 5008.

--- a/bench/forwarding/engines.py
+++ b/bench/forwarding/engines.py
@@ -7,7 +7,8 @@
 
 import asyncio
 import itertools
-from collections.abc import AsyncIterator
+from collections import OrderedDict
+from collections.abc import AsyncIterator, Mapping
 from dataclasses import dataclass, field
 
 from multidict import CIMultiDict
@@ -54,6 +55,7 @@
         tokens_per_event: output tokens in one event.
         slots: requests that run or have reserved memory at the same time.
         stage_change_ms: duration of a change of stage, after the engine is idle.
+        cache_tokens: tokens of shared parts of prompts that a prefill engine keeps.
     """
 
     memory_tokens: int = 66_635
@@ -66,6 +68,7 @@
     tokens_per_event: int = 11
     stage_change_ms: float = 6_000.0
     slots: int = 64
+    cache_tokens: int = 0
 
     @property
     def steps_at_once(self) -> int:
@@ -105,11 +108,13 @@
 
     Attributes:
         prefilled_tokens: tokens prefilled, including those of requests that did not finish.
+        cached_tokens: prompt tokens that were cached.
         preempted: number of times that a request lost its memory.
         started: ids of the requests in the order in which they started.
     """
 
     prefilled_tokens: int = 0
+    cached_tokens: int = 0
     preempted: int = 0
     started: list[str] = field(default_factory=list)
 
@@ -145,6 +150,8 @@
         self._holds: dict[HoldId, int] = {}
         self._numbers = itertools.count()
         self._prefill_lock = asyncio.Lock()
+        # Cached shared parts and their sizes, the least recently used first.
+        self._cache: OrderedDict[str, int] = OrderedDict()
         self._worker: asyncio.Task[None] | None = None
 
     @property
@@ -169,6 +176,7 @@
             run.events.put_nowait(BackendError("the engine crashed"))
         self._runs.clear()
         self._holds.clear()
+        self._cache.clear()
 
     async def change_stage(self, stage: EngineStage) -> None:
         """Waits until running work has ended, then changes the stage."""
@@ -179,16 +187,38 @@
         self.stage = stage
         self.changing = False
 
-    async def prefill(self, tokens: int) -> None:
-        """Prefills a prompt after the prompts that arrived before it."""
+    async def prefill(self, tokens: int, shared: Mapping[str, int] | None = None) -> None:
+        """Prefills a prompt after the prompts that arrived before it.
+
+        Args:
+            tokens: size of the prompt.
+            shared: sizes of its shared parts, which the engine caches.
+        """
         self._check(EngineStage.PREFILL)
         async with self._prefill_lock:
+            cached = self._use_cache(shared or {})
+            self.counts.cached_tokens += cached
+            tokens -= cached
             self.counts.prefilled_tokens += tokens
             duration_ms = self.model.prefill_setup_ms + tokens / self.model.prefill_tokens_per_ms
             await asyncio.sleep(duration_ms * self.slowdown / 1000.0)
         if not self.alive:
             raise BackendError("the engine crashed")
 
+    def _use_cache(self, shared: Mapping[str, int]) -> int:
+        """Returns the cached tokens at the beginning of a prompt, and caches all its parts."""
+        cached = 0
+        for part, size in shared.items():
+            if part not in self._cache:
+                break
+            cached += size
+        for part, size in reversed(shared.items()):
+            self._cache[part] = size
+            self._cache.move_to_end(part)
+        while sum(self._cache.values()) > self.model.cache_tokens:
+            self._cache.popitem(last=False)
+        return cached
+
     def acquire_hold(self, tokens: int, ttl_ms: float) -> HoldId | None:
         """Reserves memory; returns None if there is not enough."""
         if not self.alive:
@@ -392,7 +422,8 @@
         """Prefills a prompt."""
         engine = await self._reach(server)
         assert request.tokens is not None
-        await engine.prefill(request.tokens.prompt)
+        shared = dict(zip(request.shared_parts, request.part_tokens, strict=False))
+        await engine.prefill(request.tokens.prompt, shared)
         return PrefillResult(server, HandleId(request.request_id))
 
     async def acquire_hold(self, server: Server, tokens: int, ttl_ms: float) -> HoldId | None:
--- a/bench/forwarding/load.py
+++ b/bench/forwarding/load.py
@@ -19,6 +19,7 @@
     ClientRequest,
     EngineStage,
     EngineTraits,
+    PromptPartId,
     RequestIdentity,
     Route,
     RouteKind,
@@ -56,6 +57,8 @@
         events_mean: events of an answer.
         events_spread: standard deviation of the logarithm of the number of events.
         hint_error: standard deviation of the logarithm of output hints against outputs.
+        sessions: number of sessions, whose prompts begin with a part of their own.
+        session_tokens: size of this part, which comes on top of the prompt.
     """
 
     name: str
@@ -76,6 +79,8 @@
     events_spread: float = 0.7
     events_max: int = 160
     hint_error: float = 0.5
+    sessions: int = 0
+    session_tokens: int = 0
 
 
 @dataclass(slots=True)
@@ -90,6 +95,7 @@
     earned_value: float = 0.0
     total_value: float = 0.0
     prefilled_tokens: int = 0
+    cached_tokens: int = 0
     prompt_tokens: int = 0
     preempted: int = 0
     pauses: int = 0
@@ -201,6 +207,7 @@
         sharing.cancel()
         for engine in self._engines.values():
             self.figures.prefilled_tokens += engine.counts.prefilled_tokens
+            self.figures.cached_tokens += engine.counts.cached_tokens
             self.figures.preempted += engine.counts.preempted
         return self.figures
 
@@ -264,6 +271,10 @@
     async def _call(self, number: int) -> None:
         rng, pattern = self._rng, self._pattern
         prompt = int(_lognormal(rng, pattern.prompt_mean, 0.5, pattern.prompt_max)) + 200
+        shared: tuple[PromptPartId, ...] = ()
+        if pattern.sessions:
+            shared = (PromptPartId(f"session-{rng.randrange(pattern.sessions)}"),)
+            prompt += pattern.session_tokens
         events = max(
             1,
             int(_lognormal(rng, pattern.events_mean, pattern.events_spread, pattern.events_max)),
@@ -292,6 +303,8 @@
                 now_ms,
                 DEADLINE_MS - (now_ms - arrived_ms),
                 TokenCounts(prompt, pattern.events_max * per_event, hint),
+                shared_parts=shared,
+                part_tokens=(*(pattern.session_tokens for _ in shared), 0),
             )
             self._outputs[request.request_id] = output
             caller = _Caller()
--- a/bench/forwarding/patterns.py
+++ b/bench/forwarding/patterns.py
@@ -5,6 +5,8 @@
 
 from __future__ import annotations
 
+import dataclasses
+
 from bench.forwarding.engines import EngineModel
 from bench.forwarding.load import LoadPattern
 
@@ -115,6 +117,28 @@
 LONG_ANSWERS = suva("long answers of fast engines", 2, 4)
 LONG_ANSWERS_BURSTS = suva("long answers of fast engines, bursts", 2, 4, bursts=BURSTS)
 LONG_ANSWERS_ONE_PREFILL = suva("long answers, one prefill engine, bursts", 1, 5, bursts=BURSTS)
+# 63 sessions, whose prompts begin with a part of their own: a large one, of which each of the
+# prefill engines has room for 25, and a small one.
+LARGE_SESSIONS = LoadPattern(
+    "63 sessions with 13,300 tokens of their own",
+    prefill=3,
+    decode=4,
+    rate_per_s=5.0,
+    duration_s=120.0,
+    prompt_mean=700.0,
+    prompt_max=2_000.0,
+    sessions=63,
+    session_tokens=13_300,
+    model=EngineModel(memory_tokens=120_000, cache_tokens=25 * 13_300),
+)
+SMALL_SESSIONS = dataclasses.replace(
+    LARGE_SESSIONS,
+    name="63 sessions with 200 tokens of their own",
+    prompt_mean=5_000.0,
+    prompt_max=11_000.0,
+    session_tokens=200,
+    model=EngineModel(cache_tokens=25 * 200),
+)
 PATTERNS = (
     LONG_ANSWERS,
     LONG_ANSWERS_BURSTS,
@@ -129,4 +153,6 @@
     SLOW_ENGINES,
     SLOW_ENGINES_TWO,
     MANY_HOSTS,
+    LARGE_SESSIONS,
+    SMALL_SESSIONS,
 )
--- a/src/medlarvale/forwarding/context.py
+++ b/src/medlarvale/forwarding/context.py
@@ -17,6 +17,7 @@
 from medlarvale.forwarding.servers import ServerTable
 from medlarvale.forwarding.stream_versions import StreamVersions
 from medlarvale.ids import ServiceName, SoftwareVersion
+from medlarvale.prompt_cache.cache import PromptCaches
 from medlarvale.scheduling.retry_budget import RetryBudget
 
 # Answers are sent this long before the deadline of the route or the caller.
@@ -137,6 +138,7 @@
         self.rng = rng
         self.background = BackgroundTasks()
         self.connection_ends = ConnectionEnds()
+        self.prompt_caches = PromptCaches()
         self._retry_limits = retry_limits
         self.guard = guard
         # Set by the host that relays requests; None in a host without peers.
--- a/src/medlarvale/forwarding/prefill.py
+++ b/src/medlarvale/forwarding/prefill.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 
 from medlarvale.forwarding.context import ForwardingContext
 from medlarvale.forwarding.demand import DemandMeter
@@ -13,6 +14,8 @@
 from medlarvale.forwarding.silence import CHECK_AFTER_MS
 from medlarvale.ids import ServerId, ServiceName
 from medlarvale.logs import Event, log_warning
+from medlarvale.prompt_cache import weighing
+from medlarvale.prompt_cache.records import SentPart, prompt_parts
 
 # Maximum prefill calls for one prompt.
 MAX_PREFILLS = 2
@@ -40,6 +43,9 @@
 class PrefillDispatcher:
     """Prefills the prompt of one request, on another engine if one is lost.
 
+    Attributes:
+        expected_saved_tokens: prompt tokens that the last chosen engine is expected to have cached.
+
     Args:
         context: shared dependencies.
         request: the request.
@@ -66,6 +72,11 @@
         self._meter = meter
         self._budget = context.budget(service)
         self._calls = 0
+        self._caches = context.prompt_caches
+        self._parts = prompt_parts(request.shared_parts, request.prompt_part, request.part_tokens)
+        # What the decode engine had processed before it was left to prefill the prompt itself.
+        self._sent_to_decode: tuple[SentPart, ...] | None = None
+        self.expected_saved_tokens = 0
 
     async def run(
         self, decode: ServerLoad, gap_target_ms: float, end_ms: float, limit_ms: float
@@ -80,6 +91,7 @@
         """
         clock = self._context.clock
         tried: set[ServerId] = set()
+        self._sent_to_decode = None
         while self._calls < MAX_PREFILLS:
             load = self._choose(decode, gap_target_ms, tried)
             if load is None or (self._calls and not self._budget.spend_retry()):
@@ -89,14 +101,17 @@
             self._context.servers.limits.take(load.server)
             load.tokens += self._tokens
             sent_ms = clock.now_ms()
-            speed = self._meter.model.prefill_tokens_per_ms(sent_ms)
+            instance = load.instance
+            sent = self._caches.sent(instance, self._parts, sent_ms)
+            speed = self._tokens_per_ms(sent_ms)
             due_ms = sent_ms + (load.tokens / speed if speed is not None else 0.0)
             load.backlog.begin(due_ms)
             prefilled = False
             try:
                 result = await self._prefill_at(load, due_ms, limit_ms, end_ms - sent_ms)
                 prefilled = True
-                self._note_success(load, clock.now_ms() - sent_ms)
+                self._note_success(load, clock.now_ms() - sent_ms, sent)
+                self._caches.note_sent(instance, self._parts, clock.now_ms())
                 if speed is not None:
                     waited_ms = max(0.0, clock.now_ms() - due_ms)
                     self._meter.prefill_waits.note(waited_ms, clock.now_ms())
@@ -107,8 +122,27 @@
                 load.tokens -= self._tokens
                 measured = prefilled and speed is not None
                 load.backlog.end(due_ms, clock.now_ms(), prefilled=measured)
+        now_ms = clock.now_ms()
+        self._sent_to_decode = self._caches.sent(decode.instance, self._parts, now_ms)
+        self.expected_saved_tokens = round(self._expected_tokens(decode, now_ms))
         return None
 
+    def skip(self) -> None:
+        """Records that the next decode engine needs no prefill, so that it shows nothing."""
+        self._sent_to_decode = None
+
+    def note_first_event(self, decode: ServerLoad, took_ms: float) -> None:
+        """Records that a decode engine has processed the prompt.
+
+        Args:
+            decode: the engine.
+            took_ms: time from the send to the first event.
+        """
+        now_ms = self._context.clock.now_ms()
+        if self._sent_to_decode is not None:
+            self._note_duration(EngineStage.DECODE, self._sent_to_decode, took_ms, now_ms)
+        self._caches.note_sent(decode.instance, self._parts, now_ms)
+
     async def _prefill_at(
         self, load: ServerLoad, due_ms: float, limit_ms: float, left_ms: float
     ) -> PrefillResult:
@@ -147,7 +181,7 @@
             software=decode.server.software,
             healthy_only=True,
         )
-        speed = self._meter.model.prefill_tokens_per_ms(now_ms)
+        speed = self._tokens_per_ms(now_ms)
         if speed is None:
             # Without a measured speed nothing is known about the queues but their own share.
             return min(
@@ -165,12 +199,54 @@
         best = min(candidates, key=cost, default=None)
         if best is None:
             return None
+        if self._parts:
+            best = self._weigh_caches(candidates, best, cost, speed)
+        prefill_tokens = self._expected_tokens(best, now_ms)
+        self.expected_saved_tokens = round(prefill_tokens)
+        decode_tokens = self._expected_tokens(decode, now_ms)
+        extra_ms = weighing.extra_allowed_wait_ms(
+            prefill_tokens / speed, decode_tokens / (speed * DECODE_PREFILL_SPEED)
+        )
         slower_ms = self._tokens / speed * (1.0 / DECODE_PREFILL_SPEED - 1.0)
         within_gap_target = not gap_target_ms or (
             self._local_gap_ms(decode, speed, now_ms) <= gap_target_ms
         )
         allowed_ms = OVERFLOW_WAIT_MS if within_gap_target else SLOW_OVERFLOW_WAIT_MS
-        return best if wait_ms(best) <= allowed_ms + slower_ms else None
+        return best if wait_ms(best) <= allowed_ms + slower_ms + extra_ms else None
+
+    def _weigh_caches(
+        self,
+        candidates: list[ServerLoad],
+        usual: ServerLoad,
+        cost: Callable[[ServerLoad], tuple[float, float]],
+        speed: float,
+    ) -> ServerLoad:
+        """Returns the prefill engine to use, given the one that is usual without caches."""
+        now_ms = self._context.clock.now_ms()
+        weighed = [
+            weighing.Candidate(
+                cost(load)[0], load.tokens / speed, self._expected_tokens(load, now_ms) / speed
+            )
+            for load in candidates
+        ]
+        return candidates[weighing.choose(weighed, candidates.index(usual))]
+
+    def _tokens_per_ms(self, now_ms: float) -> float | None:
+        """Returns the prefill speed of an engine without a queue, and without cached parts."""
+        fastest = self._meter.model.prefill_tokens_per_ms(now_ms)
+        uncached = self._caches.uncached_tokens_per_ms(self._service, EngineStage.PREFILL)
+        if fastest is None or uncached is None:
+            return fastest
+        # The fastest prefill, here or at a peer, may have been one of a cached prompt.
+        return min(fastest, uncached)
+
+    def _expected_tokens(self, load: ServerLoad, now_ms: float) -> float:
+        """Returns the expected cached tokens of the prompt at an engine."""
+        stage = load.server.stage or EngineStage.DECODE
+        cached = self._caches.expected_tokens(
+            self._service, stage, load.instance, self._parts, now_ms
+        )
+        return min(cached, float(self._tokens))
 
     def _local_gap_ms(self, decode: ServerLoad, tokens_per_ms: float, now_ms: float) -> float:
         """Returns the gap between events of the decode engine's streams during a prefill there."""
@@ -182,10 +258,23 @@
         whole_ms = self._tokens / (tokens_per_ms * DECODE_PREFILL_SPEED)
         return max(stretched_ms, decode.event_gap_ms + whole_ms)
 
-    def _note_success(self, load: ServerLoad, took_ms: float) -> None:
-        self._context.servers.note_success(load, self._context.clock.now_ms())
-        if load.tokens == self._tokens:
-            self._meter.model.note_prefill(self._tokens, took_ms, self._context.clock.now_ms())
+    def _note_success(self, load: ServerLoad, took_ms: float, sent: tuple[SentPart, ...]) -> None:
+        now_ms, model = self._context.clock.now_ms(), self._meter.model
+        self._context.servers.note_success(load, now_ms)
+        if load.tokens != self._tokens:
+            return
+        computed = self._note_duration(EngineStage.PREFILL, sent, took_ms, now_ms)
+        # What was cached took no time; with it, the speed would be that of no engine.
+        model.note_prefill(max(1, computed), took_ms, now_ms)
+
+    def _note_duration(
+        self, stage: EngineStage, sent: tuple[SentPart, ...], took_ms: float, now_ms: float
+    ) -> int:
+        """Records the duration of a prefill; returns the tokens that seem to be computed."""
+        shared_tokens = sum(part.tokens for part in self._parts[: len(self._request.shared_parts)])
+        return self._caches.note_prefill(
+            self._service, stage, sent, shared_tokens, self._tokens, took_ms, now_ms
+        )
 
     def _note_failure(self, load: ServerLoad, error: BackendError) -> None:
         now_ms = self._context.clock.now_ms()
--- a/src/medlarvale/forwarding/servers.py
+++ b/src/medlarvale/forwarding/servers.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import itertools
 import math
 import random
 from collections import OrderedDict
@@ -42,11 +43,15 @@
 CHECK_INTERVAL_MS = 400.0
 
 
+_instances = itertools.count()
+
+
 class ServerLoad:
     """One backend server, with this host's load on it and its failures.
 
     Attributes:
         server: the published entry.
+        instance: number that changes when it starts again, is listed again or changes its stage.
         in_flight: requests of this host that run there.
         tokens: KV cache that this host's requests use there, in tokens.
         error_share: smoothed share of answers that are failures.
@@ -65,6 +70,7 @@
 
     def __init__(self, server: Server) -> None:
         self.server = server
+        self.instance = next(_instances)
         self.in_flight = 0
         self.tokens = 0
         self.error_share = 0.0
@@ -271,6 +277,8 @@
                 state=server.state.value,
                 stage=server.stage.value if server.stage else "",
             )
+        if known.server.stage is not server.stage:
+            known.instance = next(_instances)
         changed = server != msgspec.structs.replace(
             known.server, cold_left_ms=server.cold_left_ms, heartbeats=server.heartbeats
         )
--- a/src/medlarvale/forwarding/stream_run.py
+++ b/src/medlarvale/forwarding/stream_run.py
@@ -198,6 +198,11 @@
         """Memory that is reserved for each run, in tokens."""
         return self._memory_tokens
 
+    @property
+    def expected_saved_tokens(self) -> int:
+        """Prompt tokens that were expected in the cache of the engine that prefilled it."""
+        return self._prefill_dispatcher.expected_saved_tokens
+
     @property
     def last_event(self) -> int | None:
         """Number of the last forwarded event."""
@@ -521,6 +526,7 @@
     async def _prefill(self, reservation: Reservation) -> PrefillResult | None:
         cached = reservation.load.server.server == self._cache_holder
         if cached or self._fetch_from is not None:
+            self._prefill_dispatcher.skip()
             return None
         source = await self._prefill_dispatcher.run(
             reservation.load,
@@ -617,6 +623,9 @@
             ):
                 load.contact_ms = clock.now_ms()
                 if has_data(events):
+                    if run.heard_ms is None and not self._is_continuation():
+                        elapsed_ms = clock.now_ms() - run.sent_ms
+                        self._prefill_dispatcher.note_first_event(load, elapsed_ms)
                     run.heard_ms = clock.now_ms()
                     self._note_went_on()
                     watch.note_heard()
--- a/src/medlarvale/forwarding/streams.py
+++ b/src/medlarvale/forwarding/streams.py
@@ -158,6 +158,7 @@
             choice_age_ms=int(times.arrived_ms - run.choice_ms),
             list_age_ms=run.list_age_ms,
             prompt_tokens=run.prompt_tokens,
+            expected_saved_tokens=run.expected_saved_tokens,
             reserved_tokens=run.reserved_tokens,
             last_event=run.last_event,
             prefills=times.prefills,
--- a/src/medlarvale/logs.py
+++ b/src/medlarvale/logs.py
@@ -76,6 +76,7 @@
     BODY_DROPPED = (5015, "answer given up, because answers in progress take too much memory")
     STREAM_NOT_RECORDED = (5016, "no peer keeps the version of a stream")
     STREAM_VERSION_KNOWN = (5017, "version that began a stream known from a record")
+    PROMPT_CACHE_MEASURED = (5050, "enough measurements of prompt caches")
     CLEANUP_FAILED = (5007, "unused engine memory could not be released")
     ENGINE_EJECTED = (6001, "engine ejected")
     ENGINE_READMITTED = (6002, "engine readmitted")
--- a/tests/forwarding/test_load_patterns.py
+++ b/tests/forwarding/test_load_patterns.py
@@ -20,16 +20,19 @@
 from bench.forwarding.patterns import (
     BURSTS_ONE_PREFILL,
     DECODE_LOST,
+    LARGE_SESSIONS,
     LONG_ANSWERS,
     LONG_ANSWERS_BURSTS,
     LONG_ANSWERS_ONE_PREFILL,
     MANY_HOSTS,
     MEMORY_SHORT,
     SLOW_ENGINES,
+    SMALL_SESSIONS,
 )
 from medlarvale.forwarding import engine_model, memory, prefill
 from medlarvale.forwarding.backlog import RecentWaits
 from medlarvale.forwarding.first_attempts import FirstAttemptEstimator
+from medlarvale.prompt_cache.cache import PromptCaches
 
 SEEDS = range(3)
 # Share of the value that several hosts may lose because each has data on its own requests only.
@@ -133,3 +136,24 @@
         with mock.patch.object(prefill, "LOCAL_CHUNK_TOKENS", 0):
             without_limit = long_gaps()
         self.assertLess(long_gaps(), 0.8 * without_limit)
+
+    def test_sessions_return_to_engines_that_hold_their_beginning(self) -> None:
+        """Pattern: large beginnings, of which no engine has room for all. Guards against prompts
+        that are prefilled anew at one engine while another holds most of them."""
+        one_host = dataclasses.replace(LARGE_SESSIONS, hosts=1)
+        cached = run_pattern(one_host, 0).cached_tokens
+        with mock.patch.object(PromptCaches, "expected_tokens", return_value=0.0):
+            self.assertGreater(cached, 1.5 * run_pattern(one_host, 0).cached_tokens)
+
+    def test_cached_prompts_do_not_show_the_speed_of_others(self) -> None:
+        """Pattern: hosts that can't know what others have sent. Guards against waits that seem
+        long because the fastest prefill was one of a cached prompt."""
+        served = run_pattern(LARGE_SESSIONS, 0).value_share
+        with mock.patch.object(PromptCaches, "uncached_tokens_per_ms", return_value=None):
+            self.assertGreater(served, run_pattern(LARGE_SESSIONS, 0).value_share + 0.05)
+
+    def test_small_beginnings_change_nothing(self) -> None:
+        """Guards against a worse choice for the sake of 200 of 5,200 tokens."""
+        with_caches = run_pattern(SMALL_SESSIONS, 0)
+        with mock.patch.object(PromptCaches, "expected_tokens", return_value=0.0):
+            self.assertEqual(with_caches, run_pattern(SMALL_SESSIONS, 0))
