--- a/bench/forwarding/load.py
+++ b/bench/forwarding/load.py
@@ -21,6 +21,7 @@
     ClientRequest,
     EngineStage,
     EngineTraits,
+    PromptPartId,
     RequestIdentity,
     RequestLimits,
     Route,
@@ -73,6 +74,8 @@
         hint_error: standard deviation of the logarithm of output hints against outputs.
         groups: groups of callers, instead of ``rate_per_s`` and ``bursts``.
         drains: name of each engine that drains and comes back, with both times in s.
+        sessions: number of sessions, whose prompts begin with a part of their own.
+        session_tokens: size of this part, which comes on top of the prompt.
     """
 
     name: str
@@ -95,6 +98,8 @@
     hint_error: float = 0.5
     groups: tuple[CallerGroup, ...] = ()
     drains: tuple[tuple[str, float, float], ...] = ()
+    sessions: int = 0
+    session_tokens: int = 0
 
 
 @dataclass(slots=True)
@@ -109,6 +114,7 @@
     earned_value: float = 0.0
     total_value: float = 0.0
     prefilled_tokens: int = 0
+    cached_tokens: int = 0
     prompt_tokens: int = 0
     preempted: int = 0
     pauses: int = 0
@@ -233,6 +239,7 @@
         sharing.cancel()
         for engine in self._engines.values():
             self.figures.prefilled_tokens += engine.counts.prefilled_tokens
+            self.figures.cached_tokens += engine.counts.cached_tokens
             self.figures.preempted += engine.counts.preempted
         return self.figures
 
@@ -316,6 +323,11 @@
         prompt_mean = pattern.prompt_mean * prompt_factor
         prompt = int(_lognormal(rng, prompt_mean, 0.5, pattern.prompt_max)) + 200
         events_mean = pattern.events_mean * events_factor
+        prompt = int(_lognormal(rng, pattern.prompt_mean, 0.5, pattern.prompt_max)) + 200
+        shared: tuple[PromptPartId, ...] = ()
+        if pattern.sessions:
+            shared = (PromptPartId(f"session-{rng.randrange(pattern.sessions)}"),)
+            prompt += pattern.session_tokens
         events = max(
             1, int(_lognormal(rng, events_mean, pattern.events_spread, pattern.events_max))
         )
@@ -367,6 +379,8 @@
                 TokenCounts(prompt, pattern.events_max * per_event, hint),
                 workspace=group.workspace if group is not None else None,
                 priority=group.priority if group is not None else None,
+                shared_parts=shared,
+                part_tokens=(*(pattern.session_tokens for _ in shared), 0),
             )
             self._outputs[request.request_id] = output
             caller = _Caller()
--- a/src/medlarvale/logs.py
+++ b/src/medlarvale/logs.py
@@ -91,6 +91,7 @@
     QUOTA_OWNER_SILENT = (5032, "host that grants a quota did not reply")
     QUOTA_DECIDED_LOCALLY = (5033, "quota decided by the share of this host")
     QUOTA_SCALED = (5034, "share of the quotas that this host grants changed")
+    PROMPT_CACHE_MEASURED = (5050, "enough measurements of prompt caches")
     CLEANUP_FAILED = (5007, "unused engine memory could not be released")
     ENGINE_EJECTED = (6001, "engine ejected")
     ENGINE_READMITTED = (6002, "engine readmitted")
