--- a/bench/forwarding/engines.py
+++ b/bench/forwarding/engines.py
@@ -190,7 +190,6 @@
         self._holds: dict[HoldId, int] = {}
         self._numbers = itertools.count()
         self._prefills = _PrefillTurns()
-        self._prefill_lock = asyncio.Lock()
         # Cached shared parts and their sizes, the least recently used first.
         self._cache: OrderedDict[str, int] = OrderedDict()
         self._worker: asyncio.Task[None] | None = None
@@ -228,19 +227,18 @@
         self.stage = stage
         self.changing = False
 
-    async def prefill(self, tokens: int, priority: int | None = None) -> None:
-        """Prefills a prompt after more urgent ones and those that arrived before it."""
-        self._check(EngineStage.PREFILL)
-        async with self._prefills.turn(USUAL_PRIORITY if priority is None else priority):
-    async def prefill(self, tokens: int, shared: Mapping[str, int] | None = None) -> None:
-        """Prefills a prompt after the prompts that arrived before it.
+    async def prefill(
+        self, tokens: int, priority: int | None = None, shared: Mapping[str, int] | None = None
+    ) -> None:
+        """Prefills a prompt after more urgent ones and those that arrived before it.
 
         Args:
             tokens: size of the prompt.
+            priority: rank of the request; None for the usual one.
             shared: sizes of its shared parts, which the engine caches.
         """
         self._check(EngineStage.PREFILL)
-        async with self._prefill_lock:
+        async with self._prefills.turn(USUAL_PRIORITY if priority is None else priority):
             cached = self._use_cache(shared or {})
             self.counts.cached_tokens += cached
             tokens -= cached
@@ -471,9 +469,8 @@
         """Prefills a prompt."""
         engine = await self._reach(server)
         assert request.tokens is not None
-        await engine.prefill(request.tokens.prompt, priority)
         shared = dict(zip(request.shared_parts, request.part_tokens, strict=False))
-        await engine.prefill(request.tokens.prompt, shared)
+        await engine.prefill(request.tokens.prompt, priority, shared)
         return PrefillResult(server, HandleId(request.request_id))
 
     async def acquire_hold(self, server: Server, tokens: int, ttl_ms: float) -> HoldId | None:
--- a/bench/forwarding/load.py
+++ b/bench/forwarding/load.py
@@ -323,7 +323,6 @@
         prompt_mean = pattern.prompt_mean * prompt_factor
         prompt = int(_lognormal(rng, prompt_mean, 0.5, pattern.prompt_max)) + 200
         events_mean = pattern.events_mean * events_factor
-        prompt = int(_lognormal(rng, pattern.prompt_mean, 0.5, pattern.prompt_max)) + 200
         shared: tuple[PromptPartId, ...] = ()
         if pattern.sessions:
             shared = (PromptPartId(f"session-{rng.randrange(pattern.sessions)}"),)
