Quotas: measured table, and tests that see the pause and lapsed advances

Two of the five mutations stayed green: the clean-up removed lapsed advances before they were tried, and the share of a waking host hid its pause. The tests now look at a holding without clean-up, and at the bucket after the peers are heard again. The test of a silent owner asks three times, since an owner is skipped after two silences (a lost message made a second owner before).

--- a/tests/quotas/test_quota_task.py
+++ b/tests/quotas/test_quota_task.py
@@ -9,6 +9,7 @@
 from medlarvale.forwarding.messages import Quota
 from medlarvale.ids import HostId, WorkspaceId
 from medlarvale.quotas.errors import QuotaExceededError
+from medlarvale.quotas.holdings import Holding
 
 W = WorkspaceId("w")
 QUOTA = Quota(100.0, 100.0)
@@ -16,6 +17,16 @@
 JOINED_MS = 5_000.0
 
 
+class HoldingTest(unittest.TestCase):
+    def test_an_advance_can_be_used_until_it_lapses(self) -> None:
+        """Guards against quota used after a pause in which the clean-up did not run."""
+        holding = Holding(0.0)
+        holding.add(10.0, 1_000.0, HostId("owner"))
+        self.assertTrue(holding.use(4.0, 999.0))
+        self.assertFalse(holding.use(4.0, 1_000.0))
+        self.assertEqual(holding.take_lapsed(1_000.0), {HostId("owner"): 6.0})
+
+
 class QuotaTaskTest(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self) -> None:
         self.fleet = QuotaFleet(3, {W: QUOTA})
@@ -76,8 +87,11 @@
         await self.fleet.run(25.0)
         self.assertEqual(self.ran(), 1)
         self.ask(self.last, 1)
+        await self.fleet.run(130.0)
+        self.assertEqual(self.ran(), 2)
+        self.ask(self.last, 1)
         await self.fleet.run(40.0)
-        self.assertEqual(self.ran(), 2, "the silent owner was not skipped")
+        self.assertEqual(self.ran(), 3, "the silent owner was not skipped")
 
     async def test_the_share_of_the_host_decides_if_nobody_replies(self) -> None:
         """Guards against a cut-off host that refuses all requests, or grants the whole quota."""
--- a/tests/quotas/test_underuse.py
+++ b/tests/quotas/test_underuse.py
@@ -10,6 +10,7 @@
 from bench.quota_fleet import QuotaFleet, poisson_arrivals, total
 from medlarvale.forwarding.messages import Quota, QuotaUnit
 from medlarvale.ids import WorkspaceId
+from medlarvale.quotas.messages import WorkspaceNeed
 from tests.quotas.test_quota_properties import WINDOW_MS, bound
 
 HOSTS = 26
@@ -95,7 +96,10 @@
         self.fleet.freeze(number, frozen=True)
         await self.fleet.run(4_000.0, arrive)
         self.fleet.freeze(number, frozen=False)
-        owner.quotas._note_time()
+        # Its peers are heard again, so that its share no longer limits the bucket.
+        await self.fleet.run(900.0)
+        # A bucket is refilled when it is asked.
+        owner.quotas.table.grant(owner.name, WorkspaceNeed(HOT, (1.0,)))
         self.assertLessEqual(owner.quotas.table._buckets[HOT].level, RATE_PER_S / 2)
         await self.fleet.run(5_000.0, arrive)
         self.check_bounds()
