--- a/src/medlarvale/forwarding/memory.py
+++ b/src/medlarvale/forwarding/memory.py
@@ -16,20 +16,18 @@
 )
 from medlarvale.forwarding.memory_request import MemoryRequest, Reservation
 from medlarvale.forwarding.messages import EngineStage, EngineTraits, HoldId
-from medlarvale.forwarding.servers import ERROR_PENALTY, ServerLoad
+from medlarvale.forwarding.servers import ServerLoad
 from medlarvale.ids import ServerId, ServiceName, SoftwareVersion
 from medlarvale.logs import Event, log_warning
 from medlarvale.overload.admission import QueueRules, Refusal, WaitingRequest
 from medlarvale.placement.engine_gaps import USUAL_SHARE, sees_few_streams
+from medlarvale.placement.engine_order import order_engines
 
 # Retry interval for an engine that refused a reservation, unless this host freed memory there. With
 # more than RETRYING_HOSTS hosts the interval grows, which keeps the total rate at an engine
 # constant.
 REFUSED_PAUSE_MS = 30.0
 RETRYING_HOSTS = 4
-# Load, as a share of engine memory, added to engines in other failure domains, because events from
-# there cost more.
-REMOTE_PENALTY = 0.05
 # Share of an engine's memory that a late request leaves free, about one request. Without it, the
 # value served in bench.forwarding drops by 8% when memory is short.
 LATE_HEADROOM = 0.1
@@ -390,17 +388,10 @@
     def _sort_engines(
         self, candidates: list[ServerLoad], preferred: ServerId | None
     ) -> list[ServerLoad]:
-        memory, servers = self._traits().memory_tokens, self._context.servers
-        now_ms, usual_gap_ms = self._context.clock.now_ms(), None
-        if sees_few_streams(self._context.host_count()):
+        context, now_ms, usual_gap_ms = self._context, self._context.clock.now_ms(), None
+        if sees_few_streams(context.host_count()):
             usual_gap_ms = self._model.event_ms(now_ms, USUAL_SHARE)
-        best_error = min((load.error_share for load in candidates), default=0.0)
-
-        def cost(load: ServerLoad) -> tuple[bool, float, float]:
-            other = load.server.server != preferred
-            share = load.tokens / memory + ERROR_PENALTY * (load.error_share - best_error)
-            share += REMOTE_PENALTY * servers.is_remote(load)
-            share += servers.gaps.penalty(load.server, usual_gap_ms, now_ms)
-            return other, share, self._context.rng.random()
-
-        return sorted(candidates, key=cost)
+        memory = self._traits().memory_tokens
+        return order_engines(
+            candidates, context.servers, memory, usual_gap_ms, now_ms, context.rng, preferred
+        )
