--- a/src/medlarvale/forwarding/prefill.py
+++ b/src/medlarvale/forwarding/prefill.py
@@ -14,6 +14,7 @@
 from medlarvale.forwarding.silence import CHECK_AFTER_MS
 from medlarvale.ids import ServerId, ServiceName
 from medlarvale.logs import Event, log_warning
+from medlarvale.placement.engine_gaps import PACE_TOKENS, USUAL_SHARE, sees_few_streams
 from medlarvale.prompt_cache import weighing
 from medlarvale.prompt_cache.records import SentPart, prompt_parts
 
@@ -32,10 +33,6 @@
 LOCAL_PREFILL_STRETCH = 5.0
 # Largest such chunk. An event of many steps contains all chunks of a prompt.
 LOCAL_CHUNK_TOKENS = 512
-# Share of the streams whose gap is at most that of an engine which this host doesn't know. In a
-# large fleet these are most engines, and a prefill on a slow one interrupts the streams of other
-# hosts.
-UNKNOWN_GAP_SHARE = 0.9
 # Wait for a prefill engine, beyond the slower prefill of the decode engine, up to which the prefill
 # engine is preferred. The first value holds if the streams of the decode engine stay within the gap
 # target during prefill, the second if they don't. In bursts in bench.forwarding 300 ms made 9% of
@@ -198,13 +195,17 @@
                 candidates, key=lambda load: (load.tokens, context.rng.random()), default=None
             )
         recent_wait_ms = self._meter.prefill_waits.wait_ms(now_ms)
+        gaps, usual_ms = context.servers.gaps, None
+        if sees_few_streams(context.host_count()):
+            usual_ms = gaps.usual_ms((load.server for load in candidates), now_ms)
 
         def wait_ms(load: ServerLoad) -> float:
             return max(load.tokens / speed, load.backlog.wait_ms(now_ms), recent_wait_ms)
 
         def cost(load: ServerLoad) -> tuple[float, float]:
             remote = load.server.failure_domain != decode.server.failure_domain
-            return wait_ms(load) + remote * REMOTE_PENALTY_MS, context.rng.random()
+            slower_ms = gaps.slower_ms(load.server, usual_ms, now_ms) * self._tokens / PACE_TOKENS
+            return wait_ms(load) + remote * REMOTE_PENALTY_MS + slower_ms, context.rng.random()
 
         best = min(candidates, key=cost, default=None)
         if best is None:
@@ -262,7 +263,7 @@
         """Returns the gap between events of the decode engine's streams during a prefill there."""
         gap_ms = self._context.servers.gaps.gap_ms(decode.server, now_ms)
         if gap_ms is None:
-            gap_ms = self._meter.model.event_ms(now_ms, UNKNOWN_GAP_SHARE) or 0.0
+            gap_ms = self._meter.model.event_ms(now_ms, USUAL_SHARE) or 0.0
         stretched_ms = gap_ms * LOCAL_PREFILL_STRETCH
         steps_per_event = self._meter.model.tokens_per_event(now_ms)
         if steps_per_event is None or 2.0 * self._tokens > steps_per_event * LOCAL_CHUNK_TOKENS:
@@ -277,6 +278,8 @@
         if load.tokens != self._tokens:
             return
         computed = self._note_duration(EngineStage.PREFILL, sent, took_ms, now_ms)
+        pace_ms = took_ms * PACE_TOKENS / max(1, self._tokens)
+        self._context.servers.gaps.note_own(load.server, pace_ms, now_ms)
         # What was cached took no time; with it, the speed would be that of no engine.
         model.note_prefill(max(1, computed), took_ms, now_ms)
 
--- a/src/medlarvale/forwarding/streams.py
+++ b/src/medlarvale/forwarding/streams.py
@@ -13,7 +13,7 @@
 from medlarvale.forwarding.first_attempts import FirstAttemptEstimator
 from medlarvale.forwarding.fleet_messages import Demand
 from medlarvale.forwarding.memory import MemoryQueue
-from medlarvale.forwarding.messages import ClientRequest, EngineTraits, Route
+from medlarvale.forwarding.messages import ClientRequest, EngineStage, EngineTraits, Route
 from medlarvale.forwarding.plain import Reply
 from medlarvale.forwarding.recent_durations import RecentDurations
 from medlarvale.forwarding.stream_run import StreamRun, StreamSink
@@ -121,10 +121,14 @@
             return {}
         usual_ms = {}
         for service, meter in self._meters.items():
-            service_ms = meter.model.event_ms(now_ms, USUAL_SHARE)
-            if service_ms is not None:
-                for load in servers.of_service(service):
-                    usual_ms[load.server.server] = service_ms
+            engines = [load.server for load in servers.of_service(service)]
+            prefill = [engine for engine in engines if engine.stage is EngineStage.PREFILL]
+            for stage_ms, members in (
+                (meter.model.event_ms(now_ms, USUAL_SHARE), set(engines) - set(prefill)),
+                (servers.gaps.usual_ms(prefill, now_ms), prefill),
+            ):
+                if stage_ms is not None:
+                    usual_ms.update({engine.server: stage_ms for engine in members})
         return servers.gaps.to_announce(usual_ms, now_ms)
 
     def note_slow_engines(self, gaps_ms: Mapping[ServerId, int]) -> None:
--- a/src/medlarvale/placement/engine_gaps.py
+++ b/src/medlarvale/placement/engine_gaps.py
@@ -1,4 +1,7 @@
-"""Gaps between the events of an engine's streams, as this host and its peers have measured them.
+"""How slow engines are, as this host and its peers have measured it.
+
+That is the gap between two events of a stream at a decode engine, and the time that a prefill
+engine takes for 1,000 tokens.
 
 In a large fleet a host runs few streams on each engine, so that it learns of a slow engine only
 after its callers have noticed. Hosts therefore name the engines that are slow to their peers.
@@ -6,11 +9,12 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping
+import statistics
+from collections.abc import Iterable, Mapping
 
 import msgspec
 
-from medlarvale.forwarding.messages import Server
+from medlarvale.forwarding.messages import EngineStage, Server
 from medlarvale.ids import ServerId
 
 # Weight of the newest stream in the smoothed gap of an engine.
@@ -18,6 +22,10 @@
 # A gap is forgotten after this time without a measurement. Slow engines get few streams, so one
 # that has recovered is found out only by new ones.
 KNOWN_MS = 15_000.0
+# Prompt tokens to whose time the gap of a prefill engine refers.
+PACE_TOKENS = 1_000
+# Engines whose gaps are known before their median counts as usual.
+MIN_KNOWN = 4
 # Own measurements are named to peers for this time, in which each peer of a fleet of 80 hosts gets
 # a hello.
 ANNOUNCED_MS = 5_000.0
@@ -41,7 +49,7 @@
 
 
 class _Gap(msgspec.Struct):
-    """Gap of one incarnation of an engine.
+    """Gap of one incarnation of an engine in one stage.
 
     Attributes:
         smoothed_ms: smoothed gap.
@@ -50,6 +58,7 @@
     """
 
     born_ms: int
+    stage: EngineStage | None
     smoothed_ms: float
     noted_ms: float
     own_ms: float | None = None
@@ -72,7 +81,7 @@
     def _note(self, server: Server, gap_ms: float, now_ms: float) -> _Gap:
         gap = self._known(server, now_ms)
         if gap is None:
-            gap = self._gaps[server.server] = _Gap(server.born_ms, gap_ms, now_ms)
+            gap = self._gaps[server.server] = _Gap(server.born_ms, server.stage, gap_ms, now_ms)
         gap.smoothed_ms += GAP_SMOOTHING * (gap_ms - gap.smoothed_ms)
         gap.noted_ms = now_ms
         return gap
@@ -81,7 +90,13 @@
         gap = self._gaps.get(server.server)
         if gap is None or gap.born_ms != server.born_ms or now_ms - gap.noted_ms > KNOWN_MS:
             return None
-        return gap
+        return gap if gap.stage is server.stage else None
+
+    def usual_ms(self, servers: Iterable[Server], now_ms: float) -> float | None:
+        """Returns the median of the known gaps; None if too few are known."""
+        gaps = (self.gap_ms(server, now_ms) for server in servers)
+        known = [gap_ms for gap_ms in gaps if gap_ms is not None]
+        return statistics.median(known) if len(known) >= MIN_KNOWN else None
 
     def gap_ms(self, server: Server, now_ms: float) -> float | None:
         """Returns the gap of an engine; None if it has not been measured lately."""
@@ -96,10 +111,15 @@
             usual_ms: median gap of the streams of its service; None if it is unknown.
             now_ms: monotonic time.
         """
+        slower_ms = self.slower_ms(server, usual_ms, now_ms)
+        return min(MAX_PENALTY, SLOW_PENALTY * slower_ms / usual_ms) if usual_ms else 0.0
+
+    def slower_ms(self, server: Server, usual_ms: float | None, now_ms: float) -> float:
+        """Returns by how much the gap of a slow engine exceeds the usual one; 0 for others."""
         gap_ms = self.gap_ms(server, now_ms)
         if gap_ms is None or not usual_ms or gap_ms < SLOW_FACTOR * usual_ms:
             return 0.0
-        return min(MAX_PENALTY, SLOW_PENALTY * (gap_ms / usual_ms - 1.0))
+        return gap_ms - usual_ms
 
     def to_announce(self, usual_ms: Mapping[ServerId, float], now_ms: float) -> dict[ServerId, int]:
         """Returns the gaps in ms of the slowest engines that this host has measured lately.
--- a/tests/placement/test_engine_gaps.py
+++ b/tests/placement/test_engine_gaps.py
@@ -19,7 +19,7 @@
 NOW_MS = 100_000.0
 
 
-def engine(name: str = "e1", born_ms: int = 7) -> Server:
+def engine(name: str = "e1", born_ms: int = 7, stage: EngineStage = EngineStage.DECODE) -> Server:
     return Server(
         ServerId(name),
         ServiceName("llm"),
@@ -27,7 +27,7 @@
         FailureDomain("a"),
         64,
         ServerState.READY,
-        EngineStage.DECODE,
+        stage,
         born_ms=born_ms,
     )
 
@@ -57,6 +57,7 @@
             ("not measured for long", engine(), KNOWN_MS + 1.0, 0.0),
             ("started again", engine(born_ms=8), 0.0, 0.0),
             ("another engine", engine("e2"), 0.0, 0.0),
+            ("another stage", engine(stage=EngineStage.PREFILL), 0.0, 0.0),
         ):
             with self.subTest(case):
                 gaps = EngineGaps()
@@ -71,6 +72,17 @@
         self.assertEqual(gaps.penalty(engine(), None, NOW_MS), 0.0)
 
 
+class UsualGapTest(unittest.TestCase):
+    def test_median_of_the_known_engines(self) -> None:
+        """Guards against prefill engines that count as slow beside a single fast one."""
+        for known, expected in ((3, None), (4, 90.0), (5, 90.0)):
+            with self.subTest(known=known):
+                gaps, engines = EngineGaps(), [engine(f"e{number}") for number in range(6)]
+                for number in range(known):
+                    gaps.note_own(engines[number], (90.0, 50.0, 90.0, 150.0, 90.0)[number], NOW_MS)
+                self.assertEqual(gaps.usual_ms(engines, NOW_MS), expected)
+
+
 class AnnouncementTest(unittest.TestCase):
     def test_which_engines_are_named(self) -> None:
         """Guards against hearsay that goes round for ever, and against hellos of any length."""
