--- a/src/medlarvale/access/confirmation.py
+++ b/src/medlarvale/access/confirmation.py
@@ -58,6 +58,8 @@
         # Version that the store lists in its present era; None if it has not been read since then.
         self._listed: ConfigVersion | None = None
         self._restored_ms = -math.inf
+        # Version that the store has given out again, with other contents than are known here.
+        self._repeated = ConfigVersion(0)
         # Newest version that a peer has named and this host lacked, and when it heard of one first.
         self._newer = ConfigVersion(0)
         self._newer_ms = math.inf
@@ -78,6 +80,7 @@
             self._listed = ConfigVersion(0)
         elif table.version == known.version and table != known:
             # A restored store has given out the version again.
+            self._repeated = known.version
             self._listed = ConfigVersion(0)
         else:
             self._listed = table.version
@@ -123,6 +126,9 @@
         """
         if age_ms is None or age_ms >= UNCONFIRMED_AGE_MS or version != known or not known:
             return
+        if version == self._repeated:
+            # The peer may have the other configuration of this version.
+            return
         self._confirmed_ms = max(self._confirmed_ms, asked_ms - age_ms)
         if same_era:
             self._listed = known
--- a/src/medlarvale/forwarding/domain_reader.py
+++ b/src/medlarvale/forwarding/domain_reader.py
@@ -148,6 +148,9 @@
         if reply.mark != self._mark:
             if reply.table is not None and not self._follower.accept(reply.table, reader):
                 return False
+            if reply.table is not None and self._follower.differs_from(reply.table):
+                # A restored store has given out the version again; its own answer shows that.
+                return False
             servers = usable_servers(reply.servers, reader)
             self._servers.replace_all(
                 servers, self._clock.now_ms(), after_outage=False, missing=set(reply.missing)
--- a/src/medlarvale/forwarding/follower.py
+++ b/src/medlarvale/forwarding/follower.py
@@ -254,6 +254,12 @@
             callback()
         return True
 
+    def differs_from(self, table: RouteTable) -> bool:
+        """Returns whether another configuration of the same version is active."""
+        if self.index is None or table.workspaces is None:
+            return False
+        return self.version == table.version and self.index.table != table
+
     async def _follow(self) -> None:
         synchronized = False
         retry_ms = RETRY_FIRST_MS
--- a/src/medlarvale/platform/headers.py
+++ b/src/medlarvale/platform/headers.py
@@ -207,8 +207,9 @@
     """Returns the request of a caller; an invalid optional header is treated as absent."""
     deadline_ms = _parse_unsigned(headers.get(DEADLINE))
     last_part, shared_parts, part_tokens = _prompt_parts(headers)
+    kept = IDENTITY - _hop_by_hop_names(headers)
     identity: CIMultiDict[str] = CIMultiDict(
-        (name, value) for name, value in headers.items() if name.lower() in IDENTITY
+        (name, value) for name, value in headers.items() if name.lower() in kept
     )
     began_as = headers.get(BEGAN_AS, "").strip(" \t")
     return ClientRequest(
--- a/src/medlarvale/quotas/task.py
+++ b/src/medlarvale/quotas/task.py
@@ -10,7 +10,7 @@
 
 from medlarvale.clock import Clock, Subscription
 from medlarvale.forwarding.background_tasks import BackgroundTasks, end_tasks
-from medlarvale.forwarding.messages import Quota
+from medlarvale.forwarding.messages import MAX_NUMBER, Quota
 from medlarvale.ids import HostId, HostIdentity, WorkspaceId
 from medlarvale.peers.errors import PeerError
 from medlarvale.peers.transport import Transport
@@ -51,6 +51,10 @@
 # After a refusal a host refuses the next requests of the workspace for this time, or for half of
 # the time until its request may be granted, without asking, since most would be refused.
 HOLD_OFF_MS = 100.0
+# A request larger than the burst and the rate of this time is refused: it alone would exceed the
+# quota of a window, and its debt would keep the workspace below zero for longer than that. The
+# peers also refuse messages with an amount beyond ``MAX_NUMBER``, with all that they ask for others.
+LARGEST_REQUEST_S = 8.0
 # Callers honour a Retry-After up to this share of their remaining time.
 RETRY_SHARE = 1.0 / 3.0
 
@@ -170,6 +174,9 @@
         if quota is None or amount <= 0.0:
             return None
         now_ms = self._note_time()
+        if amount > min(MAX_NUMBER, quota.burst + LARGEST_REQUEST_S * quota.rate_per_s):
+            self.reports.note(workspace, amount, refused=True)
+            raise self._refusal(workspace, quota, int(left_ms), left_ms)
         holding = self._holdings.get(workspace)
         if holding is None:
             holding = self._holdings[workspace] = Holding(now_ms)
@@ -273,8 +280,9 @@
         timeout_ms = max(SHORTEST_TIMEOUT_MS, OWNER_TIMEOUT_MS - waited_ms)
         try:
             reply = await self._transport.request(host, QuotaRequest(tuple(needs)), timeout_ms)
-        except PeerError as error:
-            self.reports.note_silent(host, error.message)
+        except Exception as error:  # The waiting requests must not depend on how a message fails.
+            reason = error.message if isinstance(error, PeerError) else repr(error)
+            self.reports.note_silent(host, reason)
             self.owners.note_silence(host)
             self._pass_on_all([*tickets, *queue.tickets])
             queue.tickets.clear()
@@ -298,6 +306,7 @@
     ) -> WorkspaceNeed:
         holding = self._holdings.get(workspace)
         advance = max(0.0, holding.demand(now_ms) - holding.amount) if holding is not None else 0.0
+        advance = min(advance, MAX_NUMBER)
         return WorkspaceNeed(
             workspace, tuple(ticket.amount for ticket in tickets), advance, returned
         )
