Require status 502 for streams whose engine answers with an impossible status

Cause: the test allowed 503, which states that the request has not run. Change: only 502 passes, for all three kinds of routes.

--- a/tests/forwarding/test_invalid_statuses.py
+++ b/tests/forwarding/test_invalid_statuses.py
@@ -36,7 +36,7 @@
                 self.assertEqual(arrivals, 1)
 
     def _check_answer(self, case: Case, answer: Received) -> None:
-        status = answer.head.split(b" ")[1] if answer.head else b"none"
-        self.assertIn(status, (b"502", b"503") if case.route == "chat" else (b"502",), answer)
+        # The server may have run the request, so 503 would be a false promise.
+        self.assertTrue(answer.head.startswith(b"HTTP/1.1 502"), answer)
         self.assertNotIn(EVENTS, answer.rest)
         self.assertNotIn(b"X-Response-Signature", answer.head)
