--- a/tests/quotas/test_charging.py
+++ b/tests/quotas/test_charging.py
@@ -79,6 +79,7 @@
     async def asyncSetUp(self) -> None:
         self.streams = _Streams()
         self.workspace: WorkspaceId | None = PAID
+        self.prompt_tokens = 2_500
         view = FleetView(HostIdentity(HostId("a"), Incarnation(1)), "a:1", [])
         follower: Any = _Follower()
         self.clock = ManualClock()
@@ -111,7 +112,7 @@
         return make_request(
             workspace=self.workspace,
             received_ms=self.clock.now_ms(),
-            tokens=TokenCounts(2_500, 500),
+            tokens=TokenCounts(self.prompt_tokens, 500),
         )
 
     async def _statuses(self, number: int) -> list[int]:
@@ -135,6 +136,17 @@
         self.assertEqual(self.streams.sent, 2)
         self.assertEqual(self.charges.gauges()["quota_refusals"], 1)
 
+    async def test_a_request_that_no_quota_can_hold(self) -> None:
+        """Guards against token counts of a caller that block its workspace for hours, or that give
+        its later requests a whole window at once when they are credited."""
+        self.streams.error = OverloadedError("full")
+        for self.prompt_tokens in (10**12, 10**18):
+            with self.subTest(self.prompt_tokens):
+                self.assertEqual(await self._statuses(1), [429])
+                self.assertEqual(self.streams.sent, 0)
+        self.streams.error, self.prompt_tokens = None, 2_500
+        self.assertEqual(await self._statuses(2), [200, 200])
+
     async def test_requests_without_a_quota_are_not_counted(self) -> None:
         """Guards against any cost or refusal where the configuration has no quota."""
         for self.workspace in (None, WorkspaceId("free"), WorkspaceId("unlisted")):
