--- a/src/medlarvale/forwarding/caller_server.py
+++ b/src/medlarvale/forwarding/caller_server.py
@@ -190,7 +190,7 @@
         """Returns the HTTP server for callers."""
 
         def new_request(message, payload, protocol, writer, task):  # type: ignore[no-untyped-def]
-            protocol.begin_request()
+            protocol.begin_request(message)
             request = web.BaseRequest(
                 message,
                 payload,
@@ -250,7 +250,9 @@
         self._stop_admission.begin_stop(informed_ms, end_ms)
         for connection in self._connections():
             if self._has_request(connection):
-                connection.close()
+                # close() would drop the rest of a body; the answer closes such a connection.
+                if not (isinstance(connection, CallerConnection) and connection.receives_body):
+                    connection.close()
             elif connection.transport is not None:
                 # connection.close() would leave an idle connection open without a reader.
                 connection.transport.close()
--- a/src/medlarvale/forwarding/memory.py
+++ b/src/medlarvale/forwarding/memory.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from collections import Counter
 from collections.abc import Callable
 
@@ -180,8 +181,12 @@
         Requests that need different software versions don't wait for each other.
         """
         tried: Counter[SoftwareVersion | None] = Counter()
+        # Lowest priority number of the requests after which no equal or less urgent one is tried.
+        aged: dict[SoftwareVersion | None, int] = {}
         for waiter in self._sorted_waiters():
             software = waiter.request.software
+            if waiter.request.priority >= aged.get(software, math.inf):
+                continue
             tried[software] += 1
             if tried[software] <= 1 + BACKFILL_REQUESTS:
                 reservation = await self._reserve(waiter)
@@ -189,7 +194,7 @@
                     self._grant(waiter, reservation)
                     return True
             if self.rules.is_aged(waiter.place, self._context.clock.now_ms()):
-                tried[software] += BACKFILL_REQUESTS
+                aged[software] = waiter.request.priority
         return False
 
     def _has_version(self, request: MemoryRequest) -> bool:
--- a/src/medlarvale/forwarding/prefill.py
+++ b/src/medlarvale/forwarding/prefill.py
@@ -278,10 +278,15 @@
         if load.tokens != self._tokens:
             return
         computed = self._note_duration(EngineStage.PREFILL, sent, took_ms, now_ms)
+        uncached = self._caches.uncached_tokens_per_ms(self._service, EngineStage.PREFILL)
+        if computed < self._tokens and uncached is not None:
+            # Fixed costs dominate the time of the rest, so it shows no speed: that of uncached
+            # prompts goes on to hold.
+            model.note_prefill(self._tokens, self._tokens / uncached, now_ms)
+            return
+        model.note_prefill(max(1, computed), took_ms, now_ms)
         pace_ms = took_ms * PACE_TOKENS / max(1, self._tokens)
         self._context.servers.gaps.note_own(load.server, pace_ms, now_ms)
-        # What was cached took no time; with it, the speed would be that of no engine.
-        model.note_prefill(max(1, computed), took_ms, now_ms)
 
     def _note_duration(
         self, stage: EngineStage, sent: tuple[SentPart, ...], took_ms: float, now_ms: float
--- a/src/medlarvale/overload/admission.py
+++ b/src/medlarvale/overload/admission.py
@@ -116,14 +116,20 @@
 
     def is_late(self, request: MemoryRequest, now_ms: float) -> bool:
         """Returns whether a request that gets memory now would miss its first event target."""
-        delay_ms = self._model.first_event_ms(now_ms, USUAL_SHARE) or 0.0
-        return request.first_event_target_ms < now_ms + delay_ms
+        return request.first_event_target_ms < now_ms + self._delay_ms(now_ms)
 
-    def _standing(self, waiting: WaitingRequest, now_ms: float) -> Standing:
+    def _delay_ms(self, now_ms: float) -> float:
+        return self._model.first_event_ms(now_ms, USUAL_SHARE) or 0.0
+
+    def _hold_ms(self, now_ms: float) -> float:
+        return self._model.hold_ms(now_ms) or DEFAULT_HOLD_MS
+
+    def _standing(
+        self, waiting: WaitingRequest, now_ms: float, delay_ms: float, hold_ms: float
+    ) -> Standing:
         request, since_ms = waiting.request, waiting.since_ms
-        late = self.is_late(request, now_ms)
+        late = request.first_event_target_ms < now_ms + delay_ms
         limit_ms = request.end_ms if late else request.first_event_target_ms
-        hold_ms = self._model.hold_ms(now_ms) or DEFAULT_HOLD_MS
         return Standing(
             request.urgent,
             late,
@@ -134,21 +140,25 @@
             aged=now_ms - since_ms > AGED_SHARE * (limit_ms - since_ms),
         )
 
+    def _standing_now(self, waiting: WaitingRequest, now_ms: float) -> Standing:
+        return self._standing(waiting, now_ms, self._delay_ms(now_ms), self._hold_ms(now_ms))
+
     def arrange(self, waiting: Sequence[WaitingRequest], now_ms: float) -> list[int]:
         """Returns the indices of the requests in the order in which they get memory."""
-        standings = [self._standing(each, now_ms) for each in waiting]
+        delay_ms, hold_ms = self._delay_ms(now_ms), self._hold_ms(now_ms)
+        standings = [self._standing(each, now_ms, delay_ms, hold_ms) for each in waiting]
         return self._order.arrange(standings, now_ms, distinguish=self.distinguishes)
 
     def is_aged(self, waiting: WaitingRequest, now_ms: float) -> bool:
         """Returns whether no other request may be tried after this one if it does not fit."""
-        return self.distinguishes and self._standing(waiting, now_ms).aged
+        return self.distinguishes and self._standing_now(waiting, now_ms).aged
 
     def note_granted(self, waiting: WaitingRequest, now_ms: float) -> None:
         """Records that a request has got memory."""
         self._granted_ms.append(now_ms)
         change = (waiting.request.tokens - self._usual_tokens) * USUAL_WEIGHT
         self._usual_tokens += change if self._usual_tokens else waiting.request.tokens
-        self._order.note_served(self._standing(waiting, now_ms), now_ms)
+        self._order.note_served(self._standing_now(waiting, now_ms), now_ms)
 
     def note_engine_refusal(self, now_ms: float) -> None:
         """Records that an engine had no memory for a request."""
@@ -189,6 +199,9 @@
         wait_ms = number * 1000.0 / rate_per_s if number > SHORT_QUEUE else 0.0
         if not self.distinguishes or request.urgent:
             return wait_ms
+        if now_ms - self._engine_refused_ms > SHORT_OF_MEMORY_MS:
+            # What peers have said may be over: engines have had memory for all of this host lately.
+            return wait_ms
         return max(wait_ms, self._wait_behind_peers_ms(request, number, now_ms))
 
     def _all_hosts_per_s(self, tokens: int, hold_ms: float) -> float:
--- a/src/medlarvale/prompt_cache/cache.py
+++ b/src/medlarvale/prompt_cache/cache.py
@@ -96,7 +96,7 @@
         """
         sent_tokens = sum(part.tokens for part in sent)
         cacheable = min(prompt_tokens, max(shared_tokens, sent_tokens))
-        if cacheable < LARGE_SHARE * prompt_tokens:
+        if not prompt_tokens or cacheable < LARGE_SHARE * prompt_tokens:
             return prompt_tokens
         key = (service, stage)
         learned = self._learned.setdefault(key, _Learned())
--- a/src/medlarvale/uploads/body_budget.py
+++ b/src/medlarvale/uploads/body_budget.py
@@ -115,6 +115,11 @@
         self._droppable: set[Upload] = set()
         self._counted: dict[Upload, tuple[int, bool]] = {}
 
+    @property
+    def limit_bytes(self) -> int:
+        """Most bytes of all bodies together."""
+        return self._limit_bytes
+
     def keep_room_for(self, body_bytes: int) -> None:
         """Raises the limit, if it is lower, to that of two bodies of a size that is allowed."""
         self._limit_bytes = max(self._limit_bytes, 2 * body_bytes)
--- a/src/medlarvale/uploads/connections.py
+++ b/src/medlarvale/uploads/connections.py
@@ -3,6 +3,9 @@
 from __future__ import annotations
 
 import asyncio
+import fcntl
+import struct
+import termios
 from collections.abc import Callable, Hashable
 from typing import Any, Generic, TypeVar
 
@@ -25,6 +28,10 @@
 # refusal: without it, the system resets the connection.
 LINGERING_S = 1.0
 REPORT_MS = 1_000.0
+# aiohttp keeps a head as bytes and as text, in its parser and in the request (measured: 3.6).
+HEAD_COPIES = 4
+# Memory of a head up to which it is not counted: those of 1,078 connections take 17 MB.
+SMALL_HEAD_BYTES = 16 * 1024
 HEAD_REFUSAL = (
     b"HTTP/1.1 431 Request Header Fields Too Large\r\n"
     b"Content-Length: 0\r\nConnection: close\r\n\r\n"
@@ -44,6 +51,10 @@
     return max(1, int((1.0 - BACKEND_SHARE) * (max_descriptors - FILE_DESCRIPTORS)))
 
 
+def _nothing() -> None:
+    pass
+
+
 class ConnectionTable(Generic[_KeyT]):
     """Decides, without I/O, which connections are closed beyond a bound.
 
@@ -85,6 +96,10 @@
             self._running.discard(connection)
             self._waiting[connection] = None
 
+    def is_running(self, connection: _KeyT) -> bool:
+        """Returns whether a whole request of a connection is being answered."""
+        return connection in self._running
+
     def close(self, connection: _KeyT) -> None:
         """Removes a connection."""
         self._waiting.pop(connection, None)
@@ -106,6 +121,10 @@
         # What has arrived of the requests behind the present one.
         self._ahead: Upload = uploads.budget.begin(self.abort)
         self._last_body: StreamReader | None = None
+        # Whether a request has been taken from the queue and its answer has not been written.
+        self._is_serving = False
+        # Most bytes that the parser keeps because too many requests wait.
+        self._unparsed_bytes = 0
         # Bytes since the last whole head, or the last part of a body.
         self._loose_bytes = 0
         self._head_timer: asyncio.TimerHandle | None = None
@@ -121,8 +140,11 @@
         self._stop_head_timer()
         self._stop_write_timer()
         self._uploads.close(self)
-        self.upload.end()
-        self._ahead.end()
+        for upload in (self.upload, self._ahead):
+            upload.end()
+            # It would keep this connection, and its head, until a garbage collection.
+            upload.on_give_way(_nothing)
+        self._last_body = None
         super().connection_lost(exc)
 
     def abort(self) -> None:
@@ -130,12 +152,34 @@
         if self.transport is not None:
             self.transport.abort()
 
-    def begin_request(self) -> None:
-        """Begins to count the next request."""
-        self.upload.end()
-        self._ahead.end()
+    def begin_request(self, message: Any = None) -> None:
+        """Begins to count the next request, whose head aiohttp keeps until the one after it."""
+        headers = getattr(message, "raw_headers", ())
+        head_bytes = HEAD_COPIES * sum(len(name) + len(value) for name, value in headers)
+        self._uploads.hold_head(self, head_bytes)
+        for upload in (self.upload, self._ahead):
+            upload.end()
+            upload.on_give_way(_nothing)
         self.upload = self._uploads.budget.begin(self.abort)
         self._ahead = self._uploads.budget.begin(self.abort)
+        self._is_serving = True
+        behind_bytes = self._behind_bytes()
+        if behind_bytes:
+            self._ahead.add(behind_bytes)
+
+    def _behind_bytes(self) -> int:
+        """Returns the bytes of whole and partial requests that wait for the present one."""
+        size_bytes = self._unparsed_bytes + len(self._message_tail)
+        for message, body in self._messages:
+            size_bytes += body.total_bytes
+            for name, value in getattr(message, "raw_headers", ()):
+                size_bytes += len(name) + len(value)
+        return size_bytes
+
+    @property
+    def receives_body(self) -> bool:
+        """Whether the body of the last request has not arrived completely."""
+        return self._last_body is not None and not self._last_body.is_eof()
 
     def note_whole(self) -> None:
         """Notes that the whole request has arrived."""
@@ -146,6 +190,11 @@
         requests, body = self._request_count, self._last_body
         body_bytes = body.total_bytes if body is not None else 0
         super().data_received(data)
+        if not self._buffer_paused:
+            self._unparsed_bytes = 0
+        elif data:
+            # The parser has stopped at the limit of waiting requests and keeps the rest.
+            self._unparsed_bytes = len(data)
         if self._request_count != requests:
             if self._messages:
                 self._last_body = self._messages[-1][1]
@@ -155,11 +204,14 @@
             self._loose_bytes = 0
         elif not self._buffer_paused and not self._reading_paused:
             self._note_loose(data, body is not None and not body.is_eof())
-        if self._messages and self._current_request is not None:
+        if self._messages and (self._is_serving or self._current_request is not None):
             self._ahead.add(len(data))
 
     def _note_loose(self, data: bytes, in_body: bool) -> None:
         """Counts bytes of an incomplete head, or of chunk extensions and trailers."""
+        if self._close or self._force_close:
+            # They have been dropped.
+            return
         self._loose_bytes += len(data)
         if self._loose_bytes > max(MAX_HEAD_BYTES, 2 * self._limits().max_header_bytes):
             if not in_body and self._current_request is None and self.transport is not None:
@@ -202,6 +254,7 @@
         except ConnectionError:
             return resp, True
         finally:
+            self._is_serving = False
             self.upload.end()
             self._uploads.table.end(self)
 
@@ -220,15 +273,33 @@
             self._write_timer = self._loop.call_later(
                 self._limits().idle_timeout_ms / 1000.0,
                 self._check_taken,
-                self.transport.get_write_buffer_size(),
+                self._untaken_bytes(),
             )
 
+    def _untaken_bytes(self) -> int:
+        """Returns the bytes that the caller's system has not acknowledged.
+
+        The system takes more of the buffer only after a large part of its own is free, so the
+        buffer alone may not change for a long time although the caller reads steadily.
+        """
+        assert self.transport is not None
+        left_bytes = self.transport.get_write_buffer_size()
+        connection = self.transport.get_extra_info("socket")
+        if connection is None or connection.fileno() < 0:
+            return left_bytes
+        try:
+            unsent = fcntl.ioctl(connection.fileno(), termios.TIOCOUTQ, struct.pack("i", 0))
+        except OSError:
+            # Not every system tells; the buffer alone is a coarser measure.
+            return left_bytes
+        return left_bytes + struct.unpack("i", unsent)[0]
+
     def _check_taken(self, left_bytes: int) -> None:
         """Closes the connection if the caller has taken nothing since the last check."""
         self._write_timer = None
         if self.transport is None:
             return
-        if self.transport.get_write_buffer_size() < left_bytes:
+        if self._untaken_bytes() < left_bytes:
             self._watch_taken()
             return
         log_warning(Event.ANSWER_NOT_TAKEN, left_bytes=left_bytes)
@@ -258,6 +329,33 @@
         self.connections_closed = 0
         self.heads_refused = 0
         self._reported, self._reported_ms = 0, -REPORT_MS
+        # Memory of large heads by connection, the oldest first.
+        self._heads: dict[CallerConnection, int] = {}
+        self.head_bytes = 0
+
+    def hold_head(self, connection: CallerConnection, size_bytes: int) -> None:
+        """Counts the head of the last request of a connection in place of the one before it.
+
+        If large heads take too much memory, connections that serve no request are closed.
+        """
+        self._release_head(connection)
+        if size_bytes <= SMALL_HEAD_BYTES:
+            return
+        self._heads[connection] = size_bytes
+        self.head_bytes += size_bytes
+        while self.head_bytes > self.budget.limit_bytes:
+            idle = (
+                other
+                for other in self._heads
+                if other is not connection and not self.table.is_running(other)
+            )
+            victim = next(idle, connection)
+            self._release_head(victim)
+            self.connections_closed += 1
+            victim.abort()
+
+    def _release_head(self, connection: CallerConnection) -> None:
+        self.head_bytes -= self._heads.pop(connection, 0)
 
     def open(self, connection: CallerConnection) -> None:
         """Counts a connection; closes another one if there are too many."""
@@ -274,6 +372,7 @@
 
     def close(self, connection: CallerConnection) -> None:
         """Counts a connection no longer."""
+        self._release_head(connection)
         self.table.close(connection)
 
     def gauges(self) -> dict[str, float]:
--- a/src/medlarvale/uploads/reader.py
+++ b/src/medlarvale/uploads/reader.py
@@ -113,6 +113,8 @@
     except BaseException:
         # The traceback keeps the frames of the readers.
         parts.clear()
+        # The limit on the idle time can't be changed any more.
+        upload.on_give_way(parts.clear)
         raise
     upload.hand_over()
     return parts.join()
--- a/tests/overload/test_admission.py
+++ b/tests/overload/test_admission.py
@@ -101,9 +101,12 @@
 
     def test_requests_that_wait_at_peers_count_as_ahead(self) -> None:
         """Guards against a host with a short queue that lets callers wait in vain behind those of
-        other hosts, and against numbers of a peer that has long been silent."""
+        other hosts, against numbers of a peer that has long been silent, and against a refusal
+        because of them while engines have memory."""
         rules, request = make_rules(0, 3), make_place(3).request
         rules.note_peer_waiting(HostId("h1"), {0: 20, 3: 20, 9: 100}, NOW_MS)
+        self.assertEqual(rules.expected_wait_ms(request, [], NOW_MS), 0.0)
+        rules.note_engine_refusal(NOW_MS)
         behind_ms = rules.expected_wait_ms(request, [], NOW_MS)
         self.assertGreater(behind_ms, 0.0)
         urgent_ms = rules.expected_wait_ms(make_place(0).request, [], NOW_MS)
