--- a/src/medlarvale/forwarding/fleet_messages.py
+++ b/src/medlarvale/forwarding/fleet_messages.py
@@ -68,8 +68,6 @@
         unreached: services whose servers the sender can't reach.
         keeps_streams: whether the sender remembers streams for its peers.
         grants_quotas: whether the sender grants quotas of workspaces; not in an earlier build.
-        slow_engines: gaps in ms between the events of slow engines, or their times for 1,000 prompt
-            tokens, as the sender measured them.
         waiting: number of streams that wait at the sender, by service and priority; only where the
             streams of a service differ in priority or workspace.
     """
@@ -89,7 +87,6 @@
     unreached: frozenset[ServiceName] = frozenset()
     keeps_streams: bool = False
     grants_quotas: bool = False
-    slow_engines: dict[ServerId, Count] = {}
     waiting: dict[ServiceName, dict[int, Count]] = {}
 
 
--- a/src/medlarvale/forwarding/host.py
+++ b/src/medlarvale/forwarding/host.py
@@ -353,7 +353,6 @@
             self._context.reach.unreached,
             keeps_streams=True,
             grants_quotas=self._quotas.task.owners.grants,
-            slow_engines=self.streams.slow_engines(),
             waiting=self.streams.waiting(),
         )
 
@@ -383,7 +382,6 @@
         for server, named in hello.limits.items():
             if self.servers.get(server) is not None:
                 self.servers.limits.merge(server, named, self.clock.now_ms())
-        self.streams.note_slow_engines(hello.slow_engines)
         if hello.failure_domain != self._parameters.failure_domain:
             self.servers.isolation.note_contact(self.clock.now_ms())
 
--- a/src/medlarvale/forwarding/memory.py
+++ b/src/medlarvale/forwarding/memory.py
@@ -21,7 +21,6 @@
 from medlarvale.ids import ServerId, ServiceName, SoftwareVersion
 from medlarvale.logs import Event, log_warning
 from medlarvale.overload.admission import QueueRules, Refusal, WaitingRequest
-from medlarvale.placement.engine_gaps import USUAL_SHARE, sees_few_streams
 from medlarvale.placement.engine_order import order_engines
 
 # Retry interval for an engine that refused a reservation, unless this host freed memory there. With
@@ -76,7 +75,6 @@
         self._context = context
         self._service = service
         self._traits = traits
-        self._model = meter.model
         self.rules = QueueRules(
             service,
             meter.model,
@@ -393,10 +391,5 @@
     def _sort_engines(
         self, candidates: list[ServerLoad], preferred: ServerId | None
     ) -> list[ServerLoad]:
-        context, now_ms, usual_gap_ms = self._context, self._context.clock.now_ms(), None
-        if sees_few_streams(context.host_count()):
-            usual_gap_ms = self._model.event_ms(now_ms, USUAL_SHARE)
-        memory = self._traits().memory_tokens
-        return order_engines(
-            candidates, context.servers, memory, usual_gap_ms, now_ms, context.rng, preferred
-        )
+        memory, context = self._traits().memory_tokens, self._context
+        return order_engines(candidates, context.servers, memory, context.rng, preferred)
--- a/src/medlarvale/forwarding/prefill.py
+++ b/src/medlarvale/forwarding/prefill.py
@@ -14,7 +14,6 @@
 from medlarvale.forwarding.silence import CHECK_AFTER_MS
 from medlarvale.ids import ServerId, ServiceName
 from medlarvale.logs import Event, log_warning
-from medlarvale.placement.engine_gaps import PACE_TOKENS, USUAL_SHARE, sees_few_streams
 from medlarvale.prompt_cache import weighing
 from medlarvale.prompt_cache.records import SentPart, prompt_parts
 
@@ -195,17 +194,13 @@
                 candidates, key=lambda load: (load.tokens, context.rng.random()), default=None
             )
         recent_wait_ms = self._meter.prefill_waits.wait_ms(now_ms)
-        gaps, usual_ms = context.servers.gaps, None
-        if sees_few_streams(context.host_count()):
-            usual_ms = gaps.usual_ms((load.server for load in candidates), now_ms)
 
         def wait_ms(load: ServerLoad) -> float:
             return max(load.tokens / speed, load.backlog.wait_ms(now_ms), recent_wait_ms)
 
         def cost(load: ServerLoad) -> tuple[float, float]:
             remote = load.server.failure_domain != decode.server.failure_domain
-            slower_ms = gaps.slower_ms(load.server, usual_ms, now_ms) * self._tokens / PACE_TOKENS
-            return wait_ms(load) + remote * REMOTE_PENALTY_MS + slower_ms, context.rng.random()
+            return wait_ms(load) + remote * REMOTE_PENALTY_MS, context.rng.random()
 
         best = min(candidates, key=cost, default=None)
         if best is None:
@@ -261,16 +256,13 @@
 
     def _local_gap_ms(self, decode: ServerLoad, tokens_per_ms: float, now_ms: float) -> float:
         """Returns the gap between events of the decode engine's streams during a prefill there."""
-        gap_ms = self._context.servers.gaps.gap_ms(decode.server, now_ms)
-        if gap_ms is None:
-            gap_ms = self._meter.model.event_ms(now_ms, USUAL_SHARE) or 0.0
-        stretched_ms = gap_ms * LOCAL_PREFILL_STRETCH
+        stretched_ms = decode.event_gap_ms * LOCAL_PREFILL_STRETCH
         steps_per_event = self._meter.model.tokens_per_event(now_ms)
         if steps_per_event is None or 2.0 * self._tokens > steps_per_event * LOCAL_CHUNK_TOKENS:
             return stretched_ms
         # All chunks fall between two events.
         whole_ms = self._tokens / (tokens_per_ms * DECODE_PREFILL_SPEED)
-        return max(stretched_ms, gap_ms + whole_ms)
+        return max(stretched_ms, decode.event_gap_ms + whole_ms)
 
     def _note_success(self, load: ServerLoad, took_ms: float, sent: tuple[SentPart, ...]) -> None:
         now_ms, model = self._context.clock.now_ms(), self._meter.model
@@ -285,8 +277,6 @@
             model.note_prefill(self._tokens, self._tokens / uncached, now_ms)
             return
         model.note_prefill(max(1, computed), took_ms, now_ms)
-        pace_ms = took_ms * PACE_TOKENS / max(1, self._tokens)
-        self._context.servers.gaps.note_own(load.server, pace_ms, now_ms)
 
     def _note_duration(
         self, stage: EngineStage, sent: tuple[SentPart, ...], took_ms: float, now_ms: float
--- a/src/medlarvale/forwarding/servers.py
+++ b/src/medlarvale/forwarding/servers.py
@@ -18,7 +18,6 @@
 from medlarvale.forwarding.server_waits import ServerWaits
 from medlarvale.ids import FailureDomain, HostId, ServerId, ServiceName, SoftwareVersion
 from medlarvale.logs import Event, log_info, log_warning
-from medlarvale.placement.engine_gaps import EngineGaps
 
 # Name of a host without peers.
 UNNAMED_HOST = HostId("")
@@ -36,6 +35,8 @@
 FAILURES_UNTIL_SUSPECT = 2
 # Weight of the newest answer in the smoothed share of failed answers.
 ERROR_SMOOTHING = 0.1
+# Weight of the newest stream in the smoothed gap between events of an engine.
+GAP_SMOOTHING = 0.2
 # Load that is added per unit by which the error share exceeds that of the best server.
 ERROR_PENALTY = 3.0
 # Shortest time between two checks of a server that is asked for by requests that wait for it.
@@ -54,6 +55,7 @@
         in_flight: requests of this host that run there.
         tokens: KV cache that this host's requests use there, in tokens.
         error_share: smoothed share of answers that are failures.
+        event_gap_ms: smoothed gap between two events of its streams; 0 before the first stream.
         backlog: estimated queue of a prefill engine.
         paused_until_ms: time before which it gets no new work after a failure or rejection.
         failures: failures since the last success.
@@ -80,8 +82,15 @@
         self.check_due = False
         self.unreachable_ms = -math.inf
         self.contact_ms = -math.inf
+        self.event_gap_ms = 0.0
         self.backlog = PrefillBacklog()
 
+    def note_event_gap(self, pause_ms: float) -> None:
+        """Updates the smoothed gap between two events."""
+        if not self.event_gap_ms:
+            self.event_gap_ms = pause_ms
+        self.event_gap_ms += GAP_SMOOTHING * (pause_ms - self.event_gap_ms)
+
     def pause_after_failure(self, now_ms: float) -> float:
         """Pauses new work for the server; returns the length of the pause in ms."""
         self.failures += 1
@@ -149,7 +158,6 @@
         self.isolation = IsolationDetector()
         self.limits = ServerLimits(host, failure_domain)
         self.waits = ServerWaits()
-        self.gaps = EngineGaps()
         # Number of changes of the list, without changes of ``cold_left_ms``.
         self.generation = 0
         self._change_callbacks: list[Callable[[], None]] = []
--- a/src/medlarvale/forwarding/stream_run.py
+++ b/src/medlarvale/forwarding/stream_run.py
@@ -659,7 +659,7 @@
         await self._finish_stream()
         gap_ms = self.times.median_gap_ms()
         if gap_ms is not None:
-            self._context.servers.gaps.note_own(load.server, gap_ms, clock.now_ms())
+            load.note_event_gap(gap_ms)
         self._note_complete(first_of_request, run.reserved_ms)
         return None
 
--- a/src/medlarvale/forwarding/streams.py
+++ b/src/medlarvale/forwarding/streams.py
@@ -13,14 +13,13 @@
 from medlarvale.forwarding.first_attempts import FirstAttemptEstimator
 from medlarvale.forwarding.fleet_messages import Demand
 from medlarvale.forwarding.memory import MemoryQueue
-from medlarvale.forwarding.messages import ClientRequest, EngineStage, EngineTraits, Route
+from medlarvale.forwarding.messages import ClientRequest, EngineTraits, Route
 from medlarvale.forwarding.plain import Reply
 from medlarvale.forwarding.recent_durations import RecentDurations
 from medlarvale.forwarding.stream_run import StreamRun, StreamSink
 from medlarvale.forwarding.stream_versions import StreamOrigin
-from medlarvale.ids import HostId, ServerId, ServiceName, SoftwareVersion
+from medlarvale.ids import HostId, ServiceName, SoftwareVersion
 from medlarvale.logs import Event, log_info, log_warning
-from medlarvale.placement.engine_gaps import USUAL_SHARE, sees_few_streams
 
 # While the callers' usual deadline is not known, they are taken to wait at most for this multiple
 # of the timeout of their route.
@@ -114,31 +113,6 @@
                 continue
             self.meter(service).model.note_peer(host, measured, now_ms)
 
-    def slow_engines(self) -> dict[ServerId, int]:
-        """Returns the gaps in ms of slow engines for the peers; none if each host knows its own."""
-        servers, now_ms = self.context.servers, self.context.clock.now_ms()
-        if not sees_few_streams(self.context.host_count()):
-            return {}
-        usual_ms = {}
-        for service, meter in self._meters.items():
-            engines = [load.server for load in servers.of_service(service)]
-            prefill = [engine for engine in engines if engine.stage is EngineStage.PREFILL]
-            for stage_ms, members in (
-                (meter.model.event_ms(now_ms, USUAL_SHARE), set(engines) - set(prefill)),
-                (servers.gaps.usual_ms(prefill, now_ms), prefill),
-            ):
-                if stage_ms is not None:
-                    usual_ms.update({engine.server: stage_ms for engine in members})
-        return servers.gaps.to_announce(usual_ms, now_ms)
-
-    def note_slow_engines(self, gaps_ms: Mapping[ServerId, int]) -> None:
-        """Records the slow engines that a peer has named."""
-        servers, now_ms = self.context.servers, self.context.clock.now_ms()
-        for server, gap_ms in gaps_ms.items():
-            load = servers.get(server)
-            if load is not None:
-                servers.gaps.note_peer(load.server, gap_ms, now_ms)
-
     def longest_ms(self, request: ClientRequest, route: Route, service: ServiceName) -> float:
         """Returns how long a stream is expected to take at most; infinity if that is unknown."""
         first_events = self._first_events.get(route.name)
--- a/src/medlarvale/placement/__init__.py
+++ b/src/medlarvale/placement/__init__.py
@@ -1,1 +1,1 @@
-"""Decides which engine runs a stream where many hosts share the engines of a service."""
+"""Decides which engine is asked to run a stream."""
--- a/src/medlarvale/placement/engine_order.py
+++ b/src/medlarvale/placement/engine_order.py
@@ -17,8 +17,6 @@
     candidates: Sequence[ServerLoad],
     servers: ServerTable,
     memory_tokens: int,
-    usual_gap_ms: float | None,
-    now_ms: float,
     rng: random.Random,
     preferred: ServerId | None,
 ) -> list[ServerLoad]:
@@ -28,8 +26,6 @@
         candidates: engines that may get work.
         servers: what is known of them.
         memory_tokens: memory of one engine.
-        usual_gap_ms: usual gap between the events of a stream; None to ignore slow engines.
-        now_ms: monotonic time.
         rng: breaks ties.
         preferred: engine that holds the KV cache of the request.
     """
@@ -39,7 +35,6 @@
         other = load.server.server != preferred
         share = load.tokens / memory_tokens + ERROR_PENALTY * (load.error_share - best_error)
         share += REMOTE_PENALTY * servers.is_remote(load)
-        share += servers.gaps.penalty(load.server, usual_gap_ms, now_ms)
         return other, share, rng.random()
 
     return sorted(candidates, key=cost)
--- a/src/medlarvale/quotas/task.py
+++ b/src/medlarvale/quotas/task.py
@@ -52,8 +52,8 @@
 # the time until its request may be granted, without asking, since most would be refused.
 HOLD_OFF_MS = 100.0
 # A request larger than the burst and the rate of this time is refused: it alone would exceed the
-# quota of a window, and its debt would keep the workspace below zero for longer than that. The
-# peers also refuse messages with an amount beyond ``MAX_NUMBER``, with all that they ask for others.
+# quota of a window, and its debt would keep the workspace below zero for longer than that. Peers
+# refuse messages with an amount beyond ``MAX_NUMBER``, with all that they ask for others.
 LARGEST_REQUEST_S = 8.0
 # Callers honour a Retry-After up to this share of their remaining time.
 RETRY_SHARE = 1.0 / 3.0
