--- a/tests/prompt_cache/test_prompt_cache.py
+++ b/tests/prompt_cache/test_prompt_cache.py
@@ -100,6 +100,8 @@
         cached = caches.note_prefill(LLM, PREFILL, (), 13_300, 14_000, 14.0, 0.0)
         small = caches.note_prefill(LLM, PREFILL, (), 200, 5_200, 100.0, 0.0)
         self.assertEqual((cached, small), (700, 5_200))
+        # A prompt without tokens shows nothing, and fails nothing.
+        self.assertEqual(caches.note_prefill(LLM, PREFILL, (), 0, 0, 5.0, 0.0), 0)
         self.assertEqual(most_frequent([1.0, 1.05, 5.0, 5.1, 9.0]), 5.0)
 
 
