Split the bounds of callers' connections into modules

connections.py held four duties in 414 lines: which connection is closed, the counts of a port, the connection itself and aiohttp's server. They are modules of their own now, so that the ports of both interfaces can share them. Nothing else changes: test_connections and test_held_heads pass as before.

--- a/src/medlarvale/forwarding/caller_server.py
+++ b/src/medlarvale/forwarding/caller_server.py
@@ -49,8 +49,10 @@
 from medlarvale.logs import Event, log_info, log_warning
 from medlarvale.quotas.charging import RequestCharges
 from medlarvale.uploads.body_budget import BodyBudget, upload_limit_bytes
-from medlarvale.uploads.connections import CallerConnection, CallerConnectionServer, Uploads
+from medlarvale.uploads.bounds import Uploads
+from medlarvale.uploads.connections import CallerConnection
 from medlarvale.uploads.reader import DEFAULT_LIMITS, read_body
+from medlarvale.uploads.servers import CallerConnectionServer
 
 NOT_READY_RETRY_MS = 500
 # Callers may still use a connection after four fifths of the configured idle time, so connections
--- a/src/medlarvale/forwarding/host.py
+++ b/src/medlarvale/forwarding/host.py
@@ -54,7 +54,8 @@
 from medlarvale.quotas.charging import RequestCharges
 from medlarvale.quotas.messages import QUOTA_MESSAGES
 from medlarvale.uploads.body_budget import BodyBudget, upload_limit_bytes
-from medlarvale.uploads.connections import Uploads, max_caller_connections
+from medlarvale.uploads.bounds import Uploads
+from medlarvale.uploads.connection_table import max_caller_connections
 
 # For streams of a service without engines: nothing is reserved, because its servers reject excess
 # requests.
--- a/src/medlarvale/uploads/connections.py
+++ b/src/medlarvale/uploads/connections.py
@@ -1,4 +1,4 @@
-"""Connections of callers: how many, and what each may hold beside the body that is being read."""
+"""Connections that callers open: what each may hold of the process."""
 
 from __future__ import annotations
 
@@ -6,106 +6,33 @@
 import fcntl
 import struct
 import termios
-from collections.abc import Callable, Hashable
-from typing import Any, Generic, TypeVar
+from typing import Any
 
 from aiohttp import web
 from aiohttp.streams import StreamReader
 
 from medlarvale.logs import Event, log_warning
-from medlarvale.uploads.body_budget import BodyBudget, Upload
-from medlarvale.uploads.reader import DEFAULT_LIMITS, MAX_HEAD_BYTES, LimitsSource
+from medlarvale.uploads.body_budget import Upload
+from medlarvale.uploads.bounds import Uploads
+from medlarvale.uploads.reader import MAX_HEAD_BYTES, LimitsSource
 
-# Descriptors for files, of those that a process may have.
-FILE_DESCRIPTORS = 200
-# Share of the other descriptors for connections to backend servers, peers and the store.
-BACKEND_SHARE = 0.25
-# Bound without a known number of descriptors.
-DEFAULT_CONNECTIONS = 20_000
 # aiohttp stops reading when twice as many bytes of a body wait for a reader.
 READ_BUFFER_BYTES = 64 * 1024
 # Time for which the rest of a refused body is read and dropped, so that the caller can read the
 # refusal: without it, the system resets the connection.
 LINGERING_S = 1.0
-REPORT_MS = 1_000.0
 # aiohttp keeps a head as bytes and as text, in its parser and in the request (measured: 3.6).
 HEAD_COPIES = 4
-# Memory of a head up to which it is not counted: those of 1,078 connections take 17 MB.
-SMALL_HEAD_BYTES = 16 * 1024
 HEAD_REFUSAL = (
     b"HTTP/1.1 431 Request Header Fields Too Large\r\n"
     b"Content-Length: 0\r\nConnection: close\r\n\r\n"
 )
 
-_KeyT = TypeVar("_KeyT", bound=Hashable)
-
-
-def max_caller_connections(max_descriptors: int | None) -> int:
-    """Returns the bound on callers' connections.
-
-    Args:
-        max_descriptors: most descriptors of the process; None if unknown.
-    """
-    if max_descriptors is None:
-        return DEFAULT_CONNECTIONS
-    return max(1, int((1.0 - BACKEND_SHARE) * (max_descriptors - FILE_DESCRIPTORS)))
-
 
 def _nothing() -> None:
     pass
 
 
-class ConnectionTable(Generic[_KeyT]):
-    """Decides, without I/O, which connections are closed beyond a bound.
-
-    Args:
-        max_connections: the bound.
-    """
-
-    def __init__(self, max_connections: int) -> None:
-        self._max_connections = max_connections
-        # In order of their last whole request, or of their opening if there was none.
-        self._waiting: dict[_KeyT, None] = {}
-        self._running: set[_KeyT] = set()
-
-    def __len__(self) -> int:
-        return len(self._waiting) + len(self._running)
-
-    def open(self, connection: _KeyT) -> _KeyT | None:
-        """Adds a connection; returns the one that is to be closed for it, if any.
-
-        It is the one that has gone longest without a whole request. Connections whose request is
-        being answered stay open.
-        """
-        self._waiting[connection] = None
-        if len(self) <= self._max_connections:
-            return None
-        longest = next(iter(self._waiting))
-        del self._waiting[longest]
-        return longest
-
-    def begin(self, connection: _KeyT) -> None:
-        """Notes that a whole request has arrived on a connection."""
-        if connection in self._waiting:
-            del self._waiting[connection]
-            self._running.add(connection)
-
-    def end(self, connection: _KeyT) -> None:
-        """Notes that the answer to the request has been written."""
-        if connection in self._running:
-            self._running.discard(connection)
-            self._waiting[connection] = None
-
-    def is_running(self, connection: _KeyT) -> bool:
-        """Returns whether a whole request of a connection is being answered."""
-        return connection in self._running
-
-    def close(self, connection: _KeyT) -> None:
-        """Removes a connection."""
-        self._waiting.pop(connection, None)
-        self._running.discard(connection)
-
-
 class CallerConnection(web.RequestHandler):
     """Connection of a caller that holds a bounded number of bytes.
 
@@ -309,106 +236,3 @@
         if self._write_timer is not None:
             self._write_timer.cancel()
             self._write_timer = None
-
-
-class Uploads:
-    """The bounds of one host on what callers hold of it.
-
-    Args:
-        budget: counts bodies.
-        max_connections: bound on callers' connections.
-
-    Attributes:
-        connections_closed: number of connections that were closed because of the bound.
-        heads_refused: number of heads that were too large or stayed incomplete.
-    """
-
-    def __init__(self, budget: BodyBudget, max_connections: int = DEFAULT_CONNECTIONS) -> None:
-        self.budget = budget
-        self.table: ConnectionTable[CallerConnection] = ConnectionTable(max_connections)
-        self.connections_closed = 0
-        self.heads_refused = 0
-        self._reported, self._reported_ms = 0, -REPORT_MS
-        # Memory of large heads by connection, the oldest first.
-        self._heads: dict[CallerConnection, int] = {}
-        self.head_bytes = 0
-
-    def hold_head(self, connection: CallerConnection, size_bytes: int) -> None:
-        """Counts the head of the last request of a connection in place of the one before it.
-
-        If large heads take too much memory, connections that serve no request are closed.
-        """
-        self._release_head(connection)
-        if size_bytes <= SMALL_HEAD_BYTES:
-            return
-        self._heads[connection] = size_bytes
-        self.head_bytes += size_bytes
-        while self.head_bytes > self.budget.limit_bytes:
-            idle = (
-                other
-                for other in self._heads
-                if other is not connection and not self.table.is_running(other)
-            )
-            victim = next(idle, connection)
-            self._release_head(victim)
-            self.connections_closed += 1
-            victim.abort()
-
-    def _release_head(self, connection: CallerConnection) -> None:
-        self.head_bytes -= self._heads.pop(connection, 0)
-
-    def open(self, connection: CallerConnection) -> None:
-        """Counts a connection; closes another one if there are too many."""
-        longest = self.table.open(connection)
-        if longest is None:
-            return
-        self.connections_closed += 1
-        longest.abort()
-        now_ms = self.budget.now_ms()
-        if now_ms - self._reported_ms >= REPORT_MS:
-            closed = self.connections_closed - self._reported
-            log_warning(Event.CONNECTIONS_CLOSED, closed=closed, open=len(self.table))
-            self._reported, self._reported_ms = self.connections_closed, now_ms
-
-    def close(self, connection: CallerConnection) -> None:
-        """Counts a connection no longer."""
-        self._release_head(connection)
-        self.table.close(connection)
-
-    def gauges(self) -> dict[str, float]:
-        """Returns figures for the metrics."""
-        return {
-            "upload_bytes": self.budget.held_bytes,
-            "uploads_dropped": self.budget.dropped,
-            "caller_connections": len(self.table),
-            "caller_connections_closed": self.connections_closed,
-            "heads_refused": self.heads_refused,
-        }
-
-
-class CallerConnectionServer(web.Server):
-    """Server whose connections are bounded.
-
-    Args:
-        handler: answers a request.
-        uploads: the bounds.
-        limits: returns the limits of the configuration.
-        options: further options of aiohttp's server.
-    """
-
-    def __init__(
-        self,
-        handler: Callable[..., Any],
-        uploads: Uploads,
-        limits: LimitsSource = lambda: DEFAULT_LIMITS,
-        **options: Any,
-    ) -> None:
-        super().__init__(
-            handler, read_bufsize=READ_BUFFER_BYTES, lingering_time=LINGERING_S, **options
-        )
-        self._uploads = uploads
-        self._limits = limits
-
-    def __call__(self) -> web.RequestHandler:
-        """Returns the protocol of a new connection."""
-        return CallerConnection(self._uploads, self._limits, self, loop=self._loop, **self._kwargs)
--- a/tests/uploads/test_connections.py
+++ b/tests/uploads/test_connections.py
@@ -12,15 +12,15 @@
 
 from medlarvale.forwarding.messages import RequestLimits
 from medlarvale.uploads.body_budget import BodyBudget
-from medlarvale.uploads.connections import (
+from medlarvale.uploads.bounds import Uploads
+from medlarvale.uploads.connection_table import (
     DEFAULT_CONNECTIONS,
-    CallerConnection,
-    CallerConnectionServer,
     ConnectionTable,
-    Uploads,
     max_caller_connections,
 )
+from medlarvale.uploads.connections import CallerConnection
 from medlarvale.uploads.reader import MAX_HEAD_BYTES
+from medlarvale.uploads.servers import CallerConnectionServer
 
 HEADER_TIMEOUT_MS = 30.0
 LIMITS = RequestLimits(16_384, 1_000_000, HEADER_TIMEOUT_MS, HEADER_TIMEOUT_MS)
--- a/tests/uploads/test_held_heads.py
+++ b/tests/uploads/test_held_heads.py
@@ -6,7 +6,8 @@
 from typing import cast
 
 from medlarvale.uploads.body_budget import BodyBudget
-from medlarvale.uploads.connections import SMALL_HEAD_BYTES, CallerConnection, Uploads
+from medlarvale.uploads.bounds import SMALL_HEAD_BYTES, Uploads
+from medlarvale.uploads.connections import CallerConnection
 
 LARGE_BYTES = 4 * SMALL_HEAD_BYTES
 ROOM_FOR = 3
