Parse nothing after the first error of a connection

What callers saw: a host of `forward` ended, out of memory, while callers sent heads without an end.

Cause: aiohttp's parser fails, and fails again on each further piece. Each failure puts an error with its traceback into the queue of requests; the traceback refers to the frame that refers to the error and to the piece, up to 256 KiB, so that it stays until a garbage collection. uvloop delivers up to 32 pieces before the handler of the first error runs. Each failure also counted as a request, which set the count of loose bytes back to 0, so that the bound on heads was never met. The text of the error repeats what was sent and was logged and sent back.

Change: after the first error what arrives is dropped unparsed; the error in the queue is replaced by one of ours without traceback, and the connection is closed a second after the refusal, so that its caller can read it. A body that was being received ends at once with 400 (malformed_http, not run) instead of waiting for the idle timeout. Event 5043 is logged once a second at most.

Why it works: whatever comes after the error has no reader and no reference any more.

--- a/src/medlarvale/callers/validation.py
+++ b/src/medlarvale/callers/validation.py
@@ -26,7 +26,7 @@
 from medlarvale.forwarding.errors import BodyTooLargeError as ForwardedBodyTooLargeError
 from medlarvale.scheduling.messages import WorkClass
 from medlarvale.uploads.body_budget import BodyBudget, Upload
-from medlarvale.uploads.errors import NoRoomError
+from medlarvale.uploads.errors import MalformedHttpError, NoRoomError
 from medlarvale.uploads.reader import read_pieces
 
 # Limits how long a caller that sends its body too slowly occupies a connection.
@@ -305,5 +305,5 @@
             return await read_pieces(request.content, upload, limit_bytes, 2.0 * BODY_TIMEOUT_MS)
     except ForwardedBodyTooLargeError as error:
         raise BodyTooLargeError(f"the body is larger than {limit_bytes} bytes") from error
-    except web.RequestPayloadError as error:
+    except MalformedHttpError as error:
         raise MalformedRequestError("the body is malformed") from error
--- a/src/medlarvale/uploads/bounds.py
+++ b/src/medlarvale/uploads/bounds.py
@@ -31,7 +31,7 @@
 
     Attributes:
         connections_closed: number of connections that were closed because of the bound.
-        heads_refused: number of heads that were too large or stayed incomplete.
+        heads_refused: number of heads that were malformed, too large or stayed incomplete.
     """
 
     def __init__(self, budget: BodyBudget, max_connections: int = DEFAULT_CONNECTIONS) -> None:
@@ -39,7 +39,8 @@
         self.table: ConnectionTable[BoundedConnection] = ConnectionTable(max_connections)
         self.connections_closed = 0
         self.heads_refused = 0
-        self._reported, self._reported_ms = 0, -REPORT_MS
+        self._closed_report = _Report()
+        self._refused_report = _Report()
         # Memory of large heads by connection, the oldest first.
         self._heads: dict[BoundedConnection, int] = {}
         self.head_bytes = 0
@@ -62,7 +63,7 @@
             )
             victim = next(idle, connection)
             self._release_head(victim)
-            self.connections_closed += 1
+            self._note_closed()
             victim.abort()
 
     def _release_head(self, connection: BoundedConnection) -> None:
@@ -71,21 +72,31 @@
     def open(self, connection: BoundedConnection) -> None:
         """Counts a connection; closes another one if there are too many."""
         longest = self.table.open(connection)
-        if longest is None:
-            return
-        self.connections_closed += 1
-        longest.abort()
-        now_ms = self.budget.now_ms()
-        if now_ms - self._reported_ms >= REPORT_MS:
-            closed = self.connections_closed - self._reported
-            log_warning(Event.CONNECTIONS_CLOSED, closed=closed, open=len(self.table))
-            self._reported, self._reported_ms = self.connections_closed, now_ms
+        if longest is not None:
+            self._note_closed()
+            longest.abort()
 
     def close(self, connection: BoundedConnection) -> None:
         """Counts a connection no longer."""
         self._release_head(connection)
         self.table.close(connection)
 
+    def _note_closed(self) -> None:
+        self.connections_closed += 1
+        if closed := self._closed_report.due(self.connections_closed, self.budget.now_ms()):
+            log_warning(Event.CONNECTIONS_CLOSED, closed=closed, open=len(self.table))
+
+    def note_head_refused(self, reason: str, size_bytes: int) -> None:
+        """Counts a head that was refused.
+
+        Args:
+            reason: what is wrong with it.
+            size_bytes: bytes of it that have arrived.
+        """
+        self.heads_refused += 1
+        if refused := self._refused_report.due(self.heads_refused, self.budget.now_ms()):
+            log_warning(Event.HEAD_REFUSED, reason=reason, size_bytes=size_bytes, refused=refused)
+
     def gauges(self) -> dict[str, float]:
         """Returns figures for the metrics."""
         return {
@@ -95,3 +106,17 @@
             "caller_connections_closed": self.connections_closed,
             "heads_refused": self.heads_refused,
         }
+
+
+class _Report:
+    """Limits the reports of a count to one in ``REPORT_MS``."""
+
+    def __init__(self) -> None:
+        self._reported, self._reported_ms = 0, -REPORT_MS
+
+    def due(self, count: int, now_ms: float) -> int:
+        """Returns by how much the count has grown since the last report; 0 if none is due."""
+        if now_ms - self._reported_ms < REPORT_MS:
+            return 0
+        grown, self._reported, self._reported_ms = count - self._reported, count, now_ms
+        return grown
--- a/src/medlarvale/uploads/connections.py
+++ b/src/medlarvale/uploads/connections.py
@@ -6,27 +6,28 @@
 import fcntl
 import struct
 import termios
+from http import HTTPStatus
 from typing import Any
 
 from aiohttp import web
+from aiohttp.http_exceptions import LineTooLong
 from aiohttp.streams import StreamReader
+from aiohttp.web_protocol import _ErrInfo
 
+from medlarvale.errors import MedlarvaleError
 from medlarvale.logs import Event, log_warning
 from medlarvale.uploads.body_budget import Upload
 from medlarvale.uploads.bounds import Uploads
+from medlarvale.uploads.errors import HeadTooLargeError, MalformedHttpError
 from medlarvale.uploads.reader import MAX_HEAD_BYTES, LimitsSource
 
 # aiohttp stops reading when twice as many bytes of a body wait for a reader.
 READ_BUFFER_BYTES = 64 * 1024
-# Time for which the rest of a refused body is read and dropped, so that the caller can read the
+# Time for which the rest of a refused request is read and dropped, so that the caller can read the
 # refusal: without it, the system resets the connection.
 LINGERING_S = 1.0
 # aiohttp keeps a head as bytes and as text, in its parser and in the request (measured: 3.6).
 HEAD_COPIES = 4
-HEAD_REFUSAL = (
-    b"HTTP/1.1 431 Request Header Fields Too Large\r\n"
-    b"Content-Length: 0\r\nConnection: close\r\n\r\n"
-)
 
 
 def _nothing() -> None:
@@ -54,6 +55,8 @@
         self._unparsed_bytes = 0
         # Bytes since the last whole head, or the last part of a body.
         self._loose_bytes = 0
+        # Whether nothing that arrives is parsed any more.
+        self._refused = False
         self._head_timer: asyncio.TimerHandle | None = None
         self._write_timer: asyncio.TimerHandle | None = None
 
@@ -114,6 +117,8 @@
 
     def data_received(self, data: bytes) -> None:
         """Reads bytes; counts those that no reader takes out of memory."""
+        if self._refused:
+            return
         requests, body = self._request_count, self._last_body
         body_bytes = body.total_bytes if body is not None else 0
         super().data_received(data)
@@ -123,10 +128,7 @@
             # The parser has stopped at the limit of waiting requests and keeps the rest.
             self._unparsed_bytes = len(data)
         if self._request_count != requests:
-            if self._messages:
-                self._last_body = self._messages[-1][1]
-            self._loose_bytes = 0
-            self._stop_head_timer()
+            self._note_requests()
         elif body is not None and body.total_bytes != body_bytes:
             self._loose_bytes = 0
         elif not self._buffer_paused and not self._reading_paused:
@@ -134,6 +136,60 @@
         if self._messages and (self._is_serving or self._current_request is not None):
             self._ahead.add(len(data))
 
+    def _note_requests(self) -> None:
+        """Notes the heads that have arrived, or that the parser has found an error."""
+        self._loose_bytes = 0
+        self._stop_head_timer()
+        if self._messages:
+            message, body = self._messages[-1]
+            if isinstance(message, _ErrInfo):
+                self._refuse_malformed(message.exc)
+            else:
+                self._last_body = body
+
+    def _refuse_malformed(self, error: BaseException) -> None:
+        """Drops what arrives after an error of the parser, which could only fail again.
+
+        aiohttp answers the error after the requests before it.
+        """
+        # The traceback refers to the frames that refer to the error and to the bytes read.
+        error.__traceback__ = None
+        refusal: MedlarvaleError
+        if isinstance(error, LineTooLong):
+            refusal = HeadTooLargeError("a line of the head is too large")
+        else:
+            refusal = MalformedHttpError("the request is not well-formed HTTP")
+        self._uploads.note_head_refused(refusal.code, 0)
+        info = _ErrInfo(refusal.http_status, refusal, refusal.message)
+        self._messages[-1] = info, self._messages[-1][1]
+        self._refused = True
+        if self.receives_body:
+            assert self._last_body is not None
+            self._last_body.set_exception(web.RequestPayloadError(refusal.message))
+            self._last_body.feed_eof()
+
+    def handle_error(
+        self,
+        request: web.BaseRequest,
+        status: int = 500,
+        exc: BaseException | None = None,
+        message: str | None = None,
+    ) -> web.StreamResponse:
+        """Answers a request that the parser has refused, or whose handler has failed."""
+        if isinstance(exc, MedlarvaleError):
+            error = exc
+        elif status < HTTPStatus.INTERNAL_SERVER_ERROR:
+            error = MalformedHttpError("the request is not well-formed HTTP")
+        else:
+            return super().handle_error(request, status, exc, message)
+        response = self.refusal(error)
+        response.force_close()
+        return response
+
+    def refusal(self, error: MedlarvaleError) -> web.Response:
+        """Returns the answer to a request that has not been parsed completely."""
+        return web.Response(status=error.http_status, body=error.code.encode())
+
     def _note_loose(self, data: bytes, in_body: bool) -> None:
         """Counts bytes of an incomplete head, or of chunk extensions and trailers."""
         if self._close or self._force_close:
@@ -141,9 +197,10 @@
             return
         self._loose_bytes += len(data)
         if self._loose_bytes > max(MAX_HEAD_BYTES, 2 * self._limits().max_header_bytes):
-            if not in_body and self._current_request is None and self.transport is not None:
-                self.transport.write(HEAD_REFUSAL)
-            self._end_head("too large")
+            if in_body or self._current_request is not None or self._is_serving:
+                self._end_head("too large")
+            else:
+                self._refuse_large_head()
         elif self._head_timer is None and not in_body and self._current_request is None:
             if not data.strip(b"\r\n"):
                 # Line breaks before a request begin no head (RFC 9112, section 2.2).
@@ -153,11 +210,27 @@
             )
 
     def _end_head(self, reason: str) -> None:
-        log_warning(Event.HEAD_REFUSED, reason=reason, size_bytes=self._loose_bytes)
-        self._uploads.heads_refused += 1
+        self._uploads.note_head_refused(reason, self._loose_bytes)
         self._stop_head_timer()
         self.force_close()
 
+    def _refuse_large_head(self) -> None:
+        """Answers a head without waiting for its end."""
+        self._uploads.note_head_refused("too large", self._loose_bytes)
+        self._stop_head_timer()
+        self._refused = True
+        response = self.refusal(HeadTooLargeError("the head of the request is too large"))
+        body = response.body
+        assert isinstance(body, bytes) and self.transport is not None
+        lines = [
+            f"HTTP/1.1 {response.status} {response.reason}",
+            *(f"{name}: {value}" for name, value in response.headers.items()),
+            f"Content-Length: {len(body)}",
+            "Connection: close",
+        ]
+        self.transport.write("\r\n".join((*lines, "", "")).encode() + body)
+        self._head_timer = self._loop.call_later(LINGERING_S, self.force_close)
+
     def _stop_head_timer(self) -> None:
         if self._head_timer is not None:
             self._head_timer.cancel()
@@ -171,19 +244,21 @@
         self.upload.on_give_way(self.abort)
         self.upload.answer(len(body) if isinstance(body, bytes) else 0)
         try:
-            written = await super().finish_response(request, resp, start_time)
+            result = await super().finish_response(request, resp, start_time)
             if isinstance(resp, web.Response):
                 # aiohttp keeps the response until the next one.
                 resp._body = None
             if self.transport is not None:
                 await self._drain_helper()
-            return written
         except ConnectionError:
-            return resp, True
+            result = resp, True
         finally:
             self._is_serving = False
             self.upload.end()
             self._uploads.table.end(self)
+        if self._refused and not self._messages and self.transport is not None:
+            await asyncio.sleep(LINGERING_S)
+        return result
 
     def pause_writing(self) -> None:
         """Begins to watch whether the caller takes what has been written."""
--- a/src/medlarvale/uploads/errors.py
+++ b/src/medlarvale/uploads/errors.py
@@ -28,6 +28,14 @@
     http_status = 408
 
 
+class MalformedHttpError(ForwardingError):
+    """A request is not well-formed HTTP/1.1."""
+
+    code = "malformed_http"
+    outcome = Outcome.NOT_RUN
+    http_status = 400
+
+
 class HeadTooLargeError(ForwardingError):
     """The headers of a request are larger than the host accepts."""
 
--- a/src/medlarvale/uploads/reader.py
+++ b/src/medlarvale/uploads/reader.py
@@ -12,7 +12,12 @@
 from medlarvale.forwarding.messages import MAX_REQUEST_HEADER_BYTES, RequestLimits
 from medlarvale.logs import Event, log_warning
 from medlarvale.uploads.body_budget import Upload
-from medlarvale.uploads.errors import HeadTooLargeError, NoRoomError, UploadStalledError
+from medlarvale.uploads.errors import (
+    HeadTooLargeError,
+    MalformedHttpError,
+    NoRoomError,
+    UploadStalledError,
+)
 
 # Largest body whatever the configuration says, before one is known, and of requests that peers
 # relay: their frames also carry the headers.
@@ -106,6 +111,7 @@
         BodyTooLargeError: it is larger.
         NoRoomError: it has given way to other bodies.
         UploadStalledError: it has made no progress.
+        MalformedHttpError: its chunks are malformed.
     """
     parts = _Parts()
     try:
@@ -153,6 +159,8 @@
                 if upload.size_bytes > max_body_bytes:
                     raise BodyTooLargeError("the body is larger than the configuration allows")
                 parts.add(piece)
+    except web.RequestPayloadError as error:
+        raise MalformedHttpError("the body is malformed") from error
     except TimeoutError as error:
         if not upload.dropped:
             if not idle.expired():
--- a/tests/uploads/test_connections.py
+++ b/tests/uploads/test_connections.py
@@ -73,7 +73,7 @@
                 self.assertEqual(max_caller_connections(max_descriptors), connections)
 
 
-class _Transport(asyncio.Transport):
+class RecordingTransport(asyncio.Transport):
     """Transport that records what is written and whether it was closed."""
 
     def __init__(self) -> None:
@@ -154,8 +154,8 @@
             max_field_size=MAX_HEAD_BYTES,
         )
 
-    async def connect(self) -> tuple[CallerConnection, _Transport]:
-        connection, transport = self.server(), _Transport()
+    async def connect(self) -> tuple[CallerConnection, RecordingTransport]:
+        connection, transport = self.server(), RecordingTransport()
         assert isinstance(connection, CallerConnection)
         connection.connection_made(transport)
         self.addCleanup(connection.connection_lost, None)
