Bound the heads of all connections together, complete or not

What callers saw: each incomplete head was bounded (32 KiB and its copies), all of them together were not: 1,000 connections may hold over 100 MB. Heads that had arrived and waited for a request in progress were not counted either.

Cause: only the head of the present request was counted, when its handler began.

Change: a connection counts the heads that it holds after each read: that of the present request, those that wait, and the incomplete one. The memory below which a connection is not closed for its heads is an equal share of the bound where there are many connections.

--- a/src/medlarvale/forwarding/host.py
+++ b/src/medlarvale/forwarding/host.py
@@ -54,7 +54,7 @@
 from medlarvale.quotas.charging import RequestCharges
 from medlarvale.quotas.messages import QUOTA_MESSAGES
 from medlarvale.uploads.body_budget import BodyBudget, upload_limit_bytes
-from medlarvale.uploads.bounds import Uploads
+from medlarvale.uploads.bounds import Uploads, bounds_of_port
 from medlarvale.uploads.connection_table import max_caller_connections
 
 # For streams of a service without engines: nothing is reserved, because its servers reject excess
@@ -202,7 +202,7 @@
         context.relay = relay
         parameters = self._parameters
         bodies = BodyBudget(upload_limit_bytes(parameters.memory_bytes), self.clock.now_ms)
-        self._uploads = Uploads(bodies, max_caller_connections(parameters.max_descriptors))
+        self._uploads = bounds_of_port(bodies, max_caller_connections(parameters.max_descriptors))
         self.caller_server = CallerServer(
             self.follower,
             plain,
--- a/src/medlarvale/uploads/bounds.py
+++ b/src/medlarvale/uploads/bounds.py
@@ -9,7 +9,7 @@
 from medlarvale.uploads.connection_table import DEFAULT_CONNECTIONS, ConnectionTable
 
 REPORT_MS = 1_000.0
-# Memory of a head up to which it is not counted: those of 1,078 connections take 17 MB.
+# Most memory of the heads of a connection that is never closed for them.
 SMALL_HEAD_BYTES = 16 * 1024
 
 
@@ -28,30 +28,37 @@
     Args:
         budget: counts bodies.
         max_connections: bound on callers' connections.
+        small_head_bytes: memory of the heads of a connection up to which none is closed for them.
 
     Attributes:
         connections_closed: number of connections that were closed because of the bound.
         heads_refused: number of heads that were malformed, too large or stayed incomplete.
     """
 
-    def __init__(self, budget: BodyBudget, max_connections: int = DEFAULT_CONNECTIONS) -> None:
+    def __init__(
+        self,
+        budget: BodyBudget,
+        max_connections: int = DEFAULT_CONNECTIONS,
+        small_head_bytes: int = SMALL_HEAD_BYTES,
+    ) -> None:
         self.budget = budget
         self.table: ConnectionTable[BoundedConnection] = ConnectionTable(max_connections)
         self.connections_closed = 0
         self.heads_refused = 0
+        self._small_head_bytes = small_head_bytes
         self._closed_report = _Report()
         self._refused_report = _Report()
-        # Memory of large heads by connection, the oldest first.
+        # Memory of heads by connection, the one that has grown last at the end.
         self._heads: dict[BoundedConnection, int] = {}
         self.head_bytes = 0
 
     def hold_head(self, connection: BoundedConnection, size_bytes: int) -> None:
-        """Counts the head of the last request of a connection in place of the one before it.
+        """Counts the heads that a connection holds, complete or not, in place of those before.
 
-        If large heads take too much memory, connections that serve no request are closed.
+        If heads take too much memory, connections that serve no request are closed.
         """
         self._release_head(connection)
-        if size_bytes <= SMALL_HEAD_BYTES:
+        if size_bytes <= self._small_head_bytes:
             return
         self._heads[connection] = size_bytes
         self.head_bytes += size_bytes
@@ -108,6 +115,12 @@
         }
 
 
+def bounds_of_port(budget: BodyBudget, max_connections: int) -> Uploads:
+    """Returns the bounds of a port; its small heads together take no more than the bodies may."""
+    small_head_bytes = min(SMALL_HEAD_BYTES, budget.limit_bytes // max_connections)
+    return Uploads(budget, max_connections, small_head_bytes)
+
+
 class _Report:
     """Limits the reports of a count to one in ``REPORT_MS``."""
 
--- a/src/medlarvale/uploads/connections.py
+++ b/src/medlarvale/uploads/connections.py
@@ -55,6 +55,8 @@
         self._unparsed_bytes = 0
         # Bytes since the last whole head, or the last part of a body.
         self._loose_bytes = 0
+        # Size of the head of the present request.
+        self._head_bytes = 0
         # Whether nothing that arrives is parsed any more.
         self._refused = False
         self._head_timer: asyncio.TimerHandle | None = None
@@ -84,9 +86,8 @@
 
     def begin_request(self, message: Any = None) -> None:
         """Begins to count the next request, whose head aiohttp keeps until the one after it."""
-        headers = getattr(message, "raw_headers", ())
-        head_bytes = HEAD_COPIES * sum(len(name) + len(value) for name, value in headers)
-        self._uploads.hold_head(self, head_bytes)
+        self._head_bytes = _size_of_head(message)
+        self._count_heads()
         for upload in (self.upload, self._ahead):
             upload.end()
             upload.on_give_way(_nothing)
@@ -97,13 +98,16 @@
         if behind_bytes:
             self._ahead.add(behind_bytes)
 
+    def _count_heads(self) -> None:
+        size_bytes = self._head_bytes + self._loose_bytes
+        size_bytes += sum(_size_of_head(message) for message, _ in self._messages)
+        self._uploads.hold_head(self, HEAD_COPIES * size_bytes)
+
     def _behind_bytes(self) -> int:
         """Returns the bytes of whole and partial requests that wait for the present one."""
         size_bytes = self._unparsed_bytes + len(self._message_tail)
         for message, body in self._messages:
-            size_bytes += body.total_bytes
-            for name, value in getattr(message, "raw_headers", ()):
-                size_bytes += len(name) + len(value)
+            size_bytes += body.total_bytes + _size_of_head(message)
         return size_bytes
 
     @property
@@ -146,6 +150,7 @@
                 self._refuse_malformed(message.exc)
             else:
                 self._last_body = body
+        self._count_heads()
 
     def _refuse_malformed(self, error: BaseException) -> None:
         """Drops what arrives after an error of the parser, which could only fail again.
@@ -196,6 +201,7 @@
             # They have been dropped.
             return
         self._loose_bytes += len(data)
+        self._count_heads()
         if self._loose_bytes > max(MAX_HEAD_BYTES, 2 * self._limits().max_header_bytes):
             if in_body or self._current_request is not None or self._is_serving:
                 self._end_head("too large")
@@ -311,3 +317,9 @@
         if self._write_timer is not None:
             self._write_timer.cancel()
             self._write_timer = None
+
+
+def _size_of_head(message: Any) -> int:
+    """Returns the bytes of the headers of a request that aiohttp has parsed."""
+    headers = getattr(message, "raw_headers", ())
+    return sum(len(name) + len(value) for name, value in headers)
--- a/tests/uploads/test_connections.py
+++ b/tests/uploads/test_connections.py
@@ -18,7 +18,7 @@
     ConnectionTable,
     max_caller_connections,
 )
-from medlarvale.uploads.connections import CallerConnection
+from medlarvale.uploads.connections import HEAD_COPIES, CallerConnection
 from medlarvale.uploads.reader import MAX_HEAD_BYTES
 from medlarvale.uploads.servers import CallerConnectionServer
 
@@ -135,9 +135,9 @@
 
 
 class ConnectionTest(unittest.IsolatedAsyncioTestCase):
-    def build(self, limit_bytes: int = 1_000_000) -> None:
+    def build(self, limit_bytes: int = 1_000_000, max_connections: int = 2) -> None:
         budget = BodyBudget(limit_bytes, lambda: time.monotonic() * 1000.0)
-        self.uploads = Uploads(budget, 2)
+        self.uploads = Uploads(budget, max_connections)
         self.handled = asyncio.Event()
         self.may_answer = asyncio.Event()
 
@@ -207,6 +207,18 @@
         # Nothing of it is taken for the idle timeout.
         await asyncio.wait_for(transport.ended.wait(), EVENT_LIMIT_S)
 
+    async def test_incomplete_heads_are_bounded_together(self) -> None:
+        """Guards against heads that each stay below their bound and take all memory together."""
+        self.build(limit_bytes=HEAD_COPIES * MAX_HEAD_BYTES, max_connections=100)
+        connections = [await self.connect() for _ in range(10)]
+        for connection, _ in connections:
+            connection.data_received(HEAD + LONG_LINE)
+            connection.data_received(LONG_LINE)
+        self.assertLessEqual(self.uploads.head_bytes, HEAD_COPIES * MAX_HEAD_BYTES)
+        closed = [transport.ended.is_set() for _, transport in connections]
+        # One is left: two take more than the limit.
+        self.assertEqual(closed, [True] * 9 + [False])
+
     async def test_connections_beyond_the_bound(self) -> None:
         """Guards against idle connections that shut others out."""
         self.build()
