End connections that are being closed and whose caller takes nothing

What callers saw: a caller that reads no answer and whose connection is then closed kept its socket for good, beyond the bound on connections, so that a host may run out of descriptors.

Cause: aiohttp forgets the transport when it begins to close it, and closing waits until what was written has been taken. The bound on connections aborts through the forgotten transport, which did nothing, and the watch of untaken answers ran only while writing was paused.

Change: the connection keeps its transport until it is lost, aborts through it, and watches what is left to be taken also while it is being closed.

Evidence: test_a_closed_connection_whose_answer_is_not_taken_ends (two cases) and test_a_connection_that_is_being_closed_can_be_aborted fail on the commit before and pass now.

--- a/src/medlarvale/uploads/connections.py
+++ b/src/medlarvale/uploads/connections.py
@@ -59,12 +59,15 @@
         self._head_bytes = 0
         # Whether nothing that arrives is parsed any more.
         self._refused = False
+        # aiohttp forgets the transport when it begins to close it.
+        self._open_transport: asyncio.Transport | None = None
         self._head_timer: asyncio.TimerHandle | None = None
         self._write_timer: asyncio.TimerHandle | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Counts the connection."""
         super().connection_made(transport)
+        self._open_transport = self.transport
         self._uploads.open(self)
 
     def connection_lost(self, exc: BaseException | None) -> None:
@@ -76,13 +79,18 @@
             upload.end()
             # It would keep this connection, and its head, until a garbage collection.
             upload.on_give_way(_nothing)
-        self._last_body = None
+        self._last_body = self._open_transport = None
         super().connection_lost(exc)
 
     def abort(self) -> None:
-        """Closes the connection at once."""
-        if self.transport is not None:
-            self.transport.abort()
+        """Closes the connection at once, also if it is being closed after the rest of an answer."""
+        if self._open_transport is not None:
+            self._open_transport.abort()
+
+    def force_close(self) -> None:
+        """Closes the connection when the caller has taken what has been written."""
+        super().force_close()
+        self._watch_taken()
 
     def begin_request(self, message: Any = None) -> None:
         """Begins to count the next request, whose head aiohttp keeps until the one after it."""
@@ -262,6 +270,8 @@
             self._is_serving = False
             self.upload.end()
             self._uploads.table.end(self)
+        # The connection may be closed now, which waits for the rest of the answer.
+        self._watch_taken()
         if self._refused and not self._messages and self.transport is not None:
             await asyncio.sleep(LINGERING_S)
         return result
@@ -277,22 +287,24 @@
         super().resume_writing()
 
     def _watch_taken(self) -> None:
-        if self.transport is not None:
+        transport = self._open_transport
+        if transport is None or self._write_timer is not None:
+            return
+        if self.writing_paused or transport.get_write_buffer_size():
             self._write_timer = self._loop.call_later(
                 self._limits().idle_timeout_ms / 1000.0,
                 self._check_taken,
-                self._untaken_bytes(),
+                self._untaken_bytes(transport),
             )
 
-    def _untaken_bytes(self) -> int:
+    def _untaken_bytes(self, transport: asyncio.Transport) -> int:
         """Returns the bytes that the caller's system has not acknowledged.
 
         The system takes more of the buffer only after a large part of its own is free, so the
         buffer alone may not change for a long time although the caller reads steadily.
         """
-        assert self.transport is not None
-        left_bytes = self.transport.get_write_buffer_size()
-        connection = self.transport.get_extra_info("socket")
+        left_bytes = transport.get_write_buffer_size()
+        connection = transport.get_extra_info("socket")
         if connection is None or connection.fileno() < 0:
             return left_bytes
         try:
@@ -305,9 +317,9 @@
     def _check_taken(self, left_bytes: int) -> None:
         """Closes the connection if the caller has taken nothing since the last check."""
         self._write_timer = None
-        if self.transport is None:
+        if self._open_transport is None:
             return
-        if self._untaken_bytes() < left_bytes:
+        if self._untaken_bytes(self._open_transport) < left_bytes:
             self._watch_taken()
             return
         log_warning(Event.ANSWER_NOT_TAKEN, left_bytes=left_bytes)
--- a/tests/uploads/test_connections.py
+++ b/tests/uploads/test_connections.py
@@ -82,6 +82,7 @@
         self.unread_bytes = 0
         self.begun = asyncio.Event()
         self.ended = asyncio.Event()
+        self.aborted = asyncio.Event()
         self.paused = False
 
     def write(self, data: Any) -> None:
@@ -99,6 +100,7 @@
 
     def abort(self) -> None:
         self.ended.set()
+        self.aborted.set()
 
     def pause_reading(self) -> None:
         self.paused = True
@@ -207,6 +209,28 @@
         # Nothing of it is taken for the idle timeout.
         await asyncio.wait_for(transport.ended.wait(), EVENT_LIMIT_S)
 
+    async def test_a_closed_connection_whose_answer_is_not_taken_ends(self) -> None:
+        """Guards against sockets that stay open for good, since closing waits for the caller."""
+        for name, next_bytes in {"the answer closes": b"", "the next head does": HEAD}.items():
+            with self.subTest(name):
+                self.build()
+                connection, transport = await self.connect()
+                transport.unread_bytes = 1_000
+                self.may_answer.set()
+                line = b"" if next_bytes else b"Connection: close\r\n"
+                await self.feed(connection, [HEAD + line + b"Content-Length: 0\r\n\r\n"])
+                await asyncio.wait_for(transport.begun.wait(), EVENT_LIMIT_S)
+                await self.feed(connection, [next_bytes])
+                await asyncio.wait_for(transport.aborted.wait(), EVENT_LIMIT_S)
+
+    async def test_a_connection_that_is_being_closed_can_be_aborted(self) -> None:
+        """Guards against connections beyond the bound that are closed and stay open."""
+        self.build()
+        connection, transport = await self.connect()
+        connection.force_close()
+        connection.abort()
+        self.assertTrue(transport.aborted.is_set())
+
     async def test_incomplete_heads_are_bounded_together(self) -> None:
         """Guards against heads that each stay below their bound and take all memory together."""
         self.build(limit_bytes=HEAD_COPIES * MAX_HEAD_BYTES, max_connections=100)
