Give the callers' port of serve the bounds of forwarding hosts

Cause: its connections were aiohttp's own with another wording of errors; only bodies were counted.

Change: CallerProtocol is a CallerConnection now, and BoundedAppRunner serves an application with it, so that both interfaces have one owner. Refusals keep the code malformed_request and the outcome.

--- a/src/medlarvale/callers/app.py
+++ b/src/medlarvale/callers/app.py
@@ -19,11 +19,18 @@
 )
 from medlarvale.callers.model_api import ModelApi
 from medlarvale.callers.plain_api import PlainApi
-from medlarvale.callers.validation import UPLOAD, check_framing
+from medlarvale.callers.validation import BODY_TIMEOUT_MS, check_framing
 from medlarvale.errors import MedlarvaleError
+from medlarvale.forwarding.messages import RequestLimits
 from medlarvale.ids import new_request_id
 from medlarvale.logs import Event, log_warning
-from medlarvale.uploads.errors import NoRoomError
+from medlarvale.uploads.body_budget import BodyBudget
+from medlarvale.uploads.bounds import Uploads
+from medlarvale.uploads.connection_table import DEFAULT_CONNECTIONS
+from medlarvale.uploads.connections import CallerConnection
+from medlarvale.uploads.errors import HeadTooLargeError, MalformedHttpError, NoRoomError
+from medlarvale.uploads.reader import MAX_BODY_BYTES
+from medlarvale.uploads.servers import BoundedAppRunner
 
 Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
 
@@ -34,7 +41,11 @@
 # that reads nothing would not be detected while its request holds engine memory.
 SEND_BUFFER_BYTES = 32_768
 
+# Heads and answers that callers do not take are bounded as at the ports of forwarding hosts.
+LIMITS = RequestLimits(MAX_LINE_BYTES, MAX_BODY_BYTES, BODY_TIMEOUT_MS, BODY_TIMEOUT_MS)
+
 PLAIN_API: web.AppKey[PlainApi] = web.AppKey("plain_api", PlainApi)
+BODY_BUDGET: web.AppKey[BodyBudget] = web.AppKey("body_budget", BodyBudget)
 
 
 def build_app(deps: CallerDependencies) -> web.Application:
@@ -49,6 +60,7 @@
     ]:
         app.router.add_route(method, path, handler, expect_handler=_handle_expect)
     app[PLAIN_API] = plain_api
+    app[BODY_BUDGET] = deps.uploads
 
     async def drain(_: web.Application) -> None:
         await plain_api.drain()
@@ -77,10 +89,6 @@
         # The request may have been dispatched, so the outcome is unknown.
         log_warning(Event.REQUEST_FAILED, request_id=request_id, error=repr(error), exc_info=error)
         return error_response(MedlarvaleError(type(error).__name__), request_id)
-    finally:
-        upload = request.get(UPLOAD)
-        if upload is not None:
-            upload.end()
 
 
 async def _handle_expect(request: web.Request) -> web.StreamResponse | None:
@@ -101,7 +109,7 @@
     return HttpRefusedError(f"the HTTP layer rejected the request with status {status}")
 
 
-class CallerProtocol(web.RequestHandler):
+class CallerProtocol(CallerConnection):
     """HTTP connection that answers parse errors with an error code too."""
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -121,33 +129,35 @@
         """Answers a request that the parser rejected or whose handler failed."""
         if request.writer.output_size > 0:
             raise ConnectionError("the response has already started")
-        error: MedlarvaleError
-        if status < HTTPStatus.INTERNAL_SERVER_ERROR:
-            error = MalformedRequestError("the request is not well-formed HTTP")
-        else:
-            error = MedlarvaleError()
-        response = error_response(error, new_request_id())
-        response.force_close()
-        return response
-
-
-class CallerServer(web.Server):
-    """Server that creates ``CallerProtocol`` connections."""
+        if status >= HTTPStatus.INTERNAL_SERVER_ERROR:
+            exc = MedlarvaleError()
+        return super().handle_error(request, status, exc, message)
 
-    def __call__(self) -> web.RequestHandler:
-        """Returns the protocol for a new connection."""
-        return CallerProtocol(self, loop=self._loop, **self._kwargs)
+    def refusal(self, error: MedlarvaleError) -> web.Response:
+        """Returns the answer to a request that has not been parsed completely."""
+        if isinstance(error, (HeadTooLargeError, MalformedHttpError)):
+            error = MalformedRequestError(error.message)
+        return error_response(error, new_request_id())
 
 
-class CallerServerRunner(web.AppRunner):
+class CallerServerRunner(BoundedAppRunner):
     """Runner of the server for callers.
 
     A handler is cancelled if its caller disconnects, which frees the memory on the engines.
     """
 
-    def __init__(self, app: web.Application, *, shutdown_timeout_s: float = 60.0) -> None:
+    def __init__(
+        self,
+        app: web.Application,
+        uploads: Uploads | None = None,
+        *,
+        shutdown_timeout_s: float = 60.0,
+    ) -> None:
         super().__init__(
             app,
+            uploads or Uploads(app[BODY_BUDGET], DEFAULT_CONNECTIONS),
+            lambda: LIMITS,
+            CallerProtocol,
             handler_cancellation=True,
             shutdown_timeout=shutdown_timeout_s,
             access_log=None,
@@ -155,13 +165,3 @@
             max_field_size=MAX_LINE_BYTES,
             auto_decompress=False,
         )
-
-    async def _make_server(self) -> web.Server:
-        server = await super()._make_server()
-        return CallerServer(
-            server.request_handler,
-            request_factory=server.request_factory,
-            handler_cancellation=server.handler_cancellation,
-            loop=server._loop,
-            **server._kwargs,
-        )
--- a/src/medlarvale/callers/validation.py
+++ b/src/medlarvale/callers/validation.py
@@ -25,15 +25,14 @@
 from medlarvale.completions.watchdog import deadline
 from medlarvale.forwarding.errors import BodyTooLargeError as ForwardedBodyTooLargeError
 from medlarvale.scheduling.messages import WorkClass
-from medlarvale.uploads.body_budget import BodyBudget, Upload
+from medlarvale.uploads.body_budget import BodyBudget
+from medlarvale.uploads.connections import CallerConnection
 from medlarvale.uploads.errors import MalformedHttpError, NoRoomError
 from medlarvale.uploads.reader import read_pieces
 
 # Limits how long a caller that sends its body too slowly occupies a connection.
 BODY_TIMEOUT_MS = 30_000
 MAX_DEADLINE_MS = 86_400_000
-# The body of a request, from its first byte to the end of the request.
-UPLOAD: web.RequestKey[Upload] = web.RequestKey("upload", Upload)
 MAX_IDEMPOTENCY_KEY_CHARACTERS = 255
 MAX_MESSAGES = 10_000
 
@@ -296,14 +295,18 @@
     if length_bytes > limit_bytes:
         raise BodyTooLargeError(f"the body is larger than {limit_bytes} bytes")
     uploads.keep_room_for(limit_bytes)
-    upload = request[UPLOAD] = uploads.begin(lambda: None)
+    connection = request.protocol
+    assert isinstance(connection, CallerConnection)
+    upload = connection.upload
     if not upload.fits(length_bytes):
         raise NoRoomError("requests in progress leave no room for the body")
     try:
         async with deadline(clock, BODY_TIMEOUT_MS, BodyTimeoutError):
             # The limit on the whole time ends a body that makes no progress as well.
-            return await read_pieces(request.content, upload, limit_bytes, 2.0 * BODY_TIMEOUT_MS)
+            body = await read_pieces(request.content, upload, limit_bytes, 2.0 * BODY_TIMEOUT_MS)
     except ForwardedBodyTooLargeError as error:
         raise BodyTooLargeError(f"the body is larger than {limit_bytes} bytes") from error
     except MalformedHttpError as error:
         raise MalformedRequestError("the body is malformed") from error
+    connection.note_whole()
+    return body
--- a/src/medlarvale/composition.py
+++ b/src/medlarvale/composition.py
@@ -74,6 +74,8 @@
 from medlarvale.tls import TlsContexts
 from medlarvale.tracing import Tracing, span_as_json
 from medlarvale.uploads.body_budget import BodyBudget, upload_limit_bytes
+from medlarvale.uploads.bounds import bounds_of_port, new_pacer
+from medlarvale.uploads.connection_table import max_caller_connections
 
 PEER_MESSAGES = (
     *MEMBERSHIP_MESSAGES,
@@ -139,6 +141,8 @@
         self.fleet = FleetTask(
             self.identity, self.transport, self.clock, self._listed_hosts, self.status
         )
+        bodies = BodyBudget(upload_limit_bytes(process.memory_bytes), self.clock.now_ms)
+        pacer = new_pacer()
         self._operators_runner = web.AppRunner(self._build_operators().build(), access_log=None)
         self._caller_server = CallerServerRunner(
             build_app(
@@ -153,9 +157,10 @@
                     self.bookings,
                     self.accounting,
                     self.tracing.tracer,
-                    BodyBudget(upload_limit_bytes(None), self.clock.now_ms),
+                    bodies,
                 )
-            )
+            ),
+            bounds_of_port(bodies, max_caller_connections(process.max_descriptors), pacer),
         )
 
     def _build_settings(self) -> SettingsTask:
--- a/src/medlarvale/process_settings.py
+++ b/src/medlarvale/process_settings.py
@@ -4,6 +4,7 @@
 
 import argparse
 import ipaddress
+import resource
 from collections.abc import Callable
 from dataclasses import dataclass
 from functools import partial
@@ -17,6 +18,7 @@
 from medlarvale.tls import CertificateFiles, TlsFiles, TlsFilesError, client_context, server_context
 
 MIN_TOKEN_CHARACTERS = 16
+BYTES_PER_MB = 1_000_000
 TLS_FLAGS = {
     "--caller-cert-file": "certificate chain of the callers' port (PEM); HTTP without it",
     "--caller-key-file": "key of that certificate (PEM)",
@@ -56,6 +58,8 @@
         peer_key_file: file of ``peer_keys``; reloaded when it changes.
         leave_grace_ms: time for which a leaving host still accepts requests, so that the load
             balancer can notice that it leaves.
+        memory_bytes: memory of the process; None if it is unknown.
+        max_descriptors: most descriptors of the process; None without a limit.
     """
 
     host: HostId
@@ -73,6 +77,8 @@
     log_level: str
     leave_grace_ms: int
     tls: TlsFiles = TlsFiles()
+    memory_bytes: int | None = None
+    max_descriptors: int | None = None
 
 
 def parse_listen(text: str) -> ListenAddress:
@@ -119,6 +125,13 @@
         default="3000",
         parse=int,
     )
+    add_flag(
+        parser,
+        "--memory-mb",
+        help_text="memory of the process, which bounds what callers hold; 0 if unknown",
+        default="0",
+        parse=int,
+    )
 
 
 def read_process_settings(options: argparse.Namespace) -> ProcessSettings:
@@ -141,6 +154,8 @@
         faults.append(f"--log-level: unknown level {options.log_level!r}")
     if options.leave_grace_ms < 0:
         faults.append("--leave-grace-ms: expected 0 or more")
+    if options.memory_mb < 0:
+        faults.append("--memory-mb: expected 0 or more")
     if faults:
         raise ProcessSettingsError("\n".join(faults))
     return ProcessSettings(
@@ -159,9 +174,16 @@
         options.log_level,
         options.leave_grace_ms,
         tls,
+        options.memory_mb * BYTES_PER_MB or None,
+        _max_descriptors(),
     )
 
 
+def _max_descriptors() -> int | None:
+    limit, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+    return None if limit == resource.RLIM_INFINITY else limit
+
+
 def _read_or_report(faults: list[str], flag: str, read: Any, path: str) -> Any:
     try:
         return read(Path(path))
--- a/src/medlarvale/uploads/servers.py
+++ b/src/medlarvale/uploads/servers.py
@@ -20,6 +20,7 @@
         handler: answers a request.
         uploads: the bounds.
         limits: returns the limits of the configuration.
+        connection_type: class of the connections.
         options: further options of aiohttp's server.
     """
 
@@ -28,6 +29,7 @@
         handler: Callable[..., Any],
         uploads: Uploads,
         limits: LimitsSource = lambda: DEFAULT_LIMITS,
+        connection_type: type[CallerConnection] = CallerConnection,
         **options: Any,
     ) -> None:
         super().__init__(
@@ -35,6 +37,7 @@
         )
         self._uploads = uploads
         self._limits = limits
+        self._connection_type = connection_type
         self._read_buffer = memoryview(bytearray(MAX_READ_BYTES))
         new_request = self.request_factory
 
@@ -48,9 +51,48 @@
 
     def new_connection(self) -> CallerConnection:
         """Returns the state of a new connection, which reads ``bytes``."""
-        return CallerConnection(self._uploads, self._limits, self, loop=self._loop, **self._kwargs)
+        return self._connection_type(
+            self._uploads, self._limits, self, loop=self._loop, **self._kwargs
+        )
 
     def __call__(self) -> Any:
         """Returns the protocol of a new connection."""
         connection = self.new_connection()
         return SmallReads(connection, connection.next_read_bytes, self._read_buffer)
+
+
+class BoundedAppRunner(web.AppRunner):
+    """Runner of an application whose connections are bounded.
+
+    Args:
+        app: the application.
+        uploads: the bounds.
+        limits: returns the limits on requests.
+        connection_type: class of the connections.
+        options: further options of aiohttp's runner.
+    """
+
+    def __init__(
+        self,
+        app: web.Application,
+        uploads: Uploads,
+        limits: LimitsSource = lambda: DEFAULT_LIMITS,
+        connection_type: type[CallerConnection] = CallerConnection,
+        **options: Any,
+    ) -> None:
+        super().__init__(app, **options)
+        self._uploads = uploads
+        self._limits = limits
+        self._connection_type = connection_type
+
+    async def _make_server(self) -> web.Server:
+        server = await super()._make_server()
+        return CallerConnectionServer(
+            server.request_handler,
+            self._uploads,
+            self._limits,
+            self._connection_type,
+            request_factory=server.request_factory,
+            handler_cancellation=server.handler_cancellation,
+            **server._kwargs,
+        )
--- a/tests/processes/test_hostile_callers.py
+++ b/tests/processes/test_hostile_callers.py
@@ -196,12 +196,16 @@
     *("tiny-chunks-short", "tiny-chunks", "chunk-size", "chunk-size-2-63"),
     *("chunk-extension", "trailers", "trailer-value"),
 )
-# Kinds of another cause each, for ten times the connections.
+# Kinds of another cause each, for the other ports and for ten times the connections.
 LARGE_KINDS = ("header-value", "header-lines", "legal-heads", "declared-short", "chunks-short")
 PROCESSOR_KINDS = ("tiny-chunks-short", "tiny-chunks")
 CASES = [
-    *(Case("front", kind) for kind in ALL_KINDS),
-    *(Case("front", kind, LARGE_CROWD) for kind in (*LARGE_KINDS, *PROCESSOR_KINDS)),
+    *(Case(port, kind) for port in ("front", "caller") for kind in ALL_KINDS),
+    *(
+        Case(port, kind, LARGE_CROWD)
+        for port in ("front", "caller")
+        for kind in (*LARGE_KINDS, *PROCESSOR_KINDS)
+    ),
 ]
 
 
