Bound the ports for readiness, metrics and operators

What callers saw: forty connections that send heads without an end to one of these ports end the process as well (660 to 1,004 MB).

Cause: they were aiohttp's plain servers.

Change: they use the same connections, with a bound of 32 connections each, and share the memory and the event loop with the port of callers.

Four cases at the ports of peers are added.

--- a/src/medlarvale/composition.py
+++ b/src/medlarvale/composition.py
@@ -74,8 +74,9 @@
 from medlarvale.tls import TlsContexts
 from medlarvale.tracing import Tracing, span_as_json
 from medlarvale.uploads.body_budget import BodyBudget, upload_limit_bytes
-from medlarvale.uploads.bounds import bounds_of_port, new_pacer
+from medlarvale.uploads.bounds import MONITORING_CONNECTIONS, bounds_of_port, new_pacer
 from medlarvale.uploads.connection_table import max_caller_connections
+from medlarvale.uploads.servers import BoundedAppRunner
 
 PEER_MESSAGES = (
     *MEMBERSHIP_MESSAGES,
@@ -143,7 +144,11 @@
         )
         bodies = BodyBudget(upload_limit_bytes(process.memory_bytes), self.clock.now_ms)
         pacer = new_pacer()
-        self._operators_runner = web.AppRunner(self._build_operators().build(), access_log=None)
+        self._operators_runner = BoundedAppRunner(
+            self._build_operators().build(),
+            bounds_of_port(bodies, MONITORING_CONNECTIONS, pacer),
+            access_log=None,
+        )
         self._caller_server = CallerServerRunner(
             build_app(
                 CallerDependencies(
--- a/src/medlarvale/forwarding/caller_server.py
+++ b/src/medlarvale/forwarding/caller_server.py
@@ -551,10 +551,15 @@
     return OverloadedError("this host has stopped", retry_after_ms=STOPPING_RETRY_MS)
 
 
-def build_readiness_server(ready: Callable[[], bool]) -> web.Server:
-    """Returns the HTTP server for the readiness checks of the platform."""
+def build_readiness_server(ready: Callable[[], bool], uploads: Uploads) -> web.Server:
+    """Returns the HTTP server for the readiness checks of the platform.
+
+    Args:
+        ready: returns whether this host accepts new connections.
+        uploads: bounds what callers hold of this host.
+    """
 
     async def handle(request: web.BaseRequest) -> web.StreamResponse:
         return web.Response(status=200 if ready() else 503)
 
-    return web.Server(handle, access_log=None)
+    return CallerConnectionServer(handle, uploads, access_log=None)
--- a/src/medlarvale/forwarding/host.py
+++ b/src/medlarvale/forwarding/host.py
@@ -55,6 +55,7 @@
 from medlarvale.quotas.messages import QUOTA_MESSAGES
 from medlarvale.uploads.body_budget import BodyBudget, upload_limit_bytes
 from medlarvale.uploads.bounds import (
+    MONITORING_CONNECTIONS,
     Uploads,
     bounds_of_port,
     new_pacer,
@@ -446,9 +447,10 @@
     async def _listen_on_all_ports(self) -> None:
         # The hellos name this port.
         self._relay_port = await self._listen(self.relay_server.build(), self._relay_address)
+        for_readiness, for_metrics = (self._new_bounds(MONITORING_CONNECTIONS) for _ in range(2))
         for server, address in (
-            (build_readiness_server(self.ready), self._parameters.listen_ready),
-            (self.metrics.build_server(), self._metrics_address),
+            (build_readiness_server(self.ready, for_readiness), self._parameters.listen_ready),
+            (self.metrics.build_server(for_metrics), self._metrics_address),
             (self.caller_server.build(), self._parameters.listen_caller),
         ):
             await self._listen(server, address)
--- a/src/medlarvale/forwarding/metrics.py
+++ b/src/medlarvale/forwarding/metrics.py
@@ -11,6 +11,9 @@
 from prometheus_client.core import CounterMetricFamily, GaugeMetricFamily, Metric
 from prometheus_client.registry import Collector
 
+from medlarvale.uploads.bounds import Uploads
+from medlarvale.uploads.servers import CallerConnectionServer
+
 # Latencies from 1 ms to 1 min with two significant digits.
 LOWEST_MS, HIGHEST_MS, DIGITS = 1, 60_000, 2
 QUANTILES = (0.5, 0.9, 0.99)
@@ -67,13 +70,17 @@
         """Returns the Prometheus text format."""
         return generate_latest(self._registry)
 
-    def build_server(self) -> web.Server:
-        """Returns the server of the metrics address."""
+    def build_server(self, uploads: Uploads) -> web.Server:
+        """Returns the server of the metrics address.
+
+        Args:
+            uploads: bounds what callers hold of this host.
+        """
 
         async def handle(request: web.BaseRequest) -> web.StreamResponse:
             return web.Response(body=self.render(), content_type="text/plain")
 
-        return web.Server(handle, access_log=None)
+        return CallerConnectionServer(handle, uploads, access_log=None)
 
 
 class _ForwardingCollector(Collector):
--- a/src/medlarvale/uploads/bounds.py
+++ b/src/medlarvale/uploads/bounds.py
@@ -13,6 +13,8 @@
 REPORT_MS = 1_000.0
 # Most memory of the heads of a connection that is never closed for them.
 SMALL_HEAD_BYTES = 16 * 1024
+# Connections of monitoring: one balancer and a few collectors of metrics.
+MONITORING_CONNECTIONS = 32
 
 
 class BoundedConnection(PacedConnection, Protocol):
--- a/tests/processes/test_hostile_callers.py
+++ b/tests/processes/test_hostile_callers.py
@@ -197,10 +197,13 @@
     *("chunk-extension", "trailers", "trailer-value"),
 )
 # Kinds of another cause each, for the other ports and for ten times the connections.
+SOME_KINDS = ("header-value", "request-line", "empty-lines", "random-bytes", "declared-short")
 LARGE_KINDS = ("header-value", "header-lines", "legal-heads", "declared-short", "chunks-short")
 PROCESSOR_KINDS = ("tiny-chunks-short", "tiny-chunks")
 CASES = [
     *(Case(port, kind) for port in ("front", "caller") for kind in ALL_KINDS),
+    *(Case(port, kind) for port in ("ready", "metrics", "operators") for kind in SOME_KINDS),
+    *(Case(port, kind) for port in ("control", "peer") for kind in ("random-bytes", "peer-frame")),
     *(
         Case(port, kind, LARGE_CROWD)
         for port in ("front", "caller")
