--- a/scripts/settings_reference.py
+++ b/scripts/settings_reference.py
@@ -14,8 +14,13 @@
 from pydantic.fields import FieldInfo
 from pydantic_core import PydanticUndefined
 
+from medlarvale.callers.validation import BODY_TIMEOUT_MS
 from medlarvale.settings import schema
 from medlarvale.settings.check import MAX_TREE_BYTES, unit_of
+from medlarvale.uploads.bounds import MONITORING_CONNECTIONS, SMALL_HEAD_BYTES
+from medlarvale.uploads.connections import FREE_FRAMING_BYTES, LINGERING_S
+from medlarvale.uploads.read_pacing import PASS_BYTES, PASS_FRAMING_BYTES
+from medlarvale.uploads.reader import MAX_HEAD_BYTES
 
 PAGE = Path(__file__).resolve().parent.parent / "docs" / "settings.md"
 INTRODUCTION = f"""# Settings tree
@@ -28,6 +33,59 @@
 that set each. The lowest branch that sets a value wins, in the order fleet, region, failure domain,
 service, pool.
 """
+LIMITS_INTRODUCTION = """`medlarvale forward` takes its memory and descriptors from the platform's
+settings file, `medlarvale serve` from `--memory-mb` and the limit of the system (`ulimit -n`). The
+other limits are constants. No caller that stays within the limits of the configuration meets one
+while the host is not crowded."""
+LIMITS = [
+    (
+        "`--memory-mb` of `serve`: memory of the process in MB",
+        "0 (unknown)",
+        "bodies and heads of callers take up to an eighth of it each, 32 MiB if it is unknown",
+    ),
+    (
+        "connections of callers",
+        "three quarters of the descriptors less 200",
+        "the one without a whole request for the longest time is closed",
+    ),
+    (
+        "connections to the ports for readiness, metrics and operators",
+        f"{MONITORING_CONNECTIONS} each",
+        "as above",
+    ),
+    (
+        "bytes of an incomplete head, of chunk extensions or of trailers",
+        f"{MAX_HEAD_BYTES:,}",
+        "431 (`forward`) or 400 (`serve`), or a closed connection",
+    ),
+    (
+        "time of an incomplete head, and without progress of an answer, at `serve`",
+        f"{BODY_TIMEOUT_MS:,} ms",
+        "the connection is closed",
+    ),
+    (
+        "memory of the heads of all connections, complete or not",
+        "as for bodies",
+        f"connections that serve nothing and whose heads take over {SMALL_HEAD_BYTES:,} bytes, or "
+        "an equal share of that memory if it is less, are closed, the oldest first",
+    ),
+    (
+        "bytes that one pass of the event loop reads from all callers",
+        f"{PASS_BYTES:,}",
+        "the rest is read in the next passes",
+    ),
+    (
+        "chunk framing of one body",
+        f"{FREE_FRAMING_BYTES:,} bytes",
+        f"its reads take turns with those of other such bodies: {PASS_FRAMING_BYTES:,} bytes of "
+        "framing in a pass",
+    ),
+    (
+        "time for which the rest of a refused request is read and dropped",
+        f"{1000.0 * LINGERING_S:,.0f} ms",
+        "the connection is closed",
+    ),
+]
 PARTS: list[type[BaseModel]] = [
     schema.SettingsTree,
     schema.ServiceDeclaration,
@@ -82,7 +140,14 @@
         lines += ["| key | type | default |", "|---|---|---|"]
         for key, field in part.model_fields.items():
             lines.append(f"| `{key}` | {type_name(field.annotation)} | {default_of(field)} |")
-    return "\n".join(lines) + "\n"
+    return "\n".join([*lines, *render_limits()]) + "\n"
+
+
+def render_limits() -> list[str]:
+    """Returns the lines of the table of limits on what callers may hold."""
+    lines = ["", "## Limits on callers", "", LIMITS_INTRODUCTION, ""]
+    lines += ["| limit | default | beyond it |", "|---|---|---|"]
+    return lines + [f"| {limit} | {value} | {effect} |" for limit, value, effect in LIMITS]
 
 
 def main() -> int:
