Make two mutations of refused connections red

A parser that goes on after its first error, and a connection that is not watched while it is being closed, passed the tests of both: nothing counted the refusals, and only answers were left untaken. The tests count one refusal for each connection, and leave bytes untaken that are no answer.

--- a/tests/uploads/test_connections.py
+++ b/tests/uploads/test_connections.py
@@ -232,6 +232,15 @@
         connection.abort()
         self.assertTrue(transport.aborted.is_set())
 
+    async def test_a_connection_whose_refusal_is_not_taken_ends(self) -> None:
+        """Guards against sockets that stay open for good after something else than an answer."""
+        self.build()
+        connection, transport = await self.connect()
+        transport.unread_bytes = 1_000
+        connection.force_close()
+        self.assertFalse(transport.aborted.is_set())
+        await asyncio.wait_for(transport.aborted.wait(), EVENT_LIMIT_S)
+
     async def test_incomplete_heads_are_bounded_together(self) -> None:
         """Guards against heads that each stay below their bound and take all memory together."""
         self.build(limit_bytes=HEAD_COPIES * MAX_HEAD_BYTES, max_connections=100)
--- a/tests/uploads/test_refused_connections.py
+++ b/tests/uploads/test_refused_connections.py
@@ -97,6 +97,7 @@
         for name, failure in FAILURES.items():
             with self.subTest(name):
                 connection, transport = await self.connect()
+                refused_before = self.uploads.heads_refused
                 for part in failure.parts:
                     connection.data_received(part)
                 gc.collect()
@@ -113,6 +114,7 @@
                     gc.enable()
                 await asyncio.wait_for(transport.ended.wait(), EVENT_LIMIT_S)
                 self.assertEqual(statuses(transport.written), [failure.status])
+                self.assertEqual(self.uploads.heads_refused - refused_before, 1)
                 # What the caller sent is not repeated.
                 self.assertLess(len(transport.written), 500)
                 self.assertEqual(self.handled, [])
