Play crowds that ask for another protocol

Whatever follows a request for an upgrade, or a CONNECT, goes through other paths of aiohttp's parser.

--- a/tests/processes/crowd.py
+++ b/tests/processes/crowd.py
@@ -135,6 +135,11 @@
     "large-heads": pipelined(b"X-Large: " + b"h" * 40_000 + b"\r\n"),
     "legal-heads": pipelined(b"X-Large: " + b"h" * 15_000 + b"\r\n"),
     "pipelined": pipelined(b""),
+    "upgrade": endless(
+        b"GET /look/1 HTTP/1.1\r\nConnection: upgrade\r\nUpgrade: websocket\r\n" + HOST + b"\r\n",
+        b"w" * PIECE_BYTES,
+    ),
+    "connect": endless(b"CONNECT a.example:1 HTTP/1.1\r\n" + HOST + b"\r\n", b"t" * PIECE_BYTES),
     "declared-short": declared(LEGAL_BYTES, LEGAL_BYTES - 10, False),
     "declared-too-large": declared(64 * LEGAL_BYTES, 0, True),
     "chunks-short": chunked(PIECE_BYTES, LEGAL_BYTES - PIECE_BYTES, False),
--- a/tests/processes/test_hostile_callers.py
+++ b/tests/processes/test_hostile_callers.py
@@ -191,7 +191,7 @@
 
 ALL_KINDS = (
     *("header-value", "header-name", "method", "request-line", "header-lines", "empty-lines"),
-    *("random-bytes", "large-heads", "legal-heads", "pipelined"),
+    *("random-bytes", "large-heads", "legal-heads", "pipelined", "upgrade", "connect"),
     *("declared-short", "declared-too-large", "chunks-short", "chunks"),
     *("tiny-chunks-short", "tiny-chunks", "chunk-size", "chunk-size-2-63"),
     *("chunk-extension", "trailers", "trailer-value"),
