Log where a configuration came from, and that peers have a newer one

Event 2001 names the peer now, and event 2226 is logged once for each version that a hello names and this host lacks.

--- a/src/medlarvale/forwarding/follower.py
+++ b/src/medlarvale/forwarding/follower.py
@@ -247,7 +247,7 @@
             log_info(Event.PEER_TABLE_REFUSED, peer=peer, version=table.version)
             return False
         self.index = RouteIndex(table)
-        log_info(Event.CONFIG_ACCEPTED, version=table.version, previous=previous)
+        log_info(Event.CONFIG_ACCEPTED, version=table.version, previous=previous, peer=peer or "")
         if first:
             self._on_ready()
         for callback in self._accept_callbacks:
--- a/src/medlarvale/forwarding/peer_state.py
+++ b/src/medlarvale/forwarding/peer_state.py
@@ -56,6 +56,8 @@
         self._clock = clock
         self._background = BackgroundTasks()
         self._turn = 0
+        # Newest version that a peer has named and this host lacked.
+        self._heard = ConfigVersion(0)
         transport.register(StateRequest, self._answer)
 
     def start(self) -> None:
@@ -70,6 +72,9 @@
         live = self._view.live(now_ms)
         versions = {host: hello.config_version for host, hello in live.items()}
         newest = max(versions.values(), default=ConfigVersion(0))
+        if newest > max(self._heard, self._follower.version):
+            self._heard = newest
+            log_info(Event.CONFIG_BEHIND, version=newest, known=self._follower.version)
         confirmation.note_heard(newest, self._follower.version, now_ms)
         readers = {host for host in versions if live[host].store_reachable and versions[host]}
         best = max(readers, key=lambda host: (versions[host], host), default=None)
--- a/src/medlarvale/logs.py
+++ b/src/medlarvale/logs.py
@@ -41,6 +41,7 @@
     KEY_LISTED_TWICE = (2223, "API key listed for two workspaces")
     CONFIG_UNCONFIRMED = (2224, "configuration no longer known to be recent")
     CONFIG_CONFIRMED = (2225, "configuration known to be recent again")
+    CONFIG_BEHIND = (2226, "peers have a newer configuration than this host")
     WATCH_RESUMED = (2215, "watch of the published state resumed")
     STORE_ENTRY_UNUSABLE = (2203, "store entry invalid")
     STORE_READER_CHANGED = (2207, "host that reads the store for this one changed")
