--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -15,6 +15,7 @@
 from medlarvale.forwarding.messages import RouteTable, Server, StoreRevision
 from medlarvale.ids import ServerId
 from medlarvale.logs import Event
+from medlarvale.platform import store as store_module
 from medlarvale.platform.connections import new_session
 from medlarvale.platform.store import PlatformStore
 from tests.platform.test_entries import CONFIG, DEEP_LIST, DEEP_OBJECT, SERVER, encoded
@@ -219,6 +220,39 @@
         self.assertEqual((await store.read()).revision, 12)
         self.assertEqual((await store.watch(StoreRevision(1), 10)).revision, 12)
 
+    async def test_an_answer_that_arrives_slowly_is_read_to_its_end(self) -> None:
+        """Guards against a host that never gets a large configuration over a narrow link, and
+        against one that waits for the rest of an answer for ever."""
+        answer = encoded(page(revision=12) | {"events": []})
+        parts, gap_s, stops = 25, 0.02, False
+
+        async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(answer))
+            size = -(-len(answer) // parts)
+            for first in range(0, len(answer) - size * stops, size):
+                await asyncio.sleep(gap_s)
+                writer.write(answer[first : first + size])
+            await reader.read()
+            writer.close()
+
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        self.addCleanup(server.close)
+        session = new_session()
+        self.addAsyncCleanup(session.close)
+        store = PlatformStore(session, f"127.0.0.1:{server.sockets[0].getsockname()[1]}")
+        with (
+            mock.patch.object(store_module, "READ_TIMEOUT_MS", parts * gap_s * 1000.0 / 2.0),
+            mock.patch.object(store_module, "WATCH_SLACK_MS", parts * gap_s * 1000.0 / 2.0),
+        ):
+            self.assertEqual((await store.read()).revision, 12)
+            self.assertEqual((await store.watch(StoreRevision(1), 10)).revision, 12)
+            stops = True
+            with self.assertRaises(PublishedStateError):
+                await store.read()
+            with self.assertRaises(WatchCutError):
+                await store.watch(StoreRevision(1), 10)
+
     async def test_only_a_connection_that_is_lost_cuts_a_watch(self) -> None:
         """Guards against a cut watch that counts as an outage of the store, and the reverse."""
         table: list[tuple[str, tuple[int, Any], bool]] = [
