Read the store when a peer names a newer configuration

Callers saw requests handled by a replaced configuration at hosts in touch with the store (CONFIG): a neighbour believes its reader for as long as the reader answers. One that is cut off from the store answers as before until two watches have timed out, and some time longer. The neighbour knew better: hellos of other failure domains name the newer version. It only asked the peer with the highest name for all its state, once a second.

A host that hears of a newer version, and still lacks it 250 ms later, reads the changes from the store itself; only if the store has not told of it another 500 ms later, a peer is asked, as after a restore of the store.

--- a/src/medlarvale/forwarding/peer_state.py
+++ b/src/medlarvale/forwarding/peer_state.py
@@ -1,12 +1,15 @@
-"""Gets from a peer what this host can't read from the store, and answers such requests.
+"""Gets what this host lacks when a peer has a newer configuration, and answers such requests.
 
-That is the configuration and the servers while the store can't be read, and a newer configuration
-while the store has come back from an older copy. Where revocation of API keys is bounded, also when
-the configuration was confirmed last.
+A host that hears of a newer configuration reads the store itself, whoever reads it for this host. A
+peer is asked for the configuration and the servers while the store can't be read, and for a newer
+configuration if the store has not told of it, as after it has come back from an older copy. Where
+revocation of API keys is bounded, also when the configuration was confirmed last.
 """
 
 from __future__ import annotations
 
+import math
+
 from medlarvale.clock import Clock
 from medlarvale.forwarding.background_tasks import BackgroundTasks
 from medlarvale.forwarding.fleet import FleetView
@@ -23,6 +26,13 @@
 # A change must take effect within 2 s, so half of that is the longest useful period.
 QUERY_PERIOD_MS = 1_000.0
 QUERY_TIMEOUT_MS = 800.0
+# Period of the comparison with the versions of the peers.
+COMPARE_PERIOD_MS = 250.0
+# Time after which a configuration that a peer has named is no longer on its way: this host reads
+# the store itself.
+READ_AFTER_MS = 250.0
+# Time after which the store has not told of it: this host asks a peer.
+ASK_AFTER_MS = 750.0
 # Peers that are asked at a time whether the configuration is recent, in case that one is lost.
 CONFIRMING_PEERS = 2
 
@@ -58,10 +68,15 @@
         self._turn = 0
         # Newest version that a peer has named and this host lacked.
         self._heard = ConfigVersion(0)
+        # While this host lacks a version that a peer has named: when it reads the store and when
+        # it asks a peer next.
+        self._read_ms = math.inf
+        self._ask_ms = math.inf
         transport.register(StateRequest, self._answer)
 
     def start(self) -> None:
-        """Starts the periodic check."""
+        """Starts the periodic checks."""
+        self._clock.every_ms(self._period_ms(COMPARE_PERIOD_MS), self._compare)
         self._clock.every_ms(self._period_ms(QUERY_PERIOD_MS), self._tick)
 
     def _period_ms(self, usual_ms: float) -> float:
@@ -69,22 +84,54 @@
 
     def _tick(self) -> None:
         now_ms, confirmation = self._clock.now_ms(), self._follower.confirmation
-        live = self._view.live(now_ms)
-        versions = {host: hello.config_version for host, hello in live.items()}
-        newest = max(versions.values(), default=ConfigVersion(0))
-        if newest > max(self._heard, self._follower.version):
-            self._heard = newest
-            log_info(Event.CONFIG_BEHIND, version=newest, known=self._follower.version)
-        confirmation.note_heard(newest, self._follower.version, now_ms)
-        readers = {host for host in versions if live[host].store_reachable and versions[host]}
-        best = max(readers, key=lambda host: (versions[host], host), default=None)
-        if best is not None and (self._needs_state() or versions[best] > self._follower.version):
-            self._background.start(self._query(best))
+        versions = self._versions(now_ms)
+        readers = self._readers(now_ms, versions)
+        if readers and self._needs_state():
+            self._background.start(self._query(_best(readers)))
         if confirmation.asks_peers(now_ms, self._follower.version):
             # A peer that can't reach the store may know of one that does.
             for host in self._next_peers(sorted(readers) or sorted(versions)):
                 self._background.start(self._query_confirmation(host))
 
+    def _versions(self, now_ms: float) -> dict[HostId, ConfigVersion]:
+        return {host: hello.config_version for host, hello in self._view.live(now_ms).items()}
+
+    def _readers(
+        self, now_ms: float, versions: dict[HostId, ConfigVersion]
+    ) -> dict[HostId, ConfigVersion]:
+        """Returns the versions of the live peers that read the store."""
+        live = self._view.live(now_ms)
+        return {
+            host: version
+            for host, version in versions.items()
+            if version and live[host].store_reachable
+        }
+
+    def _compare(self) -> None:
+        """Catches up with the peers if one of them has a newer configuration."""
+        now_ms, known = self._clock.now_ms(), self._follower.version
+        versions = self._versions(now_ms)
+        newest = max(versions.values(), default=ConfigVersion(0))
+        self._follower.confirmation.note_heard(newest, known, now_ms)
+        if newest > max(self._heard, known):
+            self._heard = newest
+            log_info(Event.CONFIG_BEHIND, version=newest, known=known)
+        if newest <= known:
+            self._read_ms = self._ask_ms = math.inf
+            return
+        if self._read_ms == math.inf:
+            self._read_ms, self._ask_ms = now_ms + READ_AFTER_MS, now_ms + ASK_AFTER_MS
+        if self._needs_state():
+            # Peers are asked in any case.
+            return
+        if now_ms >= self._read_ms:
+            self._read_ms = now_ms + QUERY_PERIOD_MS
+            self._background.start(self._follower.confirm(now_ms))
+        readers = self._readers(now_ms, versions)
+        if now_ms >= self._ask_ms and readers and readers[_best(readers)] > known:
+            self._ask_ms = now_ms + QUERY_PERIOD_MS
+            self._background.start(self._query(_best(readers)))
+
     def _needs_state(self) -> bool:
         return not self._follower.reachable or self._follower.index is None
 
@@ -144,3 +191,8 @@
             config_version=follower.version,
             config_age_ms=follower.confirmation.age_to_send(self._clock.now_ms(), follower.version),
         )
+
+
+def _best(readers: dict[HostId, ConfigVersion]) -> HostId:
+    """Returns a host with the newest configuration."""
+    return max(readers, key=lambda host: (readers[host], host))
