Leave a known configuration out of the state of a peer

A host that can't read the store gets the state of a peer each second, and with it the whole configuration, though it changes seldom: with 1,400 more routes the hosts that an outage affects fill the links of those that it spares, while newer versions have to pass there.

The request names the version that is known (has_version); the peer leaves out one that is not newer. An earlier build ignores the field and sends all, as before.

--- a/src/medlarvale/forwarding/fleet_messages.py
+++ b/src/medlarvale/forwarding/fleet_messages.py
@@ -117,6 +117,9 @@
         keep_disputed: streams for which several versions were noted; earlier builds do not read it.
         known: version of the configuration that the sender has; the peer then names no servers, and
             its configuration only if it is newer. None to get all; earlier builds do not read it.
+        has_version: version of the configuration that the sender has; the peer names its servers in
+            any case, and its configuration only if it is newer. None to get both; earlier builds do
+            not read it.
     """
 
     keep: dict[StreamKey, SoftwareVersion] = {}
@@ -125,6 +128,7 @@
     question: StreamQuestion | None = None
     keep_disputed: dict[StreamKey, tuple[SoftwareVersion, ...]] = {}
     known: ConfigVersion | None = None
+    has_version: ConfigVersion | None = None
 
     @property
     def is_about_streams(self) -> bool:
--- a/src/medlarvale/forwarding/peer_state.py
+++ b/src/medlarvale/forwarding/peer_state.py
@@ -177,7 +177,7 @@
         )
 
     async def _query(self, host: HostId) -> None:
-        reply, asked_ms = await self._ask(host, StateRequest())
+        reply, asked_ms = await self._ask(host, StateRequest(has_version=self._follower.version))
         if reply is None or not reply.store_reachable:
             return
         needs_state = self._needs_state()
@@ -193,12 +193,12 @@
     async def _answer(self, sender: HostIdentity, message: StateRequest) -> StateReply:
         if message.is_about_streams:
             return await self._records.answer(message)
-        follower, wants_all = self._follower, message.known is None
+        follower, wants_servers = self._follower, message.known is None
         table = follower.index.table if follower.index is not None else None
-        is_wanted = wants_all or follower.version > (message.known or 0)
+        known = message.has_version if wants_servers else message.known
         return StateReply(
-            table if is_wanted else None,
-            self._servers.all_servers() if wants_all else (),
+            table if follower.version > (known or 0) else None,
+            self._servers.all_servers() if wants_servers else (),
             follower.reachable,
             config_version=follower.version,
             config_age_ms=follower.confirmation.age_to_send(self._clock.now_ms(), follower.version),
