Tell the neighbours at once when the reader may miss changes

A reader whose watch was cut answered its neighbours as if it knew of all changes, until a second watch had failed as well (0.5 to 0.7 s), and even then only at the end of its interval of 0.8 s. Where no host of another failure domain names the newer version, nothing else tells the neighbours.

The reader answers at once, and says that it doesn't read the store, from the first cut watch on until the next answer. Its neighbours read themselves for a second then.

--- a/src/medlarvale/forwarding/domain_reader.py
+++ b/src/medlarvale/forwarding/domain_reader.py
@@ -3,7 +3,7 @@
 Each change of the store wakes each host that watches it. In a large failure domain, only the first
 live host by name watches the store; its neighbours wait for changes at that host, which costs no
 traffic between failure domains. A neighbour reads the store itself whenever the reader doesn't
-answer, can't read the store or is behind what the neighbour knows.
+answer, may miss changes of the store or is behind what the neighbour knows.
 """
 
 from __future__ import annotations
@@ -74,6 +74,7 @@
         self._changed = asyncio.Event()
         servers.on_change(self._note_change)
         follower.on_accept(self._note_change)
+        follower.on_silence(self._wake_neighbours)
         transport.register(SharedStateRequest, self._answer)
 
     def start(self) -> None:
@@ -226,7 +227,7 @@
         return SharedState(
             mark,
             self._follower.revision,
-            self._follower.reachable and index is not None,
+            self._follower.reachable and self._follower.watching and index is not None,
             index.table if changed and index is not None else None,
             self._servers.all_servers() if changed else (),
             self._follower.era,
@@ -249,6 +250,10 @@
         engines = frozenset(map(engine_key, self._servers.stream_engines()))
         self._engine_changes += len(engines ^ self._engines)
         self._engines = engines
+        self._wake_neighbours()
+
+    def _wake_neighbours(self) -> None:
+        """Answers the neighbours that wait for a change."""
         self._changed.set()
         self._changed = asyncio.Event()
 
--- a/src/medlarvale/forwarding/fleet_messages.py
+++ b/src/medlarvale/forwarding/fleet_messages.py
@@ -197,7 +197,7 @@
     Attributes:
         mark: identifies the state.
         revision: revision of the store up to which the sender has read.
-        store_reachable: whether the sender can read the store.
+        store_reachable: whether the sender reads all changes of the store.
         table: the configuration; None if the receiver already has this state.
         servers: the servers; empty if the receiver already has this state.
         era: era of the store to which the revision belongs.
--- a/src/medlarvale/forwarding/follower.py
+++ b/src/medlarvale/forwarding/follower.py
@@ -55,6 +55,7 @@
     Attributes:
         index: routes of the newest configuration; None before the first.
         reachable: whether the last call to the source succeeded.
+        watching: whether no watch was cut since the last answer, so that no changes are missed.
         revision: revision of the source up to which changes are known.
         era: era of the source to which the revision belongs.
         gaps: times of which not all changes were seen.
@@ -101,11 +102,13 @@
         # Whether entries may be missing because their servers could not write to the source.
         self._may_have_lapsed = False
         self.reachable = True
+        self.watching = True
         self.index: RouteIndex | None = None
         self.revision = StoreRevision(0)
         self.era = StoreEra(0)
         self._contact_callbacks: list[Callable[[], None]] = []
         self._accept_callbacks: list[Callable[[], None]] = []
+        self._silence_callbacks: list[Callable[[], None]] = []
         servers.on_change(self._note_listed)
         self._reading = asyncio.Event()
         self._reading.set()
@@ -123,6 +126,10 @@
         """Registers a callback for each new configuration."""
         self._accept_callbacks.append(callback)
 
+    def on_silence(self, callback: Callable[[], None]) -> None:
+        """Registers a callback for each time that the source ceases to tell of changes."""
+        self._silence_callbacks.append(callback)
+
     def on_gap(self, callback: Callable[[float, float], None]) -> None:
         """Registers a callback for the begin and end of each time that was not all seen."""
         self.gaps.on_gap(callback)
@@ -212,6 +219,7 @@
             self._note_era(era)
             self.revision = revision
         self._contact_ms = self._clock.now_ms()
+        self.watching = True
         if self._current_ms == -math.inf:
             self._note_current(current_ms)
         self._current_ms = max(self._current_ms, current_ms)
@@ -310,6 +318,7 @@
             return True
         except WatchCutError as error:
             reason = error.message
+            self._note_silence()
         silent_ms = self._silent_ms()
         if silent_ms >= self._lapse_ms:
             self._may_have_lapsed = True
@@ -374,6 +383,7 @@
 
     def _note_contact(self) -> None:
         self._contact_ms = self._clock.now_ms()
+        self.watching = True
         self._note_reachable(True, "")
         for callback in self._contact_callbacks:
             callback()
@@ -400,3 +410,9 @@
             log_info(Event.STORE_REGAINED)
         else:
             log_warning(Event.STORE_LOST, reason=reason)
+            self._note_silence()
+
+    def _note_silence(self) -> None:
+        self.watching = False
+        for callback in self._silence_callbacks:
+            callback()
