Count a host whose neighbour reads the store as reading it

A host whose own last call to the store had failed before it got a reader counted as cut off for as long as it had one: its hellos said so, and each second it fetched the state of a peer and replaced its list of servers by the peer's.

test_a_neighbour_of_a_reader_has_not_lost_the_store failed on the code before (not within 5 s) and passes.

--- a/src/medlarvale/forwarding/domain_reader.py
+++ b/src/medlarvale/forwarding/domain_reader.py
@@ -161,6 +161,7 @@
         self._mark, self._heard_changes = reply.mark, reply.engine_changes
         age_ms = DEFAULT_AGE_MS if reply.age_ms is None else reply.age_ms
         self._follower.suspend(reply.era, reply.revision, asked_ms - age_ms)
+        self._follower.note_reader()
         self._follower.confirmation.note_peer(
             asked_ms,
             reply.config_age_ms,
--- a/src/medlarvale/forwarding/follower.py
+++ b/src/medlarvale/forwarding/follower.py
@@ -54,7 +54,8 @@
 
     Attributes:
         index: routes of the newest configuration; None before the first.
-        reachable: whether the last call to the source succeeded.
+        reachable: whether the last call to the source succeeded, or another host reads it for this
+            one.
         watching: whether no watch was cut since the last answer, so that no changes are missed.
         revision: revision of the source up to which changes are known.
         era: era of the source to which the revision belongs.
@@ -225,6 +226,12 @@
         self._current_ms = max(self._current_ms, current_ms)
         self._reading.clear()
 
+    def note_reader(self) -> None:
+        """Records that another host reads the source for this one, whose own last call may have
+        failed.
+        """
+        self._note_reachable(True, "")
+
     def resume(self) -> None:
         """Reads the source again, from the last known revision on."""
         self._reading.set()
--- a/tests/forwarding/test_config_behind.py
+++ b/tests/forwarding/test_config_behind.py
@@ -127,6 +127,14 @@
             await self.eventually(lambda: reader.follower.reachable)
             await asyncio.sleep(2.0 * WATCH_S)
 
+    async def test_a_neighbour_of_a_reader_has_not_lost_the_store(self) -> None:
+        """Guards against a host that counts as cut off from the store for as long as it has a
+        reader, since its own last call failed."""
+        neighbour = self.hosts[1].follower
+        neighbour._note_reachable(False, "the last call before it had a reader failed")
+        await self.eventually(lambda: neighbour.reachable)
+        self.assertEqual(self.hosts[1].task.reader, "a")
+
 
 class FetchTest(unittest.IsolatedAsyncioTestCase):
     """Hosts that the store refuses, in a fleet whose readers have a newer configuration."""
