Answer neighbours at once also while the reader misses changes

A neighbour that asked after its reader's watch was cut, and not before, waited for the reader's whole interval: nothing woke the answer.

--- a/src/medlarvale/forwarding/domain_reader.py
+++ b/src/medlarvale/forwarding/domain_reader.py
@@ -215,7 +215,7 @@
 
     async def _answer(self, sender: HostIdentity, message: SharedStateRequest) -> SharedState:
         arrived_ms = self._clock.now_ms()
-        if self._present_mark() == message.mark:
+        if self._present_mark() == message.mark and self._knows_all():
             try:
                 async with asyncio.timeout(min(message.wait_ms, ANSWER_AFTER_MS) / 1000.0):
                     await self._changed.wait()
@@ -228,7 +228,7 @@
         return SharedState(
             mark,
             self._follower.revision,
-            self._follower.reachable and self._follower.watching and index is not None,
+            self._knows_all(),
             index.table if changed and index is not None else None,
             self._servers.all_servers() if changed else (),
             self._follower.era,
@@ -240,6 +240,11 @@
             self._follower.confirmation.age_to_send(arrived_ms, mark.config_version),
         )
 
+    def _knows_all(self) -> bool:
+        """Returns whether this host misses no changes as far as it can tell."""
+        follower = self._follower
+        return follower.reachable and follower.watching and follower.index is not None
+
     def _gap_ages_ms(self) -> tuple[float, float] | None:
         if self._follower.gaps.last is None:
             return None
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -244,14 +244,16 @@
         with (
             mock.patch.object(store_module, "READ_TIMEOUT_MS", parts * gap_s * 1000.0 / 2.0),
             mock.patch.object(store_module, "WATCH_SLACK_MS", parts * gap_s * 1000.0 / 2.0),
+            mock.patch.object(store_module, "MAX_BODY_MS", 3_600_000.0),
         ):
             self.assertEqual((await store.read()).revision, 12)
             self.assertEqual((await store.watch(StoreRevision(1), 10)).revision, 12)
             stops = True
-            with self.assertRaises(PublishedStateError):
-                await store.read()
-            with self.assertRaises(WatchCutError):
-                await store.watch(StoreRevision(1), 10)
+            async with asyncio.timeout(20.0):
+                with self.assertRaises(PublishedStateError):
+                    await store.read()
+                with self.assertRaises(WatchCutError):
+                    await store.watch(StoreRevision(1), 10)
 
     async def test_only_a_connection_that_is_lost_cuts_a_watch(self) -> None:
         """Guards against a cut watch that counts as an outage of the store, and the reverse."""
