--- a/src/medlarvale/forwarding/follower.py
+++ b/src/medlarvale/forwarding/follower.py
@@ -56,7 +56,8 @@
         index: routes of the newest configuration; None before the first.
         reachable: whether the last call to the source succeeded, or another host reads it for this
             one.
-        watching: whether no watch was cut since the last answer, so that no changes are missed.
+        watching: whether the last watch was answered when it was due; otherwise changes may be
+            missing.
         revision: revision of the source up to which changes are known.
         era: era of the source to which the revision belongs.
         gaps: times of which not all changes were seen.
@@ -316,15 +317,15 @@
         Returns:
             Whether all changes since the last answer are known.
         """
+        started_ms = self._clock.now_ms()
+        wait_ms = self.confirmation.watch_wait_ms(self._watch_wait_ms, started_ms, self.version)
         try:
-            await self._watch(
-                self.confirmation.watch_wait_ms(
-                    self._watch_wait_ms, self._clock.now_ms(), self.version
-                )
-            )
+            await self._watch(wait_ms)
             return True
         except WatchCutError as error:
             reason = error.message
+        if self._clock.now_ms() - started_ms > wait_ms:
+            # An answer was due, and the next one may take as long.
             self._note_silence()
         silent_ms = self._silent_ms()
         if silent_ms >= self._lapse_ms:
