--- a/src/medlarvale/settings/source.py
+++ b/src/medlarvale/settings/source.py
@@ -15,9 +15,13 @@
 from medlarvale.settings.check import MAX_TREE_BYTES
 from medlarvale.settings.errors import SourceBusyError, SourceError
 
+# The timeouts hold for the head of an answer and for each part of its body: a narrow link takes
+# seconds for a large tree.
 GET_TIMEOUT_MS = 1_000
 # Added to the wait time of a watch for the network; the service responds by the end of the wait.
 WATCH_SLACK_MS = 500
+# Time for a whole answer, beyond that for its head.
+MAX_BODY_MS = 10_000
 FILE_POLL_MS = 250
 # The largest tree and the JSON object around it in the response.
 MAX_ANSWER_BYTES = MAX_TREE_BYTES + 1_000
@@ -151,7 +155,7 @@
 
     async def get(self) -> SourceAnswer:
         """Reads the newest version; see ``SettingsSource.get``."""
-        answer = await self._call("/config", {}, GET_TIMEOUT_MS)
+        answer = await self._call("/config", {}, GET_TIMEOUT_MS, GET_TIMEOUT_MS)
         if answer is None:
             raise SourceError("the configuration service has no tree")
         return answer
@@ -159,22 +163,34 @@
     async def watch(self, after: ConfigVersion, wait_ms: int) -> SourceAnswer | None:
         """Waits for a newer version with a long poll; see ``SettingsSource.watch``."""
         parameters = {"after": str(after), "wait_ms": str(wait_ms)}
-        return await self._call("/config/watch", parameters, wait_ms + WATCH_SLACK_MS)
+        head_ms = wait_ms + WATCH_SLACK_MS
+        return await self._call("/config/watch", parameters, head_ms, WATCH_SLACK_MS)
 
     async def _call(
-        self, path: str, parameters: dict[str, str], timeout_ms: int
+        self, path: str, parameters: dict[str, str], head_ms: int, part_ms: int
     ) -> SourceAnswer | None:
-        timeout = aiohttp.ClientTimeout(total=timeout_ms / 1000.0)
+        """Returns an answer; None if there is no newer version.
+
+        Args:
+            path: the call.
+            parameters: its parameters.
+            head_ms: time for the head of the answer.
+            part_ms: time for each part of the body.
+        """
+        timeout = aiohttp.ClientTimeout(total=(head_ms + MAX_BODY_MS) / 1000.0)
         url = self._base_url + path
         try:
-            async with self._session.get(url, params=parameters, timeout=timeout) as response:
+            async with (
+                asyncio.timeout(head_ms / 1000.0) as progress,
+                self._session.get(url, params=parameters, timeout=timeout) as response,
+            ):
                 if response.status == STATUS_TOO_MANY_CALLS:
                     raise SourceBusyError(f"{url}: rate limit exceeded")
                 if response.status == STATUS_NO_NEWER_VERSION:
                     return None
                 if response.status != STATUS_OK:
                     raise SourceError(f"{url}: HTTP status {response.status}")
-                return self._decode(url, await _read_bounded(response))
+                return self._decode(url, await _read_bounded(response, progress, part_ms))
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
             raise SourceError(f"{url}: {error!r}") from error
 
@@ -186,10 +202,21 @@
         return SourceAnswer(answer.version, bytes(answer.tree))
 
 
-async def _read_bounded(response: aiohttp.ClientResponse) -> bytes:
-    """Returns the body; stops reading once it exceeds the largest response size."""
+async def _read_bounded(
+    response: aiohttp.ClientResponse, progress: asyncio.Timeout, part_ms: int
+) -> bytes:
+    """Returns the body; stops reading once it exceeds the largest response size.
+
+    Args:
+        response: the response.
+        progress: is extended with each part of the body.
+        part_ms: time for each part.
+    """
     body = bytearray()
+    loop = asyncio.get_running_loop()
+    progress.reschedule(loop.time() + part_ms / 1000.0)
     async for chunk in response.content.iter_any():
+        progress.reschedule(loop.time() + part_ms / 1000.0)
         body += chunk
         if len(body) > MAX_ANSWER_BYTES:
             raise SourceError(f"{response.url}: more than {MAX_ANSWER_BYTES} bytes")
