Keep no rejected version while a host of serve starts

A host of serve that starts while the newest version is invalid served nothing for over 4 s, though all peers ran the version before: it kept the invalid version that each read of the service returned as its candidate, also after it had been rejected. The peers' version is older, so it was neither asked for nor taken.

--- a/src/medlarvale/settings/propagation.py
+++ b/src/medlarvale/settings/propagation.py
@@ -263,6 +263,9 @@
         """Queues a version for its check, or keeps the newest one during startup."""
         if self._store.in_force is not None or self._checking is not None:
             self._enqueue_check(answer)
+        elif not self._store.needs_check(answer.version, answer.text):
+            # It was rejected, and would hide the older version that the peers run.
+            return
         elif self._startup_candidate is None or answer.version > self._startup_candidate.version:
             self._startup_candidate = answer
 
