Share the hosts of a failure domain between two test modules

test_config_behind.py repeated the teardown and the waiting of test_domain_reader.py; both take them from NeighboursTestCase now.

--- a/tests/forwarding/test_config_behind.py
+++ b/tests/forwarding/test_config_behind.py
@@ -29,7 +29,7 @@
 from medlarvale.ids import ConfigVersion, FailureDomain, HostId, HostIdentity, ServerId
 from medlarvale.peers.transport import MemoryNetwork, MemoryTransport, MessageCodec
 from tests.forwarding.fakes import APP, HERE, make_route, make_server, make_table
-from tests.forwarding.test_domain_reader import NAMES, WATCH_S, FakeStore
+from tests.forwarding.test_domain_reader import NAMES, WATCH_S, FakeStore, NeighboursTestCase
 from tests.forwarding.test_domain_reader import Host as Neighbour
 from tests.forwarding.test_fleet import hello, identity
 
@@ -48,7 +48,7 @@
     view.record_hello(identity(host), heard, now_ms)
 
 
-class DeafReaderTest(unittest.IsolatedAsyncioTestCase):
+class DeafReaderTest(NeighboursTestCase):
     """The reader of a failure domain hears nothing of the store and does not know it yet."""
 
     async def asyncSetUp(self) -> None:
@@ -75,17 +75,6 @@
                 hear(host.view, REMOTE, self.version, SystemClock().now_ms())
             await asyncio.sleep(HELLO_PERIOD_MS / 1000.0)
 
-    async def asyncTearDown(self) -> None:
-        self.hearing.cancel()
-        for host in self.hosts:
-            await host.task.close()
-            await host.follower.close()
-
-    async def eventually(self, condition, timeout_s: float = 5.0) -> None:  # type: ignore[no-untyped-def]
-        async with asyncio.timeout(timeout_s):
-            while not condition():  # noqa: ASYNC110 - the condition has no event
-                await asyncio.sleep(0.01)
-
     async def test_neighbours_of_a_deaf_reader_read_the_store(self) -> None:
         """Guards against hosts in touch with the store that serve a replaced configuration, because
         their reader hears of no change and no peer answers."""
--- a/tests/forwarding/test_domain_reader.py
+++ b/tests/forwarding/test_domain_reader.py
@@ -143,7 +143,25 @@
         self.assertIsNone(host.task.choose_reader(SystemClock().now_ms()))
 
 
-class DomainReaderTest(unittest.IsolatedAsyncioTestCase):
+class NeighboursTestCase(unittest.IsolatedAsyncioTestCase):
+    """The hosts of a failure domain, which exchange hellos until the end of the test."""
+
+    hosts: list[Host]
+    hearing: asyncio.Task[None]
+
+    async def asyncTearDown(self) -> None:
+        self.hearing.cancel()
+        for host in self.hosts:
+            await host.task.close()
+            await host.follower.close()
+
+    async def eventually(self, condition, timeout_s: float = 5.0) -> None:  # type: ignore[no-untyped-def]
+        async with asyncio.timeout(timeout_s):
+            while not condition():  # noqa: ASYNC110 - the condition has no event
+                await asyncio.sleep(0.01)
+
+
+class DomainReaderTest(NeighboursTestCase):
     async def asyncSetUp(self) -> None:
         self.assertGreaterEqual(len(NAMES), MIN_DOMAIN_HOSTS)
         self.network = MemoryNetwork(MessageCodec(FLEET_MESSAGES))
@@ -163,17 +181,6 @@
                 host.hear(*(name for name in NAMES if name != host.name))
             await asyncio.sleep(HELLO_PERIOD_MS / 1000.0)
 
-    async def asyncTearDown(self) -> None:
-        self.hearing.cancel()
-        for host in self.hosts:
-            await host.task.close()
-            await host.follower.close()
-
-    async def eventually(self, condition, timeout_s: float = 5.0) -> None:  # type: ignore[no-untyped-def]
-        async with asyncio.timeout(timeout_s):
-            while not condition():  # noqa: ASYNC110 - the condition has no event
-                await asyncio.sleep(0.01)
-
     async def test_only_the_reader_calls_the_store(self) -> None:
         """Pattern: each change of the store wakes each host that watches it. Guards against calls
         to the store that grow with the number of hosts."""
