--- a/review/kit-2/deployment.py
+++ b/review/kit-2/deployment.py
@@ -29,6 +29,7 @@
 # The link of the store in SYSTEM.md.
 STORE_BITS_PER_S = 1e6 * float(os.environ.get("STORE_MBITS", "1000"))
 STORE_PART_BYTES = 16 * 1024
+HEARTBEAT_S = 1.2
 
 SETTINGS = """NodeName={name}
 Role=forward
@@ -348,7 +349,6 @@
         self.on_note: Callable[[dict[str, Any]], None] | None = None
         self._process: asyncio.subprocess.Process | None = None
         self._listens = asyncio.Event()
-        self._heartbeats = 0
 
     async def start(self, *, publish: bool = True) -> None:
         """Starts the process, which registers itself in the store."""
@@ -367,7 +367,6 @@
         self._deployment.run(self._read(self._process))
         async with asyncio.timeout(10.0):
             await self._listens.wait()
-        self._heartbeats = 1
         if publish:
             await self.publish()
 
@@ -395,12 +394,12 @@
             "Slots": 64 if self.stage else 6,
             "State": "ready",
             "ColdLeftMs": 0,
-            "Sequence": self._heartbeats,
+            # Counts the heartbeats since the start.
+            "Sequence": 1 + int((time.time() - self.born_ms / 1000.0) / HEARTBEAT_S),
             "born": self.born_ms,
         }
         if self.stage:
             entry |= {"Stage": self.stage, "Models": [{"Name": "m", "Version": 1}]}
-        self._heartbeats += 1
         await self._deployment.store.put(f"servers/{self.name}", entry | changes)
         self._deployment.record.note(f"entry of {self.name}: {entry['Version']} {self.born_ms}")
 
